--- /dev/null
+++ b/devtools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that start deployments and tests; not part of the product."""
--- /dev/null
+++ b/lacewingwood/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Files, jobs, batch room on replicas and results."""
--- /dev/null
+++ b/lacewingwood/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers."""
--- /dev/null
+++ b/lacewingwood/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: the roles and the operators' client."""
--- /dev/null
+++ b/lacewingwood/clock.py
@@ -0,0 +1,65 @@
+"""Monotonic time in milliseconds."""
+
+import time
+from typing import Protocol
+
+import trio
+
+
+class Clock(Protocol):
+    """A source of monotonic time."""
+
+    def now_ms(self) -> float:
+        """Returns monotonic time in milliseconds."""
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Waits for `duration_ms` milliseconds."""
+
+
+class MonotonicClock:
+    """The machine's monotonic clock.
+
+    Reads CLOCK_BOOTTIME, which goes on while the machine is suspended, so that
+    a lease also expires during a suspension.
+    """
+
+    __slots__ = ()
+
+    def now_ms(self) -> float:
+        """Returns monotonic time in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Waits for `duration_ms` milliseconds."""
+        await trio.sleep(max(0.0, duration_ms) / 1000)
+
+
+class ManualClock:
+    """A clock for tests that moves only when told to."""
+
+    __slots__ = ("_now_ms", "_waiters")
+
+    def __init__(self, now_ms: float = 0.0) -> None:
+        self._now_ms = now_ms
+        self._waiters: list[tuple[float, trio.Event]] = []
+
+    def now_ms(self) -> float:
+        """Returns the time set by `advance`."""
+        return self._now_ms
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Waits until `advance` has moved the clock far enough."""
+        if duration_ms <= 0:
+            await trio.lowlevel.checkpoint()
+            return
+        event = trio.Event()
+        self._waiters.append((self._now_ms + duration_ms, event))
+        await event.wait()
+
+    def advance(self, duration_ms: float) -> None:
+        """Moves the clock forward and wakes the sleepers that are due."""
+        self._now_ms += duration_ms
+        due = [event for at, event in self._waiters if at <= self._now_ms]
+        self._waiters = [w for w in self._waiters if w[0] > self._now_ms]
+        for event in due:
+            event.set()
--- /dev/null
+++ b/lacewingwood/hostlist/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of hosts."""
--- /dev/null
+++ b/lacewingwood/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of customers over the whole fleet."""
--- /dev/null
+++ b/lacewingwood/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's append-only log service."""
--- /dev/null
+++ b/lacewingwood/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Admin listener, configuration documents and client commands."""
--- /dev/null
+++ b/lacewingwood/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Transport and messages between the system's own processes."""
--- /dev/null
+++ b/lacewingwood/peers/messages.py
@@ -0,0 +1,272 @@
+"""Messages between the system's own processes.
+
+Each request type has one answer type; a message sent without a question has
+none. Types are told apart by their tags, unknown fields are passed over, so
+that old and new versions talk to each other.
+"""
+
+import msgspec
+
+
+class Message(msgspec.Struct, tag_field="t"):
+    """Base of all messages."""
+
+
+class Ping(Message, tag="ping"):
+    """Asks a peer for its state of knowledge.
+
+    Attributes:
+        node_id: The asking process.
+        offset: Offset on `control` below which it has applied everything.
+    """
+
+    node_id: str
+    offset: int
+
+
+class Pong(Message, tag="pong"):
+    """Answers `Ping`.
+
+    Attributes:
+        node_id: The answering process.
+        offset: Offset on `control` below which it has applied everything.
+        log_age_ms: Time since it last read the log's tail, -1 if never.
+    """
+
+    node_id: str
+    offset: int
+    log_age_ms: float
+
+
+class FetchRecords(Message, tag="fetch_records"):
+    """Asks for records of `control` from `start` on."""
+
+    start: int
+
+
+class Records(Message, tag="records"):
+    """Records of `control`, in order; empty if the peer no longer has them.
+
+    Attributes:
+        start: Offset of the first record.
+        data: Encoded records, one each offset.
+    """
+
+    start: int
+    data: list[bytes]
+
+
+class FetchView(Message, tag="fetch_view"):
+    """Asks for the whole view."""
+
+
+class EncodedView(Message, tag="encoded_view"):
+    """The whole view, holding all records with offsets below `covers`."""
+
+    covers: int
+    data: bytes
+
+
+class Borrow(Message, tag="borrow"):
+    """Asks the owner of a bucket part for a piece, or renews one.
+
+    Attributes:
+        node_id: The borrowing entry.
+        customer: Name of the customer.
+        part: Index of the bucket's part.
+        want: Requests to admit now and soon.
+        demand: Recent arrivals a second at this entry.
+        rate: Refill a second of the piece held now.
+        depth: Depth of the piece held now.
+        level: Unused requests in the piece held now.
+        serial: Rises with each message of this entry for this part.
+        epoch: Fencing number of the lease under which the piece was lent, -1
+            if none is held.
+    """
+
+    node_id: str
+    customer: str
+    part: int
+    want: float
+    demand: float
+    rate: float
+    depth: float
+    level: float
+    serial: int
+    epoch: int
+
+
+class Lent(Message, tag="lent"):
+    """Answers `Borrow` with the piece that now replaces the one held.
+
+    Attributes:
+        epoch: Fencing number of the owner's lease.
+        rate: Refill a second.
+        depth: Most requests the piece can hold.
+        add_level: Requests added to those the entry has left.
+        ttl_ms: Life of the piece, counted by the entry from before it asked.
+        retry_ms: When asking again may help, if too little was lent.
+    """
+
+    epoch: int
+    rate: float
+    depth: float
+    add_level: float
+    ttl_ms: float
+    retry_ms: float
+
+
+class Return(Message, tag="return"):
+    """Gives a piece back; the entry has stopped using it."""
+
+    node_id: str
+    customer: str
+    part: int
+    level: float
+    serial: int
+    epoch: int
+
+
+class OnlineCount(Message, tag="online_count"):
+    """Tells a replica's room holder how many requests an entry has there.
+
+    Attributes:
+        node_id: The entry.
+        replica: The replica's id.
+        running: Requests in flight from this entry to the replica.
+        serial: Rises with each message; an older one is dropped.
+    """
+
+    node_id: str
+    replica: str
+    running: int
+    serial: int
+
+
+class ReplicaWord(Message, tag="replica_word"):
+    """What a replica's room holder knows of it.
+
+    Attributes:
+        replica: The replica's id.
+        online: Online requests in flight from all entries.
+        batch: Batch items in flight.
+        waiting: Requests queued in the engine by its last load report.
+        leaving: True if it must get no new work.
+        serial: Rises with each message of this holder.
+    """
+
+    replica: str
+    online: int
+    batch: int
+    waiting: int
+    leaving: bool
+    serial: int
+
+
+class Ack(Message, tag="ack"):
+    """Answers a request that has no other answer."""
+
+
+class Refused(Message, tag="refused"):
+    """Answers a request that the peer cannot serve.
+
+    Attributes:
+        code: Stable identifier, such as `not_owner` or `stale`.
+        message: Sentence for people.
+    """
+
+    code: str
+    message: str
+
+
+class RunItem(Message, tag="run_item"):
+    """Asks a room holder to run one batch item.
+
+    Attributes:
+        job_id: The job.
+        index: Index of the item in its job.
+        epoch: Fencing number of the job owner's lease.
+        replica: Replica to run it on.
+        endpoint: Path of the engine's interface.
+        body: The item's request body, JSON.
+        resume_text: Text that an earlier run produced.
+        due_ms: Time left until the job is due.
+    """
+
+    job_id: str
+    index: int
+    epoch: int
+    replica: str
+    endpoint: str
+    body: bytes
+    resume_text: str
+    due_ms: float
+
+
+class ItemDone(Message, tag="item_done"):
+    """The item completed; `response` is the engine's answer, JSON."""
+
+    response: bytes
+
+
+class ItemYielded(Message, tag="item_yielded"):
+    """The item gave way to online work after producing `text`."""
+
+    text: str
+
+
+class ItemFailed(Message, tag="item_failed"):
+    """The item failed on this replica.
+
+    Attributes:
+        code: Stable identifier.
+        message: Sentence for people.
+        own_fault: True if the item itself was refused or crashed the replica.
+    """
+
+    code: str
+    message: str
+    own_fault: bool
+
+
+class CrashSuspect(Message, tag="crash_suspect"):
+    """An upstream died while it ran these requests.
+
+    Attributes:
+        replica: The replica that died.
+        fingerprints: Customer and body digest of each request in flight.
+        event_id: Unique for each death seen by one entry.
+    """
+
+    replica: str
+    fingerprints: list[str]
+    event_id: str
+
+
+class CrashCleared(Message, tag="crash_cleared"):
+    """A suspect request has completed on some replica."""
+
+    fingerprint: str
+
+
+AnyMessage = (
+    Ping
+    | Pong
+    | FetchRecords
+    | Records
+    | FetchView
+    | EncodedView
+    | Borrow
+    | Lent
+    | Return
+    | OnlineCount
+    | ReplicaWord
+    | Ack
+    | Refused
+    | RunItem
+    | ItemDone
+    | ItemYielded
+    | ItemFailed
+    | CrashSuspect
+    | CrashCleared
+)
--- /dev/null
+++ b/lacewingwood/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of replicas, retries, deadlines and crash suspects."""
--- /dev/null
+++ b/lacewingwood/state/__init__.py
@@ -0,0 +1,1 @@
+"""State shared by all processes through the log."""
--- /dev/null
+++ b/lacewingwood/state/records.py
@@ -0,0 +1,325 @@
+"""Records on the stream `control` and their codec."""
+
+from typing import Any
+
+import msgspec
+
+from lacewingwood.state import errors
+
+SCHEMA_VERSION = 1
+
+
+class Customer(msgspec.Struct, forbid_unknown_fields=False):
+    """A customer and its agreed limits.
+
+    Attributes:
+        name: Unique name, the customer's identity.
+        rate: Requests a second over the whole fleet.
+        burst: Requests that may come at once over the whole fleet.
+        weight: Share of the fleet relative to other customers.
+    """
+
+    name: str
+    rate: float
+    burst: int
+    weight: float = 1.0
+
+
+class CustomerPut(msgspec.Struct, tag="customer_put"):
+    """Creates or changes a customer."""
+
+    customer: Customer
+
+
+class CustomerDeleted(msgspec.Struct, tag="customer_deleted"):
+    """Removes a customer, its keys included."""
+
+    name: str
+
+
+class KeyPut(msgspec.Struct, tag="key_put"):
+    """Gives a key to a customer.
+
+    Attributes:
+        key_id: Public name of the key, unique for ever; a withdrawn key's id
+            and digest are never valid again.
+        digest: SHA-256 of the secret, hexadecimal.
+        customer: Name of the customer.
+    """
+
+    key_id: str
+    digest: str
+    customer: str
+
+
+class KeyWithdrawn(msgspec.Struct, tag="key_withdrawn"):
+    """Withdraws a key for good."""
+
+    key_id: str
+
+
+class Route(msgspec.Struct):
+    """Where requests for a path prefix and host go.
+
+    Attributes:
+        name: Unique name.
+        prefix: Path prefix, starting with a slash.
+        service: Service whose upstreams take the requests.
+        host: Host header to match, or an empty string for any.
+        open: True if no key is needed.
+        idempotent_methods: Methods that may be repeated.
+        timeout_ms: Time given to an upstream for an answer's first byte.
+    """
+
+    name: str
+    prefix: str
+    service: str
+    host: str = ""
+    open: bool = False
+    idempotent_methods: list[str] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]
+    timeout_ms: int = 30_000
+
+
+class RoutePut(msgspec.Struct, tag="route_put"):
+    """Creates or changes a route to a plain service."""
+
+    route: Route
+
+
+class RouteDeleted(msgspec.Struct, tag="route_deleted"):
+    """Removes a route."""
+
+    name: str
+
+
+class Model(msgspec.Struct):
+    """A model that callers may name.
+
+    Attributes:
+        name: Name in callers' requests.
+        service: Service whose replicas run it.
+        version: Version that replicas should have loaded.
+        artifact: Name in the weight store.
+        min_ready: Replicas that keep serving during a rollout.
+    """
+
+    name: str
+    service: str
+    version: str
+    artifact: str = ""
+    min_ready: int = 1
+
+
+class ModelPut(msgspec.Struct, tag="model_put"):
+    """Creates a model or publishes a new version of it."""
+
+    model: Model
+
+
+class ModelDeleted(msgspec.Struct, tag="model_deleted"):
+    """Removes a model."""
+
+    name: str
+
+
+class Member(msgspec.Struct):
+    """One of the system's own processes.
+
+    Attributes:
+        node_id: Unique for each start of a process.
+        role: `entry` or `worker`.
+        address: `host:port` of its peer listener.
+        zone: Availability zone.
+        region: Region.
+        host: Identity of its host on the platform's host list.
+    """
+
+    node_id: str
+    role: str
+    address: str
+    zone: str
+    region: str
+    host: str = ""
+
+
+class MemberJoined(msgspec.Struct, tag="member_joined"):
+    """A process has started and takes part."""
+
+    member: Member
+
+
+class MemberLeft(msgspec.Struct, tag="member_left"):
+    """A process has stopped, or was found dead by another."""
+
+    node_id: str
+
+
+class LeaseClaimed(msgspec.Struct, tag="lease_claimed"):
+    """Claims a lease; the record's offset is its fencing number.
+
+    Attributes:
+        name: Name of the lease, such as `job/ID`.
+        holder: Node id of the claimant.
+    """
+
+    name: str
+    holder: str
+
+
+class LeaseReleased(msgspec.Struct, tag="lease_released"):
+    """Gives up a lease that `holder` has."""
+
+    name: str
+    holder: str
+
+
+class Job(msgspec.Struct):
+    """A batch job as it was accepted.
+
+    Attributes:
+        job_id: Identity, derived from the customer and its request, so that a
+            resent request finds the same job.
+        customer: Owner of the job.
+        input_file: Id of the file with its items.
+        endpoint: Path that each item is for.
+        items: Number of items.
+        due_ms: Wall-clock time by which it must end, ms since the epoch.
+        created_ms: Wall-clock time of acceptance, ms since the epoch.
+        metadata: The caller's own key-value pairs.
+    """
+
+    job_id: str
+    customer: str
+    input_file: str
+    endpoint: str
+    items: int
+    due_ms: int
+    created_ms: int
+    metadata: dict[str, str] = {}
+
+
+class JobAccepted(msgspec.Struct, tag="job_accepted"):
+    """A job is accepted; from here on it completes or is cancelled."""
+
+    job: Job
+
+
+class JobCancelled(msgspec.Struct, tag="job_cancelled"):
+    """A customer cancels its job."""
+
+    job_id: str
+    at_ms: int
+
+
+class JobFinished(msgspec.Struct, tag="job_finished"):
+    """All items of a job have ended.
+
+    Attributes:
+        job_id: The job.
+        completed: Items with a result.
+        failed: Items that ended as failed.
+        at_ms: Wall-clock time, ms since the epoch.
+    """
+
+    job_id: str
+    completed: int
+    failed: int
+    at_ms: int
+
+
+class Snapshot(msgspec.Struct, tag="snapshot"):
+    """One part of a snapshot of the whole view.
+
+    Attributes:
+        snapshot_id: Common to all parts.
+        covers: The snapshot holds all records with offsets below this.
+        part: Index of this part, from 0.
+        parts: Number of parts.
+        data: Part of the encoded view.
+    """
+
+    snapshot_id: str
+    covers: int
+    part: int
+    parts: int
+    data: bytes
+
+
+Body = (
+    CustomerPut
+    | CustomerDeleted
+    | KeyPut
+    | KeyWithdrawn
+    | RoutePut
+    | RouteDeleted
+    | ModelPut
+    | ModelDeleted
+    | MemberJoined
+    | MemberLeft
+    | LeaseClaimed
+    | LeaseReleased
+    | JobAccepted
+    | JobCancelled
+    | JobFinished
+    | Snapshot
+)
+
+
+class Record(msgspec.Struct):
+    """A change as it is put on the log.
+
+    Attributes:
+        id: Unique for each change; a resend repeats it.
+        by: Who wrote it: a node id or an operator's name.
+        body: The change itself.
+        based_on: Offset of the entity's last change that the writer saw, -1 if
+            it saw none, or None to apply whatever came before.
+        v: Schema version of the body.
+    """
+
+    id: str
+    by: str
+    body: Body
+    based_on: int | None = None
+    v: int = SCHEMA_VERSION
+
+
+class UnknownRecord(msgspec.Struct):
+    """A well-formed record of a type or schema version not known here."""
+
+    id: str
+    by: str
+    body: msgspec.Raw
+    based_on: int | None = None
+    v: int = SCHEMA_VERSION
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Record)
+_unknown_decoder = msgspec.msgpack.Decoder(UnknownRecord)
+
+
+def encode(record: Record) -> bytes:
+    """Returns the bytes of `record` for the log."""
+    return _encoder.encode(record)
+
+
+def decode(data: bytes) -> Record | UnknownRecord:
+    """Reads a record from the log.
+
+    Raises:
+        errors.BadRecordError: `data` is not a record at all.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        pass
+    try:
+        return _unknown_decoder.decode(data)
+    except msgspec.MsgspecError as exc:
+        raise errors.BadRecordError(f"not a record: {exc}") from exc
+
+
+def to_json(value: Any) -> Any:
+    """Returns `value` as plain objects that JSON can hold."""
+    return msgspec.to_builtins(value, str_keys=True)
--- /dev/null
+++ b/lacewingwood/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines and plain services behind the system."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what the platform gives."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,11 @@
+"""Settings common to all tests."""
+
+import os
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, max_examples=100, database=None
+)
+hypothesis.settings.register_profile("dev", deadline=None, max_examples=30)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,33 @@
+"""Tests of the clocks."""
+
+import trio
+import trio.testing
+
+from lacewingwood import clock
+
+
+def test_monotonic_clock_never_goes_back() -> None:
+    """Guards against leases that grow when wall-clock time is set back."""
+    source = clock.MonotonicClock()
+    times = [source.now_ms() for _ in range(100)]
+    assert times == sorted(times)
+
+
+async def test_manual_clock_wakes_only_due_sleepers() -> None:
+    """Guards against tests that pass because a sleeper woke too early."""
+    source = clock.ManualClock()
+    woken: list[int] = []
+
+    async def sleep(duration_ms: int) -> None:
+        await source.sleep_ms(duration_ms)
+        woken.append(duration_ms)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sleep, 10)
+        nursery.start_soon(sleep, 20)
+        await trio.testing.wait_all_tasks_blocked()
+        source.advance(10)
+        await trio.testing.wait_all_tasks_blocked()
+        assert woken == [10]
+        source.advance(10)
+    assert woken == [10, 20]
