Derive the view from the records on control

The view applies records in log order, drops repeats by record id and voids changes with a stale base. Route's default list of methods is made by a factory; msgspec rejects a shared mutable default.

--- a/lacewingwood/state/records.py
+++ b/lacewingwood/state/records.py
@@ -1,5 +1,6 @@
 """Records on the stream `control` and their codec."""
 
+import typing
 from typing import Any
 
 import msgspec
@@ -76,7 +77,9 @@
     service: str
     host: str = ""
     open: bool = False
-    idempotent_methods: list[str] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]
+    idempotent_methods: list[str] = msgspec.field(
+        default_factory=lambda: ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]
+    )
     timeout_ms: int = 30_000
 
 
@@ -167,10 +170,18 @@
 
 
 class LeaseReleased(msgspec.Struct, tag="lease_released"):
-    """Gives up a lease that `holder` has."""
+    """Gives up a lease that `holder` has.
+
+    Attributes:
+        name: Name of the lease.
+        holder: Node id of the last claimant.
+        effective: True if the claim had taken effect, so that no earlier
+            holder can still be at work.
+    """
 
     name: str
     holder: str
+    effective: bool = False
 
 
 class Job(msgspec.Struct):
@@ -294,6 +305,19 @@
     v: int = SCHEMA_VERSION
 
 
+class _Type(msgspec.Struct):
+    """The part of a body that all versions have."""
+
+    type: str
+
+
+_KNOWN_TYPES = frozenset(
+    str(kind.__struct_config__.tag) for kind in typing.get_args(Body)
+)
+
+# Bytes that are no msgpack can also fail as text or by their depth.
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
 _unknown_decoder = msgspec.msgpack.Decoder(UnknownRecord)
@@ -311,15 +335,27 @@
         errors.BadRecordError: `data` is not a record at all.
     """
     try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError:
+        record = _decoder.decode(data)
+        if record.v <= SCHEMA_VERSION:
+            return record
+    except _DECODE_ERRORS:
         pass
     try:
-        return _unknown_decoder.decode(data)
-    except msgspec.MsgspecError as exc:
+        return _unknown(data)
+    except _DECODE_ERRORS as exc:
         raise errors.BadRecordError(f"not a record: {exc}") from exc
 
 
+def _unknown(data: bytes) -> UnknownRecord:
+    """Reads a record that is no `Record` of this version."""
+    record = _unknown_decoder.decode(data)
+    kind = msgspec.msgpack.decode(record.body, type=_Type).type
+    if record.v <= SCHEMA_VERSION and kind in _KNOWN_TYPES:
+        raise errors.BadRecordError(f"not a record: malformed {kind}")
+    record.body = record.body.copy()
+    return record
+
+
 def to_json(value: Any) -> Any:
     """Returns `value` as plain objects that JSON can hold."""
     return msgspec.to_builtins(value, str_keys=True)
--- /dev/null
+++ b/lacewingwood/state/snapshot.py
@@ -0,0 +1,73 @@
+"""Snapshots of the view as records on `control`."""
+
+from collections.abc import Iterator
+
+from lacewingwood.state import errors
+from lacewingwood.state import records
+from lacewingwood.state import view as view_lib
+
+# The log takes records of up to 1 MiB; the rest is for the record around it.
+PART_BYTES = 1_000_000
+
+# Parts of so many unfinished snapshots are kept while reading; concurrent
+# writers are few, and what a dead one began is dropped by those after it.
+_MAX_UNFINISHED = 8
+
+
+def split(
+    view: view_lib.View, snapshot_id: str, part_bytes: int = PART_BYTES
+) -> Iterator[records.Snapshot]:
+    """Returns the parts of a snapshot of `view`."""
+    data = view.encode()
+    pieces = [
+        data[start : start + part_bytes]
+        for start in range(0, len(data), part_bytes)
+    ]
+    for index, piece in enumerate(pieces):
+        yield records.Snapshot(
+            snapshot_id, view.offset, index, len(pieces), piece
+        )
+
+
+class Assembler:
+    """Puts parts of snapshots together.
+
+    Attributes:
+        newest: The complete snapshot that covers most, or None.
+    """
+
+    __slots__ = ("_unfinished", "newest")
+
+    def __init__(self) -> None:
+        self.newest: view_lib.View | None = None
+        self._unfinished: dict[tuple[str, int, int], dict[int, bytes]] = {}
+
+    def add(self, part: records.Snapshot) -> bool:
+        """Takes one part; returns True if `newest` changed."""
+        if self.newest is not None and part.covers <= self.newest.offset:
+            return False
+        key = (part.snapshot_id, part.covers, part.parts)
+        parts = self._unfinished.setdefault(key, {})
+        parts[part.part] = part.data
+        if any(index not in parts for index in range(part.parts)):
+            self._drop_oldest()
+            return False
+        del self._unfinished[key]
+        return self._complete(part, parts)
+
+    def _complete(
+        self, part: records.Snapshot, parts: dict[int, bytes]
+    ) -> bool:
+        data = b"".join(parts[index] for index in range(part.parts))
+        try:
+            view = view_lib.decode(data)
+        except errors.BadRecordError:
+            return False
+        if view.offset != part.covers:
+            return False
+        self.newest = view
+        return True
+
+    def _drop_oldest(self) -> None:
+        while len(self._unfinished) > _MAX_UNFINISHED:
+            del self._unfinished[next(iter(self._unfinished))]
--- /dev/null
+++ b/lacewingwood/state/view.py
@@ -0,0 +1,425 @@
+"""The state that follows from the records on `control`.
+
+Every process applies the same records in the same order and so has the same
+view. Nothing here does I/O or reads a clock.
+"""
+
+import collections
+import heapq
+from typing import Any
+
+import msgspec
+
+from lacewingwood.state import entities
+from lacewingwood.state import errors
+from lacewingwood.state import records
+
+# A resend comes within a publisher's deadline of seconds; at the log's limit
+# of a few hundred appends a second this many ids last half a minute.
+RECENT_IDS = 16_384
+
+# Wall-clock time for which an ended job can still be read.
+JOB_RETENTION_MS = 3 * 24 * 3600 * 1000
+
+# One record moves the view's wall clock at most this far, so that a writer
+# with a wrong clock can't make all ended jobs disappear.
+_MAX_STEP_MS = 24 * 3600 * 1000
+
+
+class _Encoded(msgspec.Struct):
+    """The view in a snapshot.
+
+    It holds the records that the present state follows from, as they are on
+    the log, so that a newer version finds in it what an older one passed over.
+    """
+
+    offset: int
+    now_ms: int
+    records: list[tuple[int, bytes]]
+    versions: list[tuple[str, str, int]]
+    leases: list[entities.Lease]
+    withdrawn: list[tuple[str, entities.Key]]
+    withdrawn_ids: list[str]
+    recent: list[tuple[str, int, entities.Outcome]]
+
+
+_FIELDS = frozenset(field.name for field in msgspec.structs.fields(_Encoded))
+
+
+class View:
+    """All shared state below an offset of `control`.
+
+    Attributes:
+        offset: All records with offsets below this have been applied.
+        customers: Customers by name.
+        keys: Keys by digest, withdrawn ones included.
+        routes: Routes by name.
+        models: Models by name.
+        members: Processes by node id.
+        leases: Leases by name.
+        jobs: Jobs by id, until some time after their end.
+        versions: Offset of the last change of an entity (kind, name). Kinds
+            are `customer`, `key` (by key id), `route`, `model`, `member`,
+            `lease` and `job`; an entity that was never changed has -1.
+        counts: Number of records for each outcome in this process.
+    """
+
+    __slots__ = (
+        "_digests",
+        "_ends",
+        "_extra",
+        "_now_ms",
+        "_recent",
+        "_retained",
+        "_withdrawn_ids",
+        "counts",
+        "customers",
+        "jobs",
+        "keys",
+        "leases",
+        "members",
+        "models",
+        "offset",
+        "routes",
+        "versions",
+    )
+
+    def __init__(self) -> None:
+        self.offset = 0
+        self.customers: dict[str, records.Customer] = {}
+        self.keys: dict[str, entities.Key] = {}
+        self.routes: dict[str, records.Route] = {}
+        self.models: dict[str, records.Model] = {}
+        self.members: dict[str, records.Member] = {}
+        self.leases: dict[str, entities.Lease] = {}
+        self.jobs: dict[str, entities.JobState] = {}
+        self.versions: dict[entities.Entity, int] = {}
+        self.counts: collections.Counter[entities.Outcome] = (
+            collections.Counter()
+        )
+        self._digests: dict[str, str] = {}
+        self._withdrawn_ids: set[str] = set()
+        self._recent: dict[str, entities.Seen] = {}
+        self._retained: dict[entities.Entity, list[tuple[int, bytes]]] = {}
+        self._ends: list[tuple[int, str]] = []
+        self._now_ms = 0
+        self._extra: dict[str, msgspec.Raw] = {}
+
+    @property
+    def unknown(self) -> list[tuple[int, bytes]]:
+        """Records of unknown types with their offsets."""
+        kept = (r for (k, _), r in self._retained.items() if k == "unknown")
+        return [pair for pairs in kept for pair in pairs]
+
+    def version(self, kind: str, name: str) -> int:
+        """Returns the offset of an entity's last change, -1 if none."""
+        return self.versions.get((kind, name), -1)
+
+    def seen(self, record_id: str) -> entities.Seen | None:
+        """Returns what became of a recent record, None if it isn't known."""
+        return self._recent.get(record_id)
+
+    def authenticate(self, digest: str) -> str | None:
+        """Returns the customer of a valid key, None for any other."""
+        key = self.keys.get(digest)
+        if key is None or key.withdrawn or key.customer not in self.customers:
+            return None
+        return key.customer
+
+    def apply(self, offset: int, data: bytes) -> entities.Outcome:
+        """Applies the record at `offset`.
+
+        Raises:
+            ValueError: Records before `offset` are missing.
+        """
+        if offset > self.offset:
+            raise ValueError(f"at {self.offset}, got offset {offset}")
+        outcome = entities.Outcome.REPEAT
+        if offset == self.offset:
+            self.offset = offset + 1
+            outcome = self._apply(offset, data)
+        self.counts[outcome] += 1
+        return outcome
+
+    def encode(self) -> bytes:
+        """Returns the whole view for a snapshot; equal views, equal bytes."""
+        kept = sorted(p for pairs in self._retained.values() for p in pairs)
+        encoded = _Encoded(
+            self.offset,
+            self._now_ms,
+            kept,
+            sorted((k, n, offset) for (k, n), offset in self.versions.items()),
+            [lease for _, lease in sorted(self.leases.items())],
+            [(d, key) for d, key in sorted(self.keys.items()) if key.withdrawn],
+            sorted(self._withdrawn_ids),
+            [(i, s.offset, s.outcome) for i, s in self._recent.items()],
+        )
+        fields = msgspec.structs.asdict(encoded)
+        return msgspec.msgpack.encode(fields | self._extra)
+
+    def _apply(self, offset: int, data: bytes) -> entities.Outcome:
+        try:
+            record = records.decode(data)
+        except errors.BadRecordError:
+            return entities.Outcome.BAD
+        if isinstance(record.body, records.Snapshot):
+            return entities.Outcome.APPLIED
+        if record.id in self._recent:
+            return entities.Outcome.REPEAT
+        outcome = self._outcome(offset, record, data)
+        self._recent[record.id] = entities.Seen(offset, outcome)
+        if len(self._recent) > RECENT_IDS:
+            del self._recent[next(iter(self._recent))]
+        return outcome
+
+    def _outcome(
+        self,
+        offset: int,
+        record: records.Record | records.UnknownRecord,
+        data: bytes,
+    ) -> entities.Outcome:
+        if isinstance(record, records.UnknownRecord):
+            self._retained["unknown", str(offset)] = [(offset, data)]
+            return entities.Outcome.UNKNOWN
+        if not self._base_is_current(record) or not self._allows(record.body):
+            return entities.Outcome.VOID
+        self._change(offset, record, data)
+        self._pass_time(record.body)
+        return entities.Outcome.APPLIED
+
+    def _base_is_current(self, record: records.Record) -> bool:
+        if record.based_on is None:
+            return True
+        return record.based_on == self.version(*entities.entity(record.body))
+
+    def _allows(self, body: records.Body) -> bool:
+        """Returns whether a change makes sense after those before it."""
+        allowed = True
+        match body:
+            case records.CustomerDeleted(name):
+                allowed = name in self.customers
+            case records.KeyPut(key_id, digest, customer):
+                used = key_id in self._digests or digest in self.keys
+                withdrawn = key_id in self._withdrawn_ids
+                known = customer in self.customers
+                allowed = known and not used and not withdrawn
+            case records.RouteDeleted(name):
+                allowed = name in self.routes
+            case records.ModelDeleted(name):
+                allowed = name in self.models
+            case records.MemberJoined(member):
+                allowed = member.node_id not in self.members
+            case records.MemberLeft(node_id):
+                allowed = node_id in self.members
+            case records.LeaseClaimed(_, holder):
+                allowed = holder in self.members
+            case records.LeaseReleased(name, holder):
+                lease = self.leases.get(name)
+                allowed = lease is not None and lease.holder == holder != ""
+            case records.JobAccepted(job):
+                known = job.customer in self.customers
+                allowed = known and job.job_id not in self.jobs
+            case records.JobCancelled(job_id):
+                state = self.jobs.get(job_id)
+                allowed = state is not None and state.status == "accepted"
+            case records.JobFinished(job_id):
+                state = self.jobs.get(job_id)
+                allowed = state is not None and state.finished_ms is None
+        return allowed
+
+    def _change(self, offset: int, record: records.Record, data: bytes) -> None:
+        """Makes an allowed change and keeps the record that it follows from."""
+        kind, name = entities.entity(record.body)
+        self.versions[kind, name] = offset
+        match record.body:
+            case (
+                records.CustomerPut() | records.RoutePut() | records.ModelPut()
+            ):
+                self._tables()[kind][name] = getattr(record.body, kind)
+                self._retained[kind, name] = [(offset, data)]
+            case records.CustomerDeleted():
+                self._delete_customer(name)
+            case records.RouteDeleted() | records.ModelDeleted():
+                self._tables()[kind].pop(name, None)
+                self._retained.pop((kind, name), None)
+            case records.KeyPut(_, digest, customer):
+                self.keys[digest] = entities.Key(name, customer)
+                self._digests[name] = digest
+                self._retained[kind, name] = [(offset, data)]
+            case records.KeyWithdrawn():
+                self._withdraw(name)
+            case records.MemberJoined(member):
+                self._join(member)
+                self._retained[kind, name] = [(offset, data)]
+            case records.MemberLeft():
+                self._leave(name, offset, of_itself=record.by == name)
+            case records.LeaseClaimed(_, holder):
+                self._claim(name, holder, offset)
+                self._retained[kind, name] = [(offset, data)]
+            case records.LeaseReleased(_, _, effective):
+                self._let_go(name, offset, effective)
+            case records.JobAccepted(job):
+                self.jobs[name] = entities.JobState(job)
+                self._retained[kind, name] = [(offset, data)]
+            case records.JobCancelled() | records.JobFinished():
+                self._end_job(name, record.body)
+                kept = self._retained.setdefault((kind, name), [])
+                kept.append((offset, data))
+
+    def _delete_customer(self, name: str) -> None:
+        self.customers.pop(name, None)
+        self._retained.pop(("customer", name), None)
+        for key in list(self.keys.values()):
+            if key.customer == name and not key.withdrawn:
+                self._withdraw(key.key_id)
+
+    def _withdraw(self, key_id: str) -> None:
+        self._withdrawn_ids.add(key_id)
+        self._retained.pop(("key", key_id), None)
+        if key_id in self._digests:
+            self.keys[self._digests[key_id]].withdrawn = True
+
+    def _join(self, member: records.Member) -> None:
+        """Adds a member in place of an earlier one with the same address."""
+        for other in list(self.members.values()):
+            if other.address == member.address:
+                self._drop("member", other.node_id)
+        self.members[member.node_id] = member
+
+    def _leave(self, node_id: str, offset: int, of_itself: bool) -> None:
+        self._drop("member", node_id)
+        if not of_itself:
+            return
+        for lease in list(self.leases.values()):
+            if lease.holder == node_id:
+                self._let_go(lease.name, offset, not lease.waits_on)
+
+    def _claim(self, name: str, holder: str, offset: int) -> None:
+        earlier = self.leases.get(name)
+        waits_on: tuple[str, ...] = ()
+        if earlier is not None:
+            mine = {earlier.region} if earlier.holder else set()
+            waits_on = tuple(sorted({*earlier.waits_on, *mine}))
+        member = self.members.get(holder)
+        region = member.region if member is not None else ""
+        self.leases[name] = entities.Lease(
+            name, holder, offset, region, waits_on
+        )
+
+    def _let_go(self, name: str, offset: int, effective: bool) -> None:
+        """Frees a lease.
+
+        A claim that never took effect leaves the regions that it waited on to
+        the next one, as an earlier holder there may still be at work.
+        """
+        lease = self.leases.get(name)
+        if lease is None or effective or not lease.waits_on:
+            self._drop("lease", name)
+            return
+        self.leases[name] = entities.Lease(
+            name, "", lease.epoch, "", lease.waits_on
+        )
+        self.versions["lease", name] = offset
+        self._retained.pop(("lease", name), None)
+
+    def _end_job(
+        self, job_id: str, body: records.JobCancelled | records.JobFinished
+    ) -> None:
+        state = self.jobs.get(job_id)
+        if state is None:
+            return
+        match body:
+            case records.JobCancelled(_, at_ms):
+                state.cancelled_ms = at_ms
+                state.status = "cancelled"
+            case records.JobFinished(_, completed, failed, at_ms):
+                state.finished_ms = at_ms
+                state.completed = completed
+                state.failed = failed
+                if state.status == "accepted":
+                    state.status = "finished"
+        heapq.heappush(self._ends, (body.at_ms, job_id))
+
+    def _pass_time(self, body: records.Body) -> None:
+        """Moves the wall clock and drops the jobs that ended long before."""
+        match body:
+            case records.JobAccepted(job):
+                at_ms = job.created_ms
+            case records.JobCancelled() | records.JobFinished():
+                at_ms = body.at_ms
+            case _:
+                return
+        limit = self._now_ms + _MAX_STEP_MS if self._now_ms else at_ms
+        self._now_ms = max(self._now_ms, min(at_ms, limit))
+        while self._ends and self._ends[0][0] + JOB_RETENTION_MS < self._now_ms:
+            self._expire(*heapq.heappop(self._ends))
+
+    def _expire(self, end_ms: int, job_id: str) -> None:
+        state = self.jobs.get(job_id)
+        if state is None or state.ended_ms() != end_ms:
+            return
+        self._drop("job", job_id)
+        if f"job/{job_id}" in self.leases:
+            self._drop("lease", f"job/{job_id}")
+
+    def _replay(self, offset: int, data: bytes) -> None:
+        """Makes the change of a record that a snapshot retained."""
+        record = records.decode(data)
+        if isinstance(record, records.UnknownRecord):
+            self._retained["unknown", str(offset)] = [(offset, data)]
+        else:
+            self._change(offset, record, data)
+
+    def _finish(self, encoded: _Encoded) -> None:
+        """Takes from a snapshot what doesn't follow from its records."""
+        self._now_ms = encoded.now_ms
+        for kind, name, offset in encoded.versions:
+            self.versions[kind, name] = offset
+        self.leases = {lease.name: lease for lease in encoded.leases}
+        self._withdrawn_ids = set(encoded.withdrawn_ids)
+        for digest, key in encoded.withdrawn:
+            self.keys[digest] = key
+            self._digests[key.key_id] = digest
+        for record_id, offset, outcome in encoded.recent:
+            self._recent[record_id] = entities.Seen(offset, outcome)
+
+    def _tables(self) -> dict[str, dict[str, Any]]:
+        return {
+            "customer": self.customers,
+            "route": self.routes,
+            "model": self.models,
+            "member": self.members,
+            "lease": self.leases,
+            "job": self.jobs,
+        }
+
+    def _drop(self, kind: str, name: str) -> None:
+        """Forgets an entity whose name can't matter again."""
+        self._tables()[kind].pop(name, None)
+        self.versions.pop((kind, name), None)
+        self._retained.pop((kind, name), None)
+
+
+def decode(data: bytes) -> View:
+    """Returns the view that `View.encode` wrote.
+
+    Raises:
+        errors.BadRecordError: `data` is not an encoded view.
+    """
+    try:
+        fields = msgspec.msgpack.decode(data, type=dict[str, msgspec.Raw])
+        encoded = msgspec.msgpack.decode(data, type=_Encoded)
+        return _restore(encoded, fields)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        raise errors.BadRecordError(f"not an encoded view: {exc}") from exc
+
+
+def _restore(encoded: _Encoded, fields: dict[str, msgspec.Raw]) -> View:
+    view = View()
+    view.offset = encoded.offset
+    for offset, data in encoded.records:
+        view._replay(offset, data)
+    view._finish(encoded)
+    unknown = fields.keys() - _FIELDS
+    view._extra = {name: fields[name].copy() for name in sorted(unknown)}
+    return view
