--- /dev/null
+++ b/devtools/load.py
@@ -0,0 +1,221 @@
+"""Open-loop load of streamed requests, as callers behind a balancer send it."""
+
+import dataclasses
+import json
+import random
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpcore
+import trio
+
+_CALLER_TRIES = 3
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Caller:
+    """One customer's part of the load.
+
+    Attributes:
+        customer: Name of the customer.
+        key: Secret of its key.
+        rate: Requests a second.
+        tokens: Tokens asked for in each request.
+    """
+
+    customer: str
+    key: str
+    rate: float
+    tokens: int = 16
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Outcome:
+    """How one request ended.
+
+    Attributes:
+        customer: Name of the customer.
+        status: HTTP status, 0 if no answer came.
+        code: Stable code of the error, or an empty string.
+        ran: `not_run` or `may_have_run` of a refusal or failure.
+        complete: Whether the whole answer came.
+        first_token_ms: Time to the first token.
+        gaps_ms: Times between tokens.
+        text: The answer's text.
+        prompt: The request's prompt.
+        tries: Requests sent, the caller's own retries included.
+    """
+
+    customer: str
+    prompt: str
+    status: int = 0
+    code: str = ""
+    ran: str = ""
+    complete: bool = False
+    first_token_ms: float | None = None
+    gaps_ms: list[float] = dataclasses.field(default_factory=list)
+    text: str = ""
+    tries: int = 0
+
+
+class Target:
+    """The entries, as a balancer would offer them."""
+
+    def __init__(self, base_urls: list[str], rng: random.Random) -> None:
+        self._urls = list(base_urls)
+        self._rng = rng
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=2_000, max_keepalive_connections=500
+        )
+
+    def remove(self, base_url: str) -> None:
+        """Sends nothing more to an entry that is gone or not ready."""
+        self._urls = [url for url in self._urls if url != base_url]
+
+    def pick(self) -> str:
+        """Returns the URL of one entry."""
+        return self._rng.choice(self._urls)
+
+
+async def run(
+    target: Target,
+    callers: list[Caller],
+    duration_s: float,
+    model: str,
+    rng: random.Random,
+) -> list[Outcome]:
+    """Sends requests at the callers' rates and returns all outcomes."""
+    outcomes: list[Outcome] = []
+    async with trio.open_nursery() as nursery:
+        for caller in callers:
+            nursery.start_soon(
+                _arrivals,
+                nursery,
+                target,
+                caller,
+                duration_s,
+                model,
+                random.Random(rng.random()),
+                outcomes,
+            )
+    return outcomes
+
+
+async def _arrivals(
+    nursery: trio.Nursery,
+    target: Target,
+    caller: Caller,
+    duration_s: float,
+    model: str,
+    rng: random.Random,
+    outcomes: list[Outcome],
+) -> None:
+    """Starts requests at exponential intervals, whether answered or not."""
+    due = trio.current_time()
+    end = due + duration_s
+    count = 0
+    while True:
+        due += rng.expovariate(caller.rate)
+        if due >= end:
+            return
+        await trio.sleep_until(due)
+        count += 1
+        prompt = f"question {count} of {caller.customer}: {rng.random()}"
+        outcome = Outcome(customer=caller.customer, prompt=prompt)
+        outcomes.append(outcome)
+        nursery.start_soon(request, target, caller, model, outcome)
+
+
+async def request(
+    target: Target, caller: Caller, model: str, outcome: Outcome
+) -> None:
+    """Sends one request; tries another entry if the first one is gone."""
+    while outcome.tries < _CALLER_TRIES:
+        outcome.tries += 1
+        try:
+            await _stream(target, caller, model, outcome)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            outcome.status, outcome.text = 0, ""
+            continue
+        return
+
+
+async def _stream(
+    target: Target, caller: Caller, model: str, outcome: Outcome
+) -> None:
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": outcome.prompt}],
+        "max_tokens": caller.tokens,
+        "stream": True,
+    }
+    headers = [
+        (b"authorization", b"Bearer " + caller.key.encode()),
+        (b"content-type", b"application/json"),
+    ]
+    started = time.perf_counter()
+    async with target.pool.stream(
+        "POST",
+        target.pick() + "/chat/completions",
+        headers=headers,
+        content=json.dumps(body).encode(),
+    ) as response:
+        outcome.status = response.status
+        if response.status != 200:
+            _note_error(outcome, json.loads(await response.aread()))
+            return
+        await _read_events(response, started, outcome)
+
+
+async def _read_events(
+    response: httpcore.Response, started: float, outcome: Outcome
+) -> None:
+    last = started
+    async for payload in events(response):
+        now = time.perf_counter()
+        if payload == b"[DONE]":
+            outcome.complete = True
+            continue
+        value = json.loads(payload)
+        if "error" in value:
+            _note_error(outcome, value)
+            continue
+        text = _text(value)
+        if not text:
+            continue
+        if outcome.first_token_ms is None:
+            outcome.first_token_ms = (now - started) * 1000
+        else:
+            outcome.gaps_ms.append((now - last) * 1000)
+        last = now
+        outcome.text += text
+
+
+async def events(response: httpcore.Response) -> AsyncIterator[bytes]:
+    """Yields the payload of each server-sent event."""
+    buffer = b""
+    async for chunk in response.aiter_stream():
+        *whole, buffer = (buffer + chunk).split(b"\n\n")
+        for event in whole:
+            if event.startswith(b"data: "):
+                yield event[6:]
+
+
+def _text(value: dict[str, Any]) -> str:
+    choices = value.get("choices") or [{}]
+    return (choices[0].get("delta") or {}).get("content") or ""
+
+
+def _note_error(outcome: Outcome, value: dict[str, Any]) -> None:
+    error = value.get("error") or {}
+    outcome.code = str(error.get("code", ""))
+    outcome.ran = str(error.get("ran", ""))
+
+
+def percentile(values: list[float], share: float) -> float | None:
+    """Returns the value below which `share` of `values` lie."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
