Follow control through log outages and expired offsets

The follower reads the log by long polls, proves freshness from the log or from a majority of its region's members, and fetches records or a whole view from a peer when the log brings none. Publishing repeats the append with the same id until the record is in the view.

--- a/lacewingwood/state/errors.py
+++ b/lacewingwood/state/errors.py
@@ -39,3 +39,9 @@
     """This process does not know whether its state is current."""
 
     code = "stale"
+
+
+class TooLargeError(StateError):
+    """A change is larger than the log takes; it has no effect."""
+
+    code = "change_too_large"
--- a/lacewingwood/state/freshness.py
+++ b/lacewingwood/state/freshness.py
@@ -9,6 +9,9 @@
 # was complete. All processes of a deployment must use the same value.
 WINDOW_MS = 3000.0
 
+# Reads whose records have not all been applied; later ones supersede them.
+_MAX_LOG_READS = 16
+
 
 class Freshness:
     """Collects evidence that everything on `control` has been applied.
@@ -50,7 +53,7 @@
             head: Offset after the log's last record at the read.
             applied: Offset below which everything has been applied.
         """
-        self._log_reads.append((sent_ms, head))
+        self._log_reads = [*self._log_reads[-_MAX_LOG_READS:], (sent_ms, head)]
         self._use_log_reads(applied)
 
     def answer(self, node_id: str, sent_ms: float, offset: int) -> None:
--- a/lacewingwood/state/membership.py
+++ b/lacewingwood/state/membership.py
@@ -48,4 +48,4 @@
 
 
 def _position(node_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(node_id)
+    return xxhash.xxh3_64_intdigest(node_id.encode())
--- a/lacewingwood/state/placement.py
+++ b/lacewingwood/state/placement.py
@@ -23,4 +23,4 @@
 
 def _weight(name: str, member: records.Member) -> tuple[int, str]:
     text = f"{name}\0{member.node_id}"
-    return xxhash.xxh3_64_intdigest(text), member.node_id
+    return xxhash.xxh3_64_intdigest(text.encode()), member.node_id
--- a/lacewingwood/state/snapshot.py
+++ b/lacewingwood/state/snapshot.py
@@ -1,7 +1,5 @@
 """Snapshots of the view as records on `control`."""
 
-from collections.abc import Iterator
-
 from lacewingwood.state import errors
 from lacewingwood.state import records
 from lacewingwood.state import view as view_lib
@@ -16,17 +14,20 @@
 
 def split(
     view: view_lib.View, snapshot_id: str, part_bytes: int = PART_BYTES
-) -> Iterator[records.Snapshot]:
-    """Returns the parts of a snapshot of `view`."""
+) -> list[records.Snapshot]:
+    """Returns the parts of a snapshot of `view`.
+
+    All parts are made at once, as the view goes on while they are written.
+    """
     data = view.encode()
     pieces = [
         data[start : start + part_bytes]
         for start in range(0, len(data), part_bytes)
     ]
-    for index, piece in enumerate(pieces):
-        yield records.Snapshot(
-            snapshot_id, view.offset, index, len(pieces), piece
-        )
+    return [
+        records.Snapshot(snapshot_id, view.offset, index, len(pieces), piece)
+        for index, piece in enumerate(pieces)
+    ]
 
 
 class Assembler:
--- a/lacewingwood/state/view.py
+++ b/lacewingwood/state/view.py
@@ -162,8 +162,6 @@
             record = records.decode(data)
         except errors.BadRecordError:
             return entities.Outcome.BAD
-        if isinstance(record.body, records.Snapshot):
-            return entities.Outcome.APPLIED
         if record.id in self._recent:
             return entities.Outcome.REPEAT
         outcome = self._outcome(offset, record, data)
@@ -181,6 +179,8 @@
         if isinstance(record, records.UnknownRecord):
             self._retained["unknown", str(offset)] = [(offset, data)]
             return entities.Outcome.UNKNOWN
+        if isinstance(record.body, records.Snapshot):
+            return entities.Outcome.APPLIED
         if not self._base_is_current(record) or not self._allows(record.body):
             return entities.Outcome.VOID
         self._change(offset, record, data)
--- /dev/null
+++ b/tests/state/test_follower.py
@@ -0,0 +1,162 @@
+"""Tests of the follower with an in-memory log and network."""
+
+import pytest
+import trio
+import trio.testing
+
+from lacewingwood.state import errors
+from lacewingwood.state import freshness
+from lacewingwood.state import records
+from lacewingwood.state import snapshot
+from tests.state import fakes
+
+_CUSTOMER = records.CustomerPut(records.Customer("c", 1.0, 1))
+
+
+async def test_follows_and_publishes(nursery: trio.Nursery) -> None:
+    """Guards against a publish that returns before its change is in view."""
+    site = fakes.Site()
+    a, b = site.follower("a"), site.follower("b")
+    nursery.start_soon(a.run)
+    nursery.start_soon(b.run)
+    offset = await a.publish(_CUSTOMER)
+    assert "c" in a.view.customers
+    await b.wait_applied(offset)
+    assert b.view.version("customer", "c") == offset
+    assert a.ready
+    assert a.fresh()
+
+
+@pytest.mark.parametrize("failure", ["lost", "down", "limited"])
+async def test_repeats_an_append(nursery: trio.Nursery, failure: str) -> None:
+    """Guards against changes lost, or applied twice, after a bad answer."""
+    site = fakes.Site()
+    a = site.follower("a")
+    nursery.start_soon(a.run)
+    await a.wait_applied(site.log.put(_CUSTOMER))
+    site.log.failures = [failure, failure]
+    key = records.KeyPut("k", "d", "c")
+    offsets: list[int] = []
+
+    async def publish() -> None:
+        offsets.append(await a.publish(key, based_on=-1))
+
+    nursery.start_soon(publish)
+    await site.run_for(1000)
+    assert offsets == [1]
+    assert a.view.authenticate("d") == "c"
+
+
+async def test_stale_base_is_a_conflict(nursery: trio.Nursery) -> None:
+    """Guards against a change that overwrites one its writer never saw."""
+    site = fakes.Site()
+    a = site.follower("a")
+    nursery.start_soon(a.run)
+    await a.publish(_CUSTOMER, based_on=-1)
+    with pytest.raises(errors.ConflictError):
+        await a.publish(_CUSTOMER, based_on=-1)
+
+
+async def test_publish_gives_up(nursery: trio.Nursery) -> None:
+    """Guards against an outage that blocks a writer for ever."""
+    site = fakes.Site()
+    a = site.follower("a")
+    nursery.start_soon(a.run)
+    site.log.is_down = True
+    raised: list[errors.UnavailableError] = []
+
+    async def publish() -> None:
+        with pytest.raises(errors.UnavailableError) as caught:
+            await a.publish(_CUSTOMER)
+        raised.append(caught.value)
+
+    nursery.start_soon(publish)
+    await site.run_for(16_000, step_ms=500)
+    assert [exc.may_have_taken_effect for exc in raised] == [False]
+
+
+async def test_stays_fresh_by_peers(nursery: trio.Nursery) -> None:
+    """Guards against an outage of the log that stops online traffic."""
+    site = fakes.Site()
+    site.join("a", "b", "c")
+    all_three = [site.follower(n) for n in "abc"]
+    for each in all_three:
+        nursery.start_soon(each.run)
+    await site.run_for(1000)
+    site.log.is_down = True
+    await site.run_for(20_000)
+    assert all(each.fresh() for each in all_three)
+    site.network.isolate("c")
+    await site.run_for(freshness.WINDOW_MS + 100)
+    assert [each.fresh() for each in all_three] == [True, True, False]
+
+
+async def test_fetches_newer_records_from_a_peer(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a process that stays fresh without a change its peer has.
+
+    Process `b` loses the log first; the record that it misses is on `a`.
+    """
+    site = fakes.Site()
+    site.join("a", "b", "c")
+    a, b, c = (site.follower(n) for n in "abc")
+    for each in (a, b, c):
+        nursery.start_soon(each.run)
+    await site.run_for(1000)
+    b._log = fakes.FakeLog(site.clock)
+    b._log.is_down = True
+    await site.run_for(1000)
+    await a.publish(_CUSTOMER)
+    site.log.is_down = True
+    await site.run_for(2000)
+    assert "c" in b.view.customers
+    assert b.fresh()
+
+
+async def test_starts_from_a_peer_when_the_log_is_down(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a host that can't start during an outage."""
+    site = fakes.Site()
+    site.join("a", "b")
+    a, b, late = (site.follower(n) for n in ("a", "b", "late"))
+    nursery.start_soon(a.run)
+    nursery.start_soon(b.run)
+    await a.publish(_CUSTOMER)
+    site.log.is_down = True
+    late.prober.seeds = ["a"]
+    nursery.start_soon(late.run)
+    assert not late.ready
+    await site.run_for(5000)
+    assert late.ready
+    assert late.fresh()
+    assert late.view.encode() == a.view.encode()
+
+
+@pytest.mark.parametrize("with_peer", [True, False])
+async def test_goes_on_after_its_offset_expired(
+    nursery: trio.Nursery, with_peer: bool
+) -> None:
+    """Guards against a process that is stuck after a long pause.
+
+    A peer's view or a snapshot on the log must do.
+    """
+    site = fakes.Site()
+    site.join("a", "b")
+    a, b = site.follower("a"), site.follower("b")
+    nursery.start_soon(a.run)
+    await a.publish(_CUSTOMER)
+    if with_peer:
+        b.prober.seeds = ["a"]
+    else:
+        site.network.isolate("b")
+        for part in snapshot.split(a.view, "s", part_bytes=100):
+            await a.publish(part)
+    last = await a.publish(records.KeyPut("k", "d", "c"))
+    site.log.first = 3
+    nursery.start_soon(b.run)
+    await site.run_for(3000)
+    assert b.view.offset == last + 1
+    assert b.view.encode() == a.view.encode()
+    assert b.fresh()
