--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -67,6 +67,24 @@
     data: bytes
 
 
+class Reachable(Message, tag="reachable"):
+    """Asks whether the peer reaches a member that may have died."""
+
+    node_id: str
+
+
+class Reached(Message, tag="reached"):
+    """Answers `Reachable`.
+
+    Attributes:
+        node_id: The member asked about.
+        reached: True if it answered the peer; False only if it did not.
+    """
+
+    node_id: str
+    reached: bool
+
+
 class Borrow(Message, tag="borrow"):
     """Asks the owner of a bucket part for a piece, or renews one.
 
@@ -256,6 +274,8 @@
     | Records
     | FetchView
     | EncodedView
+    | Reachable
+    | Reached
     | Borrow
     | Lent
     | Return
--- a/lacewingwood/state/follower.py
+++ b/lacewingwood/state/follower.py
@@ -145,8 +145,12 @@
             nursery.start_soon(self._follow_log)
             nursery.start_soon(self.prober.run)
 
+    def change(self) -> trio.Event:
+        """Returns the event of the next change of view or freshness."""
+        return self._change
+
     async def wait_change(self) -> None:
-        """Waits until something has been applied since this call."""
+        """Waits for the next change of view or freshness."""
         await self._change.wait()
 
     async def wait_until(self, condition: Callable[[], bool]) -> None:
--- /dev/null
+++ b/lacewingwood/state/maintenance.py
@@ -0,0 +1,131 @@
+"""Joining and leaving of this process, and snapshots of the shared state."""
+
+import random
+import uuid
+
+import trio
+
+from lacewingwood.state import errors
+from lacewingwood.state import follower as follower_lib
+from lacewingwood.state import lease_manager as lease_manager_lib
+from lacewingwood.state import records
+from lacewingwood.state import snapshot
+
+_RETRY_MS = 1000.0
+
+# A snapshot is due after a quarter of the retention time. Workers add up to
+# another tenth of it at random, so that usually only one writes.
+_DUE_FRACTION = 0.25
+_SPREAD_FRACTION = 0.1
+
+
+class Presence:
+    """This process as a member.
+
+    Attributes:
+        evicted: Set when others declared this process as left or a later one
+            took its address; it must start anew with another node id.
+    """
+
+    __slots__ = ("_follower", "_leases", "_leaving", "_member", "evicted")
+
+    def __init__(
+        self,
+        follower: follower_lib.Follower,
+        leases: lease_manager_lib.LeaseManager,
+        member: records.Member,
+    ) -> None:
+        self.evicted = trio.Event()
+        self._follower = follower
+        self._leases = leases
+        self._member = member
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Joins as soon as the log allows it and watches for an eviction."""
+        await self._join()
+        await self._follower.wait_until(self._is_gone)
+        if not self._leaving:
+            self._follower.metrics.add("member_evicted")
+            self.evicted.set()
+
+    async def leave(self) -> None:
+        """Ends the use of all leases and records that this process stops.
+
+        Raises:
+            errors.UnavailableError: The log is down; others will find out.
+        """
+        self._leaving = True
+        await self._leases.stop()
+        try:
+            await self._follower.publish(
+                records.MemberLeft(self._member.node_id)
+            )
+        except errors.ConflictError:
+            return
+
+    async def _join(self) -> None:
+        record_id = uuid.uuid4().hex
+        while not self._leaving:
+            try:
+                await self._follower.publish(
+                    records.MemberJoined(self._member), record_id=record_id
+                )
+                return
+            except errors.ConflictError:
+                return
+            except errors.StateError as exc:
+                self._follower.metrics.add("member_errors", code=exc.code)
+                await self._follower.clock.sleep_ms(_RETRY_MS)
+
+    def _is_gone(self) -> bool:
+        return self._member.node_id not in self._follower.view.members
+
+
+class Snapshots:
+    """Writes a snapshot when the last one that was read has become old."""
+
+    __slots__ = ("_follower", "_last", "_since_ms", "_spread")
+
+    def __init__(self, follower: follower_lib.Follower) -> None:
+        self._follower = follower
+        self._last = -1
+        self._since_ms = follower.clock.now_ms()
+        self._spread = random.random()
+
+    async def run(self) -> None:
+        """Writes snapshots until cancelled."""
+        while True:
+            await self._follower.clock.sleep_ms(_RETRY_MS)
+            if not self._is_due():
+                continue
+            try:
+                await self.write()
+            except errors.StateError as exc:
+                self._follower.metrics.add("snapshot_errors", code=exc.code)
+
+    async def write(self) -> None:
+        """Writes a snapshot of the present view.
+
+        Raises:
+            errors.StateError: A part couldn't be written; readers ignore the
+                others.
+        """
+        for part in snapshot.split(self._follower.view, uuid.uuid4().hex):
+            await self._follower.publish(part)
+        self._follower.metrics.add("snapshots_written")
+
+    def _is_due(self) -> bool:
+        now_ms = self._follower.clock.now_ms()
+        last = self._follower.view.last_snapshot
+        if last != self._last:
+            self._last = last
+            self._since_ms = now_ms
+        if not self._follower.fresh() or not self._follower.retention_ms:
+            return False
+        fraction = _DUE_FRACTION + self._spread * _SPREAD_FRACTION
+        if last < 0 or last < self._follower.log_first:
+            fraction = 0.0
+        return now_ms - self._since_ms >= (
+            fraction * self._follower.retention_ms
+        )
--- a/lacewingwood/state/view.py
+++ b/lacewingwood/state/view.py
@@ -13,6 +13,7 @@
 from lacewingwood.state import entities
 from lacewingwood.state import errors
 from lacewingwood.state import records
+from lacewingwood.state import rules
 
 # A resend comes within a publisher's deadline of seconds; at the log's limit
 # of a few hundred appends a second this many ids last half a minute.
@@ -61,6 +62,8 @@
         versions: Offset of the last change of an entity (kind, name). Kinds
             are `customer`, `key` (by key id), `route`, `model`, `member`,
             `lease` and `job`; an entity that was never changed has -1.
+        last_snapshot: Offset of the last part of the last snapshot that this
+            process read, -1 if none.
         counts: Number of records for each outcome in this process.
     """
 
@@ -76,6 +79,7 @@
         "customers",
         "jobs",
         "keys",
+        "last_snapshot",
         "leases",
         "members",
         "models",
@@ -94,6 +98,7 @@
         self.leases: dict[str, entities.Lease] = {}
         self.jobs: dict[str, entities.JobState] = {}
         self.versions: dict[entities.Entity, int] = {}
+        self.last_snapshot = -1
         self.counts: collections.Counter[entities.Outcome] = (
             collections.Counter()
         )
@@ -119,6 +124,10 @@
         """Returns what became of a recent record, None if it isn't known."""
         return self._recent.get(record_id)
 
+    def key_id_used(self, key_id: str) -> bool:
+        """Returns whether a key id was ever put or withdrawn."""
+        return key_id in self._digests or key_id in self._withdrawn_ids
+
     def authenticate(self, digest: str) -> str | None:
         """Returns the customer of a valid key, None for any other."""
         key = self.keys.get(digest)
@@ -180,8 +189,12 @@
             self._retained["unknown", str(offset)] = [(offset, data)]
             return entities.Outcome.UNKNOWN
         if isinstance(record.body, records.Snapshot):
+            if record.body.part == record.body.parts - 1:
+                self.last_snapshot = offset
             return entities.Outcome.APPLIED
-        if not self._base_is_current(record) or not self._allows(record.body):
+        if not self._base_is_current(record) or not rules.allows(
+            self, record.body
+        ):
             return entities.Outcome.VOID
         self._change(offset, record, data)
         self._pass_time(record.body)
@@ -192,41 +205,6 @@
             return True
         return record.based_on == self.version(*entities.entity(record.body))
 
-    def _allows(self, body: records.Body) -> bool:
-        """Returns whether a change makes sense after those before it."""
-        allowed = True
-        match body:
-            case records.CustomerDeleted(name):
-                allowed = name in self.customers
-            case records.KeyPut(key_id, digest, customer):
-                used = key_id in self._digests or digest in self.keys
-                withdrawn = key_id in self._withdrawn_ids
-                known = customer in self.customers
-                allowed = known and not used and not withdrawn
-            case records.RouteDeleted(name):
-                allowed = name in self.routes
-            case records.ModelDeleted(name):
-                allowed = name in self.models
-            case records.MemberJoined(member):
-                allowed = member.node_id not in self.members
-            case records.MemberLeft(node_id):
-                allowed = node_id in self.members
-            case records.LeaseClaimed(_, holder):
-                allowed = holder in self.members
-            case records.LeaseReleased(name, holder):
-                lease = self.leases.get(name)
-                allowed = lease is not None and lease.holder == holder != ""
-            case records.JobAccepted(job):
-                known = job.customer in self.customers
-                allowed = known and job.job_id not in self.jobs
-            case records.JobCancelled(job_id):
-                state = self.jobs.get(job_id)
-                allowed = state is not None and state.status == "accepted"
-            case records.JobFinished(job_id):
-                state = self.jobs.get(job_id)
-                allowed = state is not None and state.finished_ms is None
-        return allowed
-
     def _change(self, offset: int, record: records.Record, data: bytes) -> None:
         """Makes an allowed change and keeps the record that it follows from."""
         kind, name = entities.entity(record.body)
--- a/tests/state/fakes.py
+++ b/tests/state/fakes.py
@@ -21,13 +21,14 @@
     """One stream; `failures` holds what the next appends do.
 
     A failure is `lost` (appended, answer lost), `down` (not appended) or
-    `limited` (refused); `is_down` fails all calls.
+    `limited` (refused); `is_down` fails all calls, `reads_fail` only reads.
     """
 
     def __init__(self, source: clock.ManualClock) -> None:
         self.entries: list[log_types.Entry] = []
         self.first = 0
         self.is_down = False
+        self.reads_fail = False
         self.failures: list[str] = []
         self.retention_ms = 1_000_000
         self._clock = source
@@ -56,9 +57,9 @@
         self, stream: str, start: int, limit: int, wait_ms: int
     ) -> log_types.Page:
         await trio.lowlevel.checkpoint()
-        if wait_ms and start >= len(self.entries) and not self.is_down:
+        if wait_ms and start >= len(self.entries):
             await self._wait(wait_ms)
-        if self.is_down:
+        if self.is_down or self.reads_fail:
             raise log_errors.UnavailableError("down", False)
         if start < self.first:
             raise log_errors.OffsetExpiredError("expired", self.first)
--- a/tests/state/test_follower.py
+++ b/tests/state/test_follower.py
@@ -57,22 +57,36 @@
         await a.publish(_CUSTOMER, based_on=-1)
 
 
-async def test_publish_gives_up(nursery: trio.Nursery) -> None:
-    """Guards against an outage that blocks a writer for ever."""
+@pytest.mark.parametrize(
+    ("failure", "may_have_taken_effect"),
+    [("down", False), ("limited", False), ("lost", True), ("", True)],
+)
+async def test_publish_gives_up(
+    nursery: trio.Nursery, failure: str, may_have_taken_effect: bool
+) -> None:
+    """Guards against an outage that blocks a writer for ever.
+
+    The time given is less than the shortest pause before a second append, so
+    that what the first did is what counts.
+    """
     site = fakes.Site()
     a = site.follower("a")
     nursery.start_soon(a.run)
-    site.log.is_down = True
+    await site.run_for(100)
+    site.log.reads_fail = True
+    site.log.failures = [failure]
     raised: list[errors.UnavailableError] = []
 
     async def publish() -> None:
         with pytest.raises(errors.UnavailableError) as caught:
-            await a.publish(_CUSTOMER)
+            await a.publish(_CUSTOMER, timeout_ms=40)
         raised.append(caught.value)
 
     nursery.start_soon(publish)
-    await site.run_for(16_000, step_ms=500)
-    assert [exc.may_have_taken_effect for exc in raised] == [False]
+    await site.run_for(50)
+    assert [exc.may_have_taken_effect for exc in raised] == [
+        may_have_taken_effect
+    ]
 
 
 async def test_stays_fresh_by_peers(nursery: trio.Nursery) -> None:
