--- a/lacewingwood/peers/connection.py
+++ b/lacewingwood/peers/connection.py
@@ -13,6 +13,7 @@
 
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.peers import errors
+from lacewingwood.peers import liveness
 from lacewingwood.peers import wire
 
 CONTENT_TYPE = "application/grpc+msgpack"
@@ -22,11 +23,10 @@
 _READ_BYTES = 64 * 1024
 # Room for one largest message besides the small ones.
 _OUTBOX_BYTES = 2 * wire.MAX_PAYLOAD_BYTES
-# Something sent and nothing received for two ticks means a dead peer.
-_TICK_MS = 2_000
-_CLIENT_IDLE_TICKS = 15
+_TICK_MS = 1_000
+_CLIENT_IDLE_TICKS = 30
 # Longer than the client's, so that the client closes first.
-_SERVER_IDLE_TICKS = 45
+_SERVER_IDLE_TICKS = 90
 # Time for the peer to read what was sent before the socket is closed; closing
 # with unread input would reset the connection and discard it.
 _LINGER_MS = 1_000
@@ -51,7 +51,9 @@
         self,
         stream: trio.SocketStream,
         on_payload: Callable[[bytes], None],
+        in_use: Callable[[], bool],
         metrics: metrics_lib.Registry,
+        *,
         client_of: str | None = None,
         node_id: str = "",
     ) -> None:
@@ -60,6 +62,8 @@
         Args:
             stream: The connected socket.
             on_payload: Takes each payload received.
+            in_use: Tells whether a call is running; the connection then stays
+                open and the peer is pinged while it is quiet.
             metrics: Where broken connections are counted.
             client_of: The peer's address; None on the accepting side.
             node_id: This process, named to the peer by the connecting side.
@@ -68,6 +72,7 @@
         self.ended_cleanly = False
         self._stream = stream
         self._on_payload = on_payload
+        self._in_use = in_use
         self._metrics = metrics
         self._client_of = client_of
         self._node_id = node_id
@@ -82,9 +87,9 @@
         self._wake = trio.Event()
         self._finishing = False
         self._finished = False
-        self._idle_ticks = 0
-        self._unanswered_ticks = 0
-        self._awaits_bytes = False
+        self._liveness = liveness.Liveness(
+            _SERVER_IDLE_TICKS if client_of is None else _CLIENT_IDLE_TICKS
+        )
 
     @property
     def drained(self) -> bool:
@@ -97,7 +102,7 @@
         if full or self._finishing:
             return False
         self._outbox += frame
-        self._idle_ticks = 0
+        self._liveness.message_passed()
         self._wake.set()
         return True
 
@@ -128,7 +133,7 @@
         while data := await self._stream.receive_some(_READ_BYTES):
             if self._finished:
                 continue
-            self._awaits_bytes = False
+            self._liveness.received()
             for event in self._h2.receive_data(data):
                 self._take(event)
             self._wake.set()
@@ -137,7 +142,7 @@
         match event:
             case h2.events.DataReceived():
                 if event.stream_id == self._stream_id:
-                    self._idle_ticks = 0
+                    self._liveness.message_passed()
                     for payload in self._deframer.feed(event.data or b""):
                         self._on_payload(payload)
                 self._h2.acknowledge_received_data(
@@ -230,7 +235,7 @@
             data = bytes(self._outbox[sent : sent + size])
             self._h2.send_data(self._stream_id, data)
             sent += size
-            self._awaits_bytes = True
+            self._liveness.sent()
         del self._outbox[:sent]
         if self._finishing and not self._outbox and not self._finished:
             self._end_stream(self._stream_id)
@@ -246,23 +251,20 @@
 
     async def _watch(self) -> None:
         """Pings a silent peer, then gives it up; ends an idle connection."""
-        limit = _SERVER_IDLE_TICKS
-        if self._client_of is not None:
-            limit = _CLIENT_IDLE_TICKS
         while True:
             await trio.sleep(_TICK_MS / 1000)
-            self._idle_ticks += 1
-            if self._idle_ticks >= limit:
-                self.finish()
-            if not self._awaits_bytes:
-                self._unanswered_ticks = 0
-                continue
-            self._unanswered_ticks += 1
-            if self._unanswered_ticks > 1:
-                self._metrics.add("peer_connections_silent")
-                return
-            self._h2.ping(b"silence?")
-            self._wake.set()
+            if self._in_use():
+                self._liveness.sent()
+            match self._liveness.tick():
+                case liveness.Verdict.SILENT:
+                    self._metrics.add("peer_connections_silent")
+                    return
+                case liveness.Verdict.PING:
+                    self._metrics.add("peer_pings")
+                    self._h2.ping(b"silence?")
+                    self._wake.set()
+                case liveness.Verdict.IDLE:
+                    self.finish()
 
 
 def _cause(exc: BaseException) -> str:
--- a/lacewingwood/peers/incoming.py
+++ b/lacewingwood/peers/incoming.py
@@ -37,7 +37,9 @@
     ) -> None:
         self._handlers = handlers
         self._metrics = metrics
-        self._conn = connection.Connection(stream, self._receive, metrics)
+        self._conn = connection.Connection(
+            stream, self._receive, lambda: self._running > 0, metrics
+        )
         self._nursery: trio.Nursery | None = None
         self._scopes: dict[int, trio.CancelScope] = {}
         self._running = 0
--- a/lacewingwood/peers/link.py
+++ b/lacewingwood/peers/link.py
@@ -153,7 +153,12 @@
 
     async def _use(self, stream: trio.SocketStream) -> None:
         conn = connection.Connection(
-            stream, self._receive, self._metrics, self._address, self._node_id
+            stream,
+            self._receive,
+            lambda: bool(self._calls),
+            self._metrics,
+            client_of=self._address,
+            node_id=self._node_id,
         )
         self._conn = conn
         for call in self._calls.values():
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -1,10 +1,14 @@
 """Tests of the peer transport over real sockets on loopback."""
 
 import contextlib
+import itertools
 from collections.abc import AsyncIterator
 
+import hypothesis
 import pytest
 import trio
+import trio.testing
+from hypothesis import strategies
 
 from lacewingwood import clock
 from lacewingwood import errors as base_errors
@@ -242,7 +246,11 @@
         stream = await trio.open_tcp_stream("127.0.0.1", server.network.port)
         async with stream:
             bad = connection.Connection(
-                stream, lambda payload: None, client.metrics, server.address
+                stream,
+                print,
+                lambda: False,
+                client.metrics,
+                client_of=server.address,
             )
             bad.post(frame)
             await bad.run()
@@ -250,3 +258,61 @@
         assert await client.network.call(
             server.address, messages.FetchRecords(1), _LONG_MS
         )
+
+
+async def test_long_call_keeps_its_quiet_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against ending a connection as idle under a running call."""
+    monkeypatch.setattr(connection, "_TICK_MS", 5)
+    monkeypatch.setattr(connection, "_CLIENT_IDLE_TICKS", 1)
+    async with _pair() as (client, server):
+
+        async def slow(_: messages.FetchView) -> messages.Message:
+            while client.metrics.counter("peer_pings") < 10:
+                await trio.sleep(0.001)
+            return messages.EncodedView(1, b"")
+
+        server.network.handle(messages.FetchView, slow)
+        answer = await client.network.call(
+            server.address, messages.FetchView(), _LONG_MS
+        )
+        assert answer == messages.EncodedView(1, b"")
+
+
+async def test_silent_peer_fails_calls_before_their_timeout(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls that wait on a host that vanished."""
+    monkeypatch.setattr(connection, "_TICK_MS", 5)
+    async with _pair() as (client, _):
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        port = listener.socket.getsockname()[1]
+        async with listener:
+            with pytest.raises(errors.UnreachableError) as caught:
+                await client.network.call(
+                    f"127.0.0.1:{port}", messages.FetchView(), _LONG_MS
+                )
+        assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+        assert client.metrics.counter("peer_connections_silent") == 1
+
+
+@hypothesis.given(
+    sizes=strategies.lists(strategies.integers(0, 300), max_size=8),
+    cuts=strategies.lists(strategies.integers(1, 200), min_size=1),
+)
+def test_deframer_restores_messages_from_any_chunks(
+    sizes: list[int], cuts: list[int]
+) -> None:
+    """Guards against frames lost or joined at the edges of reads."""
+    sent = [messages.Records(0, [b"x" * size]) for size in sizes]
+    data = b"".join(wire.encode(wire.Kind.SEND, 0, item) for item in sent)
+    deframer = wire.Deframer()
+    payloads = []
+    at = 0
+    for cut in itertools.cycle(cuts):
+        if at >= len(data):
+            break
+        payloads += deframer.feed(data[at : at + cut])
+        at += cut
+    assert [wire.decode(payload).body for payload in payloads] == sent
