Add the callers' interface and replica choice

Chat completions and completions, JSON and events, go through a router that compares two random replicas and the prefix's preferred one, and are carried on by another replica when an engine breaks off. The server keeps no request limit per connection and waits for running streams.

--- /dev/null
+++ b/lacewingwood/callers/calls.py
@@ -0,0 +1,151 @@
+"""Inference requests as callers send them."""
+
+import dataclasses
+
+import msgspec
+import xxhash
+
+from lacewingwood.callers import auth
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import errors
+from lacewingwood.callers import http
+from lacewingwood.routing import prefix
+
+# Bytes of JSON text that make one token, on average.
+_BYTES_PER_TOKEN = 4
+_DEFAULT_MAX_TOKENS = 256
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool | None = False
+
+
+class _Body(msgspec.Struct):
+    """The fields of a request's body that matter here."""
+
+    model: str
+    messages: msgspec.Raw = msgspec.Raw(b"")
+    prompt: msgspec.Raw = msgspec.Raw(b"")
+    stream: bool | None = False
+    stream_options: _StreamOptions | None = None
+    n: int | None = 1
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Call:
+    """One inference request.
+
+    Attributes:
+        path: Path of the endpoint, the same on engines.
+        body: The body as it came.
+        customer: Who pays for it.
+        request_id: Identity of the request.
+        model: Model that was asked for.
+        service: Service that runs it.
+        stream: Whether the answer is a stream of events.
+        include_usage: Whether the stream ends with an event of its usage.
+        resumable: Whether the answer can be carried on from its text.
+        blocks: Hashes of the prompt's blocks.
+        prompt_tokens: Estimate of the prompt's length.
+        max_tokens: Most tokens of the answer, or a guess.
+        deadline_ms: When the caller no longer waits, on the process's clock.
+        fingerprint: Customer and digest of the body.
+    """
+
+    path: str
+    body: bytes
+    customer: str
+    request_id: str
+    model: str
+    service: str
+    stream: bool
+    include_usage: bool
+    resumable: bool
+    blocks: tuple[int, ...]
+    prompt_tokens: int
+    max_tokens: int
+    deadline_ms: float
+    fingerprint: str
+
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens that fair sharing charges for it."""
+        return self.prompt_tokens + self.max_tokens
+
+
+_decoder = msgspec.json.Decoder(_Body)
+
+
+def parse(
+    req: http.Request,
+    body: bytes,
+    caller: auth.Caller,
+    deps: dependencies.Dependencies,
+) -> Call:
+    """Returns the request in `body`.
+
+    Raises:
+        errors.CallerError: It is malformed or names an unknown model.
+    """
+    fields = _decode(body)
+    prompt = _prompt(req.path, fields)
+    model = deps.state.view.models.get(fields.model)
+    if model is None:
+        message = f"model {fields.model!r} does not exist"
+        raise errors.CallerError(404, "model_not_found", message, param="model")
+    count = 1 if fields.n is None else fields.n
+    options = fields.stream_options
+    wanted = fields.max_completion_tokens or fields.max_tokens
+    digest = xxhash.xxh3_128_hexdigest(req.path.encode() + b"\0" + body)
+    return Call(
+        path=req.path,
+        body=body,
+        customer=caller.customer,
+        request_id=req.request_id,
+        model=fields.model,
+        service=model.service,
+        stream=bool(fields.stream),
+        include_usage=bool(options and options.include_usage),
+        resumable=count == 1,
+        blocks=prefix.block_hashes(fields.model, prompt),
+        prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
+        max_tokens=max(1, wanted or _DEFAULT_MAX_TOKENS) * max(1, count),
+        deadline_ms=deadline_ms(req, deps),
+        fingerprint=f"{caller.customer}:{digest}",
+    )
+
+
+def deadline_ms(req: http.Request, deps: dependencies.Dependencies) -> float:
+    """Returns the time on the clock at which the caller gives up.
+
+    Raises:
+        errors.CallerError: The header x-deadline-ms is malformed.
+    """
+    settings = deps.settings
+    value = req.value(b"x-deadline-ms")
+    if not value:
+        return deps.clock.now_ms() + settings.deadline_ms
+    if not value.isdigit() or len(value) > 12 or not int(value):
+        raise errors.bad_request("header x-deadline-ms is not a positive int")
+    left_ms = min(int(value), settings.max_deadline_ms)
+    return deps.clock.now_ms() + left_ms
+
+
+def _decode(body: bytes) -> _Body:
+    try:
+        return _decoder.decode(body)
+    except msgspec.ValidationError as exc:
+        raise errors.bad_request(f"invalid request: {exc}") from exc
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        message = f"the body is not valid JSON: {exc}"
+        raise errors.bad_request(message, code="invalid_json") from exc
+
+
+def _prompt(path: str, fields: _Body) -> bytes:
+    name = "messages" if path.endswith("/chat/completions") else "prompt"
+    prompt = bytes(getattr(fields, name))
+    if not prompt or prompt == b"null":
+        raise errors.bad_request(f"field {name} is needed", name)
+    return prompt
--- /dev/null
+++ b/lacewingwood/callers/dependencies.py
@@ -0,0 +1,126 @@
+"""What the callers' interface needs from the rest of the process."""
+
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from typing import Any
+from typing import Protocol
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_module
+from lacewingwood.routing import router as routers
+from lacewingwood.state import records
+
+
+class View(Protocol):
+    """The shared configuration, as lacewingwood.state.view.View has it."""
+
+    customers: Mapping[str, records.Customer]
+    routes: Mapping[str, records.Route]
+    models: Mapping[str, records.Model]
+
+    def authenticate(self, digest: str) -> str | None:
+        """Returns the customer of a valid key's SHA-256, else None."""
+
+
+class State(Protocol):
+    """The view and whether it is current."""
+
+    @property
+    def view(self) -> View:
+        """The current view."""
+
+    def fresh(self) -> bool:
+        """Tells whether keys and limits in the view may be relied on."""
+
+
+class Limiter(Protocol):
+    """Rate and burst of customers over the fleet."""
+
+    async def admit(self, customer: str, deadline_ms: float) -> Any:
+        """Returns limits.limiter.Admitted, or Refused(retry_after_ms)."""
+
+
+class EngineStream(Protocol):
+    """A streaming answer of an engine."""
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the data of each event, `[DONE]` left out.
+
+        Raises:
+            upstreams.errors.UpstreamError: It ended without `[DONE]`.
+        """
+
+
+class Engines(Protocol):
+    """Client of engines; deadlines are on the process's clock, in ms.
+
+    Leaving a stream early cancels the request on the engine.
+    """
+
+    def stream(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        request_id: str,
+        deadline_ms: float,
+    ) -> contextlib.AbstractAsyncContextManager[EngineStream]:
+        """Starts a request whose answer is streamed."""
+
+    async def complete(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        request_id: str,
+        deadline_ms: float,
+    ) -> bytes:
+        """Returns the JSON answer of a request."""
+
+
+class Calls(Protocol):
+    """Claims of idempotency keys."""
+
+    async def claim(self, key_digest: str, request_id: str) -> str:
+        """Returns the id of the request that claimed the key first."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settings:
+    """Bounds of the callers' interface.
+
+    Attributes:
+        max_body_bytes: Longest body of an inference request.
+        max_plain_body_bytes: Longest body for a plain service.
+        max_header_bytes: Most bytes of names and values of all headers.
+        deadline_ms: Time given to a request that names no deadline.
+        max_deadline_ms: Longest time that a request may ask for.
+        check_every_ms: Interval of checks on running streams.
+        stale_grace_ms: How long streams go on while the process is stale.
+    """
+
+    max_body_bytes: int = 4 << 20
+    max_plain_body_bytes: int = 64 << 20
+    max_header_bytes: int = 32 << 10
+    deadline_ms: float = 600_000
+    max_deadline_ms: float = 3_600_000
+    check_every_ms: float = 500
+    stale_grace_ms: float = 2000
+
+
+@dataclasses.dataclass(slots=True)
+class Dependencies:
+    """Everything that request handlers use."""
+
+    state: State
+    limiter: Limiter
+    router: routers.Router
+    engines: Engines
+    clock: clocks.Clock
+    metrics: metrics_module.Registry
+    plain: Any = None
+    calls: Calls | None = None
+    batch: Any = None
+    settings: Settings = dataclasses.field(default_factory=Settings)
--- /dev/null
+++ b/lacewingwood/callers/errors.py
@@ -0,0 +1,115 @@
+"""Errors that callers see, in the shape of OpenAI's interface."""
+
+from typing import Any
+
+import msgspec
+
+from lacewingwood import errors
+from lacewingwood.routing import outcomes
+from lacewingwood.upstreams import errors as upstream_errors
+
+Ran = errors.Ran
+
+_TYPES = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "invalid_request_error",
+    405: "invalid_request_error",
+    413: "invalid_request_error",
+    422: "invalid_request_error",
+    429: "rate_limit_error",
+    431: "invalid_request_error",
+}
+
+
+class CallerError(errors.Error):
+    """A refusal or failure as an HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        ran: Whether the request can have had an effect.
+        param: Name of the field at fault, or None.
+        retry_after_ms: When trying again may help, or None.
+        headers: Further headers of the answer.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        *,
+        ran: Ran = Ran.NOT_RUN,
+        param: str | None = None,
+        retry_after_ms: float | None = None,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.ran = ran
+        self.param = param
+        self.retry_after_ms = retry_after_ms
+        self.headers = headers
+
+    def body(self) -> bytes:
+        """Returns the error as JSON."""
+        return msgspec.json.encode({"error": self._fields()})
+
+    def _fields(self) -> dict[str, Any]:
+        return {
+            "message": self.message,
+            "type": _TYPES.get(self.status, "server_error"),
+            "code": self.code,
+            "param": self.param,
+            "ran": self.ran.value,
+        }
+
+
+def bad_request(
+    message: str, param: str | None = None, code: str = "invalid_request"
+) -> CallerError:
+    """Returns a 400."""
+    return CallerError(400, code, message, param=param)
+
+
+def unauthorized(message: str, code: str = "invalid_api_key") -> CallerError:
+    """Returns a 401."""
+    challenge = ((b"www-authenticate", b"Bearer"),)
+    return CallerError(401, code, message, headers=challenge)
+
+
+def unavailable(
+    code: str, message: str, retry_after_ms: float = 1000
+) -> CallerError:
+    """Returns a 503 for a request that did not run."""
+    return CallerError(503, code, message, retry_after_ms=retry_after_ms)
+
+
+def from_upstream(exc: upstream_errors.UpstreamError) -> CallerError:
+    """Returns what a caller sees of an upstream's failure."""
+    if isinstance(exc, upstream_errors.RefusedError):
+        return _from_refusal(exc)
+    match exc:
+        case upstream_errors.TimeoutError():
+            return CallerError(504, exc.code, "upstream timed out", ran=exc.ran)
+        case _ if exc.ran is Ran.NOT_RUN:
+            return unavailable(exc.code, "no upstream took the request")
+        case _:
+            return CallerError(502, exc.code, "upstream failed", ran=exc.ran)
+
+
+def _from_refusal(exc: upstream_errors.RefusedError) -> CallerError:
+    if outcomes.of_error(exc) == outcomes.Rejected():
+        message = _upstream_message(exc.body) or exc.message
+        return CallerError(exc.status, exc.code, message)
+    return unavailable(exc.code, "no upstream took the request")
+
+
+def _upstream_message(body: bytes) -> str:
+    try:
+        message = msgspec.json.decode(body)["error"]["message"]
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return ""
+    return message if isinstance(message, str) else ""
--- /dev/null
+++ b/lacewingwood/callers/http.py
@@ -0,0 +1,194 @@
+"""Reading of requests and writing of answers over ASGI."""
+
+import math
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from lacewingwood.callers import errors
+
+Headers = Sequence[tuple[bytes, bytes]]
+_JSON = (b"content-type", b"application/json")
+_SSE = (
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-cache"),
+)
+
+
+class DisconnectedError(Exception):
+    """The caller went away."""
+
+
+class Request:
+    """One request and its answer.
+
+    Attributes:
+        request_id: Identity of the request, made here.
+        method: HTTP method.
+        path: Decoded path.
+        headers: Names in lower case, and values.
+        started: True once the answer's status was sent.
+        streams_events: True once a stream of events was started.
+        body_ended: True once the whole body was read.
+    """
+
+    __slots__ = (
+        "_receive",
+        "_send",
+        "body_ended",
+        "headers",
+        "method",
+        "path",
+        "request_id",
+        "scope",
+        "started",
+        "streams_events",
+    )
+
+    def __init__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+        request_id: str,
+    ) -> None:
+        self.scope = scope
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.headers: list[tuple[bytes, bytes]] = list(scope["headers"])
+        self.request_id = request_id
+        self.started = False
+        self.streams_events = False
+        self.body_ended = False
+        self._receive = receive
+        self._send = send
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Returns all values of a header."""
+        return [value for key, value in self.headers if key == name]
+
+    def value(self, name: bytes) -> bytes:
+        """Returns a header's only value, or an empty one.
+
+        Raises:
+            errors.CallerError: The header is repeated.
+        """
+        found = self.values(name)
+        if len(found) > 1:
+            text = name.decode("latin-1")
+            raise errors.bad_request(f"header {text} is repeated")
+        return found[0] if found else b""
+
+    async def next_chunk(self) -> bytes | None:
+        """Returns the next piece of the body, None at its end.
+
+        Raises:
+            DisconnectedError: The caller went away.
+        """
+        if self.body_ended:
+            return None
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            raise DisconnectedError
+        self.body_ended = not message.get("more_body", False)
+        return message.get("body", b"")
+
+    async def read_body(self, limit: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            errors.CallerError: The body is longer than `limit` bytes.
+            DisconnectedError: The caller went away.
+        """
+        self.check_length(limit)
+        chunks: list[bytes] = []
+        size = 0
+        while (chunk := await self.next_chunk()) is not None:
+            size += len(chunk)
+            if size > limit:
+                raise too_large(limit)
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    async def discard_body(self, limit: int) -> None:
+        """Reads and drops the rest of the body, at most `limit` bytes."""
+        size = 0
+        while size <= limit and (chunk := await self.next_chunk()) is not None:
+            size += len(chunk)
+
+    def check_length(self, limit: int) -> None:
+        """Raises errors.CallerError if the announced body is too long."""
+        length = self.value(b"content-length")
+        if length.isdigit() and int(length) > limit:
+            raise too_large(limit)
+
+    async def wait_disconnect(self) -> None:
+        """Returns when the caller has gone; the body must be read."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(
+        self, status: int, headers: Headers, trailers: bool = False
+    ) -> None:
+        """Sends status and headers."""
+        self.started = True
+        request_id = (b"x-request-id", self.request_id.encode())
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [*headers, request_id],
+                "trailers": trailers,
+            }
+        )
+
+    async def start_events(self) -> None:
+        """Sends status and headers of a stream of events."""
+        self.streams_events = True
+        await self.start(200, _SSE)
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Sends a piece of the answer's body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def write_trailers(self, trailers: Headers) -> None:
+        """Ends an answer that was started with `trailers`."""
+        await self._send(
+            {"type": "http.response.trailers", "headers": list(trailers)}
+        )
+
+    async def respond(
+        self, status: int, body: bytes, headers: Headers = (_JSON,)
+    ) -> None:
+        """Sends a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        await self.start(status, [*headers, length])
+        await self.write(body, more=False)
+
+    async def respond_json(self, value: Any, status: int = 200) -> None:
+        """Sends `value` as JSON."""
+        await self.respond(status, msgspec.json.encode(value))
+
+    async def fail(self, exc: errors.CallerError) -> None:
+        """Sends an error as the whole answer."""
+        headers = [_JSON, *exc.headers]
+        if exc.retry_after_ms is not None:
+            seconds = max(1, math.ceil(exc.retry_after_ms / 1000))
+            headers.append((b"retry-after", b"%d" % seconds))
+        await self.respond(exc.status, exc.body(), headers)
+
+    async def fail_event(self, exc: errors.CallerError) -> None:
+        """Ends a stream of events with an error and without `[DONE]`."""
+        await self.write(b"data: " + exc.body() + b"\n\n", more=False)
+
+
+def too_large(limit: int) -> errors.CallerError:
+    """Returns the error for a body over `limit` bytes."""
+    return errors.CallerError(
+        413, "body_too_large", f"body is longer than {limit} bytes"
+    )
--- /dev/null
+++ b/lacewingwood/callers/inference.py
@@ -0,0 +1,154 @@
+"""Chat completions and completions, from one engine or several in turn."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from lacewingwood.callers import calls
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import errors
+from lacewingwood.callers import http
+from lacewingwood.callers import resume
+from lacewingwood.routing import outcomes
+from lacewingwood.routing import retries
+from lacewingwood.routing import router as routers
+from lacewingwood.upstreams import errors as upstream_errors
+
+_DONE = b"data: [DONE]\n\n"
+
+
+class Inference:
+    """Runs inference requests."""
+
+    __slots__ = ("_budget", "_deps")
+
+    def __init__(self, deps: dependencies.Dependencies) -> None:
+        self._deps = deps
+        self._budget = retries.Budget()
+
+    async def run(self, req: http.Request, call: calls.Call) -> None:
+        """Runs a request and sends its answer.
+
+        Raises:
+            errors.CallerError: It failed; the answer may have been started.
+        """
+        self._budget.note_request(self._deps.clock.now_ms())
+        if call.stream:
+            await self._stream(req, call)
+        else:
+            await self._complete(req, call)
+
+    async def _complete(self, req: http.Request, call: calls.Call) -> None:
+        attempts = retries.Attempts(True, call.deadline_ms)
+        tried: set[str] = set()
+        while True:
+            try:
+                async with self._attempt(call, tried) as started:
+                    answer = await self._deps.engines.complete(
+                        started.replica.address,
+                        call.path,
+                        call.body,
+                        call.request_id,
+                        call.deadline_ms,
+                    )
+                break
+            except upstream_errors.UpstreamError as exc:
+                self._retry_or_raise(attempts, exc)
+        await req.respond(200, answer)
+
+    async def _stream(self, req: http.Request, call: calls.Call) -> None:
+        attempts = retries.Attempts(True, call.deadline_ms)
+        progress = resume.Progress(call)
+        tried: set[str] = set()
+        while True:
+            try:
+                async with self._attempt(call, tried) as started:
+                    await self._relay(req, call, progress, started)
+                break
+            except upstream_errors.UpstreamError as exc:
+                if progress.text_ended():
+                    break
+                if req.started and not call.resumable:
+                    raise errors.from_upstream(exc) from exc
+                self._retry_or_raise(attempts, exc)
+                progress.resume()
+        await req.write(_DONE, more=False)
+
+    async def _relay(
+        self,
+        req: http.Request,
+        call: calls.Call,
+        progress: resume.Progress,
+        started: routers.Started,
+    ) -> None:
+        """Passes the events of one engine's answer on.
+
+        Each chunk is kept and passed on as it came; only an answer that is
+        carried on by a second engine needs its chunks parsed.
+        """
+        engines = self._deps.engines
+        context = engines.stream(
+            started.replica.address,
+            call.path,
+            progress.body(),
+            call.request_id,
+            call.deadline_ms,
+        )
+        keep = progress.chunks.append
+        write = req.write
+        async with context as answer:
+            first = True
+            async for chunk in answer.chunks():
+                if first:
+                    first = False
+                    self._note_first_token(started)
+                    if not req.started:
+                        await req.start_events()
+                data = progress.adapt(chunk) if progress.resumed else chunk
+                keep(data)
+                await write(b"data: " + data + b"\n\n")
+
+    def _note_first_token(self, started: routers.Started) -> None:
+        self._deps.router.first_token(started, self._deps.clock.now_ms())
+
+    @contextlib.asynccontextmanager
+    async def _attempt(
+        self, call: calls.Call, tried: set[str]
+    ) -> AsyncIterator[routers.Started]:
+        """Chooses a replica and notes how the attempt on it ends."""
+        route = self._route(call, tried)
+        router = self._deps.router
+        choice = router.choose(route, self._deps.clock.now_ms())
+        if isinstance(choice, routers.NoReplica):
+            raise errors.unavailable("no_replica", "no replica is available")
+        started = router.started(choice, route, self._deps.clock.now_ms())
+        tried.add(choice.replica.id)
+        outcome: outcomes.Outcome = outcomes.Cancelled()
+        try:
+            yield started
+            outcome = outcomes.Completed()
+        except upstream_errors.UpstreamError as exc:
+            outcome = outcomes.of_error(exc)
+            raise
+        finally:
+            router.finished(started, outcome, self._deps.clock.now_ms())
+
+    def _route(self, call: calls.Call, tried: set[str]) -> routers.RouteRequest:
+        return routers.RouteRequest(
+            service=call.service,
+            model=call.model,
+            blocks=call.blocks,
+            prompt_tokens=call.prompt_tokens,
+            exclude=frozenset(tried),
+            queue_if_full=True,
+        )
+
+    def _retry_or_raise(
+        self, attempts: retries.Attempts, exc: upstream_errors.UpstreamError
+    ) -> None:
+        outcome = outcomes.of_error(exc)
+        now_ms = self._deps.clock.now_ms()
+        match attempts.after(outcome, self._budget, now_ms):
+            case retries.Retry():
+                self._deps.metrics.add("callers_retries")
+            case retries.GiveUp():
+                raise errors.from_upstream(exc) from exc
--- /dev/null
+++ b/lacewingwood/callers/running.py
@@ -0,0 +1,139 @@
+"""Requests in progress, ended when their caller leaves or loses its key."""
+
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from lacewingwood.callers import auth
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import errors
+from lacewingwood.callers import http
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Running:
+    """One request in progress.
+
+    Attributes:
+        caller: Who sent it, None on open routes.
+        scope: Cancelled to end it.
+        error: Why it was ended from here, if it was.
+    """
+
+    caller: auth.Caller | None
+    scope: trio.CancelScope
+    error: Exception | None = None
+
+    def end(self, error: Exception) -> None:
+        if self.error is None:
+            self.error = error
+            self.scope.cancel()
+
+
+class Running:
+    """All requests in progress."""
+
+    __slots__ = ("_deps", "_running", "_stale_since_ms")
+
+    def __init__(self, deps: dependencies.Dependencies) -> None:
+        self._deps = deps
+        self._running: set[_Running] = set()
+        self._stale_since_ms: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    async def run(
+        self,
+        req: http.Request,
+        caller: auth.Caller | None,
+        work: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Runs `work`, whose request's body has been read.
+
+        Raises:
+            errors.CallerError: `work` failed, or the key was withdrawn, or
+                this process has been stale for too long.
+            http.DisconnectedError: The caller went away.
+        """
+        entry = _Running(caller, trio.CancelScope())
+        self._running.add(entry)
+        try:
+            error = await _run(req, entry, work)
+        finally:
+            self._running.discard(entry)
+        if entry.error is not None and entry.scope.cancelled_caught:
+            raise entry.error
+        if error is not None:
+            raise error
+
+    async def check_for_ever(self) -> None:
+        """Checks all running requests at intervals."""
+        while True:
+            await self._deps.clock.sleep_ms(self._deps.settings.check_every_ms)
+            self.check()
+
+    def check(self) -> None:
+        """Ends requests whose key is no longer known to be valid."""
+        stale = self._stale_for_too_long()
+        for entry in list(self._running):
+            if entry.caller is None:
+                continue
+            if stale:
+                entry.end(_stale_error())
+            elif not self._holds(entry.caller):
+                entry.end(_withdrawn_error())
+
+    def _holds(self, caller: auth.Caller) -> bool:
+        view = self._deps.state.view
+        return view.authenticate(caller.digest) == caller.customer
+
+    def _stale_for_too_long(self) -> bool:
+        now_ms = self._deps.clock.now_ms()
+        if self._deps.state.fresh():
+            self._stale_since_ms = None
+            return False
+        if self._stale_since_ms is None:
+            self._stale_since_ms = now_ms
+        stale_ms = now_ms - self._stale_since_ms
+        return stale_ms >= self._deps.settings.stale_grace_ms
+
+
+async def _run(
+    req: http.Request, entry: _Running, work: Callable[[], Awaitable[None]]
+) -> errors.CallerError | None:
+    error: errors.CallerError | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch, req, entry)
+        with entry.scope:
+            try:
+                await work()
+            except errors.CallerError as exc:
+                error = exc
+        nursery.cancel_scope.cancel()
+    return error
+
+
+async def _watch(req: http.Request, entry: _Running) -> None:
+    await req.wait_disconnect()
+    entry.end(http.DisconnectedError())
+
+
+def _withdrawn_error() -> errors.CallerError:
+    message = "the API key was withdrawn while the request was running"
+    return errors.CallerError(
+        401, "key_withdrawn", message, ran=errors.Ran.MAY_HAVE_RUN
+    )
+
+
+def _stale_error() -> errors.CallerError:
+    message = "this host can no longer tell whether the API key is valid"
+    return errors.CallerError(
+        503,
+        "stale",
+        message,
+        ran=errors.Ran.MAY_HAVE_RUN,
+        retry_after_ms=1000,
+    )
--- /dev/null
+++ b/lacewingwood/callers/server.py
@@ -0,0 +1,126 @@
+"""Serves the application over HTTP/1.1 and HTTP/2 without TLS."""
+
+import functools
+import sys
+from typing import Any
+from typing import cast
+
+import structlog
+import trio
+from hypercorn import app_wrappers
+from hypercorn import config as server_config
+from hypercorn import typing as server_typing
+from hypercorn.trio import worker_context
+
+from lacewingwood.callers import app as apps
+from lacewingwood.callers import connection
+
+_MAX_INCOMPLETE_HEADER_BYTES = 128 << 10
+_MAX_STREAMS_PER_CONNECTION = 1000
+_BACKLOG = 1024
+# Longer than balancers usually keep idle connections, so that they close them
+# first and no request meets a connection that is being closed.
+_KEEP_ALIVE_TIMEOUT_S = 300
+# The longest deadline that a request may have, and some time to spare.
+_GRACE_MS = 3_700_000.0
+
+_log = structlog.get_logger()
+
+
+async def serve(
+    app: apps.App,
+    host: str,
+    port: int,
+    shutdown_event: trio.Event,
+    drain_ms: float,
+    *,
+    grace_ms: float = _GRACE_MS,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until `shutdown_event`, then ends without cutting a request.
+
+    For `drain_ms` after the event new requests are still served and callers
+    are told to go elsewhere; then no more are accepted and the running ones
+    are waited for, at most `grace_ms`. Reports the port that it listens on.
+    """
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
+    server = _Server(app)
+    async with trio.open_nursery() as checks:
+        checks.start_soon(app.running.check_for_ever)
+        await server.run(
+            listeners, shutdown_event, drain_ms, grace_ms, task_status
+        )
+        checks.cancel_scope.cancel()
+
+
+class _Server:
+    """The listening sockets and all connections."""
+
+    def __init__(self, app: apps.App) -> None:
+        self._app = app_wrappers.ASGIWrapper(cast(Any, app))
+        self._config = _make_config()
+        self._context = worker_context.WorkerContext(None)
+        self._connections: set[connection.Connection] = set()
+
+    async def run(
+        self,
+        listeners: list[trio.SocketListener],
+        shutdown_event: trio.Event,
+        drain_ms: float,
+        grace_ms: float,
+        task_status: trio.TaskStatus[int],
+    ) -> None:
+        """Accepts and serves connections until all have ended."""
+        async with trio.open_nursery() as connections:
+            accept = functools.partial(
+                trio.serve_listeners,
+                self._serve,
+                listeners,
+                handler_nursery=connections,
+            )
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(accept)
+                task_status.started(listeners[0].socket.getsockname()[1])
+                await shutdown_event.wait()
+                await self._announce_shutdown()
+                await trio.sleep(drain_ms / 1000)
+                accepting.cancel_scope.cancel()
+            await self._context.terminated.set()
+            deadline = trio.current_time() + grace_ms / 1000
+            connections.cancel_scope.deadline = deadline
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        conn = connection.Connection(
+            self._app,
+            self._config,
+            self._context,
+            server_typing.ConnectionState({}),
+            cast(Any, stream),
+        )
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        except* Exception:
+            _log.exception("connection failed")
+        finally:
+            self._connections.discard(conn)
+
+    async def _announce_shutdown(self) -> None:
+        # From here on each HTTP/1.1 answer closes its connection.
+        self._config.keep_alive_max_requests = 0
+        for conn in list(self._connections):
+            with trio.move_on_after(1):
+                await conn.announce_shutdown()
+
+
+def _make_config() -> server_config.Config:
+    config = server_config.Config()
+    config.errorlog = None
+    config.accesslog = None
+    config.include_server_header = False
+    config.h11_max_incomplete_size = _MAX_INCOMPLETE_HEADER_BYTES
+    config.h2_max_header_list_size = _MAX_INCOMPLETE_HEADER_BYTES
+    config.h2_max_concurrent_streams = _MAX_STREAMS_PER_CONNECTION
+    config.keep_alive_max_requests = sys.maxsize
+    config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
+    return config
--- /dev/null
+++ b/lacewingwood/routing/prefix.py
@@ -0,0 +1,133 @@
+"""Which replicas are likely to hold a prompt's prefix in their cache."""
+
+import collections
+
+import xxhash
+
+from lacewingwood.upstreams import types as upstream_types
+
+# Bytes of prompt text in a block; about 64 tokens of English text.
+BLOCK_BYTES = 256
+TOKENS_PER_BLOCK = 64
+# Blocks of a prompt that are looked at; what lies beyond adds little.
+_MAX_BLOCKS = 64
+# Replicas remembered for a block; more would only spread a hot prefix thinner.
+_MAX_HOLDERS = 4
+
+
+def block_hashes(model: str, prompt: bytes) -> tuple[int, ...]:
+    """Returns a hash for each whole block, covering all text up to its end."""
+    digest = xxhash.xxh3_64(model.encode())
+    hashes: list[int] = []
+    whole = len(prompt) // BLOCK_BYTES
+    for index in range(min(whole, _MAX_BLOCKS)):
+        start = index * BLOCK_BYTES
+        digest.update(prompt[start : start + BLOCK_BYTES])
+        hashes.append(digest.intdigest())
+    return tuple(hashes)
+
+
+class Affinity:
+    """Guess of each replica's prefix cache; least recently used ones go.
+
+    It is fed by this entry's own routing, which is early, and by engines'
+    cache events, which are late and have gaps.
+    """
+
+    __slots__ = ("_capacity", "_holders", "_serials")
+
+    def __init__(self, capacity: int = 100_000) -> None:
+        self._capacity = capacity
+        # For each block the replicas that hold it, most recent last.
+        self._holders: collections.OrderedDict[int, list[str]]
+        self._holders = collections.OrderedDict()
+        self._serials: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def routed(self, replica_id: str, blocks: tuple[int, ...]) -> None:
+        """Notes that a replica is going to compute these blocks."""
+        for block in blocks:
+            self._add(block, replica_id)
+
+    def cached_tokens(self, replica_id: str, blocks: tuple[int, ...]) -> int:
+        """Returns the estimated tokens of the prompt in a replica's cache."""
+        count = 0
+        for block in blocks:
+            if replica_id not in self._holders.get(block, ()):
+                break
+            count += 1
+        return count * TOKENS_PER_BLOCK
+
+    def preferred(self, blocks: tuple[int, ...]) -> str | None:
+        """Returns the replica with the longest cached prefix, if any."""
+        if not blocks:
+            return None
+        found: str | None = None
+        for block in blocks:
+            holders = self._holders.get(block)
+            if not holders:
+                break
+            if found not in holders:
+                if found is not None:
+                    break
+                found = holders[-1]
+        return found
+
+    def apply_events(
+        self, replica_id: str, events: list[upstream_types.CacheEvent]
+    ) -> None:
+        """Takes over a replica's cache events.
+
+        Events that were seen already are passed over. After a gap evictions
+        may have been lost, so that what was known of the replica is dropped.
+        """
+        for event in events:
+            self._apply(replica_id, event)
+
+    def forget(self, replica_id: str) -> None:
+        """Drops what is known of a replica, which has lost its cache."""
+        self._serials.pop(replica_id, None)
+        for block in list(self._holders):
+            self._remove(block, replica_id)
+
+    def _apply(self, replica_id: str, event: upstream_types.CacheEvent) -> None:
+        last = self._serials.get(replica_id)
+        if last is not None and event.serial <= last:
+            return
+        if last is not None and event.serial > last + 1:
+            self.forget(replica_id)
+        self._serials[replica_id] = event.serial
+        block = _parse_block(event.block)
+        if block is None:
+            return
+        if event.stored:
+            self._add(block, replica_id)
+        else:
+            self._remove(block, replica_id)
+
+    def _add(self, block: int, replica_id: str) -> None:
+        holders = self._holders.setdefault(block, [])
+        if replica_id in holders:
+            holders.remove(replica_id)
+        holders.append(replica_id)
+        del holders[:-_MAX_HOLDERS]
+        self._holders.move_to_end(block)
+        if len(self._holders) > self._capacity:
+            self._holders.popitem(last=False)
+
+    def _remove(self, block: int, replica_id: str) -> None:
+        holders = self._holders.get(block)
+        if holders is None or replica_id not in holders:
+            return
+        holders.remove(replica_id)
+        if not holders:
+            del self._holders[block]
+
+
+def _parse_block(text: str) -> int | None:
+    try:
+        return int(text, 16)
+    except ValueError:
+        return None
--- /dev/null
+++ b/lacewingwood/routing/retries.py
@@ -0,0 +1,115 @@
+"""When a failed attempt is made again on another upstream."""
+
+import dataclasses
+
+from lacewingwood import errors
+from lacewingwood.routing import outcomes
+
+_MAX_RETRIES = 2
+# Retries as a share of recent requests; more would multiply an overload.
+_BUDGET_SHARE = 0.1
+# Lets an entry with little traffic retry at all.
+_BUDGET_FLOOR = 3.0
+_WINDOW_MS = 10_000.0
+# A deadline nearer than this leaves no time for another attempt.
+_MIN_LEFT_MS = 50.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Retry:
+    """Another attempt may be made."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GiveUp:
+    """No further attempt; `reason` is a stable identifier."""
+
+    reason: str
+
+
+Decision = Retry | GiveUp
+
+
+class Budget:
+    """Limits retries to a share of the requests of the last 10 to 20 s."""
+
+    __slots__ = ("_current", "_previous", "_window")
+
+    def __init__(self) -> None:
+        self._window = 0
+        self._current = [0, 0]
+        self._previous = [0, 0]
+
+    def note_request(self, now_ms: float) -> None:
+        """Counts one request, not its retries."""
+        self._advance(now_ms)
+        self._current[0] += 1
+
+    def allows(self, now_ms: float) -> bool:
+        """Tells whether one more retry fits."""
+        self._advance(now_ms)
+        requests = self._current[0] + self._previous[0]
+        retries = self._current[1] + self._previous[1]
+        return retries + 1 <= max(_BUDGET_FLOOR, requests * _BUDGET_SHARE)
+
+    def take(self, now_ms: float) -> None:
+        """Counts one retry."""
+        self._advance(now_ms)
+        self._current[1] += 1
+
+    def _advance(self, now_ms: float) -> None:
+        window = int(now_ms // _WINDOW_MS)
+        if window == self._window:
+            return
+        adjacent = window == self._window + 1
+        self._previous = self._current if adjacent else [0, 0]
+        self._current = [0, 0]
+        self._window = window
+
+
+@dataclasses.dataclass(slots=True)
+class Attempts:
+    """The attempts made for one request.
+
+    Attributes:
+        idempotent: Whether it may run more than once.
+        deadline_ms: When its caller no longer waits.
+        retries: Attempts made after the first.
+    """
+
+    idempotent: bool
+    deadline_ms: float
+    retries: int = 0
+
+    def after(
+        self, outcome: outcomes.Outcome, budget: Budget, now_ms: float
+    ) -> Decision:
+        """Decides what follows an attempt that ended with `outcome`.
+
+        A retry that is granted is counted here and in `budget`.
+        """
+        reason = self._obstacle(outcome) or self._limit(budget, now_ms)
+        if reason:
+            return GiveUp(reason)
+        self.retries += 1
+        budget.take(now_ms)
+        return Retry()
+
+    def _obstacle(self, outcome: outcomes.Outcome) -> str:
+        match outcome:
+            case outcomes.Completed() | outcomes.Cancelled():
+                return "ended"
+            case outcomes.Rejected():
+                return "rejected"
+            case outcomes.Refused() | outcomes.Unreachable():
+                return ""
+            case outcomes.Broken(ran=ran) | outcomes.TimedOut(ran=ran):
+                repeatable = self.idempotent or ran is errors.Ran.NOT_RUN
+                return "" if repeatable else "may_have_run"
+
+    def _limit(self, budget: Budget, now_ms: float) -> str:
+        if self.retries >= _MAX_RETRIES:
+            return "retries"
+        if now_ms + _MIN_LEFT_MS > self.deadline_ms:
+            return "deadline"
+        return "" if budget.allows(now_ms) else "budget"
--- /dev/null
+++ b/tests/callers/fakes.py
@@ -0,0 +1,244 @@
+"""Fakes of what the callers' interface depends on."""
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import random
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics
+from lacewingwood.callers import app as apps
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import server
+from lacewingwood.hostlist import types as host_types
+from lacewingwood.routing import router as routers
+from lacewingwood.state import records
+
+SECRET = "sk-tanta-1"
+SERVICE = "sabeel-lm"
+
+
+@dataclasses.dataclass
+class View:
+    """A view that tests change directly."""
+
+    customers: dict[str, Any] = dataclasses.field(default_factory=dict)
+    keys: dict[str, str] = dataclasses.field(default_factory=dict)
+    routes: dict[str, records.Route] = dataclasses.field(default_factory=dict)
+    models: dict[str, records.Model] = dataclasses.field(default_factory=dict)
+
+    def authenticate(self, digest: str) -> str | None:
+        return self.keys.get(digest)
+
+    def add_key(self, secret: str, customer: str) -> None:
+        self.keys[hashlib.sha256(secret.encode()).hexdigest()] = customer
+
+
+class State:
+    """State that is fresh until a test says otherwise."""
+
+    def __init__(self) -> None:
+        self.view = View()
+        self.is_fresh = True
+
+    def fresh(self) -> bool:
+        return self.is_fresh
+
+
+@dataclasses.dataclass
+class Admitted:
+    """The limiter's consent."""
+
+
+@dataclasses.dataclass
+class Refused:
+    """The limiter's refusal."""
+
+    retry_after_ms: float
+
+
+class Limiter:
+    """Gives the same answer to all."""
+
+    def __init__(self) -> None:
+        self.answer: Any = Admitted()
+
+    async def admit(self, customer: str, deadline_ms: float) -> Any:
+        return self.answer
+
+
+Script = Callable[[dict[str, Any]], AsyncIterator[bytes]]
+
+
+class Engines:
+    """Engines that run a script each; requests are recorded."""
+
+    def __init__(self) -> None:
+        self.scripts: dict[str, Script] = {}
+        self.seen: list[tuple[str, dict[str, Any]]] = []
+        self.ids: list[str] = []
+        self.cancelled = 0
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        request_id: str,
+        deadline_ms: float,
+    ) -> AsyncIterator[Any]:
+        self.seen.append((address, json.loads(body)))
+        self.ids.append(request_id)
+        try:
+            yield _Answer(self._script(address)(json.loads(body)))
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+
+    async def complete(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        request_id: str,
+        deadline_ms: float,
+    ) -> bytes:
+        self.seen.append((address, json.loads(body)))
+        text = ""
+        async for data in self._script(address)(json.loads(body)):
+            choice = json.loads(data)["choices"][0]
+            text += choice["delta"].get("content") or ""
+        message = {"role": "assistant", "content": text}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        return json.dumps(
+            {**_base("chat.completion"), "choices": [choice]}
+        ).encode()
+
+    def _script(self, address: str) -> Script:
+        return self.scripts.get(address) or self.scripts["*"]
+
+
+@dataclasses.dataclass
+class _Answer:
+    script: AsyncIterator[bytes]
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        return self.script
+
+
+def _base(kind: str) -> dict[str, Any]:
+    return {"id": "c1", "object": kind, "created": 1, "model": "sabeel"}
+
+
+def event(text: str, finish: str | None = None) -> bytes:
+    """Returns the data of one event of a chat completion."""
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
+    value = {**_base("chat.completion.chunk"), "choices": [choice]}
+    return json.dumps(value).encode()
+
+
+def script(*words: str, error: Exception | None = None) -> Script:
+    """Returns a script that says `words`, then fails or finishes.
+
+    Words that the caller has already, by its resume_text, are left out.
+    """
+
+    async def run(body: dict[str, Any]) -> AsyncIterator[bytes]:
+        left = "".join(words).removeprefix(body.get("resume_text", ""))
+        for word in words:
+            if left and left.startswith(word):
+                left = left.removeprefix(word)
+                yield event(word)
+        if error is not None:
+            raise error
+        yield event("", "stop")
+
+    return run
+
+
+class World:
+    """Dependencies with fakes and three replicas of one service."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self.limiter = Limiter()
+        self.engines = Engines()
+        self.clock = clocks.MonotonicClock()
+        self.router = routers.Router(routers.Settings(), random.Random(1))
+        self.hosts = [
+            host_types.Host(
+                id=f"e{i}",
+                address=f"127.0.0.1:{i}",
+                kind="engine",
+                service=SERVICE,
+                zone="tanta-a",
+                region="delta-north",
+                state="live",
+            )
+            for i in range(1, 4)
+        ]
+        self.router.fleet.update_hosts(self.hosts)
+        self.state.view.models["sabeel"] = records.Model(
+            name="sabeel", service=SERVICE, version="1"
+        )
+        self.state.view.add_key(SECRET, "vendors")
+        self.engines.scripts["*"] = script("Hello", " ", "there")
+        self.deps = dependencies.Dependencies(
+            state=self.state,
+            limiter=self.limiter,
+            router=self.router,
+            engines=self.engines,
+            clock=self.clock,
+            metrics=metrics.Registry(),
+            settings=dependencies.Settings(check_every_ms=5, stale_grace_ms=0),
+        )
+
+    @contextlib.asynccontextmanager
+    async def serve(self, drain_ms: float = 0) -> AsyncIterator["Served"]:
+        """Serves on a loopback port until the block ends."""
+        app = apps.make_app(self.deps)
+        shutdown = trio.Event()
+        async with trio.open_nursery() as nursery:
+
+            async def run(
+                task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+            ) -> None:
+                await server.serve(
+                    app,
+                    "127.0.0.1",
+                    0,
+                    shutdown,
+                    drain_ms,
+                    task_status=task_status,
+                )
+
+            port = await nursery.start(run)
+            yield Served(port, shutdown, app)
+            shutdown.set()
+
+
+@dataclasses.dataclass
+class Served:
+    """A running server."""
+
+    port: int
+    shutdown: trio.Event
+    app: apps.App
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Waits until `condition` holds."""
+    with trio.fail_after(5):
+        while not condition():
+            await trio.sleep(0.001)
+
+
+Work = Callable[[], Awaitable[None]]
