--- /dev/null
+++ b/lacewingwood/batch/intake.py
@@ -0,0 +1,411 @@
+"""Files and jobs as callers see them."""
+
+import hashlib
+from collections.abc import AsyncIterable
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import xxhash
+
+from lacewingwood import clock as clocks
+from lacewingwood import errors as base_errors
+from lacewingwood.batch import deps
+from lacewingwood.batch import errors
+from lacewingwood.batch import files
+from lacewingwood.batch import results
+from lacewingwood.state import errors as state_errors
+from lacewingwood.state import records
+
+ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
+MAX_ITEMS = 1_000_000
+
+_WINDOW_UNITS_MS = {"m": 60_000, "h": 3_600_000, "d": 86_400_000}
+_MAX_WINDOW_MS = 7 * 86_400_000
+_MAX_METADATA = 16
+_OUTPUT_PREFIX = "file-output-"
+_ERRORS_PREFIX = "file-errors-"
+
+
+class Line(msgspec.Struct):
+    """One line of a job's input file."""
+
+    custom_id: str
+    method: str
+    url: str
+    body: dict[str, msgspec.Raw]
+
+
+class Status(msgspec.Struct):
+    """A job and how far it has come."""
+
+    job: records.Job
+    progress: results.Progress
+    cancelled_ms: int | None
+    finished_ms: int | None
+
+
+_line_decoder = msgspec.json.Decoder(Line)
+
+
+def decode_line(line: bytes) -> Line:
+    """Reads one line of an input file.
+
+    Raises:
+        msgspec.MsgspecError: The line is not a request of the right form.
+    """
+    return _line_decoder.decode(line)
+
+
+def output_file_id(job_id: str) -> str:
+    """Returns the id under which a job's answers can be read."""
+    return _OUTPUT_PREFIX + job_id
+
+
+def errors_file_id(job_id: str) -> str:
+    """Returns the id under which a job's failed items can be read."""
+    return _ERRORS_PREFIX + job_id
+
+
+class Intake:
+    """Accepts files and jobs, and reads results."""
+
+    __slots__ = ("_files", "_follower", "_log", "_wall_ms")
+
+    def __init__(
+        self,
+        log: deps.Log,
+        follower: deps.Follower,
+        clock: clocks.Clock,
+        wall_ms: Callable[[], int],
+        max_file_bytes: int = files.MAX_FILE_BYTES,
+    ) -> None:
+        self._log = log
+        self._follower = follower
+        self._wall_ms = wall_ms
+        self._files = files.Files(log, clock, max_file_bytes)
+
+    async def store_file(
+        self,
+        customer: str,
+        filename: str,
+        purpose: str,
+        pieces: AsyncIterable[bytes],
+    ) -> files.File:
+        """Stores a file; see `files.Files.store`."""
+        now_ms = self._wall_ms()
+        return await self._files.store(
+            customer, filename, purpose, pieces, now_ms
+        )
+
+    async def file_info(self, customer: str, file_id: str) -> files.File:
+        """Returns a file of the customer.
+
+        Raises:
+            errors.NotFoundError: The customer has no such file.
+        """
+        self._check_fresh()
+        found = await self._files.info(file_id)
+        if found.customer != customer:
+            raise errors.NotFoundError(f"no file {file_id}")
+        return found
+
+    async def file_content(
+        self, customer: str, file_id: str
+    ) -> AsyncIterator[bytes]:
+        """Returns an iterator over a file, which may be a job's results.
+
+        Raises:
+            errors.NotFoundError: The customer has no such file.
+        """
+        if file_id.startswith(_OUTPUT_PREFIX):
+            return self.output(customer, file_id.removeprefix(_OUTPUT_PREFIX))
+        if file_id.startswith(_ERRORS_PREFIX):
+            return self.errors(customer, file_id.removeprefix(_ERRORS_PREFIX))
+        await self.file_info(customer, file_id)
+        return self._files.read(file_id)
+
+    async def create_job(
+        self,
+        customer: str,
+        input_file: str,
+        endpoint: str,
+        completion_window: str,
+        *,
+        metadata: dict[str, str] | None = None,
+        idempotency_key: str = "",
+    ) -> Status:
+        """Accepts a job, or finds the one that an earlier send has made.
+
+        Returns only once the acceptance is on the log.
+
+        Raises:
+            errors.InvalidError: The request or a line is wrong; nothing runs.
+            errors.NotFoundError: The customer has no such file.
+            errors.ConflictError: The key was used for a different job.
+            errors.UnavailableError: The log is down.
+        """
+        self._check_fresh()
+        window_ms = _parse_window(completion_window)
+        _check_request(endpoint, metadata or {})
+        job_id = _job_id(customer, idempotency_key, input_file)
+        if job_id not in self._follower.view.jobs:
+            await self.file_info(customer, input_file)
+            items = await self._check_lines(input_file, endpoint)
+            now_ms = self._wall_ms()
+            job = records.Job(
+                job_id,
+                customer,
+                input_file,
+                endpoint,
+                items,
+                now_ms + window_ms,
+                now_ms,
+                metadata or {},
+            )
+            await self._accept(job)
+        return await self._find_same(customer, job_id, input_file, endpoint)
+
+    async def get(self, customer: str, job_id: str) -> Status:
+        """Returns a job of the customer.
+
+        Raises:
+            errors.NotFoundError: The customer has no such job.
+            errors.UnavailableError: This process's state may be out of date.
+        """
+        state = self._state(customer, job_id)
+        job = state.job
+        if state.status == "finished":
+            progress = results.Progress(state.completed, state.failed)
+            return Status(job, progress, None, state.finished_ms)
+        try:
+            progress = await results.read_progress(self._log, job_id)
+        except errors.BatchError:
+            # The counts are informative; a job is shown without them while
+            # the log is down.
+            progress = results.Progress()
+        return Status(job, progress, state.cancelled_ms, None)
+
+    async def list(
+        self, customer: str, after: str = "", limit: int = 20
+    ) -> tuple[list[Status], bool]:
+        """Returns jobs, newest first, and whether there are more.
+
+        Args:
+            customer: Whose jobs.
+            after: Id of the last job of the page before, or empty.
+            limit: Most jobs to return.
+        """
+        self._check_fresh()
+        jobs = self._follower.view.jobs.values()
+        own = [s.job for s in jobs if s.job.customer == customer]
+        own.sort(key=lambda job: (-job.created_ms, job.job_id))
+        ids = [job.job_id for job in own]
+        if after:
+            ids = ids[ids.index(after) + 1 :] if after in ids else []
+        page = [await self.get(customer, job_id) for job_id in ids[:limit]]
+        return page, len(ids) > limit
+
+    async def cancel(self, customer: str, job_id: str) -> Status:
+        """Cancels a job; one that has ended stays as it is.
+
+        Raises:
+            errors.NotFoundError: The customer has no such job.
+            errors.UnavailableError: The log is down.
+        """
+        state = self._state(customer, job_id)
+        if state.status == "accepted":
+            body = records.JobCancelled(job_id, self._wall_ms())
+            try:
+                await self._publish(body, None)
+            except state_errors.ConflictError:
+                # It ended in the meantime.
+                pass
+        return await self.get(customer, job_id)
+
+    async def output(self, customer: str, job_id: str) -> AsyncIterator[bytes]:
+        """Iterates over the answers of a job as JSON lines."""
+        self._state(customer, job_id)
+        async for item in results.read_results(self._log, job_id):
+            if not item.failed:
+                yield output_line(job_id, item)
+
+    async def errors(self, customer: str, job_id: str) -> AsyncIterator[bytes]:
+        """Iterates over the failed items of a job as JSON lines."""
+        self._state(customer, job_id)
+        async for item in results.read_results(self._log, job_id):
+            if item.failed:
+                yield output_line(job_id, item)
+
+    def _check_fresh(self) -> None:
+        if not self._follower.fresh():
+            raise errors.UnavailableError("this process is not up to date")
+
+    def _state(self, customer: str, job_id: str) -> deps.JobState:
+        self._check_fresh()
+        state = self._follower.view.jobs.get(job_id)
+        if state is None or state.job.customer != customer:
+            raise errors.NotFoundError(f"no batch {job_id}")
+        return state
+
+    async def _find_same(
+        self, customer: str, job_id: str, input_file: str, endpoint: str
+    ) -> Status:
+        found = await self.get(customer, job_id)
+        job = found.job
+        if job.input_file != input_file or job.endpoint != endpoint:
+            raise errors.ConflictError(
+                "the idempotency key belongs to a batch with another input"
+            )
+        return found
+
+    async def _accept(self, job: records.Job) -> None:
+        try:
+            await self._publish(records.JobAccepted(job), -1)
+        except state_errors.ConflictError:
+            # The same job was accepted through another process.
+            return
+
+    async def _publish(self, body: records.Body, based_on: int | None) -> None:
+        try:
+            await self._follower.publish(body, based_on=based_on)
+        except state_errors.UnavailableError as exc:
+            ran = base_errors.Ran.NOT_RUN
+            if exc.may_have_taken_effect:
+                ran = base_errors.Ran.MAY_HAVE_RUN
+            raise errors.UnavailableError(exc.message, ran) from exc
+        except state_errors.StaleError as exc:
+            raise errors.UnavailableError(exc.message) from exc
+
+    async def _check_lines(self, file_id: str, endpoint: str) -> int:
+        """Checks every line and returns their number."""
+        # Digests of 64 bits keep a million names small; a false duplicate
+        # among a million has a probability below 1e-7.
+        seen: set[int] = set()
+        model = ""
+        number = 0
+        async for line in self._files.read_lines(file_id):
+            number += 1
+            if number > MAX_ITEMS:
+                raise errors.InvalidError(
+                    f"the file has more than {MAX_ITEMS} lines", number
+                )
+            parsed = _check_line(line, number, endpoint)
+            custom_id = parsed.custom_id
+            model = model or self._known_model(parsed, number)
+            if _model(parsed) != model:
+                raise errors.InvalidError(
+                    f"line {number}: names another model than line 1",
+                    number,
+                    "model",
+                )
+            digest = xxhash.xxh3_64_intdigest(custom_id.encode())
+            if digest in seen:
+                raise errors.InvalidError(
+                    f"line {number}: custom_id {custom_id!r} is used twice",
+                    number,
+                    "custom_id",
+                )
+            seen.add(digest)
+        if not number:
+            raise errors.InvalidError("the file has no lines")
+        return number
+
+    def _known_model(self, line: Line, number: int) -> str:
+        model = _model(line)
+        if model not in self._follower.view.models:
+            raise errors.InvalidError(
+                f"line {number}: there is no model {model!r}", number, "model"
+            )
+        return model
+
+
+def output_line(job_id: str, item: results.Result) -> bytes:
+    """Returns an item's line in the output or error file."""
+    name = f"{job_id}-{item.index}"
+    response: dict[str, Any] | None = None
+    if item.status:
+        response = {
+            "status_code": item.status,
+            "request_id": name,
+            "body": msgspec.Raw(item.response or b"null"),
+        }
+    error: dict[str, str] | None = None
+    if item.failed:
+        error = {"code": item.error_code, "message": item.error_message}
+    line = {
+        "id": name,
+        "custom_id": item.custom_id,
+        "response": response,
+        "error": error,
+    }
+    return msgspec.json.encode(line) + b"\n"
+
+
+def _check_line(line: bytes, number: int, endpoint: str) -> Line:
+    try:
+        parsed = decode_line(line)
+    except msgspec.MsgspecError as exc:
+        raise errors.InvalidError(f"line {number}: {exc}", number) from exc
+    except UnicodeDecodeError as exc:
+        raise errors.InvalidError(f"line {number}: not UTF-8", number) from exc
+    if not parsed.custom_id:
+        raise errors.InvalidError(
+            f"line {number}: custom_id is empty", number, "custom_id"
+        )
+    if parsed.method != "POST":
+        raise errors.InvalidError(
+            f"line {number}: method must be POST", number, "method"
+        )
+    if parsed.url != endpoint:
+        raise errors.InvalidError(
+            f"line {number}: url must be {endpoint}", number, "url"
+        )
+    if not _model(parsed):
+        raise errors.InvalidError(
+            f"line {number}: body.model must be a string that is not empty",
+            number,
+            "model",
+        )
+    return parsed
+
+
+def _model(line: Line) -> str:
+    try:
+        return msgspec.json.decode(line.body["model"], type=str)
+    except (KeyError, msgspec.MsgspecError):
+        return ""
+
+
+def _check_request(endpoint: str, metadata: dict[str, str]) -> None:
+    if endpoint not in ENDPOINTS:
+        raise errors.InvalidError(
+            f"endpoint must be one of {', '.join(ENDPOINTS)}", param="endpoint"
+        )
+    if len(metadata) > _MAX_METADATA:
+        raise errors.InvalidError(
+            f"metadata has more than {_MAX_METADATA} pairs", param="metadata"
+        )
+
+
+def _parse_window(window: str) -> int:
+    number, unit = window[:-1], window[-1:]
+    if not number.isdecimal() or unit not in _WINDOW_UNITS_MS:
+        raise errors.InvalidError(
+            "completion_window must be a number with m, h or d, such as 24h",
+            param="completion_window",
+        )
+    window_ms = int(number) * _WINDOW_UNITS_MS[unit]
+    if not 0 < window_ms <= _MAX_WINDOW_MS:
+        raise errors.InvalidError(
+            "completion_window is out of range", param="completion_window"
+        )
+    return window_ms
+
+
+def _job_id(customer: str, idempotency_key: str, input_file: str) -> str:
+    kind = "key" if idempotency_key else "file"
+    name = idempotency_key or input_file
+    digest = hashlib.sha256(msgspec.json.encode([customer, kind, name]))
+    return "batch_" + digest.hexdigest()[:32]
--- /dev/null
+++ b/lacewingwood/batch/recorder.py
@@ -0,0 +1,206 @@
+"""Writes one owner's results of a job to the log in groups."""
+
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood.batch import appends
+from lacewingwood.batch import deps
+from lacewingwood.batch import errors
+from lacewingwood.batch import results
+from lacewingwood.log import errors as log_errors
+
+GROUP_MS = 250.0
+GROUP_BYTES = 256 * 1024
+# Results held during an outage of the log; beyond this no items are started.
+MAX_PENDING_BYTES = 16 * 1024 * 1024
+
+# With the log refusing appends for their number, groups become rarer.
+_SLOWEST_GROUP_MS = 4_000.0
+_ITEM_OVERHEAD = 64
+_APPEND_MS = 2_000.0
+
+
+class Recorder:
+    """Results of one job under one lease.
+
+    An acknowledged group is certain to count: the recorder checks that no
+    later owner's record lies between its own.
+
+    Attributes:
+        replay: State of the stream up to this recorder's last record.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_epoch",
+        "_group_ms",
+        "_job_id",
+        "_late",
+        "_log",
+        "_next",
+        "_node_id",
+        "_pending",
+        "_pending_bytes",
+        "_recorded_late",
+        "_wanted",
+        "replay",
+    )
+
+    def __init__(
+        self,
+        log: deps.Log,
+        clock: clocks.Clock,
+        job_id: str,
+        epoch: int,
+        node_id: str,
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._job_id = job_id
+        self._epoch = epoch
+        self._node_id = node_id
+        self._next = 0
+        self._late = False
+        self._recorded_late = False
+        self._group_ms = GROUP_MS
+        self._pending: list[results.Result] = []
+        self._pending_bytes = 0
+        self._wanted = trio.Event()
+        self._changed = trio.Event()
+        self.replay = results.Replay()
+
+    @property
+    def full(self) -> bool:
+        """Whether no more items should be started until some are recorded."""
+        return self._pending_bytes >= MAX_PENDING_BYTES
+
+    @property
+    def pending(self) -> int:
+        """Number of results not yet acknowledged by the log."""
+        return len(self._pending)
+
+    async def start(self) -> None:
+        """Announces this owner and reads what earlier ones have recorded.
+
+        Raises:
+            errors.SupersededError: A later owner has started.
+            errors.UnavailableError: The log is down.
+        """
+        started = results.OwnerStarted(self._epoch, self._node_id)
+        await self._append(results.encode(started), _APPEND_MS)
+        self._recorded_late = self._late = self.replay.progress.late
+
+    def add(self, result: results.Result) -> None:
+        """Takes a result that is to be recorded."""
+        self._pending.append(result)
+        self._pending_bytes += _size(result)
+        self._wanted.set()
+
+    def set_late(self, late: bool) -> None:
+        """Tells whether the job is expected to miss its time."""
+        self._late = late
+        if late != self._recorded_late:
+            self._wanted.set()
+
+    async def wait_recorded(self) -> None:
+        """Waits until further results are on the log."""
+        await self._changed.wait()
+
+    async def run(self) -> None:
+        """Records groups until cancelled.
+
+        Raises:
+            errors.SupersededError: A later owner has started.
+        """
+        while True:
+            await self._wanted.wait()
+            if self._pending_bytes < GROUP_BYTES:
+                await self._clock.sleep_ms(self._group_ms)
+            try:
+                await self.flush()
+            except errors.UnavailableError:
+                await self._clock.sleep_ms(self._group_ms)
+
+    async def flush(self) -> None:
+        """Records all that is pending.
+
+        Raises:
+            errors.SupersededError: A later owner has started.
+            errors.UnavailableError: The log is down; results stay pending.
+        """
+        while self._pending or self._late != self._recorded_late:
+            late = self._late
+            taken = self._pending[: self._group_length()]
+            group = self._group(taken, late)
+            await self._append(results.encode(group), _APPEND_MS)
+            self._recorded_late = late
+            self._pending = self._pending[len(taken) :]
+            self._pending_bytes -= sum(map(_size, taken))
+            self._announce()
+        self._wanted = trio.Event()
+
+    def _announce(self) -> None:
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+    def _group_length(self) -> int:
+        size = 0
+        for count, item in enumerate(self._pending):
+            size += _size(item)
+            if size > GROUP_BYTES and count:
+                return count
+        return len(self._pending)
+
+    def _group(self, items: list[results.Result], late: bool) -> results.Group:
+        failed = sum(item.failed for item in items)
+        before = self.replay.progress
+        progress = results.Progress(
+            before.completed + len(items) - failed,
+            before.failed + failed,
+            late,
+        )
+        return results.Group(self._epoch, items, progress)
+
+    async def _append(self, data: bytes, give_up_ms: float) -> None:
+        offset = await self._append_paced(data, give_up_ms)
+        await self._replay_to(offset)
+        if self.replay.epoch > self._epoch:
+            raise errors.SupersededError(f"job {self._job_id} has a new owner")
+        self.replay.apply(data)
+        self._next = offset + 1
+
+    async def _append_paced(self, data: bytes, give_up_ms: float) -> int:
+        stream = results.stream(self._job_id)
+        try:
+            offset = await self._log.append(stream, data)
+        except log_errors.RateLimitedError:
+            self._group_ms = min(self._group_ms * 2, _SLOWEST_GROUP_MS)
+        except log_errors.UnavailableError:
+            pass
+        else:
+            self._group_ms = max(self._group_ms * 0.9, GROUP_MS)
+            return offset
+        return await appends.append(
+            self._log, self._clock, stream, data, give_up_ms
+        )
+
+    async def _replay_to(self, offset: int) -> None:
+        """Applies the records below `offset` that are not yet applied."""
+        while self._next < offset:
+            page = await results.read_page(self._log, self._job_id, self._next)
+            for entry in page.entries:
+                if entry.offset < offset:
+                    self.replay.apply(entry.data)
+            if not page.entries:
+                raise errors.UnavailableError("the log's read lags")
+            self._next = min(page.entries[-1].offset + 1, offset)
+
+
+def _size(result: results.Result) -> int:
+    return (
+        len(result.response)
+        + len(result.custom_id)
+        + len(result.error_message)
+        + _ITEM_OVERHEAD
+    )
--- /dev/null
+++ b/lacewingwood/batch/results.py
@@ -0,0 +1,233 @@
+"""Results of a job's items on the stream `job/ID`.
+
+Every owner of a job first writes `OwnerStarted` with the epoch of its lease.
+From that record on, records with a lower epoch are void for every reader, so
+that an owner which was paused past its lease cannot add results. Of several
+valid results of an item the one with the lowest offset counts.
+"""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from lacewingwood.batch import deps
+from lacewingwood.batch import errors
+from lacewingwood.log import errors as log_errors
+from lacewingwood.log import types as log_types
+
+# Results larger than this do not fit into a record beside its other fields.
+MAX_RESULT_BYTES = 900 * 1024
+
+# Records are at most 1 MiB, which bounds what one reader holds.
+_PAGE_RECORDS = 16
+
+
+class Result(msgspec.Struct, array_like=True):
+    """How one item ended.
+
+    Attributes:
+        index: Index of the item in its job.
+        custom_id: The caller's name of the item.
+        status: HTTP status of the engine's answer, 0 if there is none.
+        response: The engine's answer, JSON, or empty.
+        error_code: Stable identifier of the failure, empty on success.
+        error_message: Sentence for people.
+    """
+
+    index: int
+    custom_id: str
+    status: int
+    response: bytes = b""
+    error_code: str = ""
+    error_message: str = ""
+
+    @property
+    def failed(self) -> bool:
+        """Whether the item ended as failed."""
+        return bool(self.error_code)
+
+
+class Progress(msgspec.Struct, array_like=True):
+    """How far a job has come.
+
+    Attributes:
+        completed: Items with an answer.
+        failed: Items that ended as failed.
+        late: True if the job is not expected to end in time.
+    """
+
+    completed: int = 0
+    failed: int = 0
+    late: bool = False
+
+
+class OwnerStarted(msgspec.Struct, tag="owner_started"):
+    """A worker has taken over the job under the lease `epoch`."""
+
+    epoch: int
+    node_id: str
+
+
+class Group(msgspec.Struct, tag="group"):
+    """Results that were recorded together.
+
+    Attributes:
+        epoch: Epoch of the owner's lease.
+        items: The results.
+        progress: Of the whole job, these results included.
+    """
+
+    epoch: int
+    items: list[Result]
+    progress: Progress
+
+
+Record = OwnerStarted | Group
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+class DoneSet:
+    """A set of item indexes, one bit each."""
+
+    __slots__ = ("_bits", "_count")
+
+    def __init__(self) -> None:
+        self._bits = bytearray()
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __contains__(self, index: int) -> bool:
+        byte = index >> 3
+        return byte < len(self._bits) and bool(
+            self._bits[byte] >> (index & 7) & 1
+        )
+
+    def add(self, index: int) -> bool:
+        """Adds an index; returns False if it was there already."""
+        if index in self:
+            return False
+        byte = index >> 3
+        if byte >= len(self._bits):
+            self._bits.extend(bytes(byte + 1 - len(self._bits)))
+        self._bits[byte] |= 1 << (index & 7)
+        self._count += 1
+        return True
+
+
+class Replay:
+    """Decides which records of a stream `job/ID` count.
+
+    Attributes:
+        epoch: Highest epoch seen.
+        done: Items with a valid result.
+        progress: Counts over the valid results.
+    """
+
+    __slots__ = ("done", "epoch", "progress")
+
+    def __init__(self) -> None:
+        self.epoch = -1
+        self.done = DoneSet()
+        self.progress = Progress()
+
+    def apply(self, data: bytes) -> list[Result]:
+        """Takes the next record and returns the results that count."""
+        match decode(data):
+            case OwnerStarted(epoch=epoch):
+                self.epoch = max(self.epoch, epoch)
+            case Group(epoch=epoch) as group if epoch >= self.epoch:
+                self.epoch = epoch
+                self.progress.late = group.progress.late
+                return [item for item in group.items if self._add(item)]
+        return []
+
+    def _add(self, item: Result) -> bool:
+        if not self.done.add(item.index):
+            return False
+        if item.failed:
+            self.progress.failed += 1
+        else:
+            self.progress.completed += 1
+        return True
+
+
+def stream(job_id: str) -> str:
+    """Returns the name of a job's stream."""
+    return f"job/{job_id}"
+
+
+def encode(record: Record) -> bytes:
+    """Returns the bytes of a record for the log."""
+    return _encoder.encode(record)
+
+
+def decode(data: bytes) -> Record | None:
+    """Reads a record; None if it is not one known here."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+async def read_page(log: deps.Log, job_id: str, start: int) -> log_types.Page:
+    """Reads some records of a job's stream.
+
+    Raises:
+        errors.CorruptError: The records have expired.
+        errors.UnavailableError: The log is down.
+    """
+    try:
+        return await log.read(stream(job_id), start, _PAGE_RECORDS, 0)
+    except log_errors.OffsetExpiredError as exc:
+        raise errors.CorruptError(f"results of {job_id} expired") from exc
+    except log_errors.LogError as exc:
+        raise errors.UnavailableError(exc.message) from exc
+
+
+async def read_results(log: deps.Log, job_id: str) -> AsyncIterator[Result]:
+    """Iterates over the results that count, in order of recording."""
+    replay = Replay()
+    start = 0
+    while True:
+        page = await read_page(log, job_id, start)
+        for entry in page.entries:
+            for item in replay.apply(entry.data):
+                yield item
+        if not page.entries:
+            return
+        start = page.entries[-1].offset + 1
+
+
+async def read_progress(log: deps.Log, job_id: str) -> Progress:
+    """Returns the counts in the latest valid group.
+
+    The last records are enough: each group repeats the whole job's counts. A
+    void group at the very end is passed over if the latest `OwnerStarted` is
+    among the records read.
+    """
+    end = (await read_page(log, job_id, 0)).head
+    while end > 0:
+        start = max(0, end - _PAGE_RECORDS)
+        page = await read_page(log, job_id, start)
+        latest = _latest_progress(page.entries)
+        if latest is not None:
+            return latest
+        end = start
+    return Progress()
+
+
+def _latest_progress(entries: list[log_types.Entry]) -> Progress | None:
+    latest: Progress | None = None
+    epoch = -1
+    for entry in entries:
+        match decode(entry.data):
+            case OwnerStarted(epoch=started):
+                epoch = max(epoch, started)
+            case Group(epoch=written, progress=progress) if written >= epoch:
+                epoch = written
+                latest = progress
+    return latest
--- /dev/null
+++ b/lacewingwood/batch/worker.py
@@ -0,0 +1,259 @@
+"""Ties the batch side of a worker together."""
+
+import functools
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import trio
+import xxhash
+
+from lacewingwood import errors as base_errors
+from lacewingwood.batch import deps as deps_module
+from lacewingwood.batch import owner
+from lacewingwood.batch import replica_runner
+from lacewingwood.hostlist import types as host_types
+from lacewingwood.peers import messages
+from lacewingwood.state import records
+
+_CHECK_MS = 250.0
+_LEASE_CHECK_MS = 50.0
+
+
+class Worker:
+    """Claims jobs and replicas, and runs those that it holds."""
+
+    __slots__ = (
+        "_claiming",
+        "_deps",
+        "_idle",
+        "_owner",
+        "_runners",
+        "_scopes",
+        "_stopping",
+    )
+
+    def __init__(
+        self, deps: deps_module.Deps, rng: random.Random | None = None
+    ) -> None:
+        self._deps = deps
+        self._owner = owner.Owner(deps, rng or random.Random())
+        self._runners: dict[str, replica_runner.ReplicaRunner] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._claiming: set[str] = set()
+        self._stopping = False
+        self._idle = trio.Event()
+
+    @property
+    def runners(self) -> dict[str, replica_runner.ReplicaRunner]:
+        """The replicas whose lease is used here, by id."""
+        return self._runners
+
+    @property
+    def jobs(self) -> dict[str, int]:
+        """Epochs of the jobs that run here, by id."""
+        return self._owner.jobs
+
+    async def run(self) -> None:
+        """Runs until cancelled, or until `stop` has handed everything over."""
+        self._register()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._owner.run)
+            nursery.start_soon(self._watch_leases)
+            while not self._stopping:
+                self._reconcile(nursery)
+                await self._wait_change()
+            await self._idle.wait()
+            nursery.cancel_scope.cancel()
+
+    async def stop(self) -> None:
+        """Hands everything over to other workers."""
+        self._stopping = True
+        async with trio.open_nursery() as nursery:
+            for job_id in list(self._owner.jobs):
+                nursery.start_soon(self._owner.hand_over, job_id)
+        for scope in self._scopes.values():
+            scope.cancel()
+        names = [f"job/{job_id}" for job_id in self._deps.follower.view.jobs]
+        names += [f"replica/{host.id}" for host in self._deps.hosts()]
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                if self._deps.leases.held(name) is not None:
+                    nursery.start_soon(self._release, name)
+        self._idle.set()
+
+    async def _release(self, name: str) -> None:
+        try:
+            await self._deps.leases.release(name)
+        except base_errors.Error:
+            # The lease is claimed by another once this process is gone.
+            self._deps.metrics.add("batch_release_failed")
+
+    def _register(self) -> None:
+        network = self._deps.network
+        network.handle(messages.OnlineCount, self._on_count)
+        network.handle(messages.RunItem, self._on_run_item)
+        network.handle(messages.WantItems, self._on_want)
+        network.handle(messages.StopItems, self._on_stop)
+        network.handle(messages.RoomOffer, self._on_offer)
+
+    async def _on_count(self, message: messages.OnlineCount) -> None:
+        runner = self._runners.get(message.replica)
+        if runner is not None:
+            runner.count(message)
+
+    async def _on_run_item(self, message: messages.RunItem) -> messages.Message:
+        runner = self._runners.get(message.replica)
+        if runner is None:
+            return messages.Refused("not_owner", "not the holder of this lease")
+        return await runner.run_item(message)
+
+    async def _on_want(self, message: messages.WantItems) -> None:
+        runner = self._runners.get(message.replica)
+        if runner is not None:
+            runner.want(message)
+
+    async def _on_stop(self, message: messages.StopItems) -> None:
+        runner = self._runners.get(message.replica)
+        if runner is not None:
+            runner.stop(message)
+
+    async def _on_offer(self, message: messages.RoomOffer) -> None:
+        self._owner.offer(message)
+
+    def _reconcile(self, nursery: trio.Nursery) -> None:
+        """Starts, claims and stops according to the view and the host list."""
+        view = self._deps.follower.view
+        active = {
+            job_id: state.job
+            for job_id, state in view.jobs.items()
+            if state.status == "accepted"
+        }
+        for job in active.values():
+            self._reconcile_job(nursery, job)
+        self._reconcile_replicas(nursery)
+        for runner in self._runners.values():
+            runner.stop_where(set(active), set(view.members))
+
+    def _reconcile_job(self, nursery: trio.Nursery, job: records.Job) -> None:
+        name = f"job/{job.job_id}"
+        epoch = self._deps.leases.held(name)
+        running = self._owner.jobs.get(job.job_id)
+        if epoch is not None and running is None:
+            nursery.start_soon(self._run_job, job, epoch)
+        elif epoch is None and running is None:
+            self._claim(nursery, name, self._workers(""))
+
+    async def _run_job(self, job: records.Job, epoch: int) -> None:
+        await self._owner.run_job(job, epoch)
+        state = self._deps.follower.view.jobs.get(job.job_id)
+        ended = state is None or state.status != "accepted"
+        name = f"job/{job.job_id}"
+        if ended and self._deps.leases.held(name) == epoch:
+            await self._release(name)
+
+    def _reconcile_replicas(self, nursery: trio.Nursery) -> None:
+        hosts = {h.id: h for h in self._deps.hosts() if h.kind == "engine"}
+        for replica, runner in self._runners.items():
+            host = hosts.get(replica)
+            if host is None or host.state != "live":
+                runner.leave()
+        for replica, host in hosts.items():
+            name = f"replica/{replica}"
+            epoch = self._deps.leases.held(name)
+            if replica in self._runners or host.state != "live":
+                continue
+            if epoch is not None:
+                nursery.start_soon(self._run_replica, host, epoch)
+            else:
+                self._claim(nursery, name, self._workers(host.region))
+
+    def _workers(self, region: str) -> list[str]:
+        """Returns workers that may hold a lease, those of `region` if any."""
+        members = self._deps.follower.view.members.values()
+        workers = [m for m in members if m.role == "worker"]
+        near = [m for m in workers if m.region == region]
+        return [member.node_id for member in near or workers]
+
+    def _claim(
+        self, nursery: trio.Nursery, name: str, workers: list[str]
+    ) -> None:
+        free = self._deps.leases.holder(name) is None
+        if not free or name in self._claiming:
+            return
+        if preferred(name, workers) == self._deps.node_id:
+            self._claiming.add(name)
+            nursery.start_soon(self._claim_now, name)
+
+    async def _claim_now(self, name: str) -> None:
+        try:
+            await self._deps.leases.claim(name)
+        except base_errors.Error:
+            self._deps.metrics.add("batch_claim_failed")
+            await self._deps.clock.sleep_ms(_CHECK_MS)
+        finally:
+            self._claiming.discard(name)
+
+    async def _run_replica(self, host: host_types.Host, epoch: int) -> None:
+        runner = replica_runner.ReplicaRunner(
+            self._deps, host.id, host.address, epoch
+        )
+        scope = trio.CancelScope()
+        self._runners[host.id] = runner
+        self._scopes[host.id] = scope
+        try:
+            with scope:
+                await runner.run()
+        finally:
+            if self._runners.get(host.id) is runner:
+                del self._runners[host.id]
+                del self._scopes[host.id]
+
+    async def _watch_leases(self) -> None:
+        """Stops replicas whose lease another holds."""
+        while True:
+            for replica, runner in list(self._runners.items()):
+                held = self._deps.leases.held(f"replica/{replica}")
+                lost = held is not None and held != runner.epoch
+                gone = held is None and self._deps.follower.fresh()
+                if lost or gone:
+                    self._scopes[replica].cancel()
+            await self._deps.clock.sleep_ms(_LEASE_CHECK_MS)
+
+    async def _wait_change(self) -> None:
+        await first(
+            [
+                self._deps.follower.wait_change,
+                lambda: self._deps.clock.sleep_ms(_CHECK_MS),
+            ]
+        )
+
+
+async def first(waits: Iterable[Callable[[], Awaitable[None]]]) -> None:
+    """Waits until the first of several waits is over."""
+
+    async def wait(
+        one: Callable[[], Awaitable[None]], scope: trio.CancelScope
+    ) -> None:
+        await one()
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        for one in waits:
+            nursery.start_soon(wait, one, nursery.cancel_scope)
+
+
+def preferred(name: str, workers: list[str]) -> str | None:
+    """Returns the worker that should claim a lease.
+
+    Rendezvous hashing: a change of the workers moves only the leases of those
+    that came or went.
+    """
+    if not workers:
+        return None
+    return max(workers, key=functools.partial(_score, name))
+
+
+def _score(name: str, worker: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{name}/{worker}".encode())
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -191,6 +191,10 @@
         body: The item's request body, JSON.
         resume_text: Text that an earlier run produced.
         due_ms: Time left until the job is due.
+        node_id: The job's owner.
+        customer: Customer of the job.
+        cost: Expected tokens.
+        suspect: True if a replica died while it ran the item.
     """
 
     job_id: str
@@ -201,6 +205,10 @@
     body: bytes
     resume_text: str
     due_ms: float
+    node_id: str = ""
+    customer: str = ""
+    cost: float = 1.0
+    suspect: bool = False
 
 
 class ItemDone(Message, tag="item_done"):
@@ -221,12 +229,16 @@
     Attributes:
         code: Stable identifier.
         message: Sentence for people.
-        own_fault: True if the item itself was refused or crashed the replica.
+        own_fault: True if the item itself was refused or answered wrongly.
+        crashed: True if the replica died while it ran the item.
+        text: Text that the item had produced.
     """
 
     code: str
     message: str
     own_fault: bool
+    crashed: bool = False
+    text: str = ""
 
 
 class CrashSuspect(Message, tag="crash_suspect"):
@@ -249,6 +261,52 @@
     fingerprint: str
 
 
+class WantItems(Message, tag="want_items"):
+    """Tells a replica's room holder how many items a job owner could send.
+
+    Attributes:
+        node_id: The job owner.
+        replica: The replica's id.
+        wants: Waiting items by customer.
+        serial: Rises with each message; an older one is dropped.
+    """
+
+    node_id: str
+    replica: str
+    wants: dict[str, int]
+    serial: int
+
+
+class RoomOffer(Message, tag="room_offer"):
+    """Tells a job owner how many items it may have at a replica.
+
+    Attributes:
+        replica: The replica's id.
+        room: Items of this owner that may be there at once, running or queued.
+        epoch: Fencing number of the room holder's lease.
+        serial: Rises with each message of this holder.
+    """
+
+    replica: str
+    room: int
+    epoch: int
+    serial: int
+
+
+class StopItems(Message, tag="stop_items"):
+    """Tells a replica's room holder to stop a job's items, running or queued.
+
+    Attributes:
+        replica: The replica's id.
+        job_id: The job.
+        epoch: Items sent under this lease of the job or an earlier one.
+    """
+
+    replica: str
+    job_id: str
+    epoch: int
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -269,4 +327,7 @@
     | ItemFailed
     | CrashSuspect
     | CrashCleared
+    | WantItems
+    | RoomOffer
+    | StopItems
 )
