--- a/lacewingwood/batch/intake.py
+++ b/lacewingwood/batch/intake.py
@@ -1,5 +1,6 @@
 """Files and jobs as callers see them."""
 
+import contextlib
 import hashlib
 from collections.abc import AsyncIterable
 from collections.abc import AsyncIterator
@@ -217,11 +218,9 @@
         state = self._state(customer, job_id)
         if state.status == "accepted":
             body = records.JobCancelled(job_id, self._wall_ms())
-            try:
+            # A conflict means that it has ended in the meantime.
+            with contextlib.suppress(state_errors.ConflictError):
                 await self._publish(body, None)
-            except state_errors.ConflictError:
-                # It ended in the meantime.
-                pass
         return await self.get(customer, job_id)
 
     async def output(self, customer: str, job_id: str) -> AsyncIterator[bytes]:
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -72,6 +72,8 @@
 
 @dataclasses.dataclass
 class JobState:
+    """A job in the view."""
+
     job: records.Job
     status: str = "accepted"
     cancelled_ms: int | None = None
@@ -124,6 +126,8 @@
 
 
 class Follower:
+    """One process's follower; all share one view."""
+
     def __init__(self, control: Control) -> None:
         self.view = control
         self.is_fresh = True
@@ -145,6 +149,8 @@
 
 
 class Leases:
+    """Leases that take effect at once."""
+
     def __init__(self, node_id: str, follower: Follower) -> None:
         self._node_id = node_id
         self._follower = follower
@@ -172,6 +178,8 @@
 
 
 class UnreachableError(base_errors.Error):
+    """The peer is gone."""
+
     code = "peer_unreachable"
 
 
@@ -184,6 +192,8 @@
 
 
 class Network:
+    """One process's end of the bus."""
+
     def __init__(self, bus: Bus, address: str) -> None:
         self._bus = bus
         self._handlers: dict[type, Callable[[Any], Awaitable[Any]]] = {}
@@ -283,6 +293,8 @@
 
 @dataclasses.dataclass
 class Stream:
+    """An answer, ended early if its engine dies."""
+
     engine: Engine
     fields: dict[str, Any]
     scope: trio.CancelScope
