--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -4,11 +4,16 @@
 import random
 from collections.abc import AsyncIterator
 
+import pytest
 import trio
 from trio import testing as trio_testing
 
+from lacewingwood.batch import errors
 from lacewingwood.batch import intake as intakes
+from lacewingwood.batch import recorder
+from lacewingwood.batch import results
 from lacewingwood.batch import worker as workers
+from lacewingwood.peers import messages
 from tests.batch import fakes
 
 
@@ -106,3 +111,168 @@
         assert await here.output(job_id) == expected
         assert await here.errors(job_id) == {}
         assert here.world.engines.all["engine-0:8000"].most <= 4
+
+
+async def test_worker_deaths_and_lost_appends(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against items that are lost or counted twice when owners die."""
+    rng = random.Random(7)
+    async with scene(replicas=3) as here:
+        here.world.log.lose = lambda: rng.random() < 0.3
+        for name in ("w1", "w2", "w3"):
+            here.start_worker(name)
+        data = b"".join(fakes.line(f"q{n}", 5) for n in range(400))
+        job_id = await here.submit(data)
+        kills = 0
+        for number in range(6):
+            await trio.sleep(1.5)
+            holder, _ = here.world.control.leases.get(f"job/{job_id}", ("", 0))
+            if holder:
+                here.start_worker(f"spare-{number}")
+                here.kill(holder)
+                kills += 1
+        assert kills >= 2
+        await here.finished(job_id)
+        texts = await here.output(job_id)
+        expected = {f"q{n}": "w0 w1 w2 w3 w4 " for n in range(400)}
+        assert texts == expected
+        assert [f.completed for f in here.world.control.finishes] == [400]
+
+
+async def test_online_burst_makes_items_yield_and_resume(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against batch work that holds slots needed by online requests."""
+    async with scene() as here:
+        here.start_worker("w1")
+        engine = here.world.engines.all["engine-0:8000"]
+        job_id = await here.submit(
+            b"".join(fakes.line(f"q{n}", 50) for n in range(8))
+        )
+        with trio.fail_after(10):
+            while len(engine.running) < engine.slots:
+                await trio.sleep(0.01)
+        await trio.sleep(0.2)
+        count = messages.OnlineCount("e1", "replica-0", 4, 1)
+        here.deps.network.send("w1:1", count)
+        await trio.sleep(0.01)
+        assert not engine.running
+        here.deps.network.send(
+            "w1:1", messages.OnlineCount("e1", "replica-0", 0, 2)
+        )
+        await here.finished(job_id)
+        whole = "".join(f"w{n} " for n in range(50))
+        assert set((await here.output(job_id)).values()) == {whole}
+        assert any(body.get("resume_text") for body in engine.bodies)
+
+
+async def test_cancelled_job_stops_within_a_second(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a cancelled job that goes on using engines."""
+    async with scene() as here:
+        here.start_worker("w1")
+        engine = here.world.engines.all["engine-0:8000"]
+        job_id = await here.submit(
+            b"".join(fakes.line(f"q{n}", 500) for n in range(30))
+        )
+        await trio.sleep(5)
+        assert engine.running
+        status = await here.intake.cancel(fakes.CUSTOMER, job_id)
+        assert status.cancelled_ms is not None
+        await trio.sleep(1)
+        assert not engine.running
+        started = len(engine.bodies)
+        await trio.sleep(20)
+        assert len(engine.bodies) == started
+        assert not here.workers["w1"].jobs
+
+
+async def test_item_that_crashes_replicas_fails_alone(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against one item that takes down every replica in turn."""
+    async with scene(replicas=4) as here:
+        here.start_worker("w1")
+        lines = [fakes.line(f"q{n}", 10) for n in range(30)]
+        lines.insert(5, fakes.line("bad", 10, poison=True))
+        lines.insert(9, fakes.line("refused", 10, refuse=True))
+        job_id = await here.submit(b"".join(lines))
+        await here.finished(job_id)
+        crashes = sum(e.crashes for e in here.world.engines.all.values())
+        assert crashes <= 2
+        assert await here.errors(job_id) == {
+            "bad": "replica_crashed",
+            "refused": "upstream_refused",
+        }
+        assert len(await here.output(job_id)) == 30
+
+
+async def test_log_outage_keeps_results_until_it_ends(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against results that are dropped when the log is down."""
+    async with scene() as here:
+        here.start_worker("w1")
+        engine = here.world.engines.all["engine-0:8000"]
+        job_id = await here.submit(
+            b"".join(fakes.line(f"q{n}", 10) for n in range(100))
+        )
+        await trio.sleep(2)
+        here.world.log.down = True
+        await trio.sleep(60)
+        here.world.log.down = False
+        await here.finished(job_id)
+        assert len(await here.output(job_id)) == 100
+        assert len(engine.bodies) == 100
+
+
+async def test_planned_stop_hands_items_over(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a shutdown that loses results or keeps leases."""
+    async with scene(replicas=2) as here:
+        first = here.start_worker("w1")
+        job_id = await here.submit(
+            b"".join(fakes.line(f"q{n}", 20) for n in range(60))
+        )
+        await trio.sleep(4)
+        here.start_worker("w2")
+        del here.world.control.members["w1"]
+        with trio.fail_after(5):
+            await first.stop()
+        holders = {h for h, _ in here.world.control.leases.values()}
+        assert "w1" not in holders
+        await here.finished(job_id)
+        assert len(await here.output(job_id)) == 60
+
+
+async def test_paused_owner_adds_nothing_after_its_successor(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against results and ends from an owner that lost its lease."""
+    async with scene() as here:
+        old = recorder.Recorder(
+            here.world.log, here.deps.clock, "j", epoch=3, node_id="w1"
+        )
+        await old.start()
+        old.add(results.Result(0, "a", 200, b"1"))
+        await old.flush()
+        new = recorder.Recorder(
+            here.world.log, here.deps.clock, "j", epoch=8, node_id="w2"
+        )
+        await new.start()
+        assert 0 in new.replay.done
+        old.add(results.Result(1, "b", 200, b"old"))
+        with pytest.raises(errors.SupersededError):
+            await old.flush()
+        new.add(results.Result(1, "b", 200, b"new"))
+        await new.flush()
+        found = [r async for r in results.read_results(here.world.log, "j")]
+        assert [(r.index, r.response) for r in found] == [
+            (0, b"1"),
+            (1, b"new"),
+        ]
+        latest = await results.read_progress(here.world.log, "j")
+        assert latest.completed == 2
