--- a/lacewingwood/batch/intake.py
+++ b/lacewingwood/batch/intake.py
@@ -39,9 +39,18 @@
 
 
 class Status(msgspec.Struct):
-    """A job and how far it has come."""
+    """A job and how far it has come.
+
+    Attributes:
+        job: The job as it was accepted.
+        state: `accepted`, `cancelled` or `finished`.
+        progress: Counts of its items.
+        cancelled_ms: Wall-clock time of its cancellation, ms.
+        finished_ms: Wall-clock time of its end, ms.
+    """
 
     job: records.Job
+    state: str
     progress: results.Progress
     cancelled_ms: int | None
     finished_ms: int | None
@@ -70,9 +79,19 @@
 
 
 class Intake:
-    """Accepts files and jobs, and reads results."""
+    """Accepts files and jobs, and reads results.
+
+    Attributes:
+        max_file_bytes: Longest file.
+    """
 
-    __slots__ = ("_files", "_follower", "_log", "_wall_ms")
+    __slots__ = (
+        "_files",
+        "_follower",
+        "_log",
+        "_wall_ms",
+        "max_file_bytes",
+    )
 
     def __init__(
         self,
@@ -85,6 +104,7 @@
         self._log = log
         self._follower = follower
         self._wall_ms = wall_ms
+        self.max_file_bytes = max_file_bytes
         self._files = files.Files(log, clock, max_file_bytes)
 
     async def store_file(
@@ -103,10 +123,16 @@
     async def file_info(self, customer: str, file_id: str) -> files.File:
         """Returns a file of the customer.
 
+        The results of an ended job are files too, of unknown size (-1).
+
         Raises:
             errors.NotFoundError: The customer has no such file.
         """
         self._check_fresh()
+        for prefix in (_OUTPUT_PREFIX, _ERRORS_PREFIX):
+            if file_id.startswith(prefix):
+                job_id = file_id.removeprefix(prefix)
+                return self._results_info(customer, file_id, job_id)
         found = await self._files.info(file_id)
         if found.customer != customer:
             raise errors.NotFoundError(f"no file {file_id}")
@@ -120,11 +146,11 @@
         Raises:
             errors.NotFoundError: The customer has no such file.
         """
+        await self.file_info(customer, file_id)
         if file_id.startswith(_OUTPUT_PREFIX):
             return self.output(customer, file_id.removeprefix(_OUTPUT_PREFIX))
         if file_id.startswith(_ERRORS_PREFIX):
             return self.errors(customer, file_id.removeprefix(_ERRORS_PREFIX))
-        await self.file_info(customer, file_id)
         return self._files.read(file_id)
 
     async def create_job(
@@ -177,16 +203,16 @@
         """
         state = self._state(customer, job_id)
         job = state.job
-        if state.status == "finished":
-            progress = results.Progress(state.completed, state.failed)
-            return Status(job, progress, None, state.finished_ms)
-        try:
-            progress = await results.read_progress(self._log, job_id)
-        except errors.BatchError:
-            # The counts are informative; a job is shown without them while
-            # the log is down.
-            progress = results.Progress()
-        return Status(job, progress, state.cancelled_ms, None)
+        progress = results.Progress(state.completed, state.failed)
+        if state.status != "finished":
+            progress = await self._progress(job_id)
+        return Status(
+            job,
+            state.status,
+            progress,
+            state.cancelled_ms,
+            state.finished_ms,
+        )
 
     async def list(
         self, customer: str, after: str = "", limit: int = 20
@@ -237,10 +263,31 @@
             if item.failed:
                 yield output_line(job_id, item)
 
+    async def _progress(self, job_id: str) -> results.Progress:
+        # The counts are informative; a job is shown without them while the
+        # log is down.
+        try:
+            return await results.read_progress(self._log, job_id)
+        except errors.BatchError:
+            return results.Progress()
+
     def _check_fresh(self) -> None:
         if not self._follower.fresh():
             raise errors.UnavailableError("this process is not up to date")
 
+    def _results_info(
+        self, customer: str, file_id: str, job_id: str
+    ) -> files.File:
+        state = self._state(customer, job_id)
+        if state.status == "accepted":
+            # Part of the results would look like all of them.
+            raise errors.NotFoundError(f"batch {job_id} has not ended")
+        ended_ms = state.finished_ms or state.cancelled_ms or 0
+        name = f"{file_id}.jsonl"
+        return files.File(
+            file_id, customer, name, "batch_output", -1, "", 0, 0, ended_ms
+        )
+
     def _state(self, customer: str, job_id: str) -> deps.JobState:
         self._check_fresh()
         state = self._follower.view.jobs.get(job_id)
