--- a/lacewingwood/batch/dispatch.py
+++ b/lacewingwood/batch/dispatch.py
@@ -49,6 +49,7 @@
         "_deps",
         "_ended",
         "_jobs",
+        "_may_send",
         "_nursery",
         "_places",
         "_rng",
@@ -63,6 +64,7 @@
         deps: deps_module.Deps,
         queue: schedule.Schedule,
         ended: Ended,
+        may_send: Callable[[str], bool],
         rng: random.Random,
     ) -> None:
         """Makes a dispatcher.
@@ -71,11 +73,13 @@
             deps: What it uses.
             queue: Items to run.
             ended: Called with the outcome of every run.
+            may_send: Tells by job id whether items may be sent at all.
             rng: Chooses the replicas to ask for room.
         """
         self._deps = deps
         self._schedule = queue
         self._ended = ended
+        self._may_send = may_send
         self._rng = rng
         self._places: dict[str, _Place] = {}
         self._used: set[str] = set()
@@ -137,6 +141,7 @@
             model is not None
             and model.service == host.service
             and host.id not in item.crashed_on
+            and self._may_send(item.job_id)
         )
 
     def _pump(self, nursery: trio.Nursery) -> None:
--- a/lacewingwood/batch/files.py
+++ b/lacewingwood/batch/files.py
@@ -171,8 +171,17 @@
             start = page.entries[-1].offset + 1
 
     async def read_lines(self, file_id: str) -> AsyncIterator[bytes]:
+        """Iterates over the lines as `read_numbered`, without numbers."""
+        async for _, line in self.read_numbered(file_id):
+            yield line
+
+    async def read_numbered(
+        self, file_id: str
+    ) -> AsyncIterator[tuple[int, bytes]]:
         """Iterates over the lines that are not blank, without their ends.
 
+        Yields each line's number, counted from 1 over all lines, and the line.
+
         Raises:
             errors.InvalidError: A line is longer than `MAX_LINE_BYTES`.
             errors.CorruptError: Content is missing or differs from the seal.
@@ -189,10 +198,10 @@
                     await trio.lowlevel.checkpoint()
                 _check_length(line, number)
                 if line.strip():
-                    yield line
+                    yield number, line
             _check_length(rest, number + 1)
         if rest.strip():
-            yield rest
+            yield number + 1, rest
 
     async def _append(self, file_id: str, record: File | Chunk) -> None:
         data = _encoder.encode(record)
--- a/lacewingwood/batch/intake.py
+++ b/lacewingwood/batch/intake.py
@@ -8,20 +8,17 @@
 from typing import Any
 
 import msgspec
-import xxhash
 
 from lacewingwood import clock as clocks
 from lacewingwood import errors as base_errors
 from lacewingwood.batch import deps
 from lacewingwood.batch import errors
 from lacewingwood.batch import files
+from lacewingwood.batch import lines
 from lacewingwood.batch import results
 from lacewingwood.state import errors as state_errors
 from lacewingwood.state import records
 
-ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
-MAX_ITEMS = 1_000_000
-
 _WINDOW_UNITS_MS = {"m": 60_000, "h": 3_600_000, "d": 86_400_000}
 _MAX_WINDOW_MS = 7 * 86_400_000
 _MAX_METADATA = 16
@@ -29,15 +26,6 @@
 _ERRORS_PREFIX = "file-errors-"
 
 
-class Line(msgspec.Struct):
-    """One line of a job's input file."""
-
-    custom_id: str
-    method: str
-    url: str
-    body: dict[str, msgspec.Raw]
-
-
 class Status(msgspec.Struct):
     """A job and how far it has come.
 
@@ -56,18 +44,6 @@
     finished_ms: int | None
 
 
-_line_decoder = msgspec.json.Decoder(Line)
-
-
-def decode_line(line: bytes) -> Line:
-    """Reads one line of an input file.
-
-    Raises:
-        msgspec.MsgspecError: The line is not a request of the right form.
-    """
-    return _line_decoder.decode(line)
-
-
 def output_file_id(job_id: str) -> str:
     """Returns the id under which a job's answers can be read."""
     return _OUTPUT_PREFIX + job_id
@@ -325,46 +301,13 @@
             raise errors.UnavailableError(exc.message) from exc
 
     async def _check_lines(self, file_id: str, endpoint: str) -> int:
-        """Checks every line and returns their number."""
-        # Digests of 64 bits keep a million names small; a false duplicate
-        # among a million has a probability below 1e-7.
-        seen: set[int] = set()
-        model = ""
-        number = 0
-        async for line in self._files.read_lines(file_id):
-            number += 1
-            if number > MAX_ITEMS:
-                raise errors.InvalidError(
-                    f"the file has more than {MAX_ITEMS} lines", number
-                )
-            parsed = _check_line(line, number, endpoint)
-            custom_id = parsed.custom_id
-            model = model or self._known_model(parsed, number)
-            if _model(parsed) != model:
-                raise errors.InvalidError(
-                    f"line {number}: names another model than line 1",
-                    number,
-                    "model",
-                )
-            digest = xxhash.xxh3_64_intdigest(custom_id.encode())
-            if digest in seen:
-                raise errors.InvalidError(
-                    f"line {number}: custom_id {custom_id!r} is used twice",
-                    number,
-                    "custom_id",
-                )
-            seen.add(digest)
-        if not number:
+        """Checks every line and returns the number of items."""
+        checker = lines.Checker(endpoint, self._follower.view.models)
+        async for number, line in self._files.read_numbered(file_id):
+            checker.check(number, line)
+        if not checker.count:
             raise errors.InvalidError("the file has no lines")
-        return number
-
-    def _known_model(self, line: Line, number: int) -> str:
-        model = _model(line)
-        if model not in self._follower.view.models:
-            raise errors.InvalidError(
-                f"line {number}: there is no model {model!r}", number, "model"
-            )
-        return model
+        return checker.count
 
 
 def output_line(job_id: str, item: results.Result) -> bytes:
@@ -389,45 +332,11 @@
     return msgspec.json.encode(line) + b"\n"
 
 
-def _check_line(line: bytes, number: int, endpoint: str) -> Line:
-    try:
-        parsed = decode_line(line)
-    except msgspec.MsgspecError as exc:
-        raise errors.InvalidError(f"line {number}: {exc}", number) from exc
-    except UnicodeDecodeError as exc:
-        raise errors.InvalidError(f"line {number}: not UTF-8", number) from exc
-    if not parsed.custom_id:
-        raise errors.InvalidError(
-            f"line {number}: custom_id is empty", number, "custom_id"
-        )
-    if parsed.method != "POST":
-        raise errors.InvalidError(
-            f"line {number}: method must be POST", number, "method"
-        )
-    if parsed.url != endpoint:
-        raise errors.InvalidError(
-            f"line {number}: url must be {endpoint}", number, "url"
-        )
-    if not _model(parsed):
-        raise errors.InvalidError(
-            f"line {number}: body.model must be a string that is not empty",
-            number,
-            "model",
-        )
-    return parsed
-
-
-def _model(line: Line) -> str:
-    try:
-        return msgspec.json.decode(line.body["model"], type=str)
-    except (KeyError, msgspec.MsgspecError):
-        return ""
-
-
 def _check_request(endpoint: str, metadata: dict[str, str]) -> None:
-    if endpoint not in ENDPOINTS:
+    if endpoint not in lines.ENDPOINTS:
         raise errors.InvalidError(
-            f"endpoint must be one of {', '.join(ENDPOINTS)}", param="endpoint"
+            f"endpoint must be one of {', '.join(lines.ENDPOINTS)}",
+            param="endpoint",
         )
     if len(metadata) > _MAX_METADATA:
         raise errors.InvalidError(
--- a/lacewingwood/batch/owner.py
+++ b/lacewingwood/batch/owner.py
@@ -20,6 +20,9 @@
 # Items read ahead of their start, by number and by size.
 _AHEAD_ITEMS = 4_096
 _AHEAD_BYTES = 8 * 1024 * 1024
+# Results of all jobs that an outage of the log keeps in memory; beyond this no
+# items are started.
+_MAX_PENDING_BYTES = 32 * 1024 * 1024
 _CHECK_MS = 100.0
 _RETRY_MS = 500.0
 # A stop waits this long for what running items have produced.
@@ -103,7 +106,7 @@
         self._deps = deps
         self._schedule = schedule.Schedule(self._weight)
         self._dispatcher = dispatch.Dispatcher(
-            deps, self._schedule, self._ended, rng
+            deps, self._schedule, self._ended, self._may_send, rng
         )
         self._jobs: dict[str, _Running] = {}
 
@@ -224,12 +227,16 @@
         self._schedule.put(item)
         self._dispatcher.wake()
 
+    def _may_send(self, job_id: str) -> bool:
+        """Returns whether results of more items fit into memory."""
+        pending = sum(r.recorder.pending_bytes for r in self._jobs.values())
+        return job_id in self._jobs and pending < _MAX_PENDING_BYTES
+
     def _ahead(self, running: _Running) -> bool:
-        """Returns whether enough items are read, or results wait in memory."""
+        """Returns whether enough items are read."""
         return (
             len(running.open) >= _AHEAD_ITEMS
             or running.ahead_bytes >= _AHEAD_BYTES
-            or running.recorder.full
         )
 
     def _fail_rest(
--- a/lacewingwood/batch/recorder.py
+++ b/lacewingwood/batch/recorder.py
@@ -11,8 +11,6 @@
 
 GROUP_MS = 250.0
 GROUP_BYTES = 256 * 1024
-# Results held during an outage of the log; beyond this no items are started.
-MAX_PENDING_BYTES = 16 * 1024 * 1024
 
 # With the log refusing appends for their number, groups become rarer.
 _SLOWEST_GROUP_MS = 4_000.0
@@ -70,16 +68,16 @@
         self._changed = trio.Event()
         self.replay = results.Replay()
 
-    @property
-    def full(self) -> bool:
-        """Whether no more items should be started until some are recorded."""
-        return self._pending_bytes >= MAX_PENDING_BYTES
-
     @property
     def pending(self) -> int:
         """Number of results not yet acknowledged by the log."""
         return len(self._pending)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the results not yet acknowledged by the log."""
+        return self._pending_bytes
+
     async def start(self) -> None:
         """Announces this owner and reads what earlier ones have recorded.
 
--- a/lacewingwood/batch/replica_runner.py
+++ b/lacewingwood/batch/replica_runner.py
@@ -8,6 +8,7 @@
 from lacewingwood.batch import answers
 from lacewingwood.batch import deps as deps_module
 from lacewingwood.batch import errors
+from lacewingwood.batch import offers
 from lacewingwood.batch import results
 from lacewingwood.batch import room as rooms
 from lacewingwood.batch import schedule
@@ -20,19 +21,14 @@
 
 _TICK_MS = 100.0
 _LOAD_MS = 250.0
-# Words and offers are repeated, as a lost one is not noticed.
+# Words are repeated, as a lost one is not noticed.
 _REPEAT_MS = 1_000.0
-# An owner that has not asked for this time gets no more offers.
-_WANT_MS = 3_000.0
 # An item that could not be started in this time goes back to its owner, which
 # may know of room elsewhere.
 _QUEUE_MS = 10_000.0
-# Every customer that wants room has an item queued, up to so many, so that
-# shares hold even where a replica has few slots.
-_QUEUED_CUSTOMERS = 16
 _MAX_QUEUED = 256
 # Statuses that tell of the replica's state and not of the item.
-_TRANSIENT = frozenset({404, 408, 409, 425, 429, 500, 502, 503, 504})
+_TRANSIENT = frozenset({404, 408, 409, 425, 429, 502, 503, 504})
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -52,15 +48,6 @@
         self.ended.set()
 
 
-@dataclasses.dataclass(slots=True)
-class _Want:
-    wants: dict[str, int]
-    serial: int
-    heard_ms: float
-    offered: int = -1
-    offered_ms: float = -math.inf
-
-
 class ReplicaRunner:
     """The batch side of one replica."""
 
@@ -71,6 +58,7 @@
         "_last_word",
         "_last_word_ms",
         "_nursery",
+        "_offers",
         "_queue",
         "_replica",
         "_room",
@@ -78,7 +66,6 @@
         "_serial",
         "_shares",
         "_started",
-        "_wants",
     )
 
     def __init__(
@@ -92,7 +79,7 @@
         self._runs: dict[str, _Run] = {}
         self._queue: list[_Run] = []
         self._shares = schedule.Shares()
-        self._wants: dict[str, _Want] = {}
+        self._offers = offers.Offers(self._weight, self._shares.start_of)
         self._serial = 0
         self._started = 0
         self._last_word: tuple[int, int, int, bool] | None = None
@@ -131,16 +118,8 @@
 
     def want(self, message: messages.WantItems) -> None:
         """Takes what a job owner could send and offers it room."""
-        known = self._wants.get(message.node_id)
-        if known is not None and message.serial <= known.serial:
-            return
-        now_ms = self._deps.clock.now_ms()
-        want = known or _Want({}, 0, now_ms)
-        want.wants = message.wants
-        want.serial = message.serial
-        want.heard_ms = now_ms
-        self._wants[message.node_id] = want
-        self._send_offers()
+        if self._offers.want(message, self._deps.clock.now_ms()):
+            self._send_offers()
 
     def stop(self, message: messages.StopItems) -> None:
         """Stops a job's items."""
@@ -267,7 +246,11 @@
         except errors.BatchError as exc:
             return messages.ItemFailed(exc.code, exc.message, True)
         except upstream_errors.UpstreamError as exc:
-            return _failed(exc, run.answer.text)
+            failed = _failed(exc, run.answer.text)
+            if not failed.own_fault:
+                # The engine may be gone; the next load report tells.
+                self._room.pause()
+            return failed
 
     async def _poll_load(self) -> None:
         while True:
@@ -293,72 +276,32 @@
     def _return_queued(self, now_ms: float) -> None:
         capacity, _ = self._room.capacity(self._fresh(), now_ms)
         for run in list(self._queue):
-            if not capacity or now_ms - run.queued_ms >= _QUEUE_MS:
+            closed = not capacity or self._room.paused
+            if closed or now_ms - run.queued_ms >= _QUEUE_MS:
                 self._stop(run)
 
     def _send_offers(self) -> None:
         now_ms = self._deps.clock.now_ms()
-        for name, want in list(self._wants.items()):
-            if now_ms - want.heard_ms > _WANT_MS:
-                del self._wants[name]
-        offers = self._offers(now_ms)
-        for name, want in self._wants.items():
-            due = now_ms - want.offered_ms >= _REPEAT_MS
-            if offers[name] == want.offered and not due:
-                continue
-            if self._send_offer(name, offers[name]):
-                want.offered = offers[name]
-                want.offered_ms = now_ms
-
-    def _send_offer(self, node_id: str, room: int) -> bool:
-        member = self._deps.follower.view.members.get(node_id)
-        if member is None:
-            return False
-        self._serial += 1
-        offer = messages.RoomOffer(
-            self._replica, room, self._epoch, self._serial
+        room = self._room
+        capacity, _ = room.capacity(self._fresh(), now_ms)
+        if room.paused:
+            capacity = 0
+        due = self._offers.due(
+            max(0, capacity - room.batch - len(room.stopping)),
+            capacity,
+            map(_place, self._runs.values()),
+            [_place(run) for run in self._queue],
+            now_ms,
         )
-        self._deps.network.send(member.address, offer)
-        return True
-
-    def _offers(self, now_ms: float) -> dict[str, int]:
-        """Returns how many items each owner may have here."""
-        offers = dict.fromkeys(self._wants, 0)
-        capacity, _ = self._room.capacity(self._fresh(), now_ms)
-        if not capacity:
-            return offers
-        for run in self._runs.values():
-            if run.request.node_id in offers:
-                offers[run.request.node_id] += 1
-        wants = self._wants_by_customer()
-        used = self._room.batch + len(self._room.stopping)
-        total = max(0, capacity - used) + math.ceil(capacity / 4)
-        total = max(total, min(len(wants), _QUEUED_CUSTOMERS))
-        parts = schedule.split(total, wants, self._weight)
-        for customer, part in parts.items():
-            self._divide(customer, part, offers)
-        return offers
-
-    def _wants_by_customer(self) -> dict[str, int]:
-        totals: dict[str, int] = {}
-        for run in self._queue:
-            customer = run.request.customer
-            totals[customer] = totals.get(customer, 0) + 1
-        for want in self._wants.values():
-            for customer, count in want.wants.items():
-                totals[customer] = totals.get(customer, 0) + count
-        names = sorted(totals, key=self._shares.start_of)
-        return {name: totals[name] for name in names}
-
-    def _divide(self, customer: str, part: int, offers: dict[str, int]) -> None:
-        """Adds a customer's part to the offers of its jobs' owners."""
-        wants = {n: w.wants.get(customer, 0) for n, w in self._wants.items()}
-        for run in self._queue:
-            name = run.request.node_id
-            if run.request.customer == customer and name in wants:
-                wants[name] += 1
-        for name, share in schedule.split(part, wants, lambda _: 1.0).items():
-            offers[name] += share
+        members = self._deps.follower.view.members
+        for name, offered in due.items():
+            if name not in members:
+                continue
+            self._serial += 1
+            offer = messages.RoomOffer(
+                self._replica, offered, self._epoch, self._serial
+            )
+            self._deps.network.send(members[name].address, offer)
 
     def _send_word(self, now_ms: float) -> None:
         room = self._room
@@ -380,6 +323,10 @@
         return max(found.weight, 1e-6) if found is not None else 1.0
 
 
+def _place(run: _Run) -> offers.Place:
+    return offers.Place(run.request.node_id, run.request.customer)
+
+
 def _finished(answer: answers.Answer) -> messages.Message:
     response = answer.encode()
     if len(response) > results.MAX_RESULT_BYTES:
--- a/lacewingwood/batch/room.py
+++ b/lacewingwood/batch/room.py
@@ -58,6 +58,7 @@
     Attributes:
         running: Items started and not cancelled, in order of their start.
         stopping: Items that are cancelled and still on the engine.
+        paused: True if nothing is to be started until the next load report.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "_load",
         "_peaks",
         "_since_ms",
+        "paused",
         "running",
         "stopping",
     )
@@ -86,6 +88,7 @@
         self._peaks: collections.deque[tuple[float, int]] = collections.deque()
         self.running: dict[str, None] = {}
         self.stopping: set[str] = set()
+        self.paused = False
 
     @property
     def online(self) -> int:
@@ -131,9 +134,14 @@
     def report(self, load: types.LoadReport, now_ms: float) -> None:
         """Takes a load report of the engine."""
         self._load = load
+        self.paused = False
         self._heard_report_ms = now_ms
         self._leaving = self._leaving or load.leaving
 
+    def pause(self) -> None:
+        """Starts nothing until the next load report."""
+        self.paused = True
+
     def leave(self) -> None:
         """Notes that the replica is to get no new work."""
         self._leaving = True
@@ -201,7 +209,8 @@
         excess = self.batch - capacity
         if excess <= 0:
             # A stopping item still holds its slot on the engine.
-            return Decision(max(0, -excess - len(self.stopping)), [], reason)
+            free = max(0, -excess - len(self.stopping))
+            return Decision(0 if self.paused else free, [], reason)
         cancel = list(self.running)[-excess:][::-1]
         for item in cancel:
             del self.running[item]
