--- a/lacewingwood/state/records.py
+++ b/lacewingwood/state/records.py
@@ -135,6 +135,7 @@
         zone: Availability zone.
         region: Region.
         host: Identity of its host on the platform's host list.
+        admin: `host:port` of its admin listener.
     """
 
     node_id: str
@@ -143,6 +144,7 @@
     zone: str
     region: str
     host: str = ""
+    admin: str = ""
 
 
 class MemberJoined(msgspec.Struct, tag="member_joined"):
