--- /dev/null
+++ b/tests/state/lease_search.py
@@ -0,0 +1,311 @@
+"""Exhaustive search of the lease and freshness protocol in a small instance.
+
+Processes `a` and `b` claim one lease, `c` only acknowledges. Each step is one
+of the real decision functions applied to one process, or the passing of time,
+or the log taking a record. A step that can be late or fail may simply not
+happen: a pause is a process without steps, an outage a log without steps, a
+lost answer a read or an append whose answer is never taken. So all of them
+may come at any point, together and for any time.
+
+Times are kept as ages and offsets only as far as they make a difference, so
+that the number of states is finite.
+"""
+
+import collections
+import dataclasses
+import functools
+from collections.abc import Iterator
+
+from lacewingwood.state import entities
+from lacewingwood.state import freshness
+from lacewingwood.state import leases
+from lacewingwood.state import records
+from lacewingwood.state import view as view_lib
+from tests.state import fakes
+
+# Half the window, so that evidence counts in two steps of time.
+_TICK_MS = freshness.WINDOW_MS / 2
+_NOW_MS = 1_000_000.0
+_NEVER = float("-inf")
+_NODES = ("a", "b", "c")
+_QUORUM_SETS = {"r": frozenset(_NODES)}
+_FIRST = len(_NODES)
+
+# A record: kind, author, base or epoch, whether effective, number of its id.
+Entry = tuple[str, str, int, bool, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Process:
+    """One claimant; times are relative to now."""
+
+    name: str
+    applied: int = _FIRST
+    evidence_ms: float = _NEVER
+    reads: tuple[tuple[float, int], ...] = ()
+    answers: tuple[tuple[str, float, int], ...] = ()
+    acknowledged: tuple[tuple[str, int], ...] = ()
+    waiting: tuple[int, ...] = ()
+    effective: tuple[tuple[int, float], ...] = ()
+    in_flight: tuple[float, int] | None = None
+    released: frozenset[int] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """The whole system; `c` is only known by the offset it has applied."""
+
+    log: tuple[Entry, ...]
+    a: Process
+    b: Process
+    c: int
+    claims: int
+    resends: int
+    releases: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """Parts of the protocol that a test takes away."""
+
+    timed_from_receipt: bool = False
+    release_counts_as_effective: bool = False
+
+
+@functools.cache
+def _lease_at(log: tuple[Entry, ...]) -> entities.Lease | None:
+    """Returns the lease by the real view after the records of `log`."""
+    view = view_lib.View()
+    for name in _NODES:
+        body: records.Body = records.MemberJoined(fakes.member(name))
+        _apply(view, records.Record(name, name, body))
+    for kind, author, base, effective, number in log:
+        if kind == "claim":
+            body = records.LeaseClaimed("l", author)
+        else:
+            body = records.LeaseReleased("l", author, effective)
+        _apply(view, records.Record(str(number), author, body, base))
+    return view.leases.get("l")
+
+
+def _apply(view: view_lib.View, record: records.Record) -> None:
+    view.apply(view.offset, records.encode(record))
+
+
+class _Live:
+    """The real objects of one process, made from its state."""
+
+    def __init__(self, state: State, process: Process) -> None:
+        self.process = process
+        self.log = state.log
+        self.freshness = freshness.Freshness(process.name)
+        self.freshness.evidence_ms = _NOW_MS + process.evidence_ms
+        self.freshness._log_reads = [
+            (_NOW_MS + at, head) for at, head in process.reads
+        ]
+        self.freshness._answers = {
+            node: (_NOW_MS + at, offset) for node, at, offset in process.answers
+        }
+        self.claims = leases.Claims(process.name)
+        self.claims._acknowledged = dict(process.acknowledged)
+        self.claims._waiting = {epoch: {"r"} for epoch in process.waiting}
+        self.claims._effective_ms = {
+            epoch: _NOW_MS + at for epoch, at in process.effective
+        }
+
+    @property
+    def lease(self) -> entities.Lease | None:
+        return _lease_at(self.log[: self.process.applied - _FIRST])
+
+    def usable(self) -> bool:
+        lease = self.lease
+        if lease is None or lease.epoch in self.process.released:
+            return False
+        fresh = self.freshness.fresh(_NOW_MS)
+        return self.claims.usable(lease, _NOW_MS, fresh)
+
+    def frozen(self) -> Process:
+        """Draws the conclusions and returns the new state."""
+        self.freshness.update(self.process.applied, _QUORUM_SETS["r"])
+        lease = self.lease
+        self.claims.update([lease] if lease else [], _QUORUM_SETS, _NOW_MS)
+        return dataclasses.replace(
+            self.process,
+            evidence_ms=_clip(self.freshness.evidence_ms - _NOW_MS),
+            reads=self._reads(),
+            answers=self._answers(),
+            acknowledged=self._acknowledged(),
+            waiting=tuple(sorted(self.claims._waiting)),
+            effective=tuple(
+                (epoch, max(0.0, at - _NOW_MS))
+                for epoch, at in sorted(self.claims._effective_ms.items())
+            ),
+        )
+
+    def _reads(self) -> tuple[tuple[float, int], ...]:
+        found = [
+            (_clip(at - _NOW_MS), h) for at, h in self.freshness._log_reads
+        ]
+        return tuple(sorted({(at, h) for at, h in found if at > _NEVER}))
+
+    def _answers(self) -> tuple[tuple[str, float, int], ...]:
+        """Offsets that have been applied here make no difference."""
+        found = [
+            (node, _clip(at - _NOW_MS), max(offset, self.process.applied))
+            for node, (at, offset) in sorted(self.freshness._answers.items())
+        ]
+        return tuple(answer for answer in found if answer[1] > _NEVER)
+
+    def _acknowledged(self) -> tuple[tuple[str, int], ...]:
+        """Only offsets past a claim of this process make a difference."""
+        epochs = [
+            _FIRST + index
+            for index, entry in enumerate(self.log)
+            if entry[:2] == ("claim", self.process.name)
+        ]
+        found = []
+        for node, offset in sorted(self.claims._acknowledged.items()):
+            past = [epoch for epoch in epochs if epoch < offset]
+            if past:
+                found.append((node, past[-1] + 1))
+        return tuple(found)
+
+
+def _clip(age_ms: float) -> float:
+    return age_ms if age_ms > -freshness.WINDOW_MS else _NEVER
+
+
+def search(start: State, rules: Rules, limit: int) -> tuple[int, bool]:
+    """Returns the number of states and whether two holders overlap in one.
+
+    Raises:
+        RuntimeError: There are more than `limit` states.
+    """
+    seen = {start}
+    queue = collections.deque([start])
+    while queue:
+        state = queue.popleft()
+        if _usable(state, state.a) and _usable(state, state.b):
+            return len(seen), True
+        for following in _steps(state, rules):
+            if following not in seen:
+                seen.add(following)
+                queue.append(following)
+        if len(seen) > limit:
+            raise RuntimeError("too many states")
+    return len(seen), False
+
+
+def _usable(state: State, process: Process) -> bool:
+    if process.evidence_ms == _NEVER:
+        return False
+    return _Live(state, process).usable()
+
+
+def _steps(state: State, rules: Rules) -> Iterator[State]:
+    yield _tick(state)
+    if state.c < _FIRST + len(state.log):
+        yield dataclasses.replace(state, c=state.c + 1)
+    for name in ("a", "b"):
+        process: Process = getattr(state, name)
+        for following in _process_steps(state, process, rules):
+            yield dataclasses.replace(state, **{name: following})
+        yield from _log_steps(state, process, rules)
+
+
+def _tick(state: State) -> State:
+    return dataclasses.replace(state, a=_older(state.a), b=_older(state.b))
+
+
+def _older(process: Process) -> Process:
+    def age(at: float) -> float:
+        return _clip(at - _TICK_MS)
+
+    in_flight = process.in_flight
+    if in_flight is not None:
+        in_flight = (age(in_flight[0]), in_flight[1])
+    return dataclasses.replace(
+        process,
+        evidence_ms=age(process.evidence_ms),
+        reads=tuple((age(t), h) for t, h in process.reads if age(t) > _NEVER),
+        answers=tuple(
+            (n, age(t), o) for n, t, o in process.answers if age(t) > _NEVER
+        ),
+        effective=tuple(
+            (e, max(0.0, t - _TICK_MS)) for e, t in process.effective
+        ),
+        in_flight=in_flight,
+    )
+
+
+def _process_steps(
+    state: State, process: Process, rules: Rules
+) -> Iterator[Process]:
+    """Steps that change one process alone."""
+    end = _FIRST + len(state.log)
+    if process.applied < end:
+        further = dataclasses.replace(process, applied=process.applied + 1)
+        yield _Live(state, further).frozen()
+    yield dataclasses.replace(process, in_flight=(0.0, end))
+    if process.in_flight is not None:
+        live = _Live(state, dataclasses.replace(process, in_flight=None))
+        age_ms, head = process.in_flight
+        sent_ms = 0.0 if rules.timed_from_receipt else age_ms
+        live.freshness.log_read(_NOW_MS + sent_ms, head, process.applied)
+        yield live.frozen()
+    for peer in _NODES:
+        if peer != process.name:
+            known = getattr(state, peer)
+            offset = known if isinstance(known, int) else known.applied
+            live = _Live(state, process)
+            live.freshness.answer(peer, _NOW_MS, offset)
+            live.claims.answer(peer, offset)
+            yield live.frozen()
+
+
+def _log_steps(state: State, process: Process, rules: Rules) -> Iterator[State]:
+    """Steps by which the log takes a record, known to nobody at first."""
+    if state.claims:
+        for base in sorted(_bases(state, process)):
+            entry = ("claim", process.name, base, False, len(state.log))
+            yield _appended(state, entry, claims=state.claims - 1)
+    if state.resends:
+        for entry in {e for e in state.log if e[1] == process.name}:
+            yield _appended(state, entry, resends=state.resends - 1)
+    if state.releases:
+        yield from _release(state, process, rules)
+
+
+def _bases(state: State, process: Process) -> set[int]:
+    """Returns all bases seen so far, as an append may arrive late."""
+    bases = set()
+    for count in range(process.applied - _FIRST + 1):
+        lease = _lease_at(state.log[:count])
+        bases.add(lease.epoch if lease is not None else -1)
+    return bases
+
+
+def _release(state: State, process: Process, rules: Rules) -> Iterator[State]:
+    live = _Live(state, process)
+    lease = live.lease
+    if lease is None or lease.holder != process.name:
+        return
+    effective = live.claims.effective_ms(lease) <= _NOW_MS
+    flag = effective or rules.release_counts_as_effective
+    entry = ("release", process.name, lease.epoch, flag, len(state.log))
+    stopped = dataclasses.replace(
+        process, released=process.released | {lease.epoch}
+    )
+    released = dataclasses.replace(state, **{process.name: stopped})
+    yield _appended(released, entry, releases=state.releases - 1)
+
+
+def _appended(state: State, entry: Entry, **budget: int) -> State:
+    return dataclasses.replace(state, log=(*state.log, entry), **budget)
+
+
+def start(claims: int, resends: int, releases: int) -> State:
+    """Returns the state before the first claim."""
+    return State(
+        (), Process("a"), Process("b"), _FIRST, claims, resends, releases
+    )
