--- a/lacewingwood/callers/app.py
+++ b/lacewingwood/callers/app.py
@@ -1,5 +1,6 @@
 """The ASGI application towards callers."""
 
+import contextlib
 import functools
 import secrets
 from collections.abc import Awaitable
@@ -9,12 +10,14 @@
 import structlog
 import trio
 
+from lacewingwood.callers import admission
 from lacewingwood.callers import auth
 from lacewingwood.callers import calls
 from lacewingwood.callers import dependencies
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
 from lacewingwood.callers import inference
+from lacewingwood.callers import proxy
 from lacewingwood.callers import running
 
 _INFERENCE_PATHS = frozenset(("/v1/chat/completions", "/v1/completions"))
@@ -34,12 +37,19 @@
 class App:
     """Answers callers' requests; each is authenticated by itself."""
 
-    __slots__ = ("_deps", "_inference", "running")
+    __slots__ = ("_deps", "_inference", "_proxy", "running")
 
     def __init__(self, deps: dependencies.Dependencies) -> None:
         self.running = running.Running(deps)
         self._deps = deps
         self._inference = inference.Inference(deps)
+        self._proxy = proxy.Proxy(deps, self.running)
+
+    async def run_for_ever(self) -> None:
+        """Does the work that no single request does; `serve` starts it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.running.check_for_ever)
+            nursery.start_soon(self._inference.placement.run_for_ever)
 
     async def __call__(
         self,
@@ -72,39 +82,47 @@
         if not self._deps.state.fresh():
             message = "this host does not know the current configuration"
             raise errors.unavailable("stale", message)
-        caller = auth.authenticate(req, self._deps.state)
         if req.path in _INFERENCE_PATHS:
-            _check_method(req, "POST")
-            await self._infer(req, caller)
+            await self._infer(req)
         elif req.path == _MODELS_PATH:
-            _check_method(req, "GET")
             await self._list_models(req)
+        elif (handler := self._batch_handler(req)) is not None:
+            await self._handle_batch(req, handler)
         else:
-            raise errors.CallerError(404, "not_found", "no such path")
+            await self._proxy.run(req)
 
-    async def _infer(self, req: http.Request, caller: auth.Caller) -> None:
+    async def _infer(self, req: http.Request) -> None:
+        _check_method(req, "POST")
+        caller = self._authenticate(req)
         body = await req.read_body(self._deps.settings.max_body_bytes)
         call = calls.parse(req, body, caller, self._deps)
-        await self._admit(call.customer, call.deadline_ms)
+        await admission.admit(self._deps, call.customer, call.deadline_ms)
         work = functools.partial(self._inference.run, req, call)
         await self.running.run(req, caller, work)
 
-    async def _admit(self, customer: str, deadline_ms: float) -> None:
-        answer = await self._deps.limiter.admit(customer, deadline_ms)
-        retry_after_ms = getattr(answer, "retry_after_ms", None)
-        if retry_after_ms is not None:
-            raise errors.CallerError(
-                429,
-                "rate_limit_exceeded",
-                "the customer's rate is exceeded",
-                retry_after_ms=retry_after_ms,
-            )
+    def _batch_handler(self, req: http.Request) -> dependencies.Handler | None:
+        first_two = "/".join(req.path.split("/", 3)[:3])
+        return self._deps.handlers.get(first_two)
+
+    async def _handle_batch(
+        self, req: http.Request, handler: dependencies.Handler
+    ) -> None:
+        caller = self._authenticate(req)
+        work = functools.partial(handler, req, caller.customer, self._deps)
+        await self.running.run(req, caller, work)
 
     async def _list_models(self, req: http.Request) -> None:
+        _check_method(req, "GET")
+        self._authenticate(req)
         models = sorted(self._deps.state.view.models)
         data = [_describe_model(name) for name in models]
         await req.respond_json({"object": "list", "data": data})
 
+    def _authenticate(self, req: http.Request) -> auth.Caller:
+        caller = auth.authenticate(req, self._deps.state)
+        auth.refuse_query_keys(req, self._deps.state)
+        return caller
+
     def _check_headers(self, req: http.Request) -> None:
         size = sum(len(name) + len(value) for name, value in req.headers)
         if size > self._deps.settings.max_header_bytes:
@@ -118,24 +136,8 @@
             await req.fail_event(exc)
         elif req.started:
             raise _AbortError
-        elif req.body_ended:
-            await req.fail(exc)
         else:
-            await self._fail_early(req, exc)
-
-    async def _fail_early(
-        self, req: http.Request, exc: errors.CallerError
-    ) -> None:
-        """Answers a request whose body has not been read.
-
-        A body of moderate length is read first, since closing a connection
-        with unread data can destroy the answer. The rest must be received
-        until the end, else the server's queue of its pieces blocks for ever.
-        """
-        with trio.move_on_after(_DISCARD_S):
-            await req.discard_body(_DISCARD_BYTES)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(req.wait_disconnect)
+            await _discard_body(req)
             await req.fail(exc)
 
 
@@ -144,6 +146,18 @@
     return App(deps)
 
 
+async def _discard_body(req: http.Request) -> None:
+    """Reads the rest of a body of moderate length.
+
+    Closing a connection with unread data can destroy the answer on its way.
+    """
+    with (
+        trio.move_on_after(_DISCARD_S),
+        contextlib.suppress(http.DisconnectedError),
+    ):
+        await req.discard_body(_DISCARD_BYTES)
+
+
 def _check_method(req: http.Request, *allowed: str) -> None:
     if req.method not in allowed:
         raise errors.CallerError(
--- a/lacewingwood/callers/auth.py
+++ b/lacewingwood/callers/auth.py
@@ -12,6 +12,10 @@
 _QUERY_KEYS = frozenset(
     ("access_token", "api-key", "api_key", "apikey", "authorization", "key")
 )
+_QUERY_MESSAGE = "an API key is taken only from the Authorization header"
+_MAX_PARAMETERS = 1000
+# Credentials shorter than this are found in unrelated headers by chance.
+_MIN_SECRET_BYTES = 8
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -30,13 +34,12 @@
 
 
 def authenticate(req: http.Request, state: dependencies.State) -> Caller:
-    """Returns the caller of `req`.
+    """Returns the caller of `req`, by its Authorization header alone.
 
     Raises:
         errors.CallerError: No valid key was given, or in the wrong place.
     """
-    _check_query(req.scope["query_string"])
-    secret = bearer(req)
+    secret = _bearer(req, state)
     digest = hashlib.sha256(secret).hexdigest()
     customer = state.view.authenticate(digest)
     if customer is None:
@@ -44,14 +47,38 @@
     return Caller(customer, digest, secret)
 
 
-def bearer(req: http.Request) -> bytes:
-    """Returns the key in the Authorization header.
+def refuse_query_keys(req: http.Request, state: dependencies.State) -> None:
+    """Raises errors.CallerError if the query holds a key."""
+    for name, value in _query(req):
+        if name.lower() in _QUERY_KEYS or _is_key(value.encode(), state):
+            raise errors.bad_request(_QUERY_MESSAGE, name, "key_in_query")
 
-    Raises:
-        errors.CallerError: There is no such header, or more than one.
+
+def secrets(req: http.Request, state: dependencies.State) -> frozenset[bytes]:
+    """Returns all keys and credentials found in a request.
+
+    Credentials in an Authorization header count whether valid or not. Other
+    values count if they are a valid key.
     """
+    found: set[bytes] = set()
+    candidates = [value.encode() for _, value in _query(req)]
+    for name, value in req.headers:
+        match name:
+            case b"authorization" | b"proxy-authorization":
+                found.add(value.partition(b" ")[2].strip())
+            case b"cookie":
+                candidates += [_cookie_value(c) for c in value.split(b";")]
+            case _:
+                candidates.append(value.strip())
+    found = {s for s in found if len(s) >= _MIN_SECRET_BYTES}
+    found.update(c for c in candidates if _is_key(c, state))
+    return frozenset(found)
+
+
+def _bearer(req: http.Request, state: dependencies.State) -> bytes:
     values = req.values(b"authorization")
     if not values:
+        refuse_query_keys(req, state)
         message = "an API key is needed in the header Authorization: Bearer"
         raise errors.unauthorized(message, "missing_api_key")
     if len(values) > 1:
@@ -63,13 +90,20 @@
     return secret
 
 
-def _check_query(query: bytes) -> None:
-    if not query:
-        return
-    pairs = urllib.parse.parse_qsl(
-        query.decode("latin-1"), keep_blank_values=True
-    )
-    for name, _ in pairs:
-        if name.lower() in _QUERY_KEYS:
-            message = "an API key is taken only from the Authorization header"
-            raise errors.bad_request(message, name, "key_in_query")
+def _query(req: http.Request) -> list[tuple[str, str]]:
+    text = req.scope["query_string"].decode("latin-1")
+    try:
+        return urllib.parse.parse_qsl(
+            text, keep_blank_values=True, max_num_fields=_MAX_PARAMETERS
+        )
+    except ValueError as exc:
+        raise errors.bad_request("the query has too many fields") from exc
+
+
+def _cookie_value(cookie: bytes) -> bytes:
+    return cookie.partition(b"=")[2].strip().strip(b'"')
+
+
+def _is_key(value: bytes, state: dependencies.State) -> bool:
+    digest = hashlib.sha256(value).hexdigest()
+    return state.view.authenticate(digest) is not None
--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -4,12 +4,16 @@
 import dataclasses
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_module
+from lacewingwood.callers import http
+from lacewingwood.peers import messages
 from lacewingwood.routing import router as routers
+from lacewingwood.routing import suspects as suspects_module
 from lacewingwood.state import records
 
 
@@ -80,11 +84,86 @@
         """Returns the JSON answer of a request."""
 
 
+class PlainResponse(Protocol):
+    """A plain service's answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names in lower case, and values.
+        body: Pieces of the body.
+        trailers: Trailers, known once the body has ended.
+    """
+
+    status: int
+    headers: Sequence[tuple[bytes, bytes]]
+    body: AsyncIterator[bytes]
+    trailers: Sequence[tuple[bytes, bytes]]
+
+
+class Plain(Protocol):
+    """Client of plain services."""
+
+    def request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: AsyncIterator[bytes],
+        deadline_ms: float,
+    ) -> contextlib.AbstractAsyncContextManager[PlainResponse]:
+        """Sends a request; `path` includes the query."""
+
+
 class Calls(Protocol):
     """Claims of idempotency keys."""
 
     async def claim(self, key_digest: str, request_id: str) -> str:
-        """Returns the id of the request that claimed the key first."""
+        """Returns the id of the request that claimed the key first.
+
+        Raises:
+            log.errors.LogError: It can't be found out now.
+        """
+
+    async def release(self, key_digest: str, request_id: str) -> None:
+        """Gives up a claim whose request is known not to have run."""
+
+
+class Handler(Protocol):
+    """Handler of the requests under a path such as `/v1/files`."""
+
+    async def __call__(
+        self, req: http.Request, customer: str, deps: "Dependencies"
+    ) -> None:
+        """Answers a request of an authenticated customer."""
+
+
+class Notices(Protocol):
+    """Tells peers what they need to know; none of it waits."""
+
+    def online(self, replica_id: str, running: int) -> None:
+        """Tells a replica's room holder how many requests run from here."""
+
+    def crash_suspect(self, message: messages.CrashSuspect) -> None:
+        """Tells the other entries of a crash."""
+
+    def crash_cleared(self, message: messages.CrashCleared) -> None:
+        """Tells the other entries that a suspect has completed."""
+
+
+class NoNotices:
+    """Notices of a process that has no peers."""
+
+    __slots__ = ()
+
+    def online(self, replica_id: str, running: int) -> None:
+        """Does nothing."""
+
+    def crash_suspect(self, message: messages.CrashSuspect) -> None:
+        """Does nothing."""
+
+    def crash_cleared(self, message: messages.CrashCleared) -> None:
+        """Does nothing."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,6 +173,7 @@
     Attributes:
         max_body_bytes: Longest body of an inference request.
         max_plain_body_bytes: Longest body for a plain service.
+        max_replay_bytes: Longest body that is kept to be sent again.
         max_header_bytes: Most bytes of names and values of all headers.
         deadline_ms: Time given to a request that names no deadline.
         max_deadline_ms: Longest time that a request may ask for.
@@ -103,6 +183,7 @@
 
     max_body_bytes: int = 4 << 20
     max_plain_body_bytes: int = 64 << 20
+    max_replay_bytes: int = 64 << 10
     max_header_bytes: int = 32 << 10
     deadline_ms: float = 600_000
     max_deadline_ms: float = 3_600_000
@@ -112,7 +193,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Dependencies:
-    """Everything that request handlers use."""
+    """Everything that request handlers use.
+
+    `plain_router` chooses among the hosts of plain services. `handlers` are
+    those of batch work, by path: `/v1/files` and `/v1/batches`; `batch` is the
+    intake that they use. Without `calls`, calls with an idempotency key that
+    may not be repeated are refused.
+    """
 
     state: State
     limiter: Limiter
@@ -120,7 +207,13 @@
     engines: Engines
     clock: clocks.Clock
     metrics: metrics_module.Registry
-    plain: Any = None
+    plain: Plain
+    plain_router: routers.Router
     calls: Calls | None = None
+    handlers: Mapping[str, Handler] = dataclasses.field(default_factory=dict)
     batch: Any = None
+    notices: Notices = dataclasses.field(default_factory=NoNotices)
+    suspects: suspects_module.Suspects = dataclasses.field(
+        default_factory=suspects_module.Suspects
+    )
     settings: Settings = dataclasses.field(default_factory=Settings)
--- a/lacewingwood/callers/http.py
+++ b/lacewingwood/callers/http.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+import trio
 
 from lacewingwood.callers import errors
 
@@ -32,13 +33,14 @@
         headers: Names in lower case, and values.
         started: True once the answer's status was sent.
         streams_events: True once a stream of events was started.
-        body_ended: True once the whole body was read.
+        body_read: Set once the whole body was read.
     """
 
     __slots__ = (
         "_receive",
         "_send",
-        "body_ended",
+        "_trailers",
+        "body_read",
         "headers",
         "method",
         "path",
@@ -62,7 +64,8 @@
         self.request_id = request_id
         self.started = False
         self.streams_events = False
-        self.body_ended = False
+        self.body_read = trio.Event()
+        self._trailers = False
         self._receive = receive
         self._send = send
 
@@ -88,12 +91,13 @@
         Raises:
             DisconnectedError: The caller went away.
         """
-        if self.body_ended:
+        if self.body_read.is_set():
             return None
         message = await self._receive()
         if message["type"] == "http.disconnect":
             raise DisconnectedError
-        self.body_ended = not message.get("more_body", False)
+        if not message.get("more_body", False):
+            self.body_read.set()
         return message.get("body", b"")
 
     async def read_body(self, limit: int) -> bytes:
@@ -125,16 +129,23 @@
         if length.isdigit() and int(length) > limit:
             raise too_large(limit)
 
+    def takes_trailers(self) -> bool:
+        """Tells whether trailers can be sent to this caller."""
+        extensions = self.scope.get("extensions", {})
+        can_send = "http.response.trailers" in extensions
+        return can_send and b"trailers" in self.values(b"te")
+
     async def wait_disconnect(self) -> None:
-        """Returns when the caller has gone; the body must be read."""
+        """Returns when the caller has gone; drops the rest of the body."""
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
     async def start(
         self, status: int, headers: Headers, trailers: bool = False
     ) -> None:
-        """Sends status and headers."""
+        """Sends status and headers; `trailers` if `end` will give some."""
         self.started = True
+        self._trailers = trailers
         request_id = (b"x-request-id", self.request_id.encode())
         await self._send(
             {
@@ -150,17 +161,33 @@
         self.streams_events = True
         await self.start(200, _SSE)
 
-    async def write(self, data: bytes, more: bool = True) -> None:
+    async def write(self, data: bytes) -> None:
         """Sends a piece of the answer's body."""
         await self._send(
-            {"type": "http.response.body", "body": data, "more_body": more}
+            {"type": "http.response.body", "body": data, "more_body": True}
         )
 
-    async def write_trailers(self, trailers: Headers) -> None:
-        """Ends an answer that was started with `trailers`."""
+    async def end(self, data: bytes = b"", trailers: Headers = ()) -> None:
+        """Sends the last piece of the answer's body.
+
+        What has not been read of the request is received meanwhile, else the
+        server waits for ever to put it into its full queue.
+        """
+        if self.body_read.is_set():
+            await self._end(data, trailers)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.wait_disconnect)
+            await self._end(data, trailers)
+
+    async def _end(self, data: bytes, trailers: Headers) -> None:
         await self._send(
-            {"type": "http.response.trailers", "headers": list(trailers)}
+            {"type": "http.response.body", "body": data, "more_body": False}
         )
+        if self._trailers:
+            await self._send(
+                {"type": "http.response.trailers", "headers": list(trailers)}
+            )
 
     async def respond(
         self, status: int, body: bytes, headers: Headers = (_JSON,)
@@ -168,7 +195,7 @@
         """Sends a whole answer."""
         length = (b"content-length", b"%d" % len(body))
         await self.start(status, [*headers, length])
-        await self.write(body, more=False)
+        await self.end(body)
 
     async def respond_json(self, value: Any, status: int = 200) -> None:
         """Sends `value` as JSON."""
@@ -184,11 +211,12 @@
 
     async def fail_event(self, exc: errors.CallerError) -> None:
         """Ends a stream of events with an error and without `[DONE]`."""
-        await self.write(b"data: " + exc.body() + b"\n\n", more=False)
+        await self.end(b"data: " + exc.body() + b"\n\n")
 
 
-def too_large(limit: int) -> errors.CallerError:
+def too_large(
+    limit: int, ran: errors.Ran = errors.Ran.NOT_RUN
+) -> errors.CallerError:
     """Returns the error for a body over `limit` bytes."""
-    return errors.CallerError(
-        413, "body_too_large", f"body is longer than {limit} bytes"
-    )
+    message = f"body is longer than {limit} bytes"
+    return errors.CallerError(413, "body_too_large", message, ran=ran)
--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -1,12 +1,12 @@
 """Chat completions and completions, from one engine or several in turn."""
 
-import contextlib
-from collections.abc import AsyncIterator
+import trio
 
 from lacewingwood.callers import calls
 from lacewingwood.callers import dependencies
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
+from lacewingwood.callers import placement
 from lacewingwood.callers import resume
 from lacewingwood.routing import outcomes
 from lacewingwood.routing import retries
@@ -17,11 +17,16 @@
 
 
 class Inference:
-    """Runs inference requests."""
+    """Runs inference requests.
 
-    __slots__ = ("_budget", "_deps")
+    Attributes:
+        placement: Places them on replicas.
+    """
+
+    __slots__ = ("_budget", "_deps", "placement")
 
     def __init__(self, deps: dependencies.Dependencies) -> None:
+        self.placement = placement.Placement(deps)
         self._deps = deps
         self._budget = retries.Budget()
 
@@ -31,18 +36,23 @@
         Raises:
             errors.CallerError: It failed; the answer may have been started.
         """
-        self._budget.note_request(self._deps.clock.now_ms())
-        if call.stream:
-            await self._stream(req, call)
-        else:
-            await self._complete(req, call)
+        now_ms = self._deps.clock.now_ms()
+        self._budget.note_request(now_ms)
+        left_s = (call.deadline_ms - now_ms) / 1000
+        with trio.move_on_after(left_s) as scope:
+            if call.stream:
+                await self._stream(req, call)
+            else:
+                await self._complete(req, call)
+        if scope.cancelled_caught:
+            raise _deadline_error()
 
     async def _complete(self, req: http.Request, call: calls.Call) -> None:
         attempts = retries.Attempts(True, call.deadline_ms)
         tried: set[str] = set()
         while True:
             try:
-                async with self._attempt(call, tried) as started:
+                async with self.placement.attempt(call, tried) as started:
                     answer = await self._deps.engines.complete(
                         started.replica.address,
                         call.path,
@@ -61,7 +71,7 @@
         tried: set[str] = set()
         while True:
             try:
-                async with self._attempt(call, tried) as started:
+                async with self.placement.attempt(call, tried) as started:
                     await self._relay(req, call, progress, started)
                 break
             except upstream_errors.UpstreamError as exc:
@@ -71,7 +81,7 @@
                     raise errors.from_upstream(exc) from exc
                 self._retry_or_raise(attempts, exc)
                 progress.resume()
-        await req.write(_DONE, more=False)
+        await req.end(_DONE)
 
     async def _relay(
         self,
@@ -110,38 +120,6 @@
     def _note_first_token(self, started: routers.Started) -> None:
         self._deps.router.first_token(started, self._deps.clock.now_ms())
 
-    @contextlib.asynccontextmanager
-    async def _attempt(
-        self, call: calls.Call, tried: set[str]
-    ) -> AsyncIterator[routers.Started]:
-        """Chooses a replica and notes how the attempt on it ends."""
-        route = self._route(call, tried)
-        router = self._deps.router
-        choice = router.choose(route, self._deps.clock.now_ms())
-        if isinstance(choice, routers.NoReplica):
-            raise errors.unavailable("no_replica", "no replica is available")
-        started = router.started(choice, route, self._deps.clock.now_ms())
-        tried.add(choice.replica.id)
-        outcome: outcomes.Outcome = outcomes.Cancelled()
-        try:
-            yield started
-            outcome = outcomes.Completed()
-        except upstream_errors.UpstreamError as exc:
-            outcome = outcomes.of_error(exc)
-            raise
-        finally:
-            router.finished(started, outcome, self._deps.clock.now_ms())
-
-    def _route(self, call: calls.Call, tried: set[str]) -> routers.RouteRequest:
-        return routers.RouteRequest(
-            service=call.service,
-            model=call.model,
-            blocks=call.blocks,
-            prompt_tokens=call.prompt_tokens,
-            exclude=frozenset(tried),
-            queue_if_full=True,
-        )
-
     def _retry_or_raise(
         self, attempts: retries.Attempts, exc: upstream_errors.UpstreamError
     ) -> None:
@@ -152,3 +130,12 @@
                 self._deps.metrics.add("callers_retries")
             case retries.GiveUp():
                 raise errors.from_upstream(exc) from exc
+
+
+def _deadline_error() -> errors.CallerError:
+    return errors.CallerError(
+        504,
+        "deadline_exceeded",
+        "the request's deadline has passed",
+        ran=errors.Ran.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/lacewingwood/callers/proxy.py
@@ -0,0 +1,349 @@
+"""Requests to plain services, by configured routes."""
+
+import dataclasses
+import functools
+import hashlib
+import math
+from collections.abc import AsyncIterator
+
+import trio
+
+from lacewingwood import errors as base_errors
+from lacewingwood.callers import admission
+from lacewingwood.callers import auth
+from lacewingwood.callers import calls
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import errors
+from lacewingwood.callers import headers
+from lacewingwood.callers import http
+from lacewingwood.callers import routes
+from lacewingwood.callers import running as running_module
+from lacewingwood.log import errors as log_errors
+from lacewingwood.routing import outcomes
+from lacewingwood.routing import retries
+from lacewingwood.routing import router as routers
+from lacewingwood.state import records
+from lacewingwood.upstreams import errors as upstream_errors
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """One request to a plain service.
+
+    Attributes:
+        route: The route it takes.
+        caller: Who sent it, None on an open route.
+        path: Path and query for the service.
+        headers: Headers for the service.
+        deadline_ms: When the caller no longer waits.
+        claim: Digest of its idempotency key while that is claimed for it.
+    """
+
+    route: records.Route
+    caller: auth.Caller | None
+    path: str
+    headers: list[headers.Header]
+    deadline_ms: float
+    claim: str = ""
+
+
+class Proxy:
+    """Passes requests to plain services and their answers back."""
+
+    __slots__ = ("_budget", "_deps", "_running")
+
+    def __init__(
+        self,
+        deps: dependencies.Dependencies,
+        running: running_module.Running,
+    ) -> None:
+        self._deps = deps
+        self._running = running
+        self._budget = retries.Budget()
+
+    async def run(self, req: http.Request) -> None:
+        """Answers a request whose path belongs to a route.
+
+        Raises:
+            errors.CallerError: It failed; the answer may have been started.
+            http.DisconnectedError: The caller went away.
+        """
+        route = routes.find(req, self._deps.state.view.routes)
+        req.check_length(self._deps.settings.max_plain_body_bytes)
+        call = self._prepare(req, route)
+        if call.caller is not None:
+            customer = call.caller.customer
+            await admission.admit(self._deps, customer, call.deadline_ms)
+        work = functools.partial(self._run, req, call)
+        await self._running.run(req, call.caller, work)
+
+    def _prepare(self, req: http.Request, route: records.Route) -> _Call:
+        caller: auth.Caller | None = None
+        if not route.open:
+            caller = auth.authenticate(req, self._deps.state)
+        secrets = auth.secrets(req, self._deps.state)
+        raw_path: bytes = req.scope["raw_path"]
+        if headers.contains(raw_path, secrets):
+            raise errors.bad_request("the path holds an API key")
+        query = headers.without_secrets(req.scope["query_string"], secrets)
+        target = raw_path + (b"?" + query if query else b"")
+        return _Call(
+            route=route,
+            caller=caller,
+            path=target.decode("latin-1"),
+            headers=headers.for_upstream(req.headers, secrets),
+            deadline_ms=calls.deadline_ms(req, self._deps),
+        )
+
+    async def _run(self, req: http.Request, call: _Call) -> None:
+        self._add_headers(req, call)
+        idempotent = req.method in call.route.idempotent_methods
+        if not idempotent:
+            await self._claim(req, call)
+        try:
+            await self._attempt_all(req, call, idempotent)
+        except errors.CallerError as exc:
+            if call.claim and exc.ran is base_errors.Ran.NOT_RUN:
+                await self._release(req, call)
+            raise
+
+    def _add_headers(self, req: http.Request, call: _Call) -> None:
+        host = req.value(b"host")
+        if host:
+            call.headers.append((b"x-forwarded-host", host))
+        call.headers.append((b"x-request-id", req.request_id.encode()))
+        if call.caller is not None:
+            customer = call.caller.customer.encode()
+            call.headers.append((b"x-customer", customer))
+
+    async def _claim(self, req: http.Request, call: _Call) -> None:
+        """Makes sure that no other request with this key runs."""
+        key = req.value(b"idempotency-key")
+        if not key:
+            return
+        digest = _key_digest(call, key)
+        if self._deps.calls is None:
+            raise _claim_error()
+        try:
+            owner = await self._deps.calls.claim(digest, req.request_id)
+        except log_errors.LogError as exc:
+            raise _claim_error() from exc
+        if owner != req.request_id:
+            raise _duplicate_error(owner)
+        call.claim = digest
+
+    async def _release(self, req: http.Request, call: _Call) -> None:
+        """Lets the caller send the call again; at worst that is refused."""
+        if self._deps.calls is None:
+            return
+        try:
+            await self._deps.calls.release(call.claim, req.request_id)
+        except log_errors.LogError:
+            self._deps.metrics.add("callers_claims_not_released")
+
+    async def _attempt_all(
+        self, req: http.Request, call: _Call, idempotent: bool
+    ) -> None:
+        self._budget.note_request(self._now_ms())
+        attempts = retries.Attempts(idempotent, call.deadline_ms)
+        upload = _Upload(req, self._deps.settings)
+        await upload.buffer()
+        _set_length(call, upload)
+        tried: set[str] = set()
+        while True:
+            try:
+                await self._attempt(req, call, upload, tried)
+                return
+            except upstream_errors.UpstreamError as exc:
+                if upload.error is not None:
+                    raise upload.error from exc
+                again = upload.repeatable and not req.started
+                outcome = outcomes.of_error(exc)
+                now_ms = self._now_ms()
+                if (
+                    not again
+                    or attempts.after(outcome, self._budget, now_ms)
+                    != retries.Retry()
+                ):
+                    raise errors.from_upstream(exc) from exc
+
+    async def _attempt(
+        self,
+        req: http.Request,
+        call: _Call,
+        upload: "_Upload",
+        tried: set[str],
+    ) -> None:
+        started = self._start(call, tried)
+        tried.add(started.replica.id)
+        outcome: outcomes.Outcome = outcomes.Cancelled()
+        try:
+            await self._exchange(req, call, upload, started)
+            outcome = outcomes.Completed()
+        except upstream_errors.UpstreamError as exc:
+            if upload.error is None:
+                outcome = outcomes.of_error(exc)
+            raise
+        finally:
+            router = self._deps.plain_router
+            router.finished(started, outcome, self._now_ms())
+
+    def _start(self, call: _Call, tried: set[str]) -> routers.Started:
+        route = routers.RouteRequest(
+            service=call.route.service,
+            model="",
+            exclude=frozenset(tried),
+            queue_if_full=True,
+        )
+        router = self._deps.plain_router
+        choice = router.choose(route, self._now_ms())
+        if isinstance(choice, routers.NoReplica):
+            message = "no host of the service is available"
+            raise errors.unavailable("no_upstream", message)
+        return router.started(choice, route, self._now_ms())
+
+    async def _exchange(
+        self,
+        req: http.Request,
+        call: _Call,
+        upload: "_Upload",
+        started: routers.Started,
+    ) -> None:
+        """Sends the request to one host and its answer back.
+
+        The route's time limit holds until the answer's first byte.
+        """
+        context = self._deps.plain.request(
+            started.replica.address,
+            req.method,
+            call.path,
+            [*call.headers, self._deadline_header(call)],
+            upload.chunks(),
+            call.deadline_ms,
+        )
+        limit_s = call.route.timeout_ms / 1000
+        with trio.move_on_after(limit_s) as scope:
+            async with context as response:
+                scope.deadline = math.inf
+                await self._answer(req, response)
+        if scope.cancelled_caught:
+            raise upstream_errors.TimeoutError(
+                "no answer in the route's time", errors.Ran.MAY_HAVE_RUN
+            )
+
+    async def _answer(
+        self, req: http.Request, response: dependencies.PlainResponse
+    ) -> None:
+        trailers = req.takes_trailers()
+        passed = headers.for_caller(response.headers)
+        await req.start(response.status, passed, trailers)
+        async for chunk in response.body:
+            await req.write(chunk)
+        await req.end(trailers=headers.for_caller(response.trailers))
+
+    def _deadline_header(self, call: _Call) -> headers.Header:
+        left_ms = max(1, int(call.deadline_ms - self._now_ms()))
+        return (b"x-deadline-ms", b"%d" % left_ms)
+
+    def _now_ms(self) -> float:
+        return self._deps.clock.now_ms()
+
+
+class _Upload:
+    """A request's body on its way to a service.
+
+    Attributes:
+        error: Why the body could not be read to its end, if so.
+    """
+
+    __slots__ = (
+        "_buffered",
+        "_ran",
+        "_req",
+        "_settings",
+        "_size",
+        "_taken",
+        "error",
+    )
+
+    def __init__(
+        self, req: http.Request, settings: dependencies.Settings
+    ) -> None:
+        self.error: Exception | None = None
+        self._req = req
+        self._settings = settings
+        self._buffered: list[bytes] = []
+        self._size = 0
+        self._taken = False
+        self._ran = errors.Ran.NOT_RUN
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the whole body can still be sent."""
+        return not self._taken
+
+    @property
+    def length(self) -> int | None:
+        """Bytes of the body, if all of it has been read."""
+        return self._size if self._req.body_read.is_set() else None
+
+    async def buffer(self) -> None:
+        """Reads as much of the body as may be kept."""
+        while self._size <= self._settings.max_replay_bytes:
+            chunk = await self._next()
+            if chunk is None:
+                return
+            self._buffered.append(chunk)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body."""
+        for chunk in self._buffered:
+            yield chunk
+        self._ran = errors.Ran.MAY_HAVE_RUN
+        while (more := await self._rest()) is not None:
+            yield more
+
+    async def _rest(self) -> bytes | None:
+        try:
+            chunk = await self._next()
+        except (errors.CallerError, http.DisconnectedError) as exc:
+            self.error = exc
+            raise
+        if chunk is not None:
+            self._taken = True
+        return chunk
+
+    async def _next(self) -> bytes | None:
+        chunk = await self._req.next_chunk()
+        self._size += len(chunk or b"")
+        limit = self._settings.max_plain_body_bytes
+        if self._size > limit:
+            raise http.too_large(limit, self._ran)
+        return chunk
+
+
+def _set_length(call: _Call, upload: _Upload) -> None:
+    """States the length of a body that came without, as HTTP/2 allows."""
+    stated = any(name == b"content-length" for name, _ in call.headers)
+    if upload.length is not None and not stated:
+        call.headers.append((b"content-length", b"%d" % upload.length))
+
+
+def _key_digest(call: _Call, key: bytes) -> str:
+    customer = call.caller.customer if call.caller is not None else ""
+    parts = (customer.encode(), call.route.name.encode(), key)
+    return hashlib.sha256(b"\0".join(parts)).hexdigest()
+
+
+def _claim_error() -> errors.CallerError:
+    message = "the idempotency key cannot be recorded now"
+    return errors.unavailable("claim_unavailable", message)
+
+
+def _duplicate_error(owner: str) -> errors.CallerError:
+    return errors.CallerError(
+        409,
+        "idempotency_key_used",
+        f"request {owner} was sent with this idempotency key before",
+        ran=errors.Ran.MAY_HAVE_RUN,
+    )
--- a/lacewingwood/callers/running.py
+++ b/lacewingwood/callers/running.py
@@ -51,7 +51,7 @@
         caller: auth.Caller | None,
         work: Callable[[], Awaitable[None]],
     ) -> None:
-        """Runs `work`, whose request's body has been read.
+        """Runs `work` until it ends, or has to be ended from here.
 
         Raises:
             errors.CallerError: `work` failed, or the key was withdrawn, or
@@ -103,20 +103,21 @@
 
 async def _run(
     req: http.Request, entry: _Running, work: Callable[[], Awaitable[None]]
-) -> errors.CallerError | None:
-    error: errors.CallerError | None = None
+) -> Exception | None:
+    error: Exception | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch, req, entry)
         with entry.scope:
             try:
                 await work()
-            except errors.CallerError as exc:
+            except (errors.CallerError, http.DisconnectedError) as exc:
                 error = exc
         nursery.cancel_scope.cancel()
     return error
 
 
 async def _watch(req: http.Request, entry: _Running) -> None:
+    await req.body_read.wait()
     await req.wait_disconnect()
     entry.end(http.DisconnectedError())
 
--- a/lacewingwood/callers/server.py
+++ b/lacewingwood/callers/server.py
@@ -45,12 +45,12 @@
     """
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
     server = _Server(app)
-    async with trio.open_nursery() as checks:
-        checks.start_soon(app.running.check_for_ever)
+    async with trio.open_nursery() as background:
+        background.start_soon(app.run_for_ever)
         await server.run(
             listeners, shutdown_event, drain_ms, grace_ms, task_status
         )
-        checks.cancel_scope.cancel()
+        background.cancel_scope.cancel()
 
 
 class _Server:
--- a/lacewingwood/routing/outcomes.py
+++ b/lacewingwood/routing/outcomes.py
@@ -40,7 +40,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Broken:
-    """The connection broke, or the answer was malformed."""
+    """The connection broke."""
+
+    ran: errors.Ran = errors.Ran.MAY_HAVE_RUN
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Malformed:
+    """The answer made no sense."""
 
     ran: errors.Ran = errors.Ran.MAY_HAVE_RUN
 
@@ -53,7 +60,14 @@
 
 
 Outcome = (
-    Completed | Cancelled | Rejected | Refused | Unreachable | Broken | TimedOut
+    Completed
+    | Cancelled
+    | Rejected
+    | Refused
+    | Unreachable
+    | Broken
+    | Malformed
+    | TimedOut
 )
 
 
@@ -68,6 +82,8 @@
             return Unreachable()
         case upstream_errors.TimeoutError():
             return TimedOut(exc.ran)
+        case upstream_errors.BadAnswerError():
+            return Malformed(exc.ran)
         case _:
             return Broken(exc.ran)
 
--- a/lacewingwood/routing/prefix.py
+++ b/lacewingwood/routing/prefix.py
@@ -34,13 +34,15 @@
     cache events, which are late and have gaps.
     """
 
-    __slots__ = ("_capacity", "_holders", "_serials")
+    __slots__ = ("_capacity", "_epochs", "_holders", "_serials")
 
     def __init__(self, capacity: int = 100_000) -> None:
         self._capacity = capacity
-        # For each block the replicas that hold it, most recent last.
-        self._holders: collections.OrderedDict[int, list[str]]
+        # For each block the replicas that hold it, most recent last, with
+        # the replica's epoch at that time; an older epoch is forgotten.
+        self._holders: collections.OrderedDict[int, dict[str, int]]
         self._holders = collections.OrderedDict()
+        self._epochs: dict[str, int] = {}
         self._serials: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -53,27 +55,22 @@
 
     def cached_tokens(self, replica_id: str, blocks: tuple[int, ...]) -> int:
         """Returns the estimated tokens of the prompt in a replica's cache."""
-        count = 0
-        for block in blocks:
-            if replica_id not in self._holders.get(block, ()):
-                break
-            count += 1
-        return count * TOKENS_PER_BLOCK
+        return self._depth(replica_id, blocks) * TOKENS_PER_BLOCK
 
     def preferred(self, blocks: tuple[int, ...]) -> str | None:
-        """Returns the replica with the longest cached prefix, if any."""
+        """Returns the replica with the longest cached prefix, if any.
+
+        Of several with the same length, the one that was used last.
+        """
         if not blocks:
             return None
-        found: str | None = None
-        for block in blocks:
-            holders = self._holders.get(block)
-            if not holders:
-                break
-            if found not in holders:
-                if found is not None:
-                    break
-                found = holders[-1]
-        return found
+        holders = self._holders.get(blocks[0], {})
+        best, best_depth = None, 0
+        for replica_id in holders:
+            depth = self._depth(replica_id, blocks)
+            if depth and depth >= best_depth:
+                best, best_depth = replica_id, depth
+        return best
 
     def apply_events(
         self, replica_id: str, events: list[upstream_types.CacheEvent]
@@ -87,10 +84,23 @@
             self._apply(replica_id, event)
 
     def forget(self, replica_id: str) -> None:
-        """Drops what is known of a replica, which has lost its cache."""
+        """Drops what is known of a replica's cache."""
+        self._epochs[replica_id] = self._epochs.get(replica_id, 0) + 1
+
+    def restarted(self, replica_id: str) -> None:
+        """Notes that a replica has an empty cache and counts from anew."""
+        self.forget(replica_id)
         self._serials.pop(replica_id, None)
-        for block in list(self._holders):
-            self._remove(block, replica_id)
+
+    def _depth(self, replica_id: str, blocks: tuple[int, ...]) -> int:
+        epoch = self._epochs.get(replica_id, 0)
+        depth = 0
+        for block in blocks:
+            holders = self._holders.get(block)
+            if holders is None or holders.get(replica_id) != epoch:
+                break
+            depth += 1
+        return depth
 
     def _apply(self, replica_id: str, event: upstream_types.CacheEvent) -> None:
         last = self._serials.get(replica_id)
@@ -108,22 +118,21 @@
             self._remove(block, replica_id)
 
     def _add(self, block: int, replica_id: str) -> None:
-        holders = self._holders.setdefault(block, [])
-        if replica_id in holders:
-            holders.remove(replica_id)
-        holders.append(replica_id)
-        del holders[:-_MAX_HOLDERS]
+        holders = self._holders.setdefault(block, {})
+        holders.pop(replica_id, None)
+        holders[replica_id] = self._epochs.get(replica_id, 0)
+        if len(holders) > _MAX_HOLDERS:
+            del holders[next(iter(holders))]
         self._holders.move_to_end(block)
         if len(self._holders) > self._capacity:
             self._holders.popitem(last=False)
 
     def _remove(self, block: int, replica_id: str) -> None:
         holders = self._holders.get(block)
-        if holders is None or replica_id not in holders:
-            return
-        holders.remove(replica_id)
-        if not holders:
-            del self._holders[block]
+        if holders is not None:
+            holders.pop(replica_id, None)
+            if not holders:
+                del self._holders[block]
 
 
 def _parse_block(text: str) -> int | None:
--- a/lacewingwood/routing/replicas.py
+++ b/lacewingwood/routing/replicas.py
@@ -41,6 +41,7 @@
         failures: Failures since the last success.
         ejected_until_ms: No ordinary request before this time.
         probing: True while one request tries it out after an ejection.
+        refusing_until_ms: Full before this time by its own word.
     """
 
     id: str
@@ -62,6 +63,7 @@
     failures: int = 0
     ejected_until_ms: float = 0.0
     probing: bool = False
+    refusing_until_ms: float = 0.0
 
     def online(self, now_ms: float) -> int:
         """Returns the online requests that it is thought to hold."""
@@ -70,8 +72,14 @@
         return self.own + self.others
 
     def has_room(self, now_ms: float) -> bool:
-        """Tells whether one more request would start at once."""
-        return self.online(now_ms) < self.slots
+        """Tells whether one more request would start at once.
+
+        Before the first load report its slots are not known and it is taken
+        to have room.
+        """
+        if self.refusing_until_ms > now_ms:
+            return False
+        return not self.boot_id or self.online(now_ms) < self.slots
 
     def note_first_token(self, duration_ms: float) -> None:
         """Adds one time to the first token."""
@@ -83,11 +91,17 @@
 
 
 class Fleet:
-    """All replicas, by id and by service."""
+    """All replicas, or upstreams of another kind, by id and by service.
+
+    Attributes:
+        ejected: Replicas out of choice for failures or slowness, by id.
+    """
 
-    __slots__ = ("_by_id", "_by_service")
+    __slots__ = ("_by_id", "_by_service", "_kind", "ejected")
 
-    def __init__(self) -> None:
+    def __init__(self, kind: str = "engine") -> None:
+        self._kind = kind
+        self.ejected: dict[str, Replica] = {}
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
 
@@ -105,10 +119,11 @@
         A replica that was seen leaving stays so while the list, which lags,
         shows it as live at the same address.
         """
-        engines = {h.id: h for h in hosts if h.kind == "engine"}
-        for gone in self._by_id.keys() - engines.keys():
+        listed = {h.id: h for h in hosts if h.kind == self._kind}
+        for gone in self._by_id.keys() - listed.keys():
             del self._by_id[gone]
-        for host in engines.values():
+            self.ejected.pop(gone, None)
+        for host in listed.values():
             self._update_host(host)
         self._group()
 
@@ -156,19 +171,32 @@
         replica.leaving = True
         self._group()
 
+    def eject(self, replica: Replica, until_ms: float) -> None:
+        """Takes a replica out of choice until it has been probed."""
+        replica.ejected_until_ms = until_ms
+        if self._by_id.get(replica.id) is replica:
+            self.ejected[replica.id] = replica
+
+    def readmit(self, replica: Replica) -> None:
+        """Takes a replica back into choice with a clean record."""
+        replica.ejected_until_ms = 0.0
+        replica.failures = 0
+        replica.first_token_ms = 0.0
+        self.ejected.pop(replica.id, None)
+
     def _update_host(self, host: host_types.Host) -> None:
         known = self._by_id.get(host.id)
         if known is None or known.address != host.address:
             known = Replica(host.id, host.address, host.service, host.zone)
             self._by_id[host.id] = known
+            self.ejected.pop(host.id, None)
         known.service = host.service
         known.zone = host.zone
         known.leaving = known.leaving or host.state == "leaving"
 
     def _restarted(self, replica: Replica) -> None:
         replica.leaving = False
-        replica.failures = 0
-        replica.ejected_until_ms = 0.0
+        self.readmit(replica)
         self._group()
 
     def _group(self) -> None:
--- a/lacewingwood/routing/retries.py
+++ b/lacewingwood/routing/retries.py
@@ -103,7 +103,11 @@
                 return "rejected"
             case outcomes.Refused() | outcomes.Unreachable():
                 return ""
-            case outcomes.Broken(ran=ran) | outcomes.TimedOut(ran=ran):
+            case (
+                outcomes.Broken(ran=ran)
+                | outcomes.Malformed(ran=ran)
+                | outcomes.TimedOut(ran=ran)
+            ):
                 repeatable = self.idempotent or ran is errors.Ran.NOT_RUN
                 return "" if repeatable else "may_have_run"
 
--- a/lacewingwood/routing/router.py
+++ b/lacewingwood/routing/router.py
@@ -21,6 +21,10 @@
 _SLOW_FACTOR = 3.0
 _EJECT_MS = 2000.0
 _MAX_EJECT_MS = 60_000.0
+# A replica that refuses at once looks idle; without a pause it would draw all
+# requests to itself.
+_REFUSAL_PAUSE_MS = 200.0
+_MEDIAN_AGE_MS = 200.0
 # Most of a service's replicas that slowness alone may take out of choice, so
 # that a slow moment of the whole fleet doesn't eject it.
 _MAX_SLOW_SHARE = 0.3
@@ -100,28 +104,30 @@
 class Router:
     """Chooses the replica with the least expected time to first token."""
 
-    __slots__ = ("_affinity", "_rng", "_settings", "fleet")
+    __slots__ = ("_medians", "_rng", "_settings", "affinity", "fleet")
 
     def __init__(
         self,
         settings: Settings,
         rng: random.Random,
         affinity: prefix.Affinity | None = None,
+        kind: str = "engine",
     ) -> None:
-        self.fleet = replicas_module.Fleet()
+        self.fleet = replicas_module.Fleet(kind)
         self._settings = settings
         self._rng = rng
-        self._affinity = affinity or prefix.Affinity()
+        self._medians: dict[str, tuple[float, float]] = {}
+        self.affinity = affinity or prefix.Affinity()
 
     def choose(self, req: RouteRequest, now_ms: float) -> Choice | NoReplica:
         """Returns where to run `req`."""
         replicas = self.fleet.of_service(req.service)
-        probe = self._due_probe(replicas, req, now_ms)
+        probe = self._due_probe(req, now_ms)
         if probe is not None:
             return Choice(probe, probe=True)
         usable = self._draw(replicas, req, now_ms)
         if not usable:
-            return self._none(replicas, req, now_ms)
+            return _none(replicas, req)
         return Choice(self._best(usable, req, now_ms))
 
     def expected_ms(
@@ -130,7 +136,7 @@
         """Returns the expected time to first token on `replica`."""
         ahead = replica.online(now_ms) + replica.waiting - replica.slots + 1
         queue_ms = max(0, ahead) * self._slot_ms(replica)
-        cached = self._affinity.cached_tokens(replica.id, req.blocks)
+        cached = self.affinity.cached_tokens(replica.id, req.blocks)
         uncached = max(0, req.prompt_tokens - cached)
         return queue_ms + replica.step_ms + uncached * _PREFILL_MS_PER_TOKEN
 
@@ -140,7 +146,7 @@
         """Notes that a request is being sent to a chosen replica."""
         choice.replica.own += 1
         choice.replica.probing = choice.replica.probing or choice.probe
-        self._affinity.routed(choice.replica.id, req.blocks)
+        self.affinity.routed(choice.replica.id, req.blocks)
         return Started(choice.replica, now_ms, choice.probe)
 
     def first_token(self, started: Started, now_ms: float) -> None:
@@ -148,8 +154,8 @@
         replica = started.replica
         replica.note_first_token(now_ms - started.at_ms)
         if started.probe:
-            self._readmit(replica)
-        elif self._is_slow(replica):
+            self.fleet.readmit(replica)
+        elif self._is_slow(replica, now_ms):
             self._eject(replica, now_ms)
 
     def finished(
@@ -164,17 +170,22 @@
         if started.probe:
             replica.probing = False
         match outcome:
+            case outcomes.Completed() if started.probe:
+                self.fleet.readmit(replica)
             case outcomes.Completed():
                 replica.failures = 0
             case outcomes.Refused(leaving=True):
                 self.fleet.mark_leaving(replica.id)
             case (
-                outcomes.Unreachable() | outcomes.Broken() | outcomes.TimedOut()
+                outcomes.Unreachable()
+                | outcomes.Broken()
+                | outcomes.Malformed()
+                | outcomes.TimedOut()
             ):
                 self._count_failure(replica, started.probe, now_ms)
-            case (
-                outcomes.Refused() | outcomes.Rejected() | outcomes.Cancelled()
-            ):
+            case outcomes.Refused():
+                replica.refusing_until_ms = now_ms + _REFUSAL_PAUSE_MS
+            case outcomes.Rejected() | outcomes.Cancelled():
                 pass
 
     def _draw(
@@ -193,7 +204,7 @@
         return usable
 
     def _preferred(self, req: RouteRequest, now_ms: float) -> Replica | None:
-        replica_id = self._affinity.preferred(req.blocks)
+        replica_id = self.affinity.preferred(req.blocks)
         replica = self.fleet.get(replica_id) if replica_id else None
         if replica is None or replica.service != req.service:
             return None
@@ -210,21 +221,11 @@
     def _tie_order(self, replica: Replica) -> tuple[bool, int]:
         return (replica.zone != self._settings.zone, replica.own)
 
-    def _none(
-        self, replicas: list[Replica], req: RouteRequest, now_ms: float
-    ) -> NoReplica:
-        full = any(
-            not _ejected(r, now_ms) and r.id not in req.exclude
-            for r in replicas
-        )
-        return NoReplica("full" if full else "none")
-
-    def _due_probe(
-        self, replicas: list[Replica], req: RouteRequest, now_ms: float
-    ) -> Replica | None:
-        for replica in replicas:
-            due = replica.ejected_until_ms and not _ejected(replica, now_ms)
-            if due and not replica.probing and replica.id not in req.exclude:
+    def _due_probe(self, req: RouteRequest, now_ms: float) -> Replica | None:
+        for replica in self.fleet.ejected.values():
+            if replica.service == req.service and _may_probe(
+                replica, req, now_ms
+            ):
                 return replica
         return None
 
@@ -232,16 +233,23 @@
         """Returns the expected time until one of its slots comes free."""
         return replica.step_ms * _STEPS_PER_REQUEST / replica.slots
 
-    def _is_slow(self, replica: Replica) -> bool:
-        peers = self.fleet.of_service(replica.service)
-        times = [r.first_token_ms for r in peers if r.first_token_ms]
-        if len(times) < 3:
+    def _is_slow(self, replica: Replica, now_ms: float) -> bool:
+        count = len(self.fleet.of_service(replica.service))
+        if len(self.fleet.ejected) + 1 > _MAX_SLOW_SHARE * count:
             return False
-        out = sum(1 for r in peers if r.ejected_until_ms)
-        if out + 1 > _MAX_SLOW_SHARE * len(peers):
-            return False
-        median = statistics.median(times)
-        return replica.first_token_ms > _SLOW_FACTOR * median
+        median = self._median_ms(replica.service, now_ms)
+        return median > 0 and replica.first_token_ms > _SLOW_FACTOR * median
+
+    def _median_ms(self, service: str, now_ms: float) -> float:
+        """Returns the median of replicas' first tokens, 0 if not known."""
+        at_ms, median = self._medians.get(service, (-_MEDIAN_AGE_MS, 0.0))
+        if now_ms - at_ms < _MEDIAN_AGE_MS:
+            return median
+        replicas = self.fleet.of_service(service)
+        times = [r.first_token_ms for r in replicas if r.first_token_ms]
+        median = statistics.median(times) if len(times) >= 3 else 0.0
+        self._medians[service] = (now_ms, median)
+        return median
 
     def _count_failure(
         self, replica: Replica, probe: bool, now_ms: float
@@ -253,22 +261,26 @@
     def _eject(self, replica: Replica, now_ms: float) -> None:
         doublings = min(max(0, replica.failures - _FAILURES_TO_EJECT), 10)
         duration = min(_EJECT_MS * 2**doublings, _MAX_EJECT_MS)
-        replica.ejected_until_ms = now_ms + duration
-
-    def _readmit(self, replica: Replica) -> None:
-        replica.ejected_until_ms = 0.0
-        replica.failures = 0
-        replica.first_token_ms = 0.0
+        self.fleet.eject(replica, now_ms + duration)
 
 
-def _ejected(replica: Replica, now_ms: float) -> bool:
-    return replica.ejected_until_ms > now_ms
+def _may_probe(replica: Replica, req: RouteRequest, now_ms: float) -> bool:
+    if replica.leaving or replica.probing or replica.id in req.exclude:
+        return False
+    return replica.ejected_until_ms <= now_ms
 
 
 def _usable(replica: Replica, req: RouteRequest, now_ms: float) -> bool:
     """Tells whether an ordinary request may go to `replica`."""
     if replica.leaving or replica.ejected_until_ms:
         return False
-    if replica.id in req.exclude:
+    if replica.refusing_until_ms > now_ms or replica.id in req.exclude:
         return False
     return req.queue_if_full or replica.has_room(now_ms)
+
+
+def _none(replicas: list[Replica], req: RouteRequest) -> NoReplica:
+    waiting = any(
+        not r.ejected_until_ms and r.id not in req.exclude for r in replicas
+    )
+    return NoReplica("full" if waiting else "none")
--- /dev/null
+++ b/lacewingwood/routing/suspects.py
@@ -0,0 +1,196 @@
+"""Requests that were running on a replica when it crashed.
+
+Every request in flight at a crash gets a mark and then runs only on a replica
+where no other suspect runs, so that the next crash tells them apart. A request
+with two marks doesn't run again. It is refused for good once all others of one
+of its crashes have completed, which proves that it caused that crash; this
+explains all its crashes and takes their marks from the others. A fingerprint
+starts with its customer, so no customer's request can be taken for another's.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+# Entries see one crash within moments of each other; what they report in this
+# time is taken as one crash, and nothing is refused for good before it is over.
+_SETTLE_MS = 2000.0
+_MARKS_TO_STOP = 2
+# A day, so that a request that is sent again and again costs two replicas and
+# not two every few minutes.
+_MEMORY_MS = 86_400_000.0
+_MAX_CRASHES = 10_000
+_RETRY_MS = 1000.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unsuspected:
+    """The request may run anywhere."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Alone:
+    """The request may run, but not on the replicas in `avoid`."""
+
+    avoid: frozenset[str]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Hold:
+    """The request may not run now."""
+
+    retry_after_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Convicted:
+    """The request crashes replicas and may not run again."""
+
+
+Verdict = Unsuspected | Alone | Hold | Convicted
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Crash:
+    """One crash of a replica.
+
+    Attributes:
+        replica: The replica.
+        at_ms: When it was first seen.
+        pending: Fingerprints of requests that have not completed since.
+    """
+
+    replica: str
+    at_ms: float
+    pending: set[str]
+
+
+class Suspects:
+    """Marks of suspects; times are in ms on this process's clock."""
+
+    __slots__ = ("_by_replica", "_convicted", "_crashes", "_marks", "_running")
+
+    def __init__(self) -> None:
+        self._crashes: collections.deque[_Crash] = collections.deque()
+        self._by_replica: dict[str, _Crash] = {}
+        self._marks: dict[str, list[_Crash]] = {}
+        self._convicted: dict[str, float] = {}
+        # Replicas on which suspects run, by fingerprint.
+        self._running: dict[str, list[str]] = {}
+
+    def check(self, fingerprint: str, now_ms: float) -> Verdict:
+        """Tells whether and where a request may run."""
+        self._expire(now_ms)
+        if fingerprint in self._convicted:
+            return Convicted()
+        marks = self._marks.get(fingerprint)
+        if not marks:
+            return Unsuspected()
+        if len(marks) >= _MARKS_TO_STOP:
+            return self._judge(fingerprint, marks, now_ms)
+        if fingerprint in self._running:
+            return Hold(_RETRY_MS)
+        return Alone(self._avoid(now_ms))
+
+    def started(self, fingerprint: str, replica: str) -> None:
+        """Notes that a request is being sent to a replica."""
+        self._running.setdefault(fingerprint, []).append(replica)
+
+    def ended(self, fingerprint: str, replica: str) -> None:
+        """Notes that a request no longer runs on a replica."""
+        running = self._running.get(fingerprint, [])
+        if replica in running:
+            running.remove(replica)
+        if not running:
+            self._running.pop(fingerprint, None)
+
+    def running_on(self, replica: str) -> list[str]:
+        """Returns the requests in flight from here on a replica."""
+        return [f for f, on in self._running.items() if replica in on]
+
+    def completed(self, fingerprint: str) -> bool:
+        """Clears a request that has completed; False if it had no marks."""
+        marks = self._marks.pop(fingerprint, None)
+        for crash in marks or ():
+            crash.pending.discard(fingerprint)
+        return marks is not None
+
+    def crashed(
+        self, replica: str, fingerprints: Iterable[str], now_ms: float
+    ) -> None:
+        """Marks the requests that were in flight when a replica crashed."""
+        self._expire(now_ms)
+        crash = self._by_replica.get(replica)
+        if crash is None or now_ms - crash.at_ms > _SETTLE_MS:
+            crash = _Crash(replica, now_ms, set())
+            self._by_replica[replica] = crash
+            self._crashes.append(crash)
+        for fingerprint in fingerprints:
+            self._mark(fingerprint, crash)
+
+    def survived(self, replica: str, now_ms: float) -> None:
+        """Takes back a crash: the replica turned out not to have restarted."""
+        crash = self._by_replica.get(replica)
+        if crash is not None and now_ms - crash.at_ms <= _SETTLE_MS:
+            self._forget(crash)
+
+    def _mark(self, fingerprint: str, crash: _Crash) -> None:
+        if fingerprint in self._convicted:
+            return
+        marks = self._marks.setdefault(fingerprint, [])
+        if crash not in marks:
+            marks.append(crash)
+            crash.pending.add(fingerprint)
+
+    def _judge(
+        self, fingerprint: str, marks: list[_Crash], now_ms: float
+    ) -> Verdict:
+        settled = now_ms - max(crash.at_ms for crash in marks) > _SETTLE_MS
+        if not settled or not any(c.pending == {fingerprint} for c in marks):
+            return Hold(_RETRY_MS)
+        self._convicted[fingerprint] = now_ms
+        for crash in list(marks):
+            self._forget(crash)
+        return Convicted()
+
+    def _avoid(self, now_ms: float) -> frozenset[str]:
+        """Returns replicas with suspects, and those that crashed just now.
+
+        A second crash of the latter could not be told from the first.
+        """
+        avoid = {
+            replica
+            for fingerprint, replicas in self._running.items()
+            if fingerprint in self._marks
+            for replica in replicas
+        }
+        for crash in reversed(self._crashes):
+            if now_ms - crash.at_ms > _SETTLE_MS:
+                break
+            avoid.add(crash.replica)
+        return frozenset(avoid)
+
+    def _forget(self, crash: _Crash) -> None:
+        for fingerprint in crash.pending:
+            marks = self._marks[fingerprint]
+            marks.remove(crash)
+            if not marks:
+                del self._marks[fingerprint]
+        crash.pending.clear()
+        if self._by_replica.get(crash.replica) is crash:
+            del self._by_replica[crash.replica]
+        if crash in self._crashes:
+            self._crashes.remove(crash)
+
+    def _expire(self, now_ms: float) -> None:
+        limit_ms = now_ms - _MEMORY_MS
+        while self._crashes and (
+            self._crashes[0].at_ms < limit_ms
+            or len(self._crashes) > _MAX_CRASHES
+        ):
+            self._forget(self._crashes[0])
+        while self._convicted:
+            oldest = next(iter(self._convicted))
+            if self._convicted[oldest] >= limit_ms:
+                break
+            del self._convicted[oldest]
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -164,6 +164,55 @@
     return run
 
 
+@dataclasses.dataclass
+class Response:
+    """An answer of a plain service."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: AsyncIterator[bytes]
+    trailers: list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass
+class Sent:
+    """What a plain service was sent."""
+
+    address: str
+    method: str
+    path: str
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Plain:
+    """A plain service that echoes bodies after `fails` failures."""
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+        self.fails: list[Exception] = []
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: Any,
+        body: AsyncIterator[bytes],
+        deadline_ms: float,
+    ) -> AsyncIterator[Response]:
+        got = b"".join([chunk async for chunk in body])
+        self.sent.append(Sent(address, method, path, dict(headers), got))
+        if self.fails:
+            raise self.fails.pop(0)
+
+        async def echo() -> AsyncIterator[bytes]:
+            yield got
+
+        yield Response(200, [(b"etag", b"1")], echo(), [(b"x-sum", b"7")])
+
+
 class World:
     """Dependencies with fakes and three replicas of one service."""
 
@@ -186,6 +235,18 @@
             for i in range(1, 4)
         ]
         self.router.fleet.update_hosts(self.hosts)
+        self.plain = Plain()
+        self.plain_router = routers.Router(
+            routers.Settings(), random.Random(1), kind="plain"
+        )
+        self.plain_router.fleet.update_hosts(
+            [
+                host_types.Host(
+                    f"p{i}", f"p{i}", "plain", "permits", "", "", "live"
+                )
+                for i in range(3)
+            ]
+        )
         self.state.view.models["sabeel"] = records.Model(
             name="sabeel", service=SERVICE, version="1"
         )
@@ -196,6 +257,8 @@
             limiter=self.limiter,
             router=self.router,
             engines=self.engines,
+            plain=self.plain,
+            plain_router=self.plain_router,
             clock=self.clock,
             metrics=metrics.Registry(),
             settings=dependencies.Settings(check_every_ms=5, stale_grace_ms=0),
--- /dev/null
+++ b/tests/routing/test_prefix.py
@@ -0,0 +1,50 @@
+"""Tests of the guess at replicas' prefix caches."""
+
+from lacewingwood.routing import prefix
+from lacewingwood.upstreams import types as upstream_types
+
+_PROMPT = b"x" * 1024
+
+
+def _event(serial: int, stored: bool, block: int) -> upstream_types.CacheEvent:
+    return upstream_types.CacheEvent(serial, stored, f"{block:016x}")
+
+
+def test_blocks_cover_all_text_before_them() -> None:
+    """Guards against taking equal text after different text as cached."""
+    one = prefix.block_hashes("m", b"a" * 256 + _PROMPT)
+    two = prefix.block_hashes("m", b"b" * 256 + _PROMPT)
+    assert len(one) == 5
+    assert not set(one) & set(two)
+    assert one != prefix.block_hashes("other", b"a" * 256 + _PROMPT)
+    assert one[:4] == prefix.block_hashes("m", b"a" * 256 + _PROMPT[:768])
+
+
+def test_events_correct_what_routing_guessed() -> None:
+    """Guards against preferring a replica that has evicted the prefix."""
+    affinity = prefix.Affinity()
+    affinity.routed("e1", (1, 2, 3))
+    assert affinity.preferred((1, 2, 9)) == "e1"
+    affinity.apply_events("e1", [_event(5, False, 2)])
+    assert affinity.cached_tokens("e1", (1, 2, 3)) == prefix.TOKENS_PER_BLOCK
+    affinity.apply_events("e1", [_event(5, True, 2), _event(4, True, 2)])
+    assert affinity.cached_tokens("e1", (1, 2)) == prefix.TOKENS_PER_BLOCK
+
+
+def test_gap_drops_what_was_known() -> None:
+    """Guards against trusting blocks whose eviction was lost in a gap."""
+    affinity = prefix.Affinity()
+    affinity.apply_events("e1", [_event(1, True, 1), _event(2, True, 2)])
+    affinity.routed("e2", (1,))
+    affinity.apply_events("e1", [_event(9, True, 7)])
+    assert affinity.cached_tokens("e1", (1, 2)) == 0
+    assert affinity.cached_tokens("e1", (7,)) == prefix.TOKENS_PER_BLOCK
+    assert affinity.preferred((1, 2)) == "e2"
+
+
+def test_memory_is_bounded() -> None:
+    """Guards against growth with the number of different prompts."""
+    affinity = prefix.Affinity(capacity=10)
+    affinity.routed("e1", tuple(range(50)))
+    assert len(affinity) == 10
+    assert affinity.preferred((49,)) == "e1"
--- /dev/null
+++ b/tests/routing/test_retries.py
@@ -0,0 +1,83 @@
+"""Tests of the retry policy."""
+
+import pytest
+
+from lacewingwood import errors
+from lacewingwood.routing import outcomes
+from lacewingwood.routing import retries
+from lacewingwood.upstreams import errors as upstream_errors
+
+_NOT_RUN = errors.Ran.NOT_RUN
+_MAY = errors.Ran.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ("exc", "idempotent", "expected"),
+    [
+        (upstream_errors.ConnectError("x"), False, retries.Retry()),
+        (upstream_errors.RefusedError("x", 503, b""), False, retries.Retry()),
+        (
+            upstream_errors.RefusedError("x", 400, b""),
+            True,
+            retries.GiveUp("rejected"),
+        ),
+        (
+            upstream_errors.BrokenError("x"),
+            False,
+            retries.GiveUp("may_have_run"),
+        ),
+        (upstream_errors.BrokenError("x"), True, retries.Retry()),
+        (
+            upstream_errors.BadAnswerError("x"),
+            False,
+            retries.GiveUp("may_have_run"),
+        ),
+        (
+            upstream_errors.TimeoutError("x", _MAY),
+            False,
+            retries.GiveUp("may_have_run"),
+        ),
+        (upstream_errors.TimeoutError("x", _NOT_RUN), False, retries.Retry()),
+    ],
+)
+def test_only_harmless_attempts_are_repeated(
+    exc: upstream_errors.UpstreamError,
+    idempotent: bool,
+    expected: retries.Decision,
+) -> None:
+    """Guards against running a non-idempotent request twice."""
+    attempts = retries.Attempts(idempotent, deadline_ms=10_000)
+    outcome = outcomes.of_error(exc)
+    assert attempts.after(outcome, retries.Budget(), 0) == expected
+
+
+def test_leaving_is_read_from_a_refusal() -> None:
+    """Guards against asking a replica again that said it is leaving."""
+    body = b'{"error": {"code": "leaving"}}'
+    exc = upstream_errors.RefusedError("x", 503, body)
+    assert outcomes.of_error(exc) == outcomes.Refused(leaving=True)
+
+
+def test_retries_stop_at_count_and_deadline() -> None:
+    """Guards against retries that outlive their caller."""
+    budget = retries.Budget()
+    attempts = retries.Attempts(True, deadline_ms=1000)
+    failed = outcomes.Unreachable()
+    assert attempts.after(failed, budget, 0) == retries.Retry()
+    late = attempts.after(failed, budget, 990)
+    assert late == retries.GiveUp("deadline")
+    assert attempts.after(failed, budget, 0) == retries.Retry()
+    assert attempts.after(failed, budget, 0) == retries.GiveUp("retries")
+
+
+def test_budget_holds_over_any_window() -> None:
+    """Guards against retry storms when all upstreams fail."""
+    budget = retries.Budget()
+    granted = 0
+    for i in range(2000):
+        now_ms = i * 25.0
+        budget.note_request(now_ms)
+        if budget.allows(now_ms):
+            budget.take(now_ms)
+            granted += 1
+    assert 150 <= granted <= 200 + 3
--- /dev/null
+++ b/tests/routing/test_suspects.py
@@ -0,0 +1,122 @@
+"""Tests of requests that crash replicas."""
+
+import collections
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lacewingwood.routing import suspects
+
+_REPLICAS = [f"e{i}" for i in range(8)]
+_BODIES = ["a", "b", "c", "d"]
+_CUSTOMERS = ["vendors", "inspectors"]
+_SETTLED_MS = 5000.0
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Callers send and resend requests, some of which crash replicas.
+
+    A crash is always caused by a request in flight; each request has one
+    attempt at a time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.suspects = suspects.Suspects()
+        self.now_ms = 0.0
+        self.running: dict[str, str] = {}
+        self.poison: set[str] = set()
+        self.lost: collections.Counter[str] = collections.Counter()
+
+    @stateful.initialize(
+        poison=st.sets(
+            st.sampled_from([f"{c}:{b}" for c in _CUSTOMERS for b in _BODIES])
+        )
+    )
+    def choose_poison(self, poison: set[str]) -> None:
+        self.poison = poison
+
+    @stateful.rule(
+        customer=st.sampled_from(_CUSTOMERS),
+        body=st.sampled_from(_BODIES),
+        replica=st.sampled_from(_REPLICAS),
+    )
+    def send(self, customer: str, body: str, replica: str) -> None:
+        fingerprint = f"{customer}:{body}"
+        if fingerprint in self.running:
+            return
+        match self.suspects.check(fingerprint, self.now_ms):
+            case suspects.Convicted():
+                assert fingerprint in self.poison, "an innocent was refused"
+            case suspects.Alone(avoid=avoid) if replica in avoid:
+                pass
+            case suspects.Unsuspected() | suspects.Alone():
+                self.suspects.started(fingerprint, replica)
+                self.running[fingerprint] = replica
+
+    @stateful.rule(fingerprint=st.data())
+    def end(self, fingerprint: st.DataObject) -> None:
+        """One request in flight completes, or crashes its replica."""
+        if not self.running:
+            return
+        chosen = fingerprint.draw(st.sampled_from(sorted(self.running)))
+        if chosen in self.poison:
+            self._crash(chosen, self.running[chosen])
+            return
+        replica = self.running.pop(chosen)
+        self.suspects.completed(chosen)
+        self.suspects.ended(chosen, replica)
+
+    @stateful.rule(fingerprint=st.data())
+    def cancel(self, fingerprint: st.DataObject) -> None:
+        if self.running:
+            chosen = fingerprint.draw(st.sampled_from(sorted(self.running)))
+            self.suspects.ended(chosen, self.running.pop(chosen))
+
+    @stateful.rule(ms=st.sampled_from([10.0, _SETTLED_MS]))
+    def wait(self, ms: float) -> None:
+        self.now_ms += ms
+
+    @stateful.invariant()
+    def two_replicas_at_most(self) -> None:
+        assert all(count <= 2 for count in self.lost.values()), self.lost
+
+    def _crash(self, cause: str, replica: str) -> None:
+        involved = [f for f, r in self.running.items() if r == replica]
+        assert set(self.suspects.running_on(replica)) == set(involved)
+        self.lost[cause] += 1
+        self.suspects.crashed(replica, involved, self.now_ms)
+        for fingerprint in involved:
+            del self.running[fingerprint]
+            self.suspects.ended(fingerprint, replica)
+
+
+FleetTest = Fleet.TestCase
+FleetTest.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=60
+)
+
+
+def test_poison_is_refused_and_bystanders_are_freed() -> None:
+    """Guards against holding everyone back for good after two crashes."""
+    marks = suspects.Suspects()
+    marks.crashed("e1", ["x:poison", "y:good"], 0)
+    assert marks.check("y:good", 10) == suspects.Alone(frozenset({"e1"}))
+    marks.started("x:poison", "e2")
+    assert marks.check("y:good", 10) == suspects.Alone(frozenset({"e1", "e2"}))
+    marks.crashed("e2", ["x:poison", "z:new"], 20)
+    marks.ended("x:poison", "e2")
+    assert isinstance(marks.check("x:poison", 9000), suspects.Hold)
+    assert marks.completed("z:new")
+    assert marks.check("x:poison", 9000) == suspects.Convicted()
+    assert marks.check("y:good", 9000) == suspects.Unsuspected()
+    assert marks.check("y:poison", 9000) == suspects.Unsuspected()
+
+
+def test_network_break_leaves_no_mark() -> None:
+    """Guards against refusing requests for breaks that were no crash."""
+    marks = suspects.Suspects()
+    marks.crashed("e1", ["x:1"], 0)
+    marks.survived("e1", 100)
+    assert marks.check("x:1", 200) == suspects.Unsuspected()
