--- a/lacewingwood/batch/owner.py
+++ b/lacewingwood/batch/owner.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator
+from typing import Any
 
 import msgspec
 import trio
@@ -29,6 +30,7 @@
 _HAND_OVER_MS = 2_000.0
 # Tokens assumed for an answer whose length the request does not bound.
 _ANSWER_TOKENS = 256
+_MAX_ANSWER_TOKENS = 1_000_000
 _BYTES_PER_TOKEN = 4
 
 
@@ -36,8 +38,8 @@
     """Fields of a request that bound its answer."""
 
     model: str
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Any = None
+    max_completion_tokens: Any = None
 
 
 class _Usage(msgspec.Struct):
@@ -362,13 +364,20 @@
     parsed = _body_decoder.decode(line)
     body = bytes(parsed.body)
     limits = _limits_decoder.decode(body)
-    answer = limits.max_completion_tokens or limits.max_tokens
-    cost = len(body) / _BYTES_PER_TOKEN + (answer or _ANSWER_TOKENS)
+    cost = len(body) / _BYTES_PER_TOKEN + _answer_tokens(limits)
     return schedule.Item(
         job_id, index, parsed.custom_id, body, limits.model, cost
     )
 
 
+def _answer_tokens(limits: _Limits) -> int:
+    # The engine judges these fields; a wrong value only spoils the estimate.
+    for tokens in (limits.max_completion_tokens, limits.max_tokens):
+        if isinstance(tokens, int) and 0 < tokens <= _MAX_ANSWER_TOKENS:
+            return tokens
+    return _ANSWER_TOKENS
+
+
 def _tokens(response: bytes, cost: float) -> float:
     """Returns the tokens an answer used, or `cost` if it doesn't tell."""
     try:
--- a/lacewingwood/batch/worker.py
+++ b/lacewingwood/batch/worker.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+import structlog
 import trio
 import xxhash
 
@@ -19,6 +20,9 @@
 
 _CHECK_MS = 250.0
 _LEASE_CHECK_MS = 50.0
+_ERROR_PAUSE_MS = 1_000.0
+
+_log = structlog.get_logger()
 
 
 class Worker:
@@ -146,7 +150,13 @@
             self._claim(nursery, name, self._workers(""))
 
     async def _run_job(self, job: records.Job, epoch: int) -> None:
-        await self._owner.run_job(job, epoch)
+        try:
+            await self._owner.run_job(job, epoch)
+        except* Exception:
+            # One job must not end those that run beside it.
+            self._deps.metrics.add("batch_job_errors")
+            _log.exception("job failed", job_id=job.job_id)
+            await self._deps.clock.sleep_ms(_ERROR_PAUSE_MS)
         state = self._deps.follower.view.jobs.get(job.job_id)
         ended = state is None or state.status != "accepted"
         name = f"job/{job.job_id}"
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -236,17 +236,15 @@
 
     slots: int = 4
     step_ms: float = 20.0
-    running: dict[str, trio.CancelScope] = dataclasses.field(
-        default_factory=dict
-    )
+    running: dict[str, trio.Event] = dataclasses.field(default_factory=dict)
     most: int = 0
     crashes: int = 0
     bodies: list[dict[str, Any]] = dataclasses.field(default_factory=list)
 
     def crash(self) -> None:
         self.crashes += 1
-        for scope in self.running.values():
-            scope.cancel()
+        for death in self.running.values():
+            death.set()
 
 
 class Engines:
@@ -283,7 +281,7 @@
         engine.bodies.append(fields)
         if fields.get("refuse"):
             raise upstream_errors.RefusedError("refused", 400, b"bad")
-        engine.running[request_id] = trio.CancelScope()
+        engine.running[request_id] = trio.Event()
         engine.most = max(engine.most, len(engine.running))
         try:
             yield Stream(engine, fields, engine.running[request_id])
@@ -297,18 +295,17 @@
 
     engine: Engine
     fields: dict[str, Any]
-    scope: trio.CancelScope
+    death: trio.Event
 
     async def chunks(self) -> AsyncIterator[bytes]:
         first = len(self.fields.get("resume_text", "").split())
         last = self.fields.get("max_tokens", 3)
         for number in range(first, last):
-            if self.fields.get("poison") and not self.scope.cancel_called:
+            if self.fields.get("poison"):
                 self.engine.crash()
             with trio.move_on_after(self.engine.step_ms / 1000):
-                while not self.scope.cancel_called:
-                    await trio.sleep(0.001)
-            if self.scope.cancel_called:
+                await self.death.wait()
+            if self.death.is_set():
                 raise upstream_errors.BrokenError("engine died")
             delta = {"content": f"w{number} "}
             choice = {"index": 0, "delta": delta, "finish_reason": None}
