Lend parts of customers' buckets to entries

Rate and burst hold over all entries together: each part of a bucket has one owner that lends pieces and counts what an entry may still hold, answers on their way included. A hypothesis state machine with loss, duplication, reordering, pauses, succession and changed limits checks every admission against a single bucket.

--- /dev/null
+++ b/lacewingwood/limits/lender.py
@@ -0,0 +1,361 @@
+"""Lends one part of a customer's bucket; runs in the part's owner.
+
+The part's limit is divided between the owner's own bucket and the pieces that
+entries hold. What an entry can hold counts as lent until the owner knows that
+the entry no longer has it, by a later message or by the passing of time:
+
+- A piece ends `TTL_MS` after the entry asked for it, which is before the owner
+  lent it.
+- An answer is applied at most `ANSWER_MS` after the question and only while no
+  later question has been asked; until then both the old piece and the answer
+  on its way count.
+"""
+
+import dataclasses
+import heapq
+
+from lacewingwood.limits import bucket
+from lacewingwood.limits import split
+from lacewingwood.peers import messages
+
+TTL_MS = 15_000.0
+ANSWER_MS = 250.0
+
+# Covers the difference between two hosts' clock rates over a piece's life.
+_DRIFT = 1.001
+# A refilling piece holds what arrives in this time; entries with less than one
+# request in it borrow for each request.
+_STANDING_MS = 250.0
+# Most of the depth that refilling pieces may hold, so that the rest remains
+# for requests that land on other entries.
+_STANDING_SHARE = 0.5
+# Part of an entry's demand that its piece refills; a piece that refills faster
+# than it is used would be full and waste the rate.
+_REFILL_SHARE = 0.8
+_FORGET_MS = 2 * TTL_MS
+_NEVER_MS = 1_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Share:
+    """Rate and depth of a piece until `end_ms`."""
+
+    rate: float = 0.0
+    depth: float = 0.0
+    end_ms: float = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class _Offer:
+    """An answer that the entry may have applied or may yet apply."""
+
+    share: _Share
+    added: float
+    applied_by_ms: float
+    answer: messages.Lent
+
+
+@dataclasses.dataclass(slots=True)
+class _Borrower:
+    """What the owner knows of one entry.
+
+    Attributes:
+        held: Piece that the entry has or had before it applied `offer`.
+        offer: The last answer, until a later message tells if it was applied.
+        quota: Rate and depth that the entry may keep after the customer's
+            limit was lowered; at other times no less than what it has.
+        serial: Serial of its last message.
+        demand: Its arrivals a second.
+        seen_ms: Time of its last message.
+    """
+
+    held: _Share
+    quota: _Share
+    serial: int = 0
+    offer: _Offer | None = None
+    demand: float = 0.0
+    seen_ms: float = 0.0
+
+    def lent(self, now_ms: float) -> tuple[float, float]:
+        """Returns the most rate and depth that the entry can have."""
+        live = self.held.end_ms > now_ms
+        rate = self.held.rate if live else 0.0
+        depth = self.held.depth if live else 0.0
+        offer = self.offer
+        if offer is not None and offer.share.end_ms > now_ms:
+            if now_ms < offer.applied_by_ms:
+                depth += offer.added
+            rate = max(rate, offer.share.rate)
+            depth = max(depth, offer.share.depth)
+        return rate, depth
+
+    def kept(self, now_ms: float) -> tuple[float, float]:
+        """Returns what it will have once a lowered limit is in effect."""
+        rate, depth = self.lent(now_ms)
+        return min(rate, self.quota.rate), min(depth, self.quota.depth)
+
+
+class Lender:
+    """One part of one customer's bucket under one lease.
+
+    Times are monotonic, in ms; messages are handled in any order and number.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        limit: split.Limit,
+        now_ms: float,
+        lend_from_ms: float,
+        full: bool = False,
+    ) -> None:
+        """Makes the part.
+
+        Args:
+            epoch: Fencing number of the owner's lease.
+            limit: Limit of this part.
+            now_ms: The time.
+            lend_from_ms: When all pieces of earlier owners have ended; only
+                pieces that entries report are lent before.
+            full: True if no earlier owner can have lent from this part.
+        """
+        self.epoch = epoch
+        self._limit = limit
+        self._lend_from_ms = lend_from_ms
+        self._borrowers: dict[str, _Borrower] = {}
+        self._changes: list[float] = []
+        level = float(limit.burst) if full else 0.0
+        start_ms = min(now_ms, lend_from_ms) if full else lend_from_ms
+        self._bucket = bucket.Bucket(
+            limit.rate, limit.burst, level, min(start_ms, now_ms)
+        )
+        if not full and now_ms < lend_from_ms:
+            heapq.heappush(self._changes, lend_from_ms)
+        self._rebalance(now_ms)
+
+    def set_limit(self, limit: split.Limit, now_ms: float) -> None:
+        """Changes the limit from now on.
+
+        Pieces lent under a higher limit shrink when they are renewed and end
+        with their TTL otherwise.
+        """
+        if limit == self._limit:
+            return
+        self._advance(now_ms)
+        self._limit = limit
+        kept = [b.kept(now_ms) for b in self._borrowers.values()]
+        rate = sum(rate for rate, _ in kept)
+        depth = sum(depth for _, depth in kept)
+        for borrower, (own_rate, own_depth) in zip(
+            self._borrowers.values(), kept, strict=True
+        ):
+            borrower.quota = _Share(
+                own_rate * _fraction(limit.rate, rate),
+                own_depth * _fraction(limit.burst, depth),
+            )
+        self._rebalance(now_ms)
+
+    def level(self, now_ms: float) -> float:
+        """Returns the requests that are not lent."""
+        self._advance(now_ms)
+        return self._bucket.level(now_ms)
+
+    def borrow(
+        self, msg: messages.Borrow, now_ms: float
+    ) -> messages.Lent | None:
+        """Returns the entry's new piece, None if the message is outdated."""
+        self._advance(now_ms)
+        borrower = self._borrower(msg.node_id)
+        if msg.serial < borrower.serial:
+            return None
+        if msg.serial == borrower.serial:
+            offer = borrower.offer
+            return offer.answer if offer is not None else None
+        self._settle(borrower, msg.serial, msg.applied, now_ms)
+        if msg.epoch != self.epoch and now_ms < self._lend_from_ms:
+            self._adopt(borrower, msg)
+        borrower.demand = max(0.0, msg.demand)
+        borrower.seen_ms = now_ms
+        self._rebalance(now_ms)
+        return self._lend(borrower, msg, now_ms)
+
+    def take_back(self, msg: messages.Return, now_ms: float) -> None:
+        """Takes a piece back with what is left in it."""
+        self._advance(now_ms)
+        borrower = self._borrowers.get(msg.node_id)
+        if borrower is None or msg.serial <= borrower.serial:
+            return
+        self._settle(borrower, msg.serial, msg.applied, now_ms)
+        held = borrower.held
+        left = 0.0
+        if msg.epoch == self.epoch and held.end_ms > now_ms:
+            left = min(max(0.0, msg.level), held.depth)
+        borrower.held = _Share()
+        borrower.demand = 0.0
+        self._rebalance(now_ms)
+        self._bucket.put(now_ms, left)
+
+    def _borrower(self, node_id: str) -> _Borrower:
+        borrower = self._borrowers.get(node_id)
+        if borrower is None:
+            unlimited = _Share(float("inf"), float("inf"))
+            borrower = _Borrower(held=_Share(), quota=unlimited)
+            self._borrowers[node_id] = borrower
+        return borrower
+
+    def _advance(self, now_ms: float) -> None:
+        """Refills up to now, with each change of what is lent in its order."""
+        while self._changes and self._changes[0] <= now_ms:
+            self._rebalance(heapq.heappop(self._changes))
+        self._bucket.level(now_ms)
+
+    def _rebalance(self, now_ms: float) -> None:
+        """Gives the owner's bucket what is not lent."""
+        rate, depth = self._limit.rate, float(self._limit.burst)
+        if now_ms < self._lend_from_ms:
+            rate = depth = 0.0
+        lent = [b.lent(now_ms) for b in self._borrowers.values()]
+        self._bucket.configure(
+            now_ms,
+            max(0.0, rate - sum(each for each, _ in lent)),
+            max(0.0, depth - sum(each for _, each in lent)),
+        )
+
+    def _settle(
+        self, borrower: _Borrower, serial: int, applied: int, now_ms: float
+    ) -> None:
+        """Learns from a new message whether the last answer was applied."""
+        offer = borrower.offer
+        asked = borrower.serial
+        borrower.serial = serial
+        borrower.offer = None
+        if offer is None:
+            return
+        if applied >= asked:
+            borrower.held = offer.share
+            return
+        self._rebalance(now_ms)
+        self._bucket.put(now_ms, offer.added)
+
+    def _adopt(self, borrower: _Borrower, msg: messages.Borrow) -> None:
+        """Takes over a piece that an earlier owner lent."""
+        borrower.held = _Share(
+            max(0.0, msg.rate), max(0.0, msg.depth), self._lend_from_ms
+        )
+
+    def _lend(
+        self, borrower: _Borrower, msg: messages.Borrow, now_ms: float
+    ) -> messages.Lent:
+        held = borrower.held if borrower.held.end_ms > now_ms else _Share()
+        level = min(max(0.0, msg.level), held.depth)
+        room = self._room(borrower, held, now_ms)
+        rate, standing = self._standing(borrower, held, now_ms)
+        rate = min(rate, room.rate)
+        wanted = max(msg.want, standing)
+        added = max(0.0, min(self._bucket.level(now_ms), wanted - level))
+        depth = min(max(standing, level + added), room.depth)
+        added = max(0.0, min(added, depth - level))
+        refills = rate > 0 and depth > 0
+        ttl_ms = TTL_MS if refills else min(max(msg.use_ms, 0.0), TTL_MS)
+        share = _Share(
+            rate if refills else 0.0, depth, now_ms + ttl_ms * _DRIFT
+        )
+        self._bucket.take(now_ms, added)
+        answer = messages.Lent(
+            epoch=self.epoch,
+            rate=share.rate,
+            depth=depth,
+            add_level=added,
+            ttl_ms=ttl_ms,
+            retry_ms=self._retry_ms(msg.want - level - added, now_ms),
+            serial=msg.serial,
+        )
+        self._offer(borrower, share, added, answer, now_ms)
+        return answer
+
+    def _offer(
+        self,
+        borrower: _Borrower,
+        share: _Share,
+        added: float,
+        answer: messages.Lent,
+        now_ms: float,
+    ) -> None:
+        applied_by_ms = now_ms + ANSWER_MS * _DRIFT
+        borrower.offer = _Offer(share, added, applied_by_ms, answer)
+        borrower.quota = _Share(share.rate, share.depth)
+        for end_ms in (share.end_ms, applied_by_ms, borrower.held.end_ms):
+            if end_ms > now_ms:
+                heapq.heappush(self._changes, end_ms)
+        self._forget(now_ms)
+        self._rebalance(now_ms)
+
+    def _room(self, borrower: _Borrower, held: _Share, now_ms: float) -> _Share:
+        """Returns the most that an entry may get beside all others.
+
+        It may keep what it has, unless the limit was lowered.
+        """
+        others = [b for b in self._borrowers.values() if b is not borrower]
+        lent = [b.lent(now_ms) for b in others]
+        kept = [b.kept(now_ms) for b in others]
+        limit = self._limit
+        free_rate = limit.rate - sum(rate for rate, _ in lent)
+        free_depth = limit.burst - sum(depth for _, depth in lent)
+        return _Share(
+            _at_least_zero(
+                min(
+                    max(held.rate, free_rate),
+                    limit.rate - sum(rate for rate, _ in kept),
+                )
+            ),
+            _at_least_zero(
+                min(
+                    max(held.depth, free_depth),
+                    limit.burst - sum(depth for _, depth in kept),
+                )
+            ),
+        )
+
+    def _standing(
+        self, borrower: _Borrower, held: _Share, now_ms: float
+    ) -> tuple[float, float]:
+        """Returns rate and depth in proportion to the entry's demand."""
+        if now_ms < self._lend_from_ms:
+            return held.rate, held.depth
+        total = sum(b.demand for b in self._borrowers.values())
+        share = borrower.demand / total if total else 0.0
+        used = min(borrower.demand, self._limit.rate * share)
+        depth = min(
+            used * _STANDING_MS / 1000,
+            self._limit.burst * share * _STANDING_SHARE,
+        )
+        if depth < 1:
+            return 0.0, 0.0
+        return used * _REFILL_SHARE, depth
+
+    def _retry_ms(self, missing: float, now_ms: float) -> float:
+        if missing <= bucket.ROUNDING:
+            return 0.0
+        if now_ms < self._lend_from_ms:
+            return self._lend_from_ms - now_ms
+        level = self._bucket.level(now_ms)
+        wait_ms = self._bucket.wait_ms(now_ms, level + missing)
+        return min(wait_ms, _NEVER_MS)
+
+    def _forget(self, now_ms: float) -> None:
+        """Drops entries that are gone and hold nothing."""
+        gone = [
+            node_id
+            for node_id, b in self._borrowers.items()
+            if now_ms - b.seen_ms > _FORGET_MS and b.lent(now_ms) == (0, 0)
+        ]
+        for node_id in gone:
+            del self._borrowers[node_id]
+
+
+def _fraction(limit: float, total: float) -> float:
+    return min(1.0, limit / total) if total > 0 else 1.0
+
+
+def _at_least_zero(value: float) -> float:
+    return max(0.0, value)
--- /dev/null
+++ b/lacewingwood/limits/owner.py
@@ -0,0 +1,116 @@
+"""Answers other processes for the parts of buckets that this one owns."""
+
+from collections.abc import Callable
+
+from lacewingwood import clock as clock_lib
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.limits import errors
+from lacewingwood.limits import lender
+from lacewingwood.limits import ports
+from lacewingwood.limits import split
+from lacewingwood.peers import messages
+
+LimitOf = Callable[[str], split.Limit | None]
+
+
+class _Tenure:
+    """The parts under one claim of a lease."""
+
+    __slots__ = ("epoch", "lend_from_ms", "parts")
+
+    def __init__(self, epoch: int, lend_from_ms: float) -> None:
+        self.epoch = epoch
+        self.lend_from_ms = lend_from_ms
+        self.parts: dict[str, lender.Lender] = {}
+
+
+class Owner:
+    """The parts of customers' buckets whose leases this process holds."""
+
+    def __init__(
+        self,
+        leases: ports.Leases,
+        limit_of: LimitOf,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Registry,
+        region: str,
+        unused: Callable[[str], bool],
+    ) -> None:
+        """Makes the owner.
+
+        Args:
+            leases: Who owns what.
+            limit_of: Returns a customer's limit in this region by name.
+            clock: The time.
+            metrics: Where refusals are counted.
+            region: Region in the names of leases, empty if there is only one.
+            unused: Tells whether a lease surely had no earlier holder, so
+                that there is nothing to wait for.
+        """
+        self._leases = leases
+        self._limit_of = limit_of
+        self._clock = clock
+        self._metrics = metrics
+        self._region = region
+        self._unused = unused
+        self._tenures: dict[str, _Tenure] = {}
+
+    def watch(self) -> None:
+        """Starts the waiting time of leases that have become usable."""
+        for name in split.lease_names(self._region):
+            self._tenure(name)
+
+    def lend(self, msg: messages.Borrow) -> messages.Lent:
+        """Answers an entry.
+
+        Raises:
+            errors.NotOwnerError: Another process may own the part.
+            errors.OutdatedError: The entry no longer waits for this answer.
+        """
+        part = self._part(msg.customer, msg.part)
+        lent = part.borrow(msg, self._clock.now_ms())
+        if lent is None:
+            raise errors.OutdatedError("a later question was answered")
+        return lent
+
+    def take_back(self, msg: messages.Return) -> None:
+        """Takes a piece back.
+
+        Raises:
+            errors.NotOwnerError: Another process may own the part.
+        """
+        part = self._part(msg.customer, msg.part)
+        part.take_back(msg, self._clock.now_ms())
+
+    def _tenure(self, name: str) -> _Tenure | None:
+        """Returns the state of a lease that may be used now."""
+        epoch = self._leases.held(name) if self._leases.fresh() else None
+        if epoch is None:
+            return None
+        tenure = self._tenures.get(name)
+        if tenure is None or tenure.epoch != epoch:
+            wait_ms = 0.0 if self._unused(name) else lender.TTL_MS
+            tenure = _Tenure(epoch, self._clock.now_ms() + wait_ms)
+            self._tenures[name] = tenure
+        return tenure
+
+    def _part(self, customer: str, index: int) -> lender.Lender:
+        name = split.lease_name(customer, index, self._region)
+        tenure = self._tenure(name)
+        limit = self._limit_of(customer)
+        if tenure is None or limit is None:
+            self._metrics.add("limit_not_owner")
+            raise errors.NotOwnerError(f"{name} is not held here")
+        part_limit = split.parts(limit)[index]
+        now_ms = self._clock.now_ms()
+        part = tenure.parts.get(customer)
+        if part is None:
+            part = tenure.parts[customer] = lender.Lender(
+                tenure.epoch,
+                part_limit,
+                now_ms,
+                tenure.lend_from_ms,
+                full=self._unused(name),
+            )
+        part.set_limit(part_limit, now_ms)
+        return part
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -92,14 +92,17 @@
         node_id: The borrowing entry.
         customer: Name of the customer.
         part: Index of the bucket's part.
-        want: Requests to admit now and soon.
-        demand: Recent arrivals a second at this entry.
+        want: Level that the piece should have, for requests that wait.
+        demand: Recent arrivals a second at this entry, for this part.
         rate: Refill a second of the piece held now.
         depth: Depth of the piece held now.
         level: Unused requests in the piece held now.
         serial: Rises with each message of this entry for this part.
         epoch: Fencing number of the lease under which the piece was lent, -1
             if none is held.
+        applied: Serial of the question whose answer gave the piece held.
+        use_ms: Time from the question in which the entry will have used what
+            it gets.
     """
 
     node_id: str
@@ -112,6 +115,8 @@
     level: float
     serial: int
     epoch: int
+    applied: int = 0
+    use_ms: float = 250.0
 
 
 class Lent(Message, tag="lent"):
@@ -124,6 +129,7 @@
         add_level: Requests added to those the entry has left.
         ttl_ms: Life of the piece, counted by the entry from before it asked.
         retry_ms: When asking again may help, if too little was lent.
+        serial: Serial of the question.
     """
 
     epoch: int
@@ -132,10 +138,14 @@
     add_level: float
     ttl_ms: float
     retry_ms: float
+    serial: int = 0
 
 
 class Return(Message, tag="return"):
-    """Gives a piece back; the entry has stopped using it."""
+    """Gives a piece back; the entry has stopped using it.
+
+    The fields have the same meaning as in `Borrow`.
+    """
 
     node_id: str
     customer: str
@@ -143,6 +153,7 @@
     level: float
     serial: int
     epoch: int
+    applied: int = 0
 
 
 class OnlineCount(Message, tag="online_count"):
--- /dev/null
+++ b/tests/limits/test_machine.py
@@ -0,0 +1,227 @@
+"""State machine: entries, owners and a network that fails in any way."""
+
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lacewingwood.limits import borrower
+from lacewingwood.limits import bucket
+from lacewingwood.limits import lender
+from lacewingwood.limits import split
+from lacewingwood.peers import messages
+
+_ENTRIES = 3
+_SLACK = 1e-6
+# Longest time between a changed limit and the end of older pieces.
+_CONVERGED_MS = lender.TTL_MS * 1.01
+
+_LIMITS = strategies.builds(
+    split.Limit,
+    rate=strategies.sampled_from([0.5, 1.0, 4.0, 20.0, 50.0]),
+    burst=strategies.sampled_from([1, 2, 3, 8, 40, 100]),
+)
+
+
+class Part:
+    """One part and the owner that may lend it now."""
+
+    def __init__(self, limit: split.Limit) -> None:
+        self.limit = limit
+        self.epoch = 0
+        self.owner = lender.Lender(0, limit, 0.0, 0.0, full=True)
+
+    def succeed(self, now_ms: float) -> None:
+        self.epoch += 1
+        self.owner = lender.Lender(
+            self.epoch, self.limit, now_ms, now_ms + lender.TTL_MS
+        )
+
+
+class Entry:
+    """A borrower whose clock is its own."""
+
+    def __init__(self, index: int, limit: split.Limit) -> None:
+        self.node_id = f"entry-{index}"
+        self.skew_ms = index * 123_456.0
+        self.serials = itertools.count(1)
+        self.paused_until_ms = 0.0
+        self.start(limit, 0.0)
+
+    def start(self, limit: split.Limit, now_ms: float) -> None:
+        self.borrower = borrower.Borrower(
+            self.node_id, "c", limit, self.clock(now_ms), self.serials
+        )
+
+    def clock(self, now_ms: float) -> float:
+        return now_ms + self.skew_ms
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Checks that all admissions together conform to the limit."""
+
+    @stateful.initialize(limit=_LIMITS)
+    def begin(self, limit: split.Limit) -> None:
+        self.now_ms = 0.0
+        self.limit = limit
+        self.parts = [Part(part) for part in split.parts(limit)]
+        self.entries = [Entry(index, limit) for index in range(_ENTRIES)]
+        self.wire: list[tuple[int, int, int, messages.Message]] = []
+        self.reference = bucket.Bucket(limit.rate, limit.burst, limit.burst, 0)
+        self.lowered: list[tuple[float, split.Limit]] = []
+
+    @stateful.rule(
+        passed_ms=strategies.sampled_from(
+            [0.3, 1.0, 7.0, 60.0, 240.0, 260.0, 1_000.0, 5_100.0, 15_100.0]
+        )
+    )
+    def wait(self, passed_ms: float) -> None:
+        self.now_ms += passed_ms
+        while self.lowered and self.lowered[0][0] <= self.now_ms:
+            at_ms, limit = self.lowered.pop(0)
+            self.reference.configure(at_ms, limit.rate, limit.burst)
+
+    @stateful.rule(
+        index=strategies.integers(0, _ENTRIES - 1),
+        count=strategies.sampled_from([1, 1, 2, 5, 30]),
+    )
+    def request(self, index: int, count: int) -> None:
+        entry = self.entries[index]
+        if entry.paused_until_ms > self.now_ms:
+            return
+        local_ms = entry.clock(self.now_ms)
+        waiting = 0
+        for _ in range(count):
+            entry.borrower.arrived(local_ms)
+            if entry.borrower.admit(local_ms):
+                self._admitted()
+            else:
+                waiting += 1
+        self._post(index, entry.borrower.questions(local_ms, waiting))
+
+    @stateful.rule(index=strategies.integers(0, _ENTRIES - 1))
+    def renew(self, index: int) -> None:
+        entry = self.entries[index]
+        if entry.paused_until_ms <= self.now_ms:
+            local_ms = entry.clock(self.now_ms)
+            self._post(index, entry.borrower.renewals(local_ms))
+
+    @stateful.rule(
+        index=strategies.integers(0, _ENTRIES - 1), whole=strategies.booleans()
+    )
+    def give_back(self, index: int, whole: bool) -> None:
+        entry = self.entries[index]
+        local_ms = entry.clock(self.now_ms)
+        if whole:
+            self._post(index, entry.borrower.give_back(local_ms))
+        else:
+            self._post(index, entry.borrower.give_back_rest(local_ms))
+
+    @stateful.rule(
+        index=strategies.integers(0, _ENTRIES - 1),
+        part=strategies.integers(0, split.PARTS - 1),
+    )
+    def time_out(self, index: int, part: int) -> None:
+        entry = self.entries[index]
+        piece = entry.borrower.pieces[part]
+        local_ms = entry.clock(self.now_ms)
+        piece.failed(local_ms, piece.serial, 0.0)
+
+    @stateful.rule(index=strategies.integers(0, _ENTRIES - 1))
+    def forget_customer(self, index: int) -> None:
+        """The entry drops an idle customer and meets it again."""
+        self.entries[index].start(self.limit, self.now_ms)
+
+    @stateful.rule(
+        index=strategies.integers(0, _ENTRIES - 1),
+        passed_ms=strategies.sampled_from([300.0, 16_000.0]),
+    )
+    def pause(self, index: int, passed_ms: float) -> None:
+        self.entries[index].paused_until_ms = self.now_ms + passed_ms
+
+    @stateful.precondition(lambda self: self.wire)
+    @stateful.rule(
+        at=strategies.integers(0, 10_000),
+        fate=strategies.sampled_from(
+            ["deliver", "deliver", "deliver", "duplicate", "lose"]
+        ),
+    )
+    def network(self, at: int, fate: str) -> None:
+        at %= len(self.wire)
+        packet = self.wire[at]
+        if fate != "duplicate":
+            del self.wire[at]
+        if fate != "lose":
+            self._deliver(*packet)
+
+    @stateful.rule(rounds=strategies.integers(1, 3))
+    def calm(self, rounds: int) -> None:
+        """All messages arrive, in order, within a millisecond."""
+        for _ in range(rounds):
+            packets, self.wire = self.wire, []
+            self.wait(0.5)
+            for packet in packets:
+                self._deliver(*packet)
+
+    @stateful.rule(part=strategies.integers(0, split.PARTS - 1))
+    def succeed(self, part: int) -> None:
+        self.parts[part].succeed(self.now_ms)
+
+    @stateful.rule(limit=_LIMITS)
+    def reconfigure(self, limit: split.Limit) -> None:
+        """The owners learn of a limit; a lower one is reached within a TTL."""
+        before = self.limit
+        self.limit = limit
+        for part, share in zip(self.parts, split.parts(limit), strict=True):
+            part.limit = share
+            part.owner.set_limit(share, self.now_ms)
+        for entry in self.entries:
+            entry.borrower.set_limit(limit)
+        both = split.Limit(
+            max(limit.rate, before.rate, self.reference.rate),
+            max(limit.burst, before.burst, int(self.reference.depth)),
+        )
+        raised = both.burst - self.reference.depth
+        self.reference.configure(self.now_ms, both.rate, both.burst)
+        self.reference.put(self.now_ms, max(0, raised))
+        self.lowered = [(self.now_ms + _CONVERGED_MS, limit)]
+
+    @stateful.invariant()
+    def owners_keep_within_the_limit(self) -> None:
+        if not hasattr(self, "parts"):
+            return
+        for part in self.parts:
+            level = part.owner.level(self.now_ms)
+            assert level <= part.limit.burst + _SLACK
+
+    def _post(self, index: int, items: list) -> None:
+        for part, msg in items:
+            epoch = self.parts[part].epoch
+            self.wire.append((index, part, epoch, msg))
+
+    def _deliver(
+        self, index: int, part: int, epoch: int, msg: messages.Message
+    ) -> None:
+        entry = self.entries[index]
+        owner = self.parts[part]
+        match msg:
+            case messages.Borrow() if epoch == owner.epoch:
+                answer = owner.owner.borrow(msg, self.now_ms)
+                if answer is not None:
+                    self.wire.append((index, part, epoch, answer))
+            case messages.Return() if epoch == owner.epoch:
+                owner.owner.take_back(msg, self.now_ms)
+            case messages.Lent() if entry.paused_until_ms <= self.now_ms:
+                local_ms = entry.clock(self.now_ms)
+                entry.borrower.pieces[part].lent(local_ms, msg)
+
+    def _admitted(self) -> None:
+        level = self.reference.level(self.now_ms)
+        assert self.reference.take(self.now_ms, 1 - _SLACK), level
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = hypothesis.settings(
+    stateful_step_count=60, max_examples=300
+)
