Tell first claims of leases from later ones; pass customers to the limiter

Cause: a released lease left no trace, so after a restart of all processes the first claim looked unused and its owner would have lent a full burst again. Change: versions of released leases stay, claims carry whether they are the first.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints JSON."""
--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -11,6 +11,7 @@
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_module
 from lacewingwood.callers import http
+from lacewingwood.limits import limiter as limiter_module
 from lacewingwood.peers import messages
 from lacewingwood.routing import router as routers
 from lacewingwood.routing import suspects as suspects_module
@@ -20,9 +21,17 @@
 class View(Protocol):
     """The shared configuration, as lacewingwood.state.view.View has it."""
 
-    customers: Mapping[str, records.Customer]
-    routes: Mapping[str, records.Route]
-    models: Mapping[str, records.Model]
+    @property
+    def customers(self) -> Mapping[str, records.Customer]:
+        """Customers by name."""
+
+    @property
+    def routes(self) -> Mapping[str, records.Route]:
+        """Routes by name."""
+
+    @property
+    def models(self) -> Mapping[str, records.Model]:
+        """Models by name."""
 
     def authenticate(self, digest: str) -> str | None:
         """Returns the customer of a valid key's SHA-256, else None."""
@@ -42,8 +51,10 @@
 class Limiter(Protocol):
     """Rate and burst of customers over the fleet."""
 
-    async def admit(self, customer: str, deadline_ms: float) -> Any:
-        """Returns limits.limiter.Admitted, or Refused(retry_after_ms)."""
+    async def admit(
+        self, customer: records.Customer, deadline_ms: float
+    ) -> limiter_module.Admitted | limiter_module.Refused:
+        """Decides whether a request is within its customer's limit."""
 
 
 class EngineStream(Protocol):
--- a/lacewingwood/callers/files_api.py
+++ b/lacewingwood/callers/files_api.py
@@ -112,7 +112,7 @@
     await req.write(first)
     async for piece in pieces:
         await req.write(piece)
-    await req.write(b"", more=False)
+    await req.end()
 
 
 def _describe(file: files.File) -> dict[str, Any]:
--- a/lacewingwood/routing/replicas.py
+++ b/lacewingwood/routing/replicas.py
@@ -109,6 +109,10 @@
         """Returns a replica, or None if it is not known."""
         return self._by_id.get(replica_id)
 
+    def all(self) -> list[Replica]:
+        """Returns all replicas that are known."""
+        return list(self._by_id.values())
+
     def of_service(self, service: str) -> list[Replica]:
         """Returns the replicas of a service that are not leaving."""
         return self._by_service.get(service, [])
--- a/lacewingwood/state/entities.py
+++ b/lacewingwood/state/entities.py
@@ -59,6 +59,7 @@
         waits_on: Regions in which an earlier holder may still be at work. The
             claim takes effect only after a wait for each of them; empty if it
             is effective at once.
+        first: True if nobody ever claimed this lease before.
     """
 
     name: str
@@ -66,6 +67,7 @@
     epoch: int
     region: str = ""
     waits_on: tuple[str, ...] = ()
+    first: bool = False
 
 
 class JobState(msgspec.Struct):
--- a/lacewingwood/state/view.py
+++ b/lacewingwood/state/view.py
@@ -208,6 +208,7 @@
     def _change(self, offset: int, record: records.Record, data: bytes) -> None:
         """Makes an allowed change and keeps the record that it follows from."""
         kind, name = entities.entity(record.body)
+        known = (kind, name) in self.versions
         self.versions[kind, name] = offset
         match record.body:
             case (
@@ -232,7 +233,7 @@
             case records.MemberLeft():
                 self._leave(name, offset, of_itself=record.by == name)
             case records.LeaseClaimed(_, holder):
-                self._claim(name, holder, offset)
+                self._claim(name, holder, offset, first=not known)
                 self._retained[kind, name] = [(offset, data)]
             case records.LeaseReleased(_, _, effective):
                 self._let_go(name, offset, effective)
@@ -272,7 +273,9 @@
             if lease.holder == node_id:
                 self._let_go(lease.name, offset, not lease.waits_on)
 
-    def _claim(self, name: str, holder: str, offset: int) -> None:
+    def _claim(
+        self, name: str, holder: str, offset: int, *, first: bool
+    ) -> None:
         earlier = self.leases.get(name)
         waits_on: tuple[str, ...] = ()
         if earlier is not None:
@@ -281,18 +284,20 @@
         member = self.members.get(holder)
         region = member.region if member is not None else ""
         self.leases[name] = entities.Lease(
-            name, holder, offset, region, waits_on
+            name, holder, offset, region, waits_on, first
         )
 
     def _let_go(self, name: str, offset: int, effective: bool) -> None:
         """Frees a lease.
 
         A claim that never took effect leaves the regions that it waited on to
-        the next one, as an earlier holder there may still be at work.
+        the next one, as an earlier holder there may still be at work. The
+        version stays, so that no later claim passes for the first one.
         """
         lease = self.leases.get(name)
         if lease is None or effective or not lease.waits_on:
             self._drop("lease", name)
+            self.versions["lease", name] = offset
             return
         self.leases[name] = entities.Lease(
             name, "", lease.epoch, "", lease.waits_on
@@ -337,8 +342,7 @@
         if state is None or state.ended_ms() != end_ms:
             return
         self._drop("job", job_id)
-        if f"job/{job_id}" in self.leases:
-            self._drop("lease", f"job/{job_id}")
+        self._drop("lease", f"job/{job_id}")
 
     def _replay(self, offset: int, data: bytes) -> None:
         """Makes the change of a record that a snapshot retained."""
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -18,6 +18,7 @@
 from lacewingwood.callers import dependencies
 from lacewingwood.callers import server
 from lacewingwood.hostlist import types as host_types
+from lacewingwood.limits import limiter
 from lacewingwood.routing import router as routers
 from lacewingwood.state import records
 
@@ -39,6 +40,7 @@
 
     def add_key(self, secret: str, customer: str) -> None:
         self.keys[hashlib.sha256(secret.encode()).hexdigest()] = customer
+        self.customers[customer] = records.Customer(customer, 100.0, 200)
 
 
 class State:
@@ -52,25 +54,15 @@
         return self.is_fresh
 
 
-@dataclasses.dataclass
-class Admitted:
-    """The limiter's consent."""
-
-
-@dataclasses.dataclass
-class Refused:
-    """The limiter's refusal."""
-
-    retry_after_ms: float
-
-
 class Limiter:
     """Gives the same answer to all."""
 
     def __init__(self) -> None:
-        self.answer: Any = Admitted()
+        self.answer: limiter.Admitted | limiter.Refused = limiter.Admitted()
 
-    async def admit(self, customer: str, deadline_ms: float) -> Any:
+    async def admit(
+        self, customer: records.Customer, deadline_ms: float
+    ) -> limiter.Admitted | limiter.Refused:
         return self.answer
 
 
--- a/tests/callers/test_openai_client.py
+++ b/tests/callers/test_openai_client.py
@@ -6,6 +6,7 @@
 import openai
 import pytest
 
+from lacewingwood.limits import limiter
 from tests.callers import fakes
 
 _MESSAGES = [{"role": "user", "content": "Is stall 12 permitted?"}]
@@ -59,7 +60,7 @@
                 model="other", messages=_MESSAGES
             )
         assert missing.value.code == "model_not_found"
-        world.limiter.answer = fakes.Refused(retry_after_ms=1500)
+        world.limiter.answer = limiter.Refused(retry_after_ms=1500)
         with pytest.raises(openai.RateLimitError) as limited:
             await client.chat.completions.create(
                 model="sabeel", messages=_MESSAGES
--- a/tests/state/test_view.py
+++ b/tests/state/test_view.py
@@ -308,3 +308,22 @@
     assert not assembler.add(whole)
     assert assembler.newest is not None
     assert assembler.newest.encode() == view.encode()
+
+
+def test_only_the_first_claim_ever_counts_as_first() -> None:
+    """Guards against a second burst after a restart of all processes."""
+    view = view_lib.View()
+    member = records.Member("a", "entry", "127.0.0.1:1", "z", "r")
+    bodies: list[tuple[str, records.Body]] = [
+        ("a", records.MemberJoined(member)),
+        ("a", records.LeaseClaimed("limit/0/0", "a")),
+        ("a", records.LeaseReleased("limit/0/0", "a", True)),
+        ("a", records.LeaseClaimed("limit/0/0", "a")),
+    ]
+    seen = []
+    for index, (by, body) in enumerate(bodies):
+        record = records.Record(str(index), by, body)
+        view.apply(view.offset, records.encode(record))
+        lease = view.leases.get("limit/0/0")
+        seen.append(lease.first if lease is not None else None)
+    assert seen == [None, True, None, False]
