Keep marks of a crash that a convicted request was in

Two poisonous requests in one crash cost three replicas: the first one's conviction took the second one's mark of that crash away. The crash now proves nothing but still counts. The example test expected the mark to go at once; it now expects a turn alone and a clean record after completion.

--- a/lacewingwood/routing/suspects.py
+++ b/lacewingwood/routing/suspects.py
@@ -3,9 +3,11 @@
 Every request in flight at a crash gets a mark and then runs only on a replica
 where no other suspect runs, so that the next crash tells them apart. A request
 with two marks doesn't run again. It is refused for good once all others of one
-of its crashes have completed, which proves that it caused that crash; this
-explains all its crashes and takes their marks from the others. A fingerprint
-starts with its customer, so no customer's request can be taken for another's.
+of its crashes have completed, which proves that it caused that crash. It may
+also have caused its other crashes, which then prove nothing against others;
+their marks stay, since one of the others may have caused them after all. A
+fingerprint starts with its customer, so no customer's request can be taken
+for another's.
 """
 
 import collections
@@ -58,11 +60,17 @@
         replica: The replica.
         at_ms: When it was first seen.
         pending: Fingerprints of requests that have not completed since.
+        explained: True once a convicted request may have caused it.
     """
 
     replica: str
     at_ms: float
     pending: set[str]
+    explained: bool = False
+
+    def proves(self, fingerprint: str) -> bool:
+        """Tells whether only this request can have caused the crash."""
+        return not self.explained and self.pending == {fingerprint}
 
 
 class Suspects:
@@ -146,11 +154,12 @@
         self, fingerprint: str, marks: list[_Crash], now_ms: float
     ) -> Verdict:
         settled = now_ms - max(crash.at_ms for crash in marks) > _SETTLE_MS
-        if not settled or not any(c.pending == {fingerprint} for c in marks):
+        if not settled or not any(c.proves(fingerprint) for c in marks):
             return Hold(_RETRY_MS)
         self._convicted[fingerprint] = now_ms
-        for crash in list(marks):
-            self._forget(crash)
+        for crash in self._marks.pop(fingerprint):
+            crash.explained = True
+            crash.pending.discard(fingerprint)
         return Convicted()
 
     def _avoid(self, now_ms: float) -> frozenset[str]:
