--- a/lacewingwood/batch/results.py
+++ b/lacewingwood/batch/results.py
@@ -20,6 +20,8 @@
 
 # Records are at most 1 MiB, which bounds what one reader holds.
 _PAGE_RECORDS = 16
+# Records before a group that show whether it is void.
+_FEW_RECORDS = 8
 
 
 class Result(msgspec.Struct, array_like=True):
@@ -205,29 +207,32 @@
 async def read_progress(log: deps.Log, job_id: str) -> Progress:
     """Returns the counts in the latest valid group.
 
-    The last records are enough: each group repeats the whole job's counts. A
-    void group at the very end is passed over if the latest `OwnerStarted` is
-    among the records read.
+    The last records are enough, as each group repeats the whole job's counts.
+    A void group is known by an earlier record with a higher epoch; an owner
+    that lost its lease stops at its first void group, so that such a record
+    is never far.
     """
-    end = (await read_page(log, job_id, 0)).head
-    while end > 0:
-        start = max(0, end - _PAGE_RECORDS)
+    start = (await read_page(log, job_id, 0)).head
+    entries: list[log_types.Entry] = []
+    while start > 0:
+        end, start = start, max(0, start - _PAGE_RECORDS)
         page = await read_page(log, job_id, start)
-        latest = _latest_progress(page.entries)
-        if latest is not None:
-            return latest
-        end = start
+        entries = [e for e in page.entries if e.offset < end] + entries
+        latest = _latest_group(entries)
+        if latest >= _FEW_RECORDS or (latest >= 0 and not start):
+            group = decode(entries[latest].data)
+            return group.progress if isinstance(group, Group) else Progress()
     return Progress()
 
 
-def _latest_progress(entries: list[log_types.Entry]) -> Progress | None:
-    latest: Progress | None = None
-    epoch = -1
-    for entry in entries:
+def _latest_group(entries: list[log_types.Entry]) -> int:
+    """Returns the index of the last group that is not void, -1 if none."""
+    latest = epoch = -1
+    for index, entry in enumerate(entries):
         match decode(entry.data):
             case OwnerStarted(epoch=started):
                 epoch = max(epoch, started)
-            case Group(epoch=written, progress=progress) if written >= epoch:
+            case Group(epoch=written) if written >= epoch:
                 epoch = written
-                latest = progress
+                latest = index
     return latest
