Mend the server's handling of HTTP/2 and early refusals

Hypercorn ends the whole server on data for an answered HTTP/2 stream, closes a connection before the end of its last stream is sent, and blocks for ever on bodies that nobody reads. Connections now drop such data, count as idle only when all is sent, and get GOAWAY only when no stream runs, since h2-based clients lose their streams otherwise.

--- a/lacewingwood/callers/app.py
+++ b/lacewingwood/callers/app.py
@@ -24,7 +24,7 @@
 _MODELS_PATH = "/v1/models"
 
 # What is read of the body of a request that is refused early.
-_DISCARD_BYTES = 16 << 20
+_DISCARD_BYTES = 4 << 20
 _DISCARD_S = 5.0
 
 _log = structlog.get_logger()
@@ -138,7 +138,8 @@
             raise _AbortError
         else:
             await _discard_body(req)
-            await req.fail(exc)
+            if not req.disconnected:
+                await req.fail(exc)
 
 
 def make_app(deps: dependencies.Dependencies) -> App:
--- a/lacewingwood/callers/connection.py
+++ b/lacewingwood/callers/connection.py
@@ -6,9 +6,11 @@
 a caller that does not read.
 """
 
+import collections
 import contextlib
+from typing import Any
 
-import hyperframe.frame
+import priority
 import trio
 from h2 import errors as h2_errors
 from h2 import events as h2_events
@@ -22,10 +24,12 @@
 from hypercorn.protocol import h11 as http1
 from hypercorn.trio import task_group as task_groups
 from hypercorn.trio import tcp_server
+from hypercorn.trio import worker_context
 
 # A caller that takes nothing for this long is cut off.
 _WRITE_TIMEOUT_S = 120
-_MAX_STREAM_ID = 2**31 - 1
+# What a caller may go on sending after its request was answered.
+_MAX_DROPPED_BYTES = 64 << 20
 
 
 class Connection(tcp_server.TCPServer):
@@ -116,26 +120,78 @@
 
 
 class _Http2(http2.H2Protocol):
-    """HTTP/2 that survives callers who break off or go on too long."""
+    """HTTP/2 that survives callers who break off or go on too long.
+
+    It counts as idle only once all that was written has been sent, and has a
+    context of its own that is never terminated: hypercorn closes a connection
+    whose last stream has ended, but before the end of that stream is sent.
+
+    Attributes:
+        server_context: The server's context.
+    """
+
+    server_context: server_typing.WorkerContext
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.server_context = self.context
+        self.context = worker_context.WorkerContext(None)
+        self._draining = False
+        self._said_goodbye = False
+        self._dropped: collections.Counter[int] = collections.Counter()
 
     async def announce_shutdown(self) -> None:
-        """Sends a GOAWAY that refuses no stream yet.
+        """Sends GOAWAY as soon as no stream runs on the connection.
 
-        The h2 library sends GOAWAY only when it closes the connection.
+        A GOAWAY while streams run would be correct, but clients that use the
+        h2 library take it for the end of the connection and lose them. The
+        connection stays open, so that a client that sends a request at the
+        same time reads the GOAWAY and sends it elsewhere.
         """
-        frame = hyperframe.frame.GoAwayFrame(0, last_stream_id=_MAX_STREAM_ID)
-        await self.send(server_events.RawData(data=frame.serialize()))
+        self._draining = True
+        await self._update_idle()
+
+    async def handle(self, event: server_events.Event) -> None:
+        """Handles what the caller sends; nothing after a GOAWAY."""
+        data = isinstance(event, server_events.RawData)
+        if not (data and self._said_goodbye):
+            await super().handle(event)
 
     async def stream_send(self, event: stream_events.Event) -> None:
-        stream_id = event.stream_id
-        await super().stream_send(event)
-        if isinstance(event, stream_events.StreamClosed):
-            await self._reset_unfinished(stream_id)
+        """Sends what a stream gives."""
+        if not isinstance(event, stream_events.StreamClosed):
+            await super().stream_send(event)
+            return
+        await self._close_stream(event.stream_id)
+        buffer = self.stream_buffers.get(event.stream_id)
+        if buffer is not None and not buffer._complete:
+            # The application gave the answer up half-way.
+            self._reset(event.stream_id, h2_errors.ErrorCodes.INTERNAL_ERROR)
+            await self._flush()
+            await self._discard(event.stream_id)
+        await self._update_idle()
+
+    async def _send_data(self, stream_id: int) -> None:
+        await super()._send_data(stream_id)
+        if stream_id not in self.stream_buffers:
+            await self._update_idle()
+
+    async def _update_idle(self) -> None:
+        if self.closed or self.streams or self.stream_buffers:
+            return
+        if self._draining and not self._said_goodbye:
+            self._said_goodbye = True
+            self.connection.close_connection()
+            await self._flush()
+        await self.send(server_events.Updated(idle=True))
 
     async def _handle_events(self, events: list[h2_events.Event]) -> None:
         for event in events:
-            if self._accepts(event):
-                await super()._handle_events([event])
+            if not self._accepts(event):
+                continue
+            await super()._handle_events([event])
+            if isinstance(event, h2_events.StreamReset):
+                await self._discard(event.stream_id)
         await self._flush()
 
     async def _create_stream(self, request: h2_events.RequestReceived) -> None:
@@ -154,7 +210,7 @@
                 return True
 
     def _accepts_request(self, event: h2_events.RequestReceived) -> bool:
-        if self.context.terminated.is_set():
+        if self.server_context.terminated.is_set():
             self._reset(event.stream_id, h2_errors.ErrorCodes.REFUSED_STREAM)
             return False
         headers = dict(event.headers)
@@ -165,23 +221,33 @@
         return True
 
     def _accepts_data(self, event: h2_events.DataReceived) -> bool:
-        """Drops data for a stream that has been answered and closed."""
-        if event.stream_id in self.streams:
+        """Drops data for a stream that has been answered and closed.
+
+        Some clients read the answer only when they have sent everything, and
+        lose it if the stream is reset before.
+        """
+        stream_id = event.stream_id
+        if stream_id in self.streams:
             return True
         length = event.flow_controlled_length
-        self.connection.acknowledge_received_data(length, event.stream_id)
-        self._reset(event.stream_id, h2_errors.ErrorCodes.NO_ERROR)
+        self.connection.acknowledge_received_data(length, stream_id)
+        self._dropped[stream_id] += length
+        if self._dropped[stream_id] > _MAX_DROPPED_BYTES:
+            del self._dropped[stream_id]
+            self._reset(stream_id, h2_errors.ErrorCodes.NO_ERROR)
+        elif event.stream_ended is not None:
+            del self._dropped[stream_id]
         return False
 
-    async def _reset_unfinished(self, stream_id: int) -> None:
-        """Resets a stream whose answer was given up half-way."""
+    async def _discard(self, stream_id: int) -> None:
+        """Makes the sending task forget what a dead stream had to send."""
         buffer = self.stream_buffers.get(stream_id)
-        if buffer is None or buffer._complete:
+        if buffer is None:
             return
-        self._reset(stream_id, h2_errors.ErrorCodes.INTERNAL_ERROR)
         await buffer.close()
-        self.priority.unblock(stream_id)
-        await self._flush()
+        with contextlib.suppress(priority.MissingStreamError):
+            self.priority.unblock(stream_id)
+        await self.has_data.set()
 
     def _reset(self, stream_id: int, code: h2_errors.ErrorCodes) -> None:
         # It may be closed already.
--- a/lacewingwood/callers/http.py
+++ b/lacewingwood/callers/http.py
@@ -34,6 +34,7 @@
         started: True once the answer's status was sent.
         streams_events: True once a stream of events was started.
         body_read: Set once the whole body was read.
+        disconnected: True once the caller is known to have gone.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         "_send",
         "_trailers",
         "body_read",
+        "disconnected",
         "headers",
         "method",
         "path",
@@ -65,6 +67,7 @@
         self.started = False
         self.streams_events = False
         self.body_read = trio.Event()
+        self.disconnected = False
         self._trailers = False
         self._receive = receive
         self._send = send
@@ -95,6 +98,7 @@
             return None
         message = await self._receive()
         if message["type"] == "http.disconnect":
+            self.disconnected = True
             raise DisconnectedError
         if not message.get("more_body", False):
             self.body_read.set()
@@ -137,8 +141,9 @@
 
     async def wait_disconnect(self) -> None:
         """Returns when the caller has gone; drops the rest of the body."""
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
+        while not self.disconnected:
+            message = await self._receive()
+            self.disconnected = message["type"] == "http.disconnect"
 
     async def start(
         self, status: int, headers: Headers, trailers: bool = False
--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -39,17 +39,19 @@
         now_ms = self._deps.clock.now_ms()
         self._budget.note_request(now_ms)
         left_s = (call.deadline_ms - now_ms) / 1000
+        tried: set[str] = set()
         with trio.move_on_after(left_s) as scope:
             if call.stream:
-                await self._stream(req, call)
+                await self._stream(req, call, tried)
             else:
-                await self._complete(req, call)
+                await self._complete(req, call, tried)
         if scope.cancelled_caught:
-            raise _deadline_error()
+            raise _deadline_error(tried)
 
-    async def _complete(self, req: http.Request, call: calls.Call) -> None:
+    async def _complete(
+        self, req: http.Request, call: calls.Call, tried: set[str]
+    ) -> None:
         attempts = retries.Attempts(True, call.deadline_ms)
-        tried: set[str] = set()
         while True:
             try:
                 async with self.placement.attempt(call, tried) as started:
@@ -65,10 +67,11 @@
                 self._retry_or_raise(attempts, exc)
         await req.respond(200, answer)
 
-    async def _stream(self, req: http.Request, call: calls.Call) -> None:
+    async def _stream(
+        self, req: http.Request, call: calls.Call, tried: set[str]
+    ) -> None:
         attempts = retries.Attempts(True, call.deadline_ms)
         progress = resume.Progress(call)
-        tried: set[str] = set()
         while True:
             try:
                 async with self.placement.attempt(call, tried) as started:
@@ -132,7 +135,9 @@
                 raise errors.from_upstream(exc) from exc
 
 
-def _deadline_error() -> errors.CallerError:
+def _deadline_error(tried: set[str]) -> errors.CallerError:
+    if not tried:
+        return placement.overloaded_error("deadline", 1000)
     return errors.CallerError(
         504,
         "deadline_exceeded",
--- a/lacewingwood/callers/placement.py
+++ b/lacewingwood/callers/placement.py
@@ -147,7 +147,10 @@
         return self._start(choice, route)
 
     async def _place_in_turn(self, call: calls.Call) -> routers.Started:
-        """Places a request when it is its customer's turn."""
+        """Places a request when it is its customer's turn.
+
+        The caller of this cancels the wait at the request's deadline.
+        """
         queue = self._queues.get(call.service)
         if queue is None:
             queue = self._queues[call.service] = fair_queue.FairQueue()
@@ -159,12 +162,12 @@
             self._now_ms(),
         )
         if isinstance(ticket, fair_queue.Refused):
-            raise _overloaded_error(ticket.reason, ticket.retry_after_ms)
+            raise overloaded_error(ticket.reason, ticket.retry_after_ms)
         route = _route(call, frozenset(), queue_if_full=False)
         waiter = self._waiters[ticket] = _Waiter(route, trio.Event())
         self._dispatch(call.service)
         try:
-            await self._wait(waiter, call.deadline_ms)
+            await waiter.event.wait()
         except BaseException:
             self._abandon(waiter)
             raise
@@ -172,16 +175,9 @@
             del self._waiters[ticket]
             queue.cancel(ticket)
         if waiter.started is None:
-            raise _overloaded_error("deadline", 1000)
+            raise overloaded_error("deadline", 1000)
         return waiter.started
 
-    async def _wait(self, waiter: _Waiter, deadline_ms: float) -> None:
-        if waiter.event.is_set():
-            return
-        left_s = max(0.0, deadline_ms - self._now_ms()) / 1000
-        with trio.move_on_after(left_s):
-            await waiter.event.wait()
-
     def _abandon(self, waiter: _Waiter) -> None:
         """Gives a place back whose request was cancelled meanwhile."""
         if waiter.started is not None:
@@ -269,7 +265,8 @@
     )
 
 
-def _overloaded_error(reason: str, retry_after_ms: float) -> errors.CallerError:
+def overloaded_error(reason: str, retry_after_ms: float) -> errors.CallerError:
+    """Returns the refusal of a request that got no replica in time."""
     message = "all replicas are busy"
     if reason == "deadline":
         message += " and the request would miss its deadline"
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -6,10 +6,10 @@
 import json
 import random
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
+import httpcore
 import trio
 
 from lacewingwood import clock as clocks
@@ -288,6 +288,63 @@
     shutdown: trio.Event
     app: apps.App
 
+    @contextlib.asynccontextmanager
+    async def client(self, http2: bool = False) -> AsyncIterator["Client"]:
+        """Gives a client whose connections are kept."""
+        pool = httpcore.AsyncConnectionPool(
+            http1=not http2, http2=http2, max_connections=1 if http2 else 20
+        )
+        async with pool:
+            yield Client(pool, f"http://127.0.0.1:{self.port}")
+
+
+@dataclasses.dataclass
+class Client:
+    """An HTTP client with the right key."""
+
+    pool: httpcore.AsyncConnectionPool
+    base: str
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        content: Any = None,
+        headers: Any = None,
+        secret: str = SECRET,
+    ) -> httpcore.Response:
+        """Returns a whole answer; `headers` replace the key's."""
+        sent = headers if headers is not None else bearer(secret)
+        return await self.pool.request(
+            method, self.base + path, headers=sent, content=content
+        )
+
+    def stream(self, **fields: Any) -> Any:
+        """Gives a streamed chat completion as a context manager."""
+        secret = fields.pop("secret", SECRET)
+        return self.pool.stream(
+            "POST",
+            self.base + CHAT,
+            headers=bearer(secret),
+            content=body(stream=True, **fields),
+        )
+
+
+def bearer(secret: str = SECRET) -> list[tuple[bytes, bytes]]:
+    """Returns the header that carries a key."""
+    return [(b"Authorization", b"Bearer " + secret.encode())]
+
+
+def error(response: httpcore.Response) -> dict[str, Any]:
+    """Returns the error in an answer."""
+    found: dict[str, Any] = json.loads(response.content)["error"]
+    return found
+
+
+def header(response: httpcore.Response, name: bytes) -> bytes | None:
+    """Returns a header of an answer."""
+    return dict(response.headers).get(name)
+
 
 async def eventually(condition: Callable[[], bool]) -> None:
     """Waits until `condition` holds."""
@@ -296,4 +353,25 @@
             await trio.sleep(0.001)
 
 
-Work = Callable[[], Awaitable[None]]
+CHAT = "/v1/chat/completions"
+
+
+def body(**fields: Any) -> bytes:
+    """Returns the body of a chat completion."""
+    messages = [{"role": "user", "content": "Is stall 12 permitted?"}]
+    return json.dumps(
+        {"model": "sabeel", "messages": messages, **fields}
+    ).encode()
+
+
+def events(answer: bytes) -> list[Any]:
+    """Returns the decoded events of an answer, `[DONE]` as it is."""
+    parts = [p.removeprefix(b"data: ") for p in answer.split(b"\n\n") if p]
+    return [p if p == b"[DONE]" else json.loads(p) for p in parts]
+
+
+def text(answer: bytes) -> str:
+    """Returns the text of a streamed chat completion."""
+    found = [e for e in events(answer) if isinstance(e, dict)]
+    choices = [e["choices"][0] for e in found if "choices" in e]
+    return "".join(c["delta"].get("content") or "" for c in choices)
--- /dev/null
+++ b/tests/callers/test_server.py
@@ -0,0 +1,123 @@
+"""The server: shutdown, kept connections, hostile connections."""
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+import trio
+
+from tests.callers import fakes
+
+
+def _pause(world: fakes.World) -> trio.Event:
+    """Makes engines say one word and wait for the event."""
+    go_on = trio.Event()
+
+    async def run(body: dict[str, Any]) -> AsyncIterator[bytes]:
+        yield fakes.event("Yes")
+        await go_on.wait()
+        yield fakes.event(".", "stop")
+
+    world.engines.scripts["*"] = run
+    return go_on
+
+
+@pytest.mark.parametrize("http2", [False, True], ids=["http1", "http2"])
+async def test_planned_shutdown_cuts_no_stream(http2: bool) -> None:
+    """Guards against streams cut by a time limit of the server."""
+    world = fakes.World()
+    go_on = _pause(world)
+    async with (
+        world.serve() as served,
+        served.client(http2) as client,
+        client.stream() as got,
+    ):
+        chunks = got.aiter_stream()
+        first = await anext(chunks)
+        served.shutdown.set()
+        await fakes.eventually(lambda: not _accepts(served.port))
+        go_on.set()
+        rest = b"".join([chunk async for chunk in chunks])
+    assert fakes.text(first + rest) == "Yes."
+    assert fakes.events(rest)[-1] == b"[DONE]"
+
+
+def _accepts(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
+
+
+@pytest.mark.parametrize("http2", [False, True], ids=["http1", "http2"])
+async def test_requests_are_served_while_draining(http2: bool) -> None:
+    """Guards against refusing what balancers still send after the signal."""
+    world = fakes.World()
+    async with (
+        world.serve(drain_ms=1000) as served,
+        served.client(http2) as client,
+    ):
+        await client.call("GET", "/v1/models")
+        served.shutdown.set()
+        for _ in range(3):
+            got = await client.call("POST", fakes.CHAT, fakes.body())
+            assert got.status == 200
+        if not http2:
+            assert fakes.header(got, b"connection") == b"close"
+
+
+async def test_connection_is_kept_for_any_number_of_requests() -> None:
+    """Guards against the limit of 1,000 requests that hypercorn sets."""
+    world = fakes.World()
+    async with world.serve() as served, served.client() as client:
+        for _ in range(1050):
+            await client.call("GET", "/v1/models")
+            assert len(client.pool.connections) == 1
+        got = await client.call("GET", "/v1/models")
+    assert fakes.header(got, b"connection") is None
+
+
+async def test_refused_upload_leaves_other_streams_alone() -> None:
+    """Guards against an early refusal that ends its HTTP/2 connection."""
+    world = fakes.World()
+    go_on = _pause(world)
+    async with (
+        world.serve() as served,
+        served.client(http2=True) as client,
+        client.stream() as got,
+    ):
+        chunks = got.aiter_stream()
+        first = await anext(chunks)
+        late = await client.call("POST", fakes.CHAT, b" " * (12 << 20))
+        assert late.status == 413
+        go_on.set()
+        rest = b"".join([chunk async for chunk in chunks])
+    assert fakes.text(first + rest) == "Yes."
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xff" * 100,
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 300_000,
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 500,
+        b"GET /ws HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\n"
+        b"Upgrade: websocket\r\n\r\n",
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+    ],
+    ids=["noise", "long", "frames", "websocket", "cut"],
+)
+async def test_hostile_connection_leaves_the_server_up(data: bytes) -> None:
+    """Guards against one connection's error that ends the whole server."""
+    world = fakes.World()
+    async with world.serve() as served, served.client() as client:
+        stream = await trio.open_tcp_stream("127.0.0.1", served.port)
+        with trio.fail_after(5), contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
+            await stream.send_eof()
+            while await stream.receive_some():
+                pass
+        await stream.aclose()
+        got = await client.call("GET", "/v1/models")
+        assert got.status == 200
