--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -4,7 +4,6 @@
 import dataclasses
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
-from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
@@ -101,14 +100,17 @@
     Attributes:
         status: HTTP status.
         headers: Names in lower case, and values.
-        body: Pieces of the body.
-        trailers: Trailers, known once the body has ended.
     """
 
     status: int
-    headers: Sequence[tuple[bytes, bytes]]
-    body: AsyncIterator[bytes]
-    trailers: Sequence[tuple[bytes, bytes]]
+    headers: list[tuple[bytes, bytes]]
+
+    @property
+    def trailers(self) -> list[tuple[bytes, bytes]]:
+        """Trailers, known once the body has ended."""
+
+    def body(self) -> AsyncIterator[bytes]:
+        """Yields pieces of the body."""
 
 
 class Plain(Protocol):
@@ -119,7 +121,8 @@
         address: str,
         method: str,
         path: str,
-        headers: Sequence[tuple[bytes, bytes]],
+        *,
+        headers: list[tuple[bytes, bytes]],
         body: AsyncIterator[bytes],
         deadline_ms: float,
     ) -> contextlib.AbstractAsyncContextManager[PlainResponse]:
--- a/lacewingwood/callers/proxy.py
+++ b/lacewingwood/callers/proxy.py
@@ -217,9 +217,9 @@
             started.replica.address,
             req.method,
             call.path,
-            [*call.headers, self._deadline_header(call)],
-            upload.chunks(),
-            call.deadline_ms,
+            headers=[*call.headers, self._deadline_header(call)],
+            body=upload.chunks(),
+            deadline_ms=call.deadline_ms,
         )
         limit_s = call.route.timeout_ms / 1000
         with trio.move_on_after(limit_s) as scope:
@@ -237,7 +237,7 @@
         trailers = req.takes_trailers()
         passed = headers.for_caller(response.headers)
         await req.start(response.status, passed, trailers)
-        async for chunk in response.body:
+        async for chunk in response.body():
             await req.write(chunk)
         await req.end(trailers=headers.for_caller(response.trailers))
 
--- /dev/null
+++ b/lacewingwood/roles/__init__.py
@@ -0,0 +1,1 @@
+"""What runs in each role's process."""
--- /dev/null
+++ b/lacewingwood/roles/entry.py
@@ -0,0 +1,171 @@
+"""An entry process: takes callers' requests."""
+
+import dataclasses
+import random
+from typing import Any
+
+import trio
+
+from lacewingwood import settings
+from lacewingwood.batch import intake
+from lacewingwood.callers import app as app_lib
+from lacewingwood.callers import batch_api
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import files_api
+from lacewingwood.callers import idempotency
+from lacewingwood.callers import server
+from lacewingwood.limits import limiter as limiter_lib
+from lacewingwood.limits import split
+from lacewingwood.roles import node as node_lib
+from lacewingwood.roles import notices as notices_lib
+from lacewingwood.routing import replicas
+from lacewingwood.routing import router as router_lib
+from lacewingwood.routing import suspects as suspects_lib
+from lacewingwood.state import records
+from lacewingwood.upstreams import engine
+from lacewingwood.upstreams import plain
+
+
+def run(cfg: settings.EntrySettings) -> None:
+    """Runs an entry until it is told to stop."""
+    node_lib.run(lambda: Entry(cfg).run())
+
+
+class Entry:
+    """The parts of an entry process and how they depend on each other."""
+
+    def __init__(self, cfg: settings.EntrySettings) -> None:
+        self._cfg = cfg
+        self._node = node_lib.Node(cfg, "entry")
+        node = self._node
+        self._router = self._make_router("engine")
+        self._plain_router = self._make_router("plain")
+        self._suspects = suspects_lib.Suspects()
+        self._notices = notices_lib.Notices(
+            node.follower,
+            node.leases,
+            node.network,
+            self._router,
+            self._suspects,
+            node.clock,
+        )
+        self._limiter = limiter_lib.Limiter(
+            node.node_id,
+            node.network,
+            _Leases(node),
+            self._customer,
+            node.clock,
+            node.metrics,
+            region=cfg.region,
+            unused=self._is_unused,
+        )
+        node.add_dump("replicas", self._dump_replicas)
+
+    async def run(self) -> int:
+        """Serves callers until a planned shutdown has ended."""
+        cfg, node = self._cfg, self._node
+        app = app_lib.make_app(self._make_dependencies())
+        async with node.running() as nursery:
+            nursery.start_soon(self._limiter.run)
+            nursery.start_soon(node.leases.keep, split.lease_names, "entry")
+            nursery.start_soon(self._notices.run)
+            async with trio.open_nursery() as serving:
+                port = await serving.start(self._serve, app)
+                host, _ = settings.split_address(cfg.bind)
+                node.announce(f"{host}:{port}")
+            self._limiter.give_back()
+            await node.leave()
+        return node.exit_code()
+
+    async def _serve(
+        self,
+        app: app_lib.App,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        host, port = settings.split_address(self._cfg.bind)
+        await server.serve(
+            app,
+            host,
+            port,
+            self._node.shutdown,
+            self._cfg.drain_ms,
+            grace_ms=self._cfg.shutdown_ms,
+            task_status=task_status,
+        )
+
+    def _make_router(self, kind: str) -> router_lib.Router:
+        router = router_lib.Router(
+            router_lib.Settings(zone=self._cfg.zone),
+            random.Random(),
+            kind=kind,
+        )
+        self._node.watcher.listeners.append(router.fleet.update_hosts)
+        return router
+
+    def _make_dependencies(self) -> dependencies.Dependencies:
+        cfg, node = self._cfg, self._node
+        return dependencies.Dependencies(
+            state=node.follower,
+            limiter=self._limiter,
+            router=self._router,
+            engines=engine.EngineClient(node.clock),
+            clock=node.clock,
+            metrics=node.metrics,
+            plain=plain.PlainClient(node.clock),
+            plain_router=self._plain_router,
+            calls=idempotency.Claims(node.log, node.clock),
+            handlers={
+                "/v1/files": files_api.handle,
+                "/v1/batches": batch_api.handle,
+            },
+            batch=intake.Intake(
+                node.log,
+                node.follower,
+                node.clock,
+                node.wall_ms,
+                cfg.max_file_bytes,
+            ),
+            notices=self._notices,
+            suspects=self._suspects,
+            settings=dependencies.Settings(
+                max_body_bytes=cfg.max_body_bytes,
+                deadline_ms=cfg.request_timeout_ms,
+            ),
+        )
+
+    def _customer(self, name: str) -> records.Customer | None:
+        return self._node.follower.view.customers.get(name)
+
+    def _is_unused(self, lease_name: str) -> bool:
+        """Returns whether a lease was never claimed before the present one."""
+        lease = self._node.follower.view.leases.get(lease_name)
+        return lease is not None and lease.first
+
+    def _dump_replicas(self) -> list[dict[str, Any]]:
+        return [_describe(replica) for replica in self._router.fleet.all()]
+
+
+class _Leases:
+    """The leases as the limits use them."""
+
+    __slots__ = ("_node",)
+
+    def __init__(self, node: node_lib.Node) -> None:
+        self._node = node
+
+    def holder(self, name: str) -> records.Member | None:
+        """Returns the process that holds a lease."""
+        return self._node.leases.holder(name)
+
+    def held(self, name: str) -> int | None:
+        """Returns the epoch of a lease that may be used now."""
+        return self._node.leases.held(name)
+
+    def fresh(self) -> bool:
+        """Returns whether the shared state is known to be current."""
+        return self._node.follower.fresh()
+
+
+def _describe(replica: replicas.Replica) -> dict[str, Any]:
+    names = (field.name for field in dataclasses.fields(replica))
+    return {name: getattr(replica, name) for name in names}
--- /dev/null
+++ b/lacewingwood/roles/node.py
@@ -0,0 +1,241 @@
+"""What the processes of all roles have in common."""
+
+import contextlib
+import json
+import os
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+import trio
+
+from lacewingwood import clock as clock_lib
+from lacewingwood import logs
+from lacewingwood import metrics as metrics_lib
+from lacewingwood import settings
+from lacewingwood.hostlist import client as hostlist_client
+from lacewingwood.log import client as log_client
+from lacewingwood.operators import admin
+from lacewingwood.peers import network as network_lib
+from lacewingwood.roles import hosts
+from lacewingwood.state import errors as state_errors
+from lacewingwood.state import follower as follower_lib
+from lacewingwood.state import lease_manager
+from lacewingwood.state import maintenance
+from lacewingwood.state import monitor
+from lacewingwood.state import records
+
+_LEAVE_TIMEOUT_S = 5.0
+
+# An evicted process must start anew with another node id. A process starts no
+# other process, so it ends with this code and its supervisor restarts it.
+EXIT_EVICTED = 75
+
+_log = structlog.get_logger()
+
+
+class Node:
+    """One process: its clock, metrics, peers, shared state and leases.
+
+    Attributes:
+        node_id: Unique for each start of a process.
+        shutdown: Set when a planned shutdown begins.
+    """
+
+    def __init__(self, cfg: settings.NodeSettings, role: str) -> None:
+        self.cfg = cfg
+        self.role = role
+        self.node_id = f"{role}-{cfg.host}-{secrets.token_hex(4)}"
+        self.clock = clock_lib.MonotonicClock()
+        self.metrics = metrics_lib.Registry()
+        self.log = log_client.LogClient(cfg.log_url)
+        self.network = network_lib.Network(
+            self.node_id, self.metrics, self.clock
+        )
+        self.follower = follower_lib.Follower(
+            self.log,
+            self.network,
+            self.clock,
+            self.node_id,
+            cfg.region,
+            self.metrics,
+        )
+        self.leases = lease_manager.LeaseManager(self.follower)
+        self.watcher = hosts.HostWatcher(
+            hostlist_client.HostListClient(cfg.hostlist_url),
+            self.clock,
+            self.metrics,
+        )
+        self.watcher.listeners.append(
+            lambda listed: self.follower.set_hosts(host.id for host in listed)
+        )
+        self.shutdown = trio.Event()
+        self.admin_address = ""
+        self._monitor = monitor.Monitor(self.follower)
+        self._serving = False
+        self._nursery: trio.Nursery | None = None
+        self._presence: maintenance.Presence | None = None
+        self._dumps: dict[str, Callable[[], Any]] = {}
+        self._evicted = False
+
+    def add_dump(self, name: str, dump: Callable[[], Any]) -> None:
+        """Adds a section to the state dump."""
+        self._dumps[name] = dump
+
+    def wall_ms(self) -> int:
+        """Returns wall-clock time in ms since the epoch."""
+        return time.time_ns() // 1_000_000
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> Any:
+        """Runs the common parts and yields the nursery for the others."""
+        logs.configure(node_id=self.node_id, role=self.role)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await self._start(nursery)
+            try:
+                yield nursery
+            finally:
+                nursery.cancel_scope.cancel()
+
+    def announce(self, address: str = "") -> None:
+        """Says on standard output that the process is ready, and where."""
+        self._serving = True
+        ready = {
+            "ready": True,
+            "node_id": self.node_id,
+            "pid": os.getpid(),
+            "address": address,
+            "peer": self._peer_address(),
+            "admin": self.admin_address,
+        }
+        print(json.dumps(ready), flush=True)
+        _log.info("ready", address=address, admin=self.admin_address)
+
+    async def leave(self) -> None:
+        """Releases all leases and takes leave of the other processes."""
+        with trio.move_on_after(_LEAVE_TIMEOUT_S):
+            try:
+                if self._presence is not None:
+                    await self._presence.leave()
+            except state_errors.StateError as exc:
+                self.metrics.add("leave_errors", code=exc.code)
+            await self.network.close()
+
+    def exit_code(self) -> int:
+        """Returns the code with which the process should end."""
+        return EXIT_EVICTED if self._evicted else 0
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        await nursery.start(self._watch_signals)
+        await self.network.serve(*settings.split_address(self.cfg.peer_bind))
+        nursery.start_soon(self.network.run)
+        app = admin.AdminApp(self.metrics, self._unready, self._dump)
+        bind = settings.split_address(self.cfg.admin_bind)
+        self.admin_address = await nursery.start(admin.serve, app, *bind)
+        await self.watcher.fetch()
+        nursery.start_soon(self.watcher.run)
+        nursery.start_soon(self.follower.run)
+        await self.follower.wait_until(lambda: self.follower.ready)
+        await self._join(nursery)
+
+    async def _join(self, nursery: trio.Nursery) -> None:
+        member = records.Member(
+            node_id=self.node_id,
+            role=self.role,
+            address=self._peer_address(),
+            zone=self.cfg.zone,
+            region=self.cfg.region,
+            host=self.cfg.host,
+            admin=self.admin_address,
+        )
+        self._presence = maintenance.Presence(
+            self.follower, self.leases, member
+        )
+        nursery.start_soon(self._presence.run)
+        nursery.start_soon(self._watch_eviction, self._presence)
+        nursery.start_soon(self.leases.run)
+        nursery.start_soon(self._monitor.run)
+
+    async def _watch_signals(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as received:
+            task_status.started()
+            async for number in received:
+                _log.info("shutdown", signal=signal.Signals(number).name)
+                self.shutdown.set()
+
+    async def _watch_eviction(self, presence: maintenance.Presence) -> None:
+        await presence.evicted.wait()
+        _log.warning("evicted", reason="declared left by other processes")
+        self._evicted = True
+        self.shutdown.set()
+
+    def _peer_address(self) -> str:
+        host, _ = settings.split_address(self.cfg.peer_bind)
+        return f"{host}:{self.network.port}"
+
+    def _unready(self) -> str | None:
+        """Returns why the process should get no new work, or None."""
+        if self.shutdown.is_set():
+            return "shutting down"
+        if not self.follower.ready:
+            return "configuration not yet read"
+        if not self.follower.fresh():
+            return "cut off from the log and from peers"
+        return None if self._serving else "starting"
+
+    def _dump(self) -> dict[str, Any]:
+        view = self.follower.view
+        now_ms = self.clock.now_ms()
+        sections = {name: dump() for name, dump in self._dumps.items()}
+        return {
+            "node_id": self.node_id,
+            "role": self.role,
+            "zone": self.cfg.zone,
+            "region": self.cfg.region,
+            "unready": self._unready(),
+            "state": {
+                "offset": view.offset,
+                "fresh": self.follower.fresh(),
+                "fresh_for_ms": self.follower.fresh_until_ms() - now_ms,
+                "log_age_ms": self.follower.log_age_ms(),
+                "quorum": sorted(self.follower.quorum_set()),
+                "members": records.to_json(view.members),
+                "leases": records.to_json(view.leases),
+                "leases_usable": self._usable_leases(),
+                "customers": records.to_json(view.customers),
+                "routes": records.to_json(view.routes),
+                "models": records.to_json(view.models),
+                "keys": len(view.keys),
+                "jobs": len(view.jobs),
+            },
+            "hosts": records.to_json(self.watcher.hosts()),
+            "metrics": self.metrics.dump(),
+            **sections,
+        }
+
+    def _usable_leases(self) -> list[str]:
+        names = self.follower.view.leases
+        return [name for name in names if self.leases.held(name) is not None]
+
+
+def run(main: Callable[[], Awaitable[int]]) -> None:
+    """Runs a role's main function and ends the process with its code."""
+    try:
+        code = trio.run(main)
+    except BaseExceptionGroup as group:
+        addresses, rest = group.split(OSError)
+        if addresses is None or rest is not None:
+            raise
+        print(f"lacewingwood: cannot listen: {addresses}", file=sys.stderr)
+        code = 1
+    sys.exit(code)
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -162,9 +162,12 @@
 
     status: int
     headers: list[tuple[bytes, bytes]]
-    body: AsyncIterator[bytes]
+    content: AsyncIterator[bytes]
     trailers: list[tuple[bytes, bytes]]
 
+    def body(self) -> AsyncIterator[bytes]:
+        return self.content
+
 
 @dataclasses.dataclass
 class Sent:
@@ -190,6 +193,7 @@
         address: str,
         method: str,
         path: str,
+        *,
         headers: Any,
         body: AsyncIterator[bytes],
         deadline_ms: float,
