Close kept connections at a planned shutdown

Cause: the task that watches for a caller's disconnect cancelled the answer's last send, because the server reports the end of a request as a disconnect; the connection was then never marked idle and nothing closed it. Ruled out: unread request bodies and leases that could not be released. Before: an entry with one kept connection did not stop (test fails after 30 s); after: it stops at once. Change: the last send is shielded.

--- a/lacewingwood/callers/http.py
+++ b/lacewingwood/callers/http.py
@@ -181,13 +181,21 @@
             await self._end(data, trailers)
 
     async def _end(self, data: bytes, trailers: Headers) -> None:
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": False}
-        )
-        if self._trailers:
+        # The server reports the end of the request as a disconnect while this
+        # send still prepares the connection for the next request. A task that
+        # ends the work on a disconnect must not cancel that: the connection
+        # would not be closed when idle, not even at a planned shutdown.
+        with trio.CancelScope(shield=True):
             await self._send(
-                {"type": "http.response.trailers", "headers": list(trailers)}
+                {"type": "http.response.body", "body": data, "more_body": False}
             )
+            if self._trailers:
+                await self._send(
+                    {
+                        "type": "http.response.trailers",
+                        "headers": list(trailers),
+                    }
+                )
 
     async def respond(
         self, status: int, body: bytes, headers: Headers = (_JSON,)
