Reuse engine connections after complete streams

A stream ended for its reader at [DONE] while the end of the response was still unread, so each stream cost a new connection. The client now reads the rest if it comes within 50 ms. Responses without a length no longer count as complete, and a connection whose last write was cut short is never reused.

--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -33,19 +33,24 @@
         status: HTTP status.
     """
 
-    __slots__ = ("_exchange", "status")
+    __slots__ = ("_events", "status")
 
     def __init__(self, exchange: http1.Exchange) -> None:
-        self._exchange = exchange
+        self._events = sse.Events(exchange)
         self.status = exchange.status
 
+    @property
+    def done(self) -> bool:
+        """True once the whole answer was received."""
+        return self._events.done
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Iterates over the payloads of the events, without `[DONE]`.
 
         Raises:
             BrokenError: The stream ended without `[DONE]`.
         """
-        return sse.events(self._exchange.chunks())
+        return self._events
 
 
 class EngineClient:
@@ -101,7 +106,10 @@
             address, path, body, request_id, deadline_ms
         ) as exchange:
             _check_is_stream(exchange)
-            yield Stream(exchange)
+            stream = Stream(exchange)
+            yield stream
+            if stream.done:
+                await exchange.drain()
 
     async def complete(
         self,
@@ -227,9 +235,7 @@
         with trio.move_on_after(max(0.0, timeout_ms) / 1000) as scope:
             async with pools.pool(address).exchange() as exchange:
                 sent = exchange
-                await exchange.send(
-                    head, h11.Data(data=body), h11.EndOfMessage()
-                )
+                await exchange.send_whole(head, body)
                 await exchange.receive_head()
                 await _check_status(exchange)
                 yield exchange
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -24,6 +24,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 # Time to read the end of a complete response before its connection is closed.
 _DRAIN_S = 0.05
+_WITHOUT_BODY = (204, 304)
 _BACKEND = httpcore.TrioBackend()
 
 Headers = list[tuple[bytes, bytes]]
@@ -32,18 +33,28 @@
 class Connection:
     """One connection; carries one exchange at a time."""
 
-    __slots__ = ("_fd", "_h11", "_stream", "idle_since_s")
+    __slots__ = ("_fd", "_h11", "_stream", "_writes_whole", "idle_since_s")
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self.idle_since_s = 0.0
+        self._writes_whole = True
         self._stream = stream
         self._fd: int = stream.get_extra_info("socket").fileno()
         self._h11 = h11.Connection(h11.CLIENT)
 
     async def send(self, *events: Any) -> None:
-        """Sends h11 events in one write."""
+        """Sends h11 events in one write.
+
+        Raises:
+            BrokenError: The connection broke.
+        """
         data = b"".join([self._h11.send(event) or b"" for event in events])
-        await self._stream.write(data)
+        self._writes_whole = False
+        try:
+            await self._stream.write(data)
+        except httpcore.WriteError as exc:
+            raise errors.BrokenError(str(exc)) from exc
+        self._writes_whole = True
 
     async def receive(self) -> Any:
         """Returns the next h11 event.
@@ -73,6 +84,8 @@
 
     def recycle(self) -> bool:
         """Prepares for another exchange; False if this is impossible."""
+        if not self._writes_whole:
+            return False
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
@@ -81,14 +94,18 @@
         self.idle_since_s = trio.current_time()
         return True
 
+    def expired(self) -> bool:
+        """Returns whether an idle connection is too old to be used again."""
+        return trio.current_time() - self.idle_since_s > _KEEPALIVE_S
+
     def usable(self) -> bool:
         """Returns whether an idle connection may be used again."""
-        if trio.current_time() - self.idle_since_s > _KEEPALIVE_S:
-            return False
-        return not self._stream.get_extra_info("is_readable")
+        # An idle connection has something to read only if the peer closed it.
+        readable = self._stream.get_extra_info("is_readable")
+        return not self.expired() and not readable
 
     async def close(self) -> None:
-        """Closes the connection without waiting."""
+        """Closes the connection."""
         with trio.CancelScope(shield=True):
             await self._stream.aclose()
 
@@ -105,16 +122,18 @@
     """
 
     __slots__ = (
+        "_connection",
+        "_method",
         "complete",
-        "connection",
         "headers",
         "sent",
         "status",
         "trailers",
     )
 
-    def __init__(self) -> None:
-        self.connection: Connection | None = None
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+        self._method = b""
         self.sent = False
         self.status = 0
         self.headers: Headers = []
@@ -141,12 +160,27 @@
         Raises:
             BrokenError: The connection broke.
         """
-        assert self.connection is not None
         self.sent = True
-        try:
-            await self.connection.send(*events)
-        except httpcore.WriteError as exc:
-            raise errors.BrokenError(str(exc)) from exc
+        await self._connection.send(*events)
+
+    async def send_head(self, head: h11.Request) -> None:
+        """Sends the head of a request whose body follows.
+
+        Raises:
+            BrokenError: The connection broke.
+        """
+        self._method = head.method
+        await self.send(head)
+
+    async def send_whole(self, head: h11.Request, body: bytes) -> None:
+        """Sends a whole request.
+
+        A broken connection is left for `receive_head` to report, because the
+        peer may have answered before it closed the connection.
+        """
+        self._method = head.method
+        with contextlib.suppress(errors.BrokenError):
+            await self.send(head, h11.Data(data=body), h11.EndOfMessage())
 
     async def receive_head(self) -> None:
         """Reads status and header fields.
@@ -154,51 +188,64 @@
         Raises:
             BrokenError: The connection ended or the peer broke the protocol.
         """
-        assert self.connection is not None
-        event = await self.connection.receive()
+        event = await self._connection.receive()
         while isinstance(event, h11.InformationalResponse):
-            event = await self.connection.receive()
+            event = await self._connection.receive()
         if not isinstance(event, h11.Response):
             raise errors.BrokenError("connection closed without a response")
         self.status = event.status_code
         self.headers = list(event.headers)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Iterates over the body as it arrives.
+    async def next_chunk(self) -> bytes:
+        """Returns the next part of the body as it arrives, empty at its end.
 
         Raises:
             BrokenError: The connection ended before the response did.
         """
-        connection = self.connection
-        assert connection is not None
         if self.complete:
-            return
-        while True:
-            event = await connection.receive()
-            if type(event) is h11.Data:
-                yield bytes(event.data)
-            elif type(event) is h11.EndOfMessage:
-                self.trailers = list(event.headers)
-                self.complete = True
-                return
-            else:
-                raise errors.BrokenError("connection closed early")
+            return b""
+        event = await self._connection.receive()
+        if type(event) is h11.Data:
+            return bytes(event.data)
+        if type(event) is not h11.EndOfMessage:
+            raise errors.BrokenError("connection closed early")
+        if not self._delimited():
+            raise errors.BrokenError("nothing tells where the response ends")
+        self.trailers = list(event.headers)
+        self.complete = True
+        return b""
 
     async def read(self) -> bytes:
         """Returns the rest of the body.
 
         Raises:
-            BrokenError: The connection ended before the response did, or
-                nothing tells where the response ends.
+            BrokenError: The connection ended before the response did.
         """
-        if not self._delimited():
-            raise errors.BrokenError("response has no length")
-        return b"".join([chunk async for chunk in self.chunks()])
+        chunks = []
+        while chunk := await self.next_chunk():
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    async def drain(self) -> None:
+        """Reads what is left if it comes at once; sets `complete` if so."""
+        with (
+            contextlib.suppress(errors.BrokenError),
+            trio.move_on_after(_DRAIN_S),
+        ):
+            while await self.next_chunk():
+                pass
 
     def _delimited(self) -> bool:
-        if self.header(b"content-length") is not None:
-            return True
-        return self.header(b"transfer-encoding") is not None
+        """Returns whether the end of the body differs from a lost connection.
+
+        A response without a length lasts until the connection is closed.
+        """
+        return (
+            self._method == b"HEAD"
+            or self.status in _WITHOUT_BODY
+            or self.header(b"content-length") is not None
+            or self.header(b"transfer-encoding") is not None
+        )
 
 
 class Pool:
@@ -208,7 +255,7 @@
 
     def __init__(self, address: str, limit: int) -> None:
         host, _, port = address.rpartition(":")
-        self._host = host
+        self._host = host.strip("[]")
         self._port = int(port)
         self._slots = trio.Semaphore(limit)
         self._idle: collections.deque[Connection] = collections.deque()
@@ -222,35 +269,27 @@
         Raises:
             ConnectError: No connection could be made.
         """
-        exchange = Exchange()
         async with self._slots:
             connection = await self._take()
-            exchange.connection = connection
-            keep = False
+            exchange = Exchange(connection)
             try:
                 yield exchange
-                keep = exchange.complete and connection.recycle()
             finally:
-                if keep:
-                    self._idle.append(connection)
-                else:
-                    await connection.close()
+                await self._give_back(connection, exchange.complete)
 
     async def close(self) -> None:
         """Closes the idle connections."""
         while self._idle:
             await self._idle.pop().close()
 
-    async def close_unusable(self) -> None:
-        """Closes idle connections that may not be used again."""
-        kept = []
-        while self._idle:
-            connection = self._idle.popleft()
-            if connection.usable():
-                kept.append(connection)
-            else:
-                await connection.close()
-        self._idle.extend(kept)
+    async def _give_back(self, connection: Connection, keep: bool) -> None:
+        if keep and connection.recycle():
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        # The connections used least are at the front.
+        while self._idle and self._idle[0].expired():
+            await self._idle.popleft().close()
 
     async def _take(self) -> Connection:
         while self._idle:
--- a/lacewingwood/upstreams/plain.py
+++ b/lacewingwood/upstreams/plain.py
@@ -16,7 +16,7 @@
 
 
 class Response:
-    """A response whose body is read as it arrives.
+    """A response; iterate over it for its body as it arrives.
 
     Attributes:
         status: HTTP status.
@@ -35,13 +35,27 @@
         """Trailer fields; known once the body has been read."""
         return self._exchange.trailers
 
-    def body(self) -> AsyncIterator[bytes]:
-        """Iterates over the body.
+    def __aiter__(self) -> "Response":
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next part of the body.
+
+        Raises:
+            BrokenError: The connection ended before the response did.
+        """
+        chunk = await self._exchange.next_chunk()
+        if not chunk:
+            raise StopAsyncIteration
+        return chunk
+
+    async def read(self) -> bytes:
+        """Returns the rest of the body.
 
         Raises:
             BrokenError: The connection ended before the response did.
         """
-        return self._exchange.chunks()
+        return await self._exchange.read()
 
 
 class PlainClient:
@@ -134,10 +148,10 @@
 ) -> AsyncIterator[None]:
     """Sends a request, an iterated body while the block runs."""
     if isinstance(body, bytes):
-        await exchange.send(head, h11.Data(data=body), h11.EndOfMessage())
+        await exchange.send_whole(head, body)
         yield
         return
-    await exchange.send(head)
+    await exchange.send_head(head)
     failure: Exception | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send_body, exchange, body)
--- a/lacewingwood/upstreams/sse.py
+++ b/lacewingwood/upstreams/sse.py
@@ -1,45 +1,74 @@
 """Server-sent events, split without decoding what they carry."""
 
-from collections.abc import AsyncIterator
+import collections
 
 from lacewingwood.upstreams import errors
+from lacewingwood.upstreams import http1
 
-DONE = b"[DONE]"
-_PREFIX = b"data: "
+_DONE = b"[DONE]"
+_DONE_CHUNK = b"data: [DONE]\n\n"
 _END = b"\n\n"
 _EVENT_LIMIT_BYTES = 1 << 20
 
 
-async def events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+class Events:
     """Iterates over the payloads of a stream up to `[DONE]`, not included.
 
-    Args:
-        chunks: The body, cut anywhere.
+    A class in place of an async generator: a generator left early would wait
+    for the garbage collector.
 
-    Raises:
-        BrokenError: The stream ended without `[DONE]`.
-        BadAnswerError: An event is larger than 1 MiB.
+    Attributes:
+        done: True once `[DONE]` was received.
     """
-    rest = b""
-    async for chunk in chunks:
-        # Nearly always a chunk holds exactly one event.
-        if not rest and chunk.startswith(_PREFIX):
-            end = chunk.find(_END)
-            if end == len(chunk) - 2:
-                payload = chunk[6:end]
-                if b"\n" not in payload and payload != DONE:
-                    yield payload
-                    continue
-        *whole, rest = _normalized(rest + chunk).split(_END)
-        for event in whole:
+
+    __slots__ = ("_exchange", "_rest", "_whole", "done")
+
+    def __init__(self, exchange: http1.Exchange) -> None:
+        self.done = False
+        self._exchange = exchange
+        self._rest = b""
+        self._whole: collections.deque[bytes] = collections.deque()
+
+    def __aiter__(self) -> "Events":
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next payload.
+
+        Raises:
+            BrokenError: The stream ended without `[DONE]`.
+            BadAnswerError: An event is larger than 1 MiB.
+        """
+        while not self._whole:
+            if self.done:
+                raise StopAsyncIteration
+            chunk = await self._exchange.next_chunk()
+            # Nearly always a chunk holds exactly one event of one line.
+            if (
+                not self._rest
+                and chunk.find(b"\n") == len(chunk) - 2
+                and chunk.startswith(b"data: ")
+                and chunk.endswith(b"\n\n")
+                and chunk != _DONE_CHUNK
+            ):
+                return chunk[6:-2]
+            self._split(chunk)
+        return self._whole.popleft()
+
+    def _split(self, chunk: bytes) -> None:
+        if not chunk:
+            raise errors.BrokenError("stream ended without [DONE]")
+        data = _normalized(self._rest + chunk)
+        *events, self._rest = data.split(_END)
+        if len(self._rest) > _EVENT_LIMIT_BYTES:
+            raise errors.BadAnswerError("event is too large")
+        for event in events:
             payload = _payload(event)
-            if payload == DONE:
+            if payload == _DONE:
+                self.done = True
                 return
             if payload:
-                yield payload
-        if len(rest) > _EVENT_LIMIT_BYTES:
-            raise errors.BadAnswerError("event is too large")
-    raise errors.BrokenError("stream ended without [DONE]")
+                self._whole.append(payload)
 
 
 def _normalized(data: bytes) -> bytes:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -138,7 +138,8 @@
             case ["kv", request_id]:
                 await self._transfer_kv(request, request_id)
             case ["stats"]:
-                await request.answer_json(200, self._stats())
+                with_runs = request.query.get("runs") != "0"
+                await request.answer_json(200, self._stats(with_runs))
             case ["faults"]:
                 await self._set_faults(request)
             case _:
@@ -159,16 +160,15 @@
         ]
         return {"object": "list", "data": models}
 
-    def _stats(self) -> dict[str, Any]:
+    def _stats(self, with_runs: bool) -> dict[str, Any]:
         return {
-            "runs": self._runs,
+            "runs": list(self._runs) if with_runs else [],
             "outcomes": collections.Counter(run.outcome for run in self._runs),
             "refused": self._refused,
             "tokens": self._batcher.tokens,
             "busy_slot_ms": self._batcher.busy_slot_ms,
             "total_slot_ms": self._batcher.total_slot_ms,
             "orders": self._orders.done,
-            "cancelled": sum(r.outcome == "cancelled" for r in self._runs),
         }
 
     # Load reports.
@@ -241,29 +241,21 @@
         self._keep_kv(task.request_id, sequence.blocks)
         self._batcher.submit(sequence)
         try:
-            run.outcome = await self._send(request, task)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_disconnect, request, nursery)
+                send = self._send_stream if task.stream else self._send_whole
+                await send(request, task, run)
+                nursery.cancel_scope.cancel()
         finally:
             run.tokens = sequence.index - run.resumed_tokens
-            if not sequence.ended:
-                self._batcher.cancel(sequence)
+            if run.outcome == "running":
+                run.outcome = "disconnected"
+            self._batcher.cancel(sequence)
             self._running.pop(task.request_id, None)
 
-    async def _send(
-        self, request: server.Request, task: completions.Task
-    ) -> str:
-        outcome = "disconnected"
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_disconnect, request, nursery)
-            if task.stream:
-                outcome = await self._send_stream(request, task)
-            else:
-                outcome = await self._send_whole(request, task)
-            nursery.cancel_scope.cancel()
-        return outcome
-
     async def _send_stream(
-        self, request: server.Request, task: completions.Task
-    ) -> str:
+        self, request: server.Request, task: completions.Task, run: Run
+    ) -> None:
         sequence = task.sequence
         await request.start(200, task.headers("text/event-stream"))
         sent = 0
@@ -271,34 +263,39 @@
             ready = sequence.ready
             while sequence.tokens:
                 if sent == self.faults.break_after_tokens:
+                    run.outcome = "broken"
                     await request.abort()
-                    return "broken"
+                    return
                 await request.send(task.chunk(sequence.tokens.popleft()))
                 sent += 1
             if sequence.ended:
                 break
             await ready.wait()
         if sequence.cancelled:
+            run.outcome = "cancelled"
             await request.abort()
-            return "cancelled"
+            return
+        run.outcome = "done"
         await request.send(task.last_chunk() + _DONE, more=False)
-        return "done"
 
     async def _send_whole(
-        self, request: server.Request, task: completions.Task
-    ) -> str:
+        self, request: server.Request, task: completions.Task, run: Run
+    ) -> None:
         sequence = task.sequence
         while not sequence.ended:
             await sequence.ready.wait()
             if len(sequence.tokens) > self.faults.break_after_tokens >= 0:
+                run.outcome = "broken"
                 await request.abort()
-                return "broken"
+                return
+        # No status says that a request was ended after it had begun.
         if sequence.cancelled:
-            await _answer_error(request, 409, "cancelled")
-            return "cancelled"
+            run.outcome = "cancelled"
+            await request.abort()
+            return
+        run.outcome = "done"
         body = task.whole("".join(sequence.tokens))
         await request.answer(200, body, headers=task.headers())
-        return "done"
 
     async def _cancel(self, request: server.Request, request_id: str) -> None:
         sequence = self._running.get(request_id)
