--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,7 +1,6 @@
 """Starts a stand-in: `python -m standins NAME --bind 127.0.0.1:PORT ...`."""
 
 import sys
-from collections.abc import Awaitable
 from collections.abc import Callable
 
 import cyclopts
@@ -30,7 +29,7 @@
 ) -> None:
     """Starts the log service."""
     settings = log_module.Settings(appends_per_s, retention_ms)
-    _run(log_module.Log(settings).handle, bind)
+    _run(lambda: log_module.Log(settings), bind)
 
 
 @app.command
@@ -70,14 +69,13 @@
         queue=queue,
         sizes=sizes,
     )
-    started = engine_module.Engine(settings)
-    _run(started.handle, bind, started.run)
+    _run(lambda: engine_module.Engine(settings), bind)
 
 
 @app.command
 def plain(*, bind: str = _BIND) -> None:
     """Starts a plain service."""
-    _run(plain_module.Plain().handle, bind)
+    _run(plain_module.Plain, bind)
 
 
 @app.command
@@ -91,26 +89,24 @@
     """Starts the weight store; each artifact is `MODEL/VERSION=BYTES`."""
     pairs = (item.rpartition("=") for item in artifact or [])
     sizes = {name: int(size) for name, _, size in pairs}
-    store = weights_module.WeightStore(sizes, bytes_per_s, downloads)
-    _run(store.handle, bind)
+    _run(
+        lambda: weights_module.WeightStore(sizes, bytes_per_s, downloads), bind
+    )
 
 
 @app.command
 def hostlist(*, bind: str = _BIND, lag_ms: float = 1000) -> None:
     """Starts the host list."""
-    _run(hostlist_module.HostList(lag_ms).handle, bind)
+    _run(lambda: hostlist_module.HostList(lag_ms), bind)
 
 
-def _run(
-    handle: server.Handler,
-    bind: str,
-    background: Callable[[], Awaitable[None]] | None = None,
-) -> None:
+def _run(make: Callable[[], server.StandIn], bind: str) -> None:
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            if background is not None:
-                nursery.start_soon(background)
-            address = await nursery.start(server.serve, handle, bind)
+            started = make()
+            if isinstance(started, engine_module.Engine):
+                nursery.start_soon(started.run)
+            address = await nursery.start(server.serve, started.handle, bind)
             ready = {"ready": True, "address": address}
             sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
             sys.stdout.flush()
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -2,7 +2,6 @@
 
 import collections
 import math
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -293,4 +292,4 @@
 
 
 def _now_ms() -> float:
-    return time.monotonic() * 1000
+    return trio.current_time() * 1000
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,7 +2,6 @@
 
 import collections
 import os
-import time
 import uuid
 from typing import Any
 
@@ -343,4 +342,4 @@
 
 
 def _now_ms() -> float:
-    return time.monotonic() * 1000
+    return trio.current_time() * 1000
--- a/standins/hostlist.py
+++ b/standins/hostlist.py
@@ -1,19 +1,23 @@
 """Stand-in for the platform's host list, which lags behind changes."""
 
 import collections
-import time
 
 import msgspec
+import trio
 
 from lacewingwood.hostlist import types
 from standins import server
 
 
 class HostList:
-    """Hosts as they were `lag_ms` ago; `handle` answers requests."""
+    """The hosts as they were some time ago; `handle` answers requests.
+
+    Attributes:
+        lag_ms: Delay until a change is shown.
+    """
 
     def __init__(self, lag_ms: float) -> None:
-        self._lag_ms = lag_ms
+        self.lag_ms = lag_ms
         self._hosts: dict[str, types.Host] = {}
         self._shown: list[types.Host] = []
         self._pending: collections.deque[tuple[float, list[types.Host]]] = (
@@ -40,14 +44,14 @@
                 await request.answer(404)
 
     def _changed(self) -> None:
-        visible_ms = _now_ms() + self._lag_ms
-        self._pending.append((visible_ms, list(self._hosts.values())))
+        self._pending.append((_now_ms(), list(self._hosts.values())))
 
     def _list(self) -> list[types.Host]:
-        while self._pending and self._pending[0][0] <= _now_ms():
+        until_ms = _now_ms() - self.lag_ms
+        while self._pending and self._pending[0][0] <= until_ms:
             self._shown = self._pending.popleft()[1]
         return self._shown
 
 
 def _now_ms() -> float:
-    return time.monotonic() * 1000
+    return trio.current_time() * 1000
--- a/standins/log.py
+++ b/standins/log.py
@@ -3,6 +3,8 @@
 import collections
 import time
 import urllib.parse
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 import trio
@@ -15,6 +17,11 @@
 _WAIT_LIMIT_MS = 60_000
 
 
+def wall_ms() -> int:
+    """Returns wall-clock time in ms since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
 class Faults(msgspec.Struct):
     """Faults to show, as set by `POST /faults`; missing fields stay as is.
 
@@ -80,17 +87,18 @@
 class _Bucket:
     """Admits at most `rate_per_s` a second, with a burst of one second."""
 
-    __slots__ = ("_level", "_rate_per_s", "_updated_s")
+    __slots__ = ("_depth", "_level", "_rate_per_s", "_updated_s")
 
     def __init__(self, rate_per_s: float) -> None:
         self._rate_per_s = rate_per_s
-        self._level = rate_per_s
-        self._updated_s = time.monotonic()
+        self._depth = max(1.0, rate_per_s)
+        self._level = self._depth
+        self._updated_s = trio.current_time()
 
     def take(self) -> bool:
-        now_s = time.monotonic()
+        now_s = trio.current_time()
         gained = (now_s - self._updated_s) * self._rate_per_s
-        self._level = min(self._rate_per_s, self._level + gained)
+        self._level = min(self._depth, self._level + gained)
         self._updated_s = now_s
         if self._level < 1:
             return False
@@ -101,9 +109,12 @@
 class Log:
     """Streams, limits and faults of the log; `handle` answers requests."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self, settings: Settings, wall_ms: Callable[[], int] = wall_ms
+    ) -> None:
         self.faults = Faults()
         self._settings = settings
+        self._wall_ms = wall_ms
         self._bucket = _Bucket(settings.appends_per_s)
         self._streams: dict[str, _Stream] = {}
         self._went_down = trio.Event()
@@ -112,7 +123,7 @@
     async def handle(self, request: server.Request) -> None:
         """Answers one request."""
         if request.path == "/faults":
-            await self._set_faults(request)
+            await self._answer_faults(request)
         elif request.path == "/stats":
             await request.answer_json(200, self._stats())
         elif request.path.startswith("/streams/"):
@@ -120,17 +131,20 @@
         else:
             await request.answer(404)
 
-    def _stats(self) -> dict[str, object]:
-        heads = {name: stream.head for name, stream in self._streams.items()}
-        return {"appends": self._appends, "heads": heads}
-
-    async def _set_faults(self, request: server.Request) -> None:
-        changes = msgspec.json.decode(await request.body())
+    def set_faults(self, changes: dict[str, Any]) -> None:
+        """Changes the faults given and ends long polls in an outage."""
         merged = {**msgspec.to_builtins(self.faults), **changes}
         self.faults = msgspec.convert(merged, Faults)
         if self.faults.down:
             self._went_down.set()
             self._went_down = trio.Event()
+
+    def _stats(self) -> dict[str, object]:
+        heads = {name: stream.head for name, stream in self._streams.items()}
+        return {"appends": self._appends, "heads": heads}
+
+    async def _answer_faults(self, request: server.Request) -> None:
+        self.set_faults(msgspec.json.decode(await request.body()))
         await request.answer_json(200, self.faults)
 
     async def _answer_stream(self, request: server.Request) -> None:
@@ -155,7 +169,7 @@
         if not self._bucket.take():
             await request.answer(429)
             return
-        offset = self._stream(name).append(body, _wall_ms())
+        offset = self._stream(name).append(body, self._wall_ms())
         self._appends += 1
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -173,7 +187,7 @@
         if self.faults.down:
             await request.answer(503)
             return
-        stream.expire(_wall_ms() - self._settings.retention_ms)
+        stream.expire(self._wall_ms() - self._settings.retention_ms)
         if start < stream.first:
             await request.answer_json(410, {"first": stream.first})
             return
@@ -205,7 +219,3 @@
 async def _cancel_after(event: trio.Event, nursery: trio.Nursery) -> None:
     await event.wait()
     nursery.cancel_scope.cancel()
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/standins/server.py
+++ b/standins/server.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
+from typing import Protocol
 
 import hypercorn
 import msgspec
@@ -27,15 +28,25 @@
     """One HTTP request and the means to answer it.
 
     Attributes:
+        client: Address and port of the client.
         method: HTTP method.
         path: Decoded path.
         query: Query parameters; the last one wins.
         headers: Header fields in lower case; the last one wins.
     """
 
-    __slots__ = ("_receive", "_send", "headers", "method", "path", "query")
+    __slots__ = (
+        "_receive",
+        "_send",
+        "client",
+        "headers",
+        "method",
+        "path",
+        "query",
+    )
 
     def __init__(self, scope: Any, receive: Any, send: Any) -> None:
+        self.client: tuple[str, int] = scope["client"]
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: dict[str, str] = dict(
@@ -113,6 +124,13 @@
 Handler = Callable[[Request], Awaitable[None]]
 
 
+class StandIn(Protocol):
+    """Whatever answers requests."""
+
+    async def handle(self, request: Request) -> None:
+        """Answers one request."""
+
+
 async def serve(
     handle: Handler,
     bind: str,
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -1,7 +1,6 @@
 """Stand-in for the rate-limited weight store."""
 
 import hashlib
-import time
 
 import msgspec
 import trio
@@ -36,7 +35,7 @@
         self._bytes_per_s = bytes_per_s
         self._downloads = downloads
         self._running = 0
-        self._free_s = time.monotonic()
+        self._free_s = 0.0
         self._artifacts = {
             name: Artifact(size, _digest(name, size))
             for name, size in artifacts.items()
@@ -86,7 +85,7 @@
         await request.send(b"", more=False)
 
     async def _wait(self, size: int) -> None:
-        now_s = time.monotonic()
+        now_s = trio.current_time()
         self._free_s = max(now_s, self._free_s) + size / self._bytes_per_s
         await trio.sleep(self._free_s - now_s)
 
--- /dev/null
+++ b/tests/upstreams/test_plain.py
@@ -0,0 +1,138 @@
+"""Tests of the plain services' client."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from lacewingwood import clock
+from lacewingwood import errors as base_errors
+from lacewingwood.upstreams import errors
+from lacewingwood.upstreams import plain
+from standins import plain as standin
+from tests.standins import serving
+
+_CLOCK = clock.MonotonicClock()
+
+
+class _Service:
+    """A plain service and a client."""
+
+    def __init__(self) -> None:
+        self.plain = standin.Plain()
+        self.client = plain.PlainClient(_CLOCK)
+        self.address = ""
+
+    async def start(self, nursery: trio.Nursery) -> "_Service":
+        self.address = await serving.start(nursery, self.plain.handle)
+        return self
+
+    def request(self, method: str, path: str, **fields: Any) -> Any:
+        arguments = {
+            "headers": [],
+            "body": b"",
+            "deadline_ms": _CLOCK.now_ms() + 60_000,
+        }
+        return self.client.request(
+            self.address, method, path, **(arguments | fields)
+        )
+
+    async def order(self, key: bytes) -> Any:
+        headers = [(b"idempotency-key", key)]
+        async with self.request("POST", "/orders", headers=headers) as answer:
+            return msgspec.json.decode(await answer.read())
+
+
+@pytest.mark.parametrize(
+    ("where", "runs"),
+    [
+        (standin.Break.BEFORE_RUN, 0),
+        (standin.Break.BEFORE_ANSWER, 1),
+        (standin.Break.DURING_ANSWER, 1),
+    ],
+)
+async def test_broken_call_may_have_run(
+    nursery: trio.Nursery, where: standin.Break, runs: int
+) -> None:
+    """Guards against a call repeated, or lost, after a broken connection."""
+    service = await _Service().start(nursery)
+    service.plain.faults = standin.Faults(where, count=1)
+    with pytest.raises(errors.BrokenError) as info:
+        await service.order(b"k")
+    assert info.value.ran is base_errors.Ran.MAY_HAVE_RUN
+    assert (await service.order(b"k"))["executions"] == runs + 1
+
+
+async def test_call_is_complete_though_the_connection_breaks_after_it(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against reporting a failure for a call that was answered."""
+    service = await _Service().start(nursery)
+    where = standin.Break.AFTER_ANSWER
+    service.plain.faults = standin.Faults(where, count=1)
+    assert (await service.order(b"k"))["executions"] == 1
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    assert (await service.order(b"other"))["executions"] == 1
+
+
+async def test_bodies_stream_both_ways_at_once(nursery: trio.Nursery) -> None:
+    """Guards against holding back a request or a response as a whole."""
+    service = await _Service().start(nursery)
+    send, receive = trio.open_memory_channel[bytes](0)
+    async with service.request("POST", "/stream", body=receive) as answer:
+        for chunk in (b"one", b"two"):
+            await send.send(chunk)
+            assert await anext(aiter(answer)) == chunk
+        await send.aclose()
+        assert await answer.read() == b""
+
+
+async def test_trailers_follow_the_body(nursery: trio.Nursery) -> None:
+    """Guards against losing a status that a service sends at the end."""
+    service = await _Service().start(nursery)
+    async with service.request("POST", "/trailers", body=b"abc") as answer:
+        assert answer.trailers == []
+        assert await answer.read() == b"abc"
+        assert answer.trailers == [(b"x-length", b"3")]
+
+
+async def test_errors_of_the_block_pass_through_a_streamed_request(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against errors hidden in exception groups, and hung senders."""
+    service = await _Service().start(nursery)
+
+    async def endless() -> AsyncIterator[bytes]:
+        yield b"one"
+        await trio.sleep_forever()
+
+    with pytest.raises(KeyError):
+        async with service.request("POST", "/stream", body=endless()):
+            raise KeyError
+    with pytest.raises(errors.TimeoutError) as info:
+        async with service.request(
+            "POST",
+            "/stream",
+            body=endless(),
+            deadline_ms=_CLOCK.now_ms() + 300,
+        ) as answer:
+            await answer.read()
+    assert info.value.ran is base_errors.Ran.MAY_HAVE_RUN
+
+
+async def test_response_without_a_body_is_complete(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against taking 204 and HEAD answers for truncated ones."""
+    service = _Service()
+    answers = [
+        b"HTTP/1.1 204 No Content\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n",
+    ]
+    service.address = await serving.start_script(nursery, answers)
+    for method in ("GET", "HEAD"):
+        async with service.request(method, "/") as answer:
+            assert await answer.read() == b""
