Keep refusals whose body is lost, and leave out connection headers

A refusal's status alone tells that a request was not run, so a body cut short no longer turns it into a request that may have run. The plain client leaves out fields of the caller's own connection, which could otherwise frame the request to the service. Bodies read whole are bounded to 64 MiB.

--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -18,6 +18,8 @@
 _CONNECTIONS = 256
 _CONTROL_CONNECTIONS = 4
 _CONTROL_TIMEOUT_MS = 2000.0
+# A deadline that is further away, or infinite, is sent as this.
+_LONGEST_MS = 86_400_000
 _KV_TIMEOUT_MS = 30_000.0
 _JSON = b"application/json"
 _REFUSALS = range(400, 500)
@@ -214,7 +216,7 @@
             path,
             body,
             (b"x-request-id", request_id.encode()),
-            (b"x-deadline-ms", b"%d" % max(0, left_ms)),
+            (b"x-deadline-ms", b"%d" % min(max(0, left_ms), _LONGEST_MS)),
         )
         async with self._exchange(
             self._requests, address, head, body, left_ms
@@ -265,7 +267,10 @@
     if 200 <= status < 300:
         return
     if status in _REFUSALS or status == _UNAVAILABLE:
-        body = await exchange.read()
+        body = b""
+        # The status alone says that the request was not run.
+        with contextlib.suppress(errors.UpstreamError):
+            body = await exchange.read()
         raise errors.RefusedError(f"refused with {status}", status, body)
     raise errors.BrokenError(f"engine answered with {status}")
 
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -24,6 +24,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 # Time to read the end of a complete response before its connection is closed.
 _DRAIN_S = 0.05
+_BODY_LIMIT_BYTES = 64 << 20
 _WITHOUT_BODY = (204, 304)
 _BACKEND = httpcore.TrioBackend()
 
@@ -220,10 +221,15 @@
 
         Raises:
             BrokenError: The connection ended before the response did.
+            BadAnswerError: The body is larger than 64 MiB.
         """
         chunks = []
+        size = 0
         while chunk := await self.next_chunk():
             chunks.append(chunk)
+            size += len(chunk)
+            if size > _BODY_LIMIT_BYTES:
+                raise errors.BadAnswerError("body is too large")
         return b"".join(chunks)
 
     async def drain(self) -> None:
--- a/lacewingwood/upstreams/plain.py
+++ b/lacewingwood/upstreams/plain.py
@@ -13,6 +13,21 @@
 from lacewingwood.upstreams import http1
 
 _CONNECTIONS = 256
+# Fields made here, or that concern only the connection they came on.
+_OWN = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"host",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
 
 
 class Response:
@@ -94,8 +109,8 @@
             address: `host:port` of the service.
             method: HTTP method.
             path: Path and query.
-            headers: Header fields to send; `host` and those that frame the
-                body are added here and must not be among them.
+            headers: Header fields to send; those that concern only one
+                connection are left out.
             body: Request body.
             deadline_ms: Time on `clock` by which the block must be left.
 
@@ -136,7 +151,8 @@
     framing = (b"transfer-encoding", b"chunked")
     if isinstance(body, bytes):
         framing = (b"content-length", b"%d" % len(body))
-    fields = [(b"host", address.encode()), framing, *headers]
+    passed = [field for field in headers if field[0].lower() not in _OWN]
+    fields = [(b"host", address.encode()), framing, *passed]
     return h11.Request(method=method, target=path, headers=fields)
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -128,7 +128,7 @@
             case ["cancel", request_id]:
                 await self._cancel(request, request_id)
             case ["load"]:
-                await request.answer_json(200, self._load())
+                await request.answer_json(200, self.load())
             case ["cache", "events"]:
                 start = int(request.query.get("start", "0"))
                 await request.answer_json(200, self._cache.events(start))
@@ -140,16 +140,19 @@
                 with_runs = request.query.get("runs") != "0"
                 await request.answer_json(200, self._stats(with_runs))
             case ["faults"]:
-                await self._set_faults(request)
+                await self._answer_faults(request)
             case _:
                 await request.answer(404)
 
-    async def _set_faults(self, request: server.Request) -> None:
-        changes = msgspec.json.decode(await request.body())
+    def set_faults(self, changes: dict[str, Any]) -> None:
+        """Changes the faults given."""
         merged = {**msgspec.to_builtins(self.faults), **changes}
         self.faults = msgspec.convert(merged, Faults)
         self._batcher.slow_factor = self.faults.slow_factor
         self._record_load()
+
+    async def _answer_faults(self, request: server.Request) -> None:
+        self.set_faults(msgspec.json.decode(await request.body()))
         await request.answer_json(200, self.faults)
 
     def _models(self) -> dict[str, Any]:
@@ -186,7 +189,8 @@
         self._reports.append((_now_ms(), report))
         self._expire_reports()
 
-    def _load(self) -> types.LoadReport:
+    def load(self) -> types.LoadReport:
+        """Returns the newest report that is old enough to be shown."""
         self._record_load()
         return self._reports[0][1]
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -169,7 +169,9 @@
         if not self._bucket.take():
             await request.answer(429)
             return
-        offset = self._stream(name).append(body, self._wall_ms())
+        stream = self._stream(name)
+        stream.expire(self._wall_ms() - self._settings.retention_ms)
+        offset = stream.append(body, self._wall_ms())
         self._appends += 1
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -1,5 +1,6 @@
 """Tests of the engines' client against the stand-in and broken engines."""
 
+import math
 from typing import Any
 
 import hypothesis
@@ -17,6 +18,7 @@
 from standins import batching
 from standins import engine as standin
 from standins import server
+from standins import weights
 from tests.standins import serving
 
 _CHAT = "/v1/chat/completions"
@@ -50,12 +52,13 @@
 
     async def outcome(self, request_id: str) -> str:
         """Returns what became of a request, once that is settled."""
-        while True:
-            runs = (await self.stats())["runs"]
-            outcomes = {run["request_id"]: run["outcome"] for run in runs}
-            if outcomes[request_id] != "running":
-                return outcomes[request_id]
-            await trio.lowlevel.checkpoint()
+        outcome = "running"
+        with trio.fail_after(30):
+            while outcome == "running":
+                runs = (await self.stats())["runs"]
+                outcomes = {run["request_id"]: run["outcome"] for run in runs}
+                outcome = outcomes[request_id]
+        return outcome
 
     async def stream(self, request_id: str, **fields: Any) -> list[str]:
         text: list[str] = []
@@ -75,7 +78,7 @@
 
     async def complete(self, request_id: str, **fields: Any) -> str:
         answer = await self.client.complete(
-            self.address, _CHAT, _body(**fields), request_id, _deadline_ms()
+            self.address, _CHAT, _body(**fields), request_id, math.inf
         )
         return msgspec.json.decode(answer)["choices"][0]["message"]["content"]
 
@@ -178,7 +181,7 @@
 ) -> None:
     """Guards against a refusal that says "not run" although it ran."""
     fleet = await _Fleet().start(nursery)
-    fleet.engine.faults = standin.Faults(**faults)
+    fleet.engine.set_faults(faults)
     for send in (fleet.stream, fleet.complete):
         with pytest.raises(errors.RefusedError) as info:
             await send("r1", **fields)
@@ -187,6 +190,18 @@
     assert (stats["runs"], stats["refused"]) == ([], 2)
 
 
+async def test_refusal_counts_though_its_body_is_cut_short(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against losing a certain "not run" to a lost connection."""
+    fleet = _Fleet()
+    answer = b"HTTP/1.1 503 No\r\ncontent-length: 9\r\n\r\n{}"
+    fleet.address = await serving.start_script(nursery, [answer])
+    with pytest.raises(errors.RefusedError) as info:
+        await fleet.complete("r1")
+    assert info.value.ran is _NOT_RUN
+
+
 async def test_unreachable_engine_is_not_run() -> None:
     """Guards against giving up on requests that could be sent elsewhere."""
     fleet = _Fleet()
@@ -201,8 +216,7 @@
 ) -> None:
     """Guards against a wrong "not run" when an engine is slow."""
     fleet = await _Fleet(connections=1).start(nursery)
-    fleet.engine.faults.slow_factor = 1
-    fleet.engine._batcher.slow_factor = 1e6
+    fleet.engine.set_faults({"slow_factor": 1e6})
     with pytest.raises(errors.TimeoutError) as info:
         await fleet.client.complete(
             fleet.address, _CHAT, _body(), "r1", _deadline_ms(200)
@@ -308,6 +322,41 @@
     assert fleet.engine._orders.versions == {"sabeel-lm": "3"}
 
 
+async def test_load_order_takes_weights_from_the_store(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a version reported as loaded without its weights."""
+    store = weights.WeightStore({"sabeel-lm/2": 100_000}, 1e12, downloads=1)
+    address = await serving.start(nursery, store.handle)
+    fleet = await _Fleet(weights_url=f"http://{address}").start(nursery)
+    orders = [
+        types.Order(f"o{version}", version, "load", "sabeel-lm", str(version))
+        for version in (2, 3)
+    ]
+    for order in orders:
+        await fleet.client.order(fleet.address, order)
+    outcomes = ["running"]
+    with trio.fail_after(30):
+        while "running" in outcomes:
+            done = (await fleet.stats())["orders"]
+            outcomes = [entry["outcome"] for entry in done]
+    assert outcomes == ["done", "failed"]
+    assert fleet.engine._orders.versions == {"sabeel-lm": "2"}
+
+
+async def test_load_report_lags(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against routing that is tried only with current reports."""
+    loaded = standin.Engine(standin.Settings(report_lag_ms=500))
+    await trio.sleep(1)
+    loaded.set_faults({"leaving": True})
+    await trio.sleep(0.4)
+    assert not loaded.load().leaving
+    await trio.sleep(0.2)
+    assert loaded.load().leaving
+
+
 async def test_exported_cache_is_imported_elsewhere(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/upstreams/test_plain.py
+++ b/tests/upstreams/test_plain.py
@@ -90,6 +90,30 @@
         assert await answer.read() == b""
 
 
+async def test_fields_of_the_callers_connection_are_left_out(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a caller that frames the request to the service."""
+    service = await _Service().start(nursery)
+    headers = [
+        (b"X-Kept", b"1"),
+        (b"Host", b"other"),
+        (b"Content-Length", b"9"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"Connection", b"close"),
+    ]
+    async with service.request(
+        "POST", "/anything", headers=headers, body=b"ab"
+    ) as answer:
+        echo = msgspec.json.decode(await answer.read())
+    assert echo["body"] == "ab"
+    assert echo["headers"] == {
+        "host": service.address,
+        "content-length": "2",
+        "x-kept": "1",
+    }
+
+
 async def test_trailers_follow_the_body(nursery: trio.Nursery) -> None:
     """Guards against losing a status that a service sends at the end."""
     service = await _Service().start(nursery)
