--- /dev/null
+++ b/lacewingwood/callers/app.py
@@ -0,0 +1,183 @@
+"""The ASGI application towards callers."""
+
+import contextlib
+import functools
+import secrets
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+import trio
+
+from lacewingwood.callers import admission
+from lacewingwood.callers import auth
+from lacewingwood.callers import calls
+from lacewingwood.callers import dependencies
+from lacewingwood.callers import errors
+from lacewingwood.callers import http
+from lacewingwood.callers import inference
+from lacewingwood.callers import proxy
+from lacewingwood.callers import running
+
+_INFERENCE_PATHS = frozenset(("/v1/chat/completions", "/v1/completions"))
+_MODELS_PATH = "/v1/models"
+
+# What is read of the body of a request that is refused early.
+_DISCARD_BYTES = 16 << 20
+_DISCARD_S = 5.0
+
+_log = structlog.get_logger()
+
+
+class _AbortError(Exception):
+    """Makes the server cut an answer that can't be completed."""
+
+
+class App:
+    """Answers callers' requests; each is authenticated by itself."""
+
+    __slots__ = ("_deps", "_inference", "_proxy", "running")
+
+    def __init__(self, deps: dependencies.Dependencies) -> None:
+        self.running = running.Running(deps)
+        self._deps = deps
+        self._inference = inference.Inference(deps)
+        self._proxy = proxy.Proxy(deps, self.running)
+
+    async def run_for_ever(self) -> None:
+        """Does the work that no single request does; `serve` starts it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.running.check_for_ever)
+            nursery.start_soon(self._inference.placement.run_for_ever)
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Answers one ASGI connection scope."""
+        match scope["type"]:
+            case "http":
+                request_id = "req-" + secrets.token_hex(12)
+                req = http.Request(scope, receive, send, request_id)
+                await self._answer(req)
+            case "websocket":
+                await send({"type": "websocket.close"})
+
+    async def _answer(self, req: http.Request) -> None:
+        try:
+            await self._dispatch(req)
+        except http.DisconnectedError:
+            self._deps.metrics.add("callers_disconnects")
+        except errors.CallerError as exc:
+            await self._fail(req, exc)
+        except Exception:
+            _log.exception("request failed", request_id=req.request_id)
+            await self._fail(req, _internal_error())
+
+    async def _dispatch(self, req: http.Request) -> None:
+        self._check_headers(req)
+        if not self._deps.state.fresh():
+            message = "this host does not know the current configuration"
+            raise errors.unavailable("stale", message)
+        if req.path in _INFERENCE_PATHS:
+            await self._infer(req)
+        elif req.path == _MODELS_PATH:
+            await self._list_models(req)
+        elif (handler := self._batch_handler(req)) is not None:
+            await self._handle_batch(req, handler)
+        else:
+            await self._proxy.run(req)
+
+    async def _infer(self, req: http.Request) -> None:
+        _check_method(req, "POST")
+        caller = self._authenticate(req)
+        body = await req.read_body(self._deps.settings.max_body_bytes)
+        call = calls.parse(req, body, caller, self._deps)
+        await admission.admit(self._deps, call.customer, call.deadline_ms)
+        work = functools.partial(self._inference.run, req, call)
+        await self.running.run(req, caller, work)
+
+    def _batch_handler(self, req: http.Request) -> dependencies.Handler | None:
+        first_two = "/".join(req.path.split("/", 3)[:3])
+        return self._deps.handlers.get(first_two)
+
+    async def _handle_batch(
+        self, req: http.Request, handler: dependencies.Handler
+    ) -> None:
+        caller = self._authenticate(req)
+        work = functools.partial(handler, req, caller.customer, self._deps)
+        await self.running.run(req, caller, work)
+
+    async def _list_models(self, req: http.Request) -> None:
+        _check_method(req, "GET")
+        self._authenticate(req)
+        models = sorted(self._deps.state.view.models)
+        data = [_describe_model(name) for name in models]
+        await req.respond_json({"object": "list", "data": data})
+
+    def _authenticate(self, req: http.Request) -> auth.Caller:
+        caller = auth.authenticate(req, self._deps.state)
+        auth.refuse_query_keys(req, self._deps.state)
+        return caller
+
+    def _check_headers(self, req: http.Request) -> None:
+        size = sum(len(name) + len(value) for name, value in req.headers)
+        if size > self._deps.settings.max_header_bytes:
+            raise errors.CallerError(
+                431, "headers_too_large", "the headers are too long"
+            )
+
+    async def _fail(self, req: http.Request, exc: errors.CallerError) -> None:
+        self._deps.metrics.add("callers_failures", code=exc.code)
+        if req.streams_events:
+            await req.fail_event(exc)
+        elif req.started:
+            raise _AbortError
+        else:
+            await _discard_body(req)
+            await req.fail(exc)
+
+
+def make_app(deps: dependencies.Dependencies) -> App:
+    """Returns the application that answers callers."""
+    return App(deps)
+
+
+async def _discard_body(req: http.Request) -> None:
+    """Reads the rest of a body of moderate length.
+
+    Closing a connection with unread data can destroy the answer on its way.
+    """
+    with (
+        trio.move_on_after(_DISCARD_S),
+        contextlib.suppress(http.DisconnectedError),
+    ):
+        await req.discard_body(_DISCARD_BYTES)
+
+
+def _check_method(req: http.Request, *allowed: str) -> None:
+    if req.method not in allowed:
+        raise errors.CallerError(
+            405,
+            "method_not_allowed",
+            f"method {req.method} is not allowed here",
+            headers=((b"allow", ", ".join(allowed).encode()),),
+        )
+
+
+def _describe_model(name: str) -> dict[str, Any]:
+    return {
+        "id": name,
+        "object": "model",
+        "created": 0,
+        "owned_by": "lacewingwood",
+    }
+
+
+def _internal_error() -> errors.CallerError:
+    return errors.CallerError(
+        500, "internal_error", "internal error", ran=errors.Ran.MAY_HAVE_RUN
+    )
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -92,14 +92,17 @@
         node_id: The borrowing entry.
         customer: Name of the customer.
         part: Index of the bucket's part.
-        want: Requests to admit now and soon.
-        demand: Recent arrivals a second at this entry.
+        want: Level that the piece should have, for requests that wait.
+        demand: Recent arrivals a second at this entry, for this part.
         rate: Refill a second of the piece held now.
         depth: Depth of the piece held now.
         level: Unused requests in the piece held now.
         serial: Rises with each message of this entry for this part.
         epoch: Fencing number of the lease under which the piece was lent, -1
             if none is held.
+        applied: Serial of the question whose answer gave the piece held.
+        use_ms: Time from the question in which the entry will have used what
+            it gets.
     """
 
     node_id: str
@@ -112,6 +115,8 @@
     level: float
     serial: int
     epoch: int
+    applied: int = 0
+    use_ms: float = 250.0
 
 
 class Lent(Message, tag="lent"):
@@ -124,6 +129,7 @@
         add_level: Requests added to those the entry has left.
         ttl_ms: Life of the piece, counted by the entry from before it asked.
         retry_ms: When asking again may help, if too little was lent.
+        serial: Serial of the question.
     """
 
     epoch: int
@@ -132,10 +138,14 @@
     add_level: float
     ttl_ms: float
     retry_ms: float
+    serial: int = 0
 
 
 class Return(Message, tag="return"):
-    """Gives a piece back; the entry has stopped using it."""
+    """Gives a piece back; the entry has stopped using it.
+
+    The fields have the same meaning as in `Borrow`.
+    """
 
     node_id: str
     customer: str
@@ -143,6 +153,7 @@
     level: float
     serial: int
     epoch: int
+    applied: int = 0
 
 
 class OnlineCount(Message, tag="online_count"):
@@ -209,6 +220,10 @@
         body: The item's request body, JSON.
         resume_text: Text that an earlier run produced.
         due_ms: Time left until the job is due.
+        node_id: The job's owner.
+        customer: Customer of the job.
+        cost: Expected tokens.
+        suspect: True if a replica died while it ran the item.
     """
 
     job_id: str
@@ -219,6 +234,10 @@
     body: bytes
     resume_text: str
     due_ms: float
+    node_id: str = ""
+    customer: str = ""
+    cost: float = 1.0
+    suspect: bool = False
 
 
 class ItemDone(Message, tag="item_done"):
@@ -239,12 +258,16 @@
     Attributes:
         code: Stable identifier.
         message: Sentence for people.
-        own_fault: True if the item itself was refused or crashed the replica.
+        own_fault: True if the item itself was refused or answered wrongly.
+        crashed: True if the replica died while it ran the item.
+        text: Text that the item had produced.
     """
 
     code: str
     message: str
     own_fault: bool
+    crashed: bool = False
+    text: str = ""
 
 
 class CrashSuspect(Message, tag="crash_suspect"):
@@ -267,6 +290,52 @@
     fingerprint: str
 
 
+class WantItems(Message, tag="want_items"):
+    """Tells a replica's room holder how many items a job owner could send.
+
+    Attributes:
+        node_id: The job owner.
+        replica: The replica's id.
+        wants: Waiting items by customer.
+        serial: Rises with each message; an older one is dropped.
+    """
+
+    node_id: str
+    replica: str
+    wants: dict[str, int]
+    serial: int
+
+
+class RoomOffer(Message, tag="room_offer"):
+    """Tells a job owner how many items it may have at a replica.
+
+    Attributes:
+        replica: The replica's id.
+        room: Items of this owner that may be there at once, running or queued.
+        epoch: Fencing number of the room holder's lease.
+        serial: Rises with each message of this holder.
+    """
+
+    replica: str
+    room: int
+    epoch: int
+    serial: int
+
+
+class StopItems(Message, tag="stop_items"):
+    """Tells a replica's room holder to stop a job's items, running or queued.
+
+    Attributes:
+        replica: The replica's id.
+        job_id: The job.
+        epoch: Items sent under this lease of the job or an earlier one.
+    """
+
+    replica: str
+    job_id: str
+    epoch: int
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -289,4 +358,7 @@
     | ItemFailed
     | CrashSuspect
     | CrashCleared
+    | WantItems
+    | RoomOffer
+    | StopItems
 )
