--- a/lacewingwood/limits/lender.py
+++ b/lacewingwood/limits/lender.py
@@ -33,6 +33,8 @@
 # than it is used would be full and waste the rate.
 _REFILL_SHARE = 0.8
 _FORGET_MS = 2 * TTL_MS
+# An owner learns of a changed limit within the 3 s in which it is fresh.
+_RAISE_MS = 3_000 + TTL_MS * _DRIFT
 _NEVER_MS = 1_000.0
 
 
@@ -104,7 +106,8 @@
     def __init__(
         self,
         epoch: int,
-        limit: split.Limit,
+        index: int,
+        whole: split.Limit,
         now_ms: float,
         lend_from_ms: float,
         full: bool = False,
@@ -113,14 +116,18 @@
 
         Args:
             epoch: Fencing number of the owner's lease.
-            limit: Limit of this part.
+            index: Index of this part.
+            whole: The customer's limit, all parts together.
             now_ms: The time.
             lend_from_ms: When all pieces of earlier owners have ended; only
                 pieces that entries report are lent before.
             full: True if no earlier owner can have lent from this part.
         """
         self.epoch = epoch
-        self._limit = limit
+        self._index = index
+        self._whole = whole
+        self._limit = limit = split.parts(whole)[index]
+        self._raise_ms = float("inf")
         self._lend_from_ms = lend_from_ms
         self._borrowers: dict[str, _Borrower] = {}
         self._changes: list[float] = []
@@ -133,26 +140,29 @@
             heapq.heappush(self._changes, lend_from_ms)
         self._rebalance(now_ms)
 
-    def set_limit(self, limit: split.Limit, now_ms: float) -> None:
-        """Changes the limit from now on.
+    def set_limit(self, whole: split.Limit, now_ms: float) -> None:
+        """Changes the customer's limit from now on.
 
         Pieces lent under a higher limit shrink when they are renewed and end
-        with their TTL otherwise.
+        with their TTL otherwise. If another part shrinks, this one grows only
+        when the other's owner has also learned of the change and its pieces
+        have ended.
         """
-        if limit == self._limit:
+        if whole == self._whole:
             return
         self._advance(now_ms)
-        self._limit = limit
-        kept = [b.kept(now_ms) for b in self._borrowers.values()]
-        rate = sum(rate for rate, _ in kept)
-        depth = sum(depth for _, depth in kept)
-        for borrower, (own_rate, own_depth) in zip(
-            self._borrowers.values(), kept, strict=True
-        ):
-            borrower.quota = _Share(
-                own_rate * _fraction(limit.rate, rate),
-                own_depth * _fraction(limit.burst, depth),
+        before, after = split.parts(self._whole), split.parts(whole)
+        self._whole = whole
+        limit = after[self._index]
+        if any(_shrinks(*pair) for pair in zip(before, after, strict=True)):
+            self._raise_ms = now_ms + _RAISE_MS
+            heapq.heappush(self._changes, self._raise_ms)
+            limit = split.Limit(
+                min(limit.rate, self._limit.rate),
+                min(limit.burst, self._limit.burst),
             )
+        self._limit = limit
+        self._shrink_quotas(now_ms)
         self._rebalance(now_ms)
 
     def level(self, now_ms: float) -> float:
@@ -195,6 +205,20 @@
         self._rebalance(now_ms)
         self._bucket.put(now_ms, left)
 
+    def _shrink_quotas(self, now_ms: float) -> None:
+        """Scales what entries may keep so that it fits into the limit."""
+        borrowers = list(self._borrowers.values())
+        kept = [borrower.kept(now_ms) for borrower in borrowers]
+        rate = sum(each for each, _ in kept)
+        depth = sum(each for _, each in kept)
+        for borrower, (own_rate, own_depth) in zip(
+            borrowers, kept, strict=True
+        ):
+            borrower.quota = _Share(
+                own_rate * _fraction(self._limit.rate, rate),
+                own_depth * _fraction(self._limit.burst, depth),
+            )
+
     def _borrower(self, node_id: str) -> _Borrower:
         borrower = self._borrowers.get(node_id)
         if borrower is None:
@@ -211,6 +235,9 @@
 
     def _rebalance(self, now_ms: float) -> None:
         """Gives the owner's bucket what is not lent."""
+        if now_ms >= self._raise_ms:
+            self._raise_ms = float("inf")
+            self._limit = split.parts(self._whole)[self._index]
         rate, depth = self._limit.rate, float(self._limit.burst)
         if now_ms < self._lend_from_ms:
             rate = depth = 0.0
@@ -357,5 +384,9 @@
     return min(1.0, limit / total) if total > 0 else 1.0
 
 
+def _shrinks(before: split.Limit, after: split.Limit) -> bool:
+    return after.rate < before.rate or after.burst < before.burst
+
+
 def _at_least_zero(value: float) -> float:
     return max(0.0, value)
--- a/lacewingwood/limits/owner.py
+++ b/lacewingwood/limits/owner.py
@@ -101,16 +101,16 @@
         if tenure is None or limit is None:
             self._metrics.add("limit_not_owner")
             raise errors.NotOwnerError(f"{name} is not held here")
-        part_limit = split.parts(limit)[index]
         now_ms = self._clock.now_ms()
         part = tenure.parts.get(customer)
         if part is None:
             part = tenure.parts[customer] = lender.Lender(
                 tenure.epoch,
-                part_limit,
+                index,
+                limit,
                 now_ms,
                 tenure.lend_from_ms,
                 full=self._unused(name),
             )
-        part.set_limit(part_limit, now_ms)
+        part.set_limit(limit, now_ms)
         return part
