--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -4,8 +4,10 @@
 import random
 from collections.abc import AsyncIterator
 
+import hypothesis
 import pytest
 import trio
+from hypothesis import strategies as st
 from trio import testing as trio_testing
 
 from lacewingwood.batch import errors
@@ -25,6 +27,7 @@
         self._nursery = nursery
         self._scopes: dict[str, trio.CancelScope] = {}
         self.workers: dict[str, workers.Worker] = {}
+        self.followers: dict[str, fakes.Follower] = {}
         self.deps = fakes.Deps(self.world, "client")
         del self.world.control.members["client"]
         self.intake = intakes.Intake(
@@ -38,6 +41,7 @@
         deps = fakes.Deps(self.world, node_id)
         worker = workers.Worker(deps, random.Random(node_id))
         self.workers[node_id] = worker
+        self.followers[node_id] = deps.follower
         self._nursery.start_soon(self._run, node_id, worker)
         return worker
 
@@ -46,26 +50,43 @@
         with self._scopes[node_id]:
             await worker.run()
 
+    async def pause(self, node_id: str) -> None:
+        """Makes a process stale until its leases have gone to others."""
+        follower = self.followers[node_id]
+        follower.is_fresh = False
+        self._take_leases(node_id)
+        await trio.sleep(2)
+        follower.is_fresh = True
+
+    def _take_leases(self, node_id: str) -> None:
+        control = self.world.control
+        for name, (holder, _) in list(control.leases.items()):
+            if holder == node_id:
+                del control.leases[name]
+
     def kill(self, node_id: str) -> None:
         """Kills a process; others learn of it and may claim its leases."""
         network = self.world.bus.networks.pop(f"{node_id}:1")
         self._scopes[node_id].cancel()
         network.die()
-        control = self.world.control
-        del control.members[node_id]
-        for name, (holder, _) in list(control.leases.items()):
-            if holder == node_id:
-                del control.leases[name]
+        del self.world.control.members[node_id]
+        self._take_leases(node_id)
 
-    async def submit(self, data: bytes) -> str:
+    async def store(self, data: bytes) -> str:
         stored = await self.intake.store_file(
             fakes.CUSTOMER, "in.jsonl", "batch", fakes.pieces(data)
         )
+        return stored.file_id
+
+    async def create(self, file_id: str) -> str:
         status = await self.intake.create_job(
-            fakes.CUSTOMER, stored.file_id, "/v1/chat/completions", "24h"
+            fakes.CUSTOMER, file_id, "/v1/chat/completions", "24h"
         )
         return status.job.job_id
 
+    async def submit(self, data: bytes) -> str:
+        return await self.create(await self.store(data))
+
     async def finished(self, job_id: str, within_s: float = 120) -> None:
         with trio.fail_after(within_s):
             while self.world.control.jobs[job_id].status != "finished":
@@ -140,6 +161,69 @@
         assert [f.completed for f in here.world.control.finishes] == [400]
 
 
+_FAULTS = st.sampled_from(["kill", "pause", "crash", "outage", "resend"])
+
+
+@hypothesis.given(
+    faults=st.lists(
+        st.tuples(st.integers(0, 1_500), _FAULTS), min_size=1, max_size=5
+    ),
+    seed=st.integers(0, 1_000),
+)
+@hypothesis.settings(max_examples=60)
+def test_items_end_once_whatever_fails(
+    faults: list[tuple[int, str]], seed: int
+) -> None:
+    """Guards against lost or doubled items under faults at any moment."""
+
+    async def run() -> None:
+        rng = random.Random(seed)
+        async with scene(replicas=2) as here:
+            here.world.log.lose = lambda: rng.random() < 0.2
+            for name in ("w1", "w2"):
+                here.start_worker(name)
+            data = b"".join(fakes.line(f"q{n}", 8) for n in range(40))
+            file_id = await here.store(data)
+            job_id = await here.create(file_id)
+            for number, (delay_ms, fault) in enumerate(faults):
+                await trio.sleep(delay_ms / 1000)
+                await _inject(here, fault, number, file_id)
+            await here.finished(job_id)
+            # A replica's death is blamed on what it ran, so that items which
+            # met two deaths may have failed.
+            failed = await here.errors(job_id)
+            crashed = any(fault == "crash" for _, fault in faults)
+            assert set(failed.values()) <= {"replica_crashed"}
+            assert crashed or not failed
+            texts = await here.output(job_id)
+            assert not texts.keys() & failed.keys()
+            assert len(texts) + len(failed) == 40
+            assert set(texts.values()) <= {"".join(f"w{n} " for n in range(8))}
+            (finish,) = here.world.control.finishes
+            counts = (finish.completed, finish.failed)
+            assert counts == (len(texts), len(failed))
+
+    trio.run(run, clock=trio_testing.MockClock(autojump_threshold=0))
+
+
+async def _inject(here: Scene, fault: str, number: int, file_id: str) -> None:
+    holders = sorted({h for h, _ in here.world.control.leases.values()})
+    match fault:
+        case "kill" if holders:
+            here.start_worker(f"spare-{number}")
+            here.kill(holders[number % len(holders)])
+        case "pause" if holders:
+            await here.pause(holders[number % len(holders)])
+        case "crash":
+            here.world.engines.all[f"engine-{number % 2}:8000"].crash()
+        case "outage":
+            here.world.log.down = True
+            await trio.sleep(3)
+            here.world.log.down = False
+        case "resend":
+            await here.create(file_id)
+
+
 async def test_online_burst_makes_items_yield_and_resume(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
@@ -246,6 +330,9 @@
         assert "w1" not in holders
         await here.finished(job_id)
         assert len(await here.output(job_id)) == 60
+        engines = here.world.engines.all.values()
+        in_flight = sum(engine.slots for engine in engines)
+        assert sum(len(e.bodies) for e in engines) <= 60 + in_flight
 
 
 async def test_paused_owner_adds_nothing_after_its_successor(
