--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -109,8 +109,8 @@
     def trailers(self) -> list[tuple[bytes, bytes]]:
         """Trailers, known once the body has ended."""
 
-    def body(self) -> AsyncIterator[bytes]:
-        """Yields pieces of the body."""
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Iterates over pieces of the body."""
 
 
 class Plain(Protocol):
@@ -125,7 +125,7 @@
         headers: list[tuple[bytes, bytes]],
         body: AsyncIterator[bytes],
         deadline_ms: float,
-    ) -> contextlib.AbstractAsyncContextManager[PlainResponse]:
+    ) -> contextlib.AbstractAsyncContextManager[PlainResponse, bool | None]:
         """Sends a request; `path` includes the query."""
 
 
--- a/lacewingwood/callers/proxy.py
+++ b/lacewingwood/callers/proxy.py
@@ -237,7 +237,7 @@
         trailers = req.takes_trailers()
         passed = headers.for_caller(response.headers)
         await req.start(response.status, passed, trailers)
-        async for chunk in response.body():
+        async for chunk in response:
             await req.write(chunk)
         await req.end(trailers=headers.for_caller(response.trailers))
 
--- /dev/null
+++ b/lacewingwood/cli/main.py
@@ -0,0 +1,64 @@
+"""The program `lacewingwood`."""
+
+import sys
+
+import cyclopts
+
+import lacewingwood
+from lacewingwood import errors
+from lacewingwood import settings
+from lacewingwood.cli import operator
+
+_EXIT_FAILURE = 1
+_EXIT_USAGE = 2
+
+app = cyclopts.App(
+    name="lacewingwood",
+    help="Serves online and batch inference on one fleet.",
+    version=lacewingwood.__version__,
+    config=cyclopts.config.Env(settings.ENV_PREFIX, command=False),
+)
+for _group in (
+    operator.customer_app,
+    operator.key_app,
+    operator.route_app,
+    operator.model_app,
+    operator.config_app,
+):
+    app.command(_group)
+app.command(operator.status)
+app.command(operator.dump)
+
+
+@app.command
+def entry(cfg: settings.EntrySettings) -> None:
+    """Runs an entry process: takes callers' requests."""
+    from lacewingwood.roles import entry as role  # noqa: PLC0415
+
+    role.run(cfg)
+
+
+@app.command
+def worker(cfg: settings.WorkerSettings) -> None:
+    """Runs a worker process: batch jobs and upkeep of shared state."""
+    from lacewingwood.roles import worker as role  # noqa: PLC0415
+
+    role.run(cfg)
+
+
+def main() -> None:
+    """Runs the command line; exits with 2 on a mistake in its use."""
+    try:
+        app(exit_on_error=False, print_error=False)
+    except cyclopts.CycloptsError as exc:
+        print(f"lacewingwood: error: {exc}", file=sys.stderr)
+        sys.exit(_EXIT_USAGE)
+    except errors.Error as exc:
+        print(f"lacewingwood: {exc.code}: {exc.message}", file=sys.stderr)
+        sys.exit(_EXIT_FAILURE)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+if __name__ == "__main__":
+    main()
--- a/lacewingwood/operators/documents.py
+++ b/lacewingwood/operators/documents.py
@@ -43,12 +43,21 @@
     based_on: int
 
 
-def check(text: str, view: view_lib.View) -> list[Problem]:
-    """Returns all reasons to refuse a document, none if it is good."""
+def parse(text: str) -> dict[str, Any]:
+    """Reads a document's text.
+
+    Raises:
+        errors.BadDocumentError: It is not TOML.
+    """
     try:
-        document = tomllib.loads(text)
+        return tomllib.loads(text)
     except tomllib.TOMLDecodeError as exc:
-        return [Problem("", f"invalid syntax ({exc})", "TOML")]
+        problem = Problem("", f"invalid syntax ({exc})", "TOML")
+        raise errors.BadDocumentError(str(problem)) from exc
+
+
+def check(document: dict[str, Any], view: view_lib.View) -> list[Problem]:
+    """Returns all reasons to refuse a document, none if it is good."""
     problems = [*_check_top(document), *_check_items(document)]
     if problems:
         return problems
@@ -60,17 +69,16 @@
     ]
 
 
-def plan(text: str, view: view_lib.View) -> list[Change]:
+def plan(document: dict[str, Any], view: view_lib.View) -> list[Change]:
     """Returns the records that put a document into effect, in order.
 
     Raises:
         errors.BadDocumentError: `check` finds problems.
     """
-    problems = check(text, view)
+    problems = check(document, view)
     if problems:
         lines = "; ".join(str(problem) for problem in problems)
         raise errors.BadDocumentError(lines)
-    document = tomllib.loads(text)
     removals = _removals(document)
     bodies: list[records.Body] = [
         *(records.RouteDeleted(name) for name in removals["routes"]),
--- a/lacewingwood/operators/errors.py
+++ b/lacewingwood/operators/errors.py
@@ -10,6 +10,24 @@
 
 
 class BadDocumentError(OperatorError):
-    """A configuration document was planned although it has problems."""
+    """A change is refused before anything is published."""
 
     code = "bad_document"
+
+
+class ConflictError(OperatorError):
+    """Another operator changed the same entity first."""
+
+    code = "conflict"
+
+
+class NotFoundError(OperatorError):
+    """What a command names does not exist."""
+
+    code = "not_found"
+
+
+class UnavailableError(OperatorError):
+    """The log or a process gave no answer."""
+
+    code = "unavailable"
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -165,7 +165,7 @@
     content: AsyncIterator[bytes]
     trailers: list[tuple[bytes, bytes]]
 
-    def body(self) -> AsyncIterator[bytes]:
+    def __aiter__(self) -> AsyncIterator[bytes]:
         return self.content
 
 
--- a/tests/operators/test_documents.py
+++ b/tests/operators/test_documents.py
@@ -41,9 +41,17 @@
 _ROUTE = '[[routes]]\nname = "r"\nprefix = "/permits/"\nservice = "s"\n'
 
 
+def _check(text: str, view: view_lib.View) -> list[documents.Problem]:
+    return documents.check(documents.parse(text), view)
+
+
+def _plan(text: str, view: view_lib.View) -> list[documents.Change]:
+    return documents.plan(documents.parse(text), view)
+
+
 def _apply(view: view_lib.View, text: str) -> list[documents.Change]:
     """Puts a document into effect in `view` as if it were read from a log."""
-    changes = documents.plan(text, view)
+    changes = _plan(text, view)
     for change in changes:
         record = records.Record(
             f"id-{view.offset}", "operator", change.body, change.based_on
@@ -59,9 +67,9 @@
     assert len(_apply(view, _DOCUMENT)) == 4
     digest = hashlib.sha256(b"a secret of some length").hexdigest()
     assert view.authenticate(digest) == "tanta"
-    assert documents.plan(_DOCUMENT, view) == []
+    assert _plan(_DOCUMENT, view) == []
     version = view.version("customer", "tanta")
-    changes = documents.plan(_DOCUMENT.replace("= 20", "= 10"), view)
+    changes = _plan(_DOCUMENT.replace("= 20", "= 10"), view)
     customer = records.Customer("tanta", 10.0, 40, 2.5)
     assert changes == [documents.Change(records.CustomerPut(customer), version)]
 
@@ -91,7 +99,6 @@
 @pytest.mark.parametrize(
     ("text", "path"),
     [
-        ("schema_version = ", ""),
         (_CUSTOMER, "schema_version"),
         ("schema_version = 2", "schema_version"),
         ("schema_version = true", "schema_version"),
@@ -149,17 +156,23 @@
         '"tanta"\nsecret = "another long secret"',
     )
     _apply(view, 'schema_version = 1\nremove.keys = ["k-1"]')
-    problems = documents.check(text, view)
+    problems = _check(text, view)
     assert path in [problem.path for problem in problems]
     assert all(problem.allowed for problem in problems)
     with pytest.raises(errors.BadDocumentError):
-        documents.plan(text, view)
+        _plan(text, view)
+
+
+def test_text_that_is_not_toml_is_refused() -> None:
+    """Guards against a traceback for a slip of the pen."""
+    with pytest.raises(errors.BadDocumentError, match="invalid syntax"):
+        documents.parse("schema_version = ")
 
 
 def test_secret_is_not_repeated_in_a_problem() -> None:
     """Guards against secrets in logs."""
     text = _CUSTOMER + '[[keys]]\nkey_id = "k"\ncustomer = "a"\nsecret = "pst"'
-    problems = documents.check("schema_version = 1\n" + text, view_lib.View())
+    problems = _check("schema_version = 1\n" + text, view_lib.View())
     assert [problem.path for problem in problems] == ["keys[0].secret"]
     assert "pst" not in str(problems[0])
 
@@ -206,9 +219,9 @@
     lines = [f"{name} = {_toml(value)}" for name, value in values.items()]
     text = "\n".join(["schema_version = 1", f"[[{section}]]", *lines])
     view = view_lib.View()
-    if not documents.check(text, view):
+    if not _check(text, view):
         _apply(view, text)
-        assert documents.plan(text, view) == []
+        assert _plan(text, view) == []
 
 
 def _toml(value: object) -> str:
