Fit the clients of engines and plain services

Bodies that are known go out whole; an upload that breaks off cancels its attempt, since ending its iterator would make it look complete.

--- a/lacewingwood/callers/calls.py
+++ b/lacewingwood/callers/calls.py
@@ -10,6 +10,7 @@
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
 from lacewingwood.routing import prefix
+from lacewingwood.upstreams import prefix as upstream_prefix
 
 # Bytes of JSON text that make one token, on average.
 _BYTES_PER_TOKEN = 4
@@ -90,7 +91,10 @@
         errors.CallerError: It is malformed or names an unknown model.
     """
     fields = _decode(body)
-    prompt = _prompt(req.path, fields)
+    try:
+        prompt = _prompt(req.path, fields)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise _json_error(exc) from exc
     model = deps.state.view.models.get(fields.model)
     if model is None:
         message = f"model {fields.model!r} does not exist"
@@ -108,7 +112,7 @@
         service=model.service,
         stream=bool(fields.stream),
         include_usage=bool(options and options.include_usage),
-        resumable=count == 1,
+        resumable=count == 1 and not bytes(fields.prompt).startswith(b"["),
         blocks=prefix.block_hashes(fields.model, prompt),
         prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
         max_tokens=max(1, wanted or _DEFAULT_MAX_TOKENS) * max(1, count),
@@ -139,13 +143,18 @@
     except msgspec.ValidationError as exc:
         raise errors.bad_request(f"invalid request: {exc}") from exc
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
-        message = f"the body is not valid JSON: {exc}"
-        raise errors.bad_request(message, code="invalid_json") from exc
+        raise _json_error(exc) from exc
+
+
+def _json_error(exc: Exception) -> errors.CallerError:
+    message = f"the body is not valid JSON: {exc}"
+    return errors.bad_request(message, code="invalid_json")
 
 
 def _prompt(path: str, fields: _Body) -> bytes:
+    """Returns the prompt's text, as engines hash it for their caches."""
     name = "messages" if path.endswith("/chat/completions") else "prompt"
-    prompt = bytes(getattr(fields, name))
-    if not prompt or prompt == b"null":
+    raw = bytes(getattr(fields, name))
+    if not raw or raw == b"null":
         raise errors.bad_request(f"field {name} is needed", name)
-    return prompt
+    return upstream_prefix.prompt({name: msgspec.json.decode(raw)})
--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import dataclasses
+from collections.abc import AsyncIterable
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
@@ -95,26 +97,24 @@
 
 
 class PlainResponse(Protocol):
-    """A plain service's answer.
-
-    Attributes:
-        status: HTTP status.
-        headers: Names in lower case, and values.
-    """
+    """A plain service's answer; iterating over it gives its body."""
 
     status: int
-    headers: list[tuple[bytes, bytes]]
 
     @property
-    def trailers(self) -> list[tuple[bytes, bytes]]:
+    def headers(self) -> Sequence[tuple[bytes, bytes]]:
+        """Header fields."""
+
+    @property
+    def trailers(self) -> Sequence[tuple[bytes, bytes]]:
         """Trailers, known once the body has ended."""
 
     def __aiter__(self) -> AsyncIterator[bytes]:
-        """Iterates over pieces of the body."""
+        """Iterates over the body."""
 
 
 class Plain(Protocol):
-    """Client of plain services."""
+    """Client of plain services, such as upstreams.plain.PlainClient."""
 
     def request(
         self,
@@ -123,9 +123,9 @@
         path: str,
         *,
         headers: list[tuple[bytes, bytes]],
-        body: AsyncIterator[bytes],
+        body: bytes | AsyncIterable[bytes],
         deadline_ms: float,
-    ) -> contextlib.AbstractAsyncContextManager[PlainResponse, bool | None]:
+    ) -> contextlib.AbstractAsyncContextManager[PlainResponse]:
         """Sends a request; `path` includes the query."""
 
 
--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -80,7 +80,8 @@
             except upstream_errors.UpstreamError as exc:
                 if progress.text_ended():
                     break
-                if req.started and not call.resumable:
+                resumable = call.resumable and progress.resumable()
+                if req.started and not resumable:
                     raise errors.from_upstream(exc) from exc
                 self._retry_or_raise(attempts, exc)
                 progress.resume()
--- a/lacewingwood/callers/proxy.py
+++ b/lacewingwood/callers/proxy.py
@@ -148,15 +148,12 @@
         attempts = retries.Attempts(idempotent, call.deadline_ms)
         upload = _Upload(req, self._deps.settings)
         await upload.buffer()
-        _set_length(call, upload)
         tried: set[str] = set()
         while True:
             try:
                 await self._attempt(req, call, upload, tried)
                 return
             except upstream_errors.UpstreamError as exc:
-                if upload.error is not None:
-                    raise upload.error from exc
                 again = upload.repeatable and not req.started
                 outcome = outcomes.of_error(exc)
                 now_ms = self._now_ms()
@@ -181,8 +178,7 @@
             await self._exchange(req, call, upload, started)
             outcome = outcomes.Completed()
         except upstream_errors.UpstreamError as exc:
-            if upload.error is None:
-                outcome = outcomes.of_error(exc)
+            outcome = outcomes.of_error(exc)
             raise
         finally:
             router = self._deps.plain_router
@@ -218,14 +214,17 @@
             req.method,
             call.path,
             headers=[*call.headers, self._deadline_header(call)],
-            body=upload.chunks(),
+            body=upload.body(),
             deadline_ms=call.deadline_ms,
         )
         limit_s = call.route.timeout_ms / 1000
         with trio.move_on_after(limit_s) as scope:
+            upload.scope = scope
             async with context as response:
                 scope.deadline = math.inf
                 await self._answer(req, response)
+        if upload.error is not None:
+            raise upload.error
         if scope.cancelled_caught:
             raise upstream_errors.TimeoutError(
                 "no answer in the route's time", errors.Ran.MAY_HAVE_RUN
@@ -254,6 +253,7 @@
 
     Attributes:
         error: Why the body could not be read to its end, if so.
+        scope: Cancelled in that case; set for each attempt.
     """
 
     __slots__ = (
@@ -264,12 +264,14 @@
         "_size",
         "_taken",
         "error",
+        "scope",
     )
 
     def __init__(
         self, req: http.Request, settings: dependencies.Settings
     ) -> None:
         self.error: Exception | None = None
+        self.scope = trio.CancelScope()
         self._req = req
         self._settings = settings
         self._buffered: list[bytes] = []
@@ -282,11 +284,6 @@
         """Whether the whole body can still be sent."""
         return not self._taken
 
-    @property
-    def length(self) -> int | None:
-        """Bytes of the body, if all of it has been read."""
-        return self._size if self._req.body_read.is_set() else None
-
     async def buffer(self) -> None:
         """Reads as much of the body as may be kept."""
         while self._size <= self._settings.max_replay_bytes:
@@ -295,8 +292,13 @@
                 return
             self._buffered.append(chunk)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body."""
+    def body(self) -> bytes | AsyncIterator[bytes]:
+        """Returns the body for one attempt, whole if it is known."""
+        if self._req.body_read.is_set() and not self._taken:
+            return b"".join(self._buffered)
+        return self._chunks()
+
+    async def _chunks(self) -> AsyncIterator[bytes]:
         for chunk in self._buffered:
             yield chunk
         self._ran = errors.Ran.MAY_HAVE_RUN
@@ -304,14 +306,18 @@
             yield more
 
     async def _rest(self) -> bytes | None:
+        """Returns the next piece; ends the attempt if there can't be one.
+
+        Ending the iterator would make the service take the body for complete.
+        """
+        self._taken = True
         try:
-            chunk = await self._next()
+            return await self._next()
         except (errors.CallerError, http.DisconnectedError) as exc:
             self.error = exc
+            self.scope.cancel()
+            await trio.sleep_forever()
             raise
-        if chunk is not None:
-            self._taken = True
-        return chunk
 
     async def _next(self) -> bytes | None:
         chunk = await self._req.next_chunk()
@@ -322,13 +328,6 @@
         return chunk
 
 
-def _set_length(call: _Call, upload: _Upload) -> None:
-    """States the length of a body that came without, as HTTP/2 allows."""
-    stated = any(name == b"content-length" for name, _ in call.headers)
-    if upload.length is not None and not stated:
-        call.headers.append((b"content-length", b"%d" % upload.length))
-
-
 def _key_digest(call: _Call, key: bytes) -> str:
     customer = call.caller.customer if call.caller is not None else ""
     parts = (customer.encode(), call.route.name.encode(), key)
--- a/lacewingwood/callers/resume.py
+++ b/lacewingwood/callers/resume.py
@@ -41,6 +41,10 @@
         }
         self.resumed = True
 
+    def resumable(self) -> bool:
+        """Tells whether the text passed on is all that there is to know."""
+        return all(map(_is_text, self.chunks))
+
     def adapt(self, chunk: bytes) -> bytes:
         """Returns a later engine's event with the identity of the first's."""
         event = msgspec.json.decode(chunk)
@@ -62,6 +66,19 @@
         return "".join(map(_chunk_text, self.chunks))
 
 
+def _is_text(chunk: bytes) -> bool:
+    """Tells whether an event holds nothing but text of one choice."""
+    choices = msgspec.json.decode(chunk).get("choices") or []
+    return all(
+        choice.get("index", 0) == 0
+        and not any(
+            value and name not in ("role", "content")
+            for name, value in choice.get("delta", {}).items()
+        )
+        for choice in choices
+    )
+
+
 def _chunk_text(chunk: bytes) -> str:
     choices = msgspec.json.decode(chunk).get("choices")
     if not choices:
--- a/lacewingwood/routing/outcomes.py
+++ b/lacewingwood/routing/outcomes.py
@@ -7,8 +7,9 @@
 from lacewingwood import errors
 from lacewingwood.upstreams import errors as upstream_errors
 
-# Statuses with which an upstream says that another one may take the request.
-_BUSY = frozenset((401, 403, 408, 425, 429))
+# Statuses with which an upstream says that another one may take the request;
+# with 404, that it has not loaded a model which exists.
+_BUSY = frozenset((401, 403, 404, 408, 425, 429))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/lacewingwood/routing/prefix.py
+++ b/lacewingwood/routing/prefix.py
@@ -2,29 +2,21 @@
 
 import collections
 
-import xxhash
-
+from lacewingwood.upstreams import prefix as upstream_prefix
 from lacewingwood.upstreams import types as upstream_types
 
-# Bytes of prompt text in a block; about 64 tokens of English text.
-BLOCK_BYTES = 256
 TOKENS_PER_BLOCK = 64
 # Blocks of a prompt that are looked at; what lies beyond adds little.
 _MAX_BLOCKS = 64
+_MAX_BYTES = _MAX_BLOCKS * upstream_prefix.BLOCK_BYTES
 # Replicas remembered for a block; more would only spread a hot prefix thinner.
 _MAX_HOLDERS = 4
 
 
 def block_hashes(model: str, prompt: bytes) -> tuple[int, ...]:
     """Returns a hash for each whole block, covering all text up to its end."""
-    digest = xxhash.xxh3_64(model.encode())
-    hashes: list[int] = []
-    whole = len(prompt) // BLOCK_BYTES
-    for index in range(min(whole, _MAX_BLOCKS)):
-        start = index * BLOCK_BYTES
-        digest.update(prompt[start : start + BLOCK_BYTES])
-        hashes.append(digest.intdigest())
-    return tuple(hashes)
+    hashes = upstream_prefix.blocks(model, prompt[:_MAX_BYTES])
+    return tuple(int(text, 16) for text in hashes)
 
 
 class Affinity:
--- a/lacewingwood/routing/router.py
+++ b/lacewingwood/routing/router.py
@@ -276,11 +276,16 @@
         return False
     if replica.refusing_until_ms > now_ms or replica.id in req.exclude:
         return False
+    if replica.versions and req.model not in replica.versions:
+        return False
     return req.queue_if_full or replica.has_room(now_ms)
 
 
 def _none(replicas: list[Replica], req: RouteRequest) -> NoReplica:
     waiting = any(
-        not r.ejected_until_ms and r.id not in req.exclude for r in replicas
+        not r.ejected_until_ms
+        and r.id not in req.exclude
+        and (not r.versions or req.model in r.versions)
+        for r in replicas
     )
     return NoReplica("full" if waiting else "none")
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -195,10 +195,12 @@
         path: str,
         *,
         headers: Any,
-        body: AsyncIterator[bytes],
+        body: bytes | AsyncIterator[bytes],
         deadline_ms: float,
     ) -> AsyncIterator[Response]:
-        got = b"".join([chunk async for chunk in body])
+        got = body if isinstance(body, bytes) else b""
+        if not isinstance(body, bytes):
+            got = b"".join([chunk async for chunk in body])
         self.sent.append(Sent(address, method, path, dict(headers), got))
         if self.fails:
             raise self.fails.pop(0)
