Say not run only if no attempt may have run

A request whose first attempt broke off and whose retry found no replica was refused as not run; errors now carry what any earlier attempt may have done. Single lost cache events no longer drop a replica's whole affinity: engines lose one in fifty, and each prompt stores dozens of blocks.

--- a/lacewingwood/callers/errors.py
+++ b/lacewingwood/callers/errors.py
@@ -53,6 +53,16 @@
         self.retry_after_ms = retry_after_ms
         self.headers = headers
 
+    def after(self, ran: Ran) -> "CallerError":
+        """Returns this error, of a request with earlier attempts.
+
+        Args:
+            ran: Whether any of those can have had an effect.
+        """
+        if ran is Ran.MAY_HAVE_RUN:
+            self.ran = ran
+        return self
+
     def body(self) -> bytes:
         """Returns the error as JSON."""
         return msgspec.json.encode({"error": self._fields()})
--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -40,18 +40,23 @@
         self._budget.note_request(now_ms)
         left_s = (call.deadline_ms - now_ms) / 1000
         tried: set[str] = set()
-        with trio.move_on_after(left_s) as scope:
-            if call.stream:
-                await self._stream(req, call, tried)
-            else:
-                await self._complete(req, call, tried)
+        attempts = retries.Attempts(True, call.deadline_ms)
+        respond = self._stream if call.stream else self._complete
+        try:
+            with trio.move_on_after(left_s) as scope:
+                await respond(req, call, tried, attempts)
+        except errors.CallerError as exc:
+            raise exc.after(attempts.ran) from exc.__cause__
         if scope.cancelled_caught:
             raise _deadline_error(tried)
 
     async def _complete(
-        self, req: http.Request, call: calls.Call, tried: set[str]
+        self,
+        req: http.Request,
+        call: calls.Call,
+        tried: set[str],
+        attempts: retries.Attempts,
     ) -> None:
-        attempts = retries.Attempts(True, call.deadline_ms)
         while True:
             try:
                 async with self.placement.attempt(call, tried) as started:
@@ -68,9 +73,12 @@
         await req.respond(200, answer)
 
     async def _stream(
-        self, req: http.Request, call: calls.Call, tried: set[str]
+        self,
+        req: http.Request,
+        call: calls.Call,
+        tried: set[str],
+        attempts: retries.Attempts,
     ) -> None:
-        attempts = retries.Attempts(True, call.deadline_ms)
         progress = resume.Progress(call)
         while True:
             try:
--- a/lacewingwood/callers/proxy.py
+++ b/lacewingwood/callers/proxy.py
@@ -100,9 +100,11 @@
         idempotent = req.method in call.route.idempotent_methods
         if not idempotent:
             await self._claim(req, call)
+        attempts = retries.Attempts(idempotent, call.deadline_ms)
         try:
-            await self._attempt_all(req, call, idempotent)
+            await self._attempt_all(req, call, attempts)
         except errors.CallerError as exc:
+            exc.after(attempts.ran)
             if call.claim and exc.ran is base_errors.Ran.NOT_RUN:
                 await self._release(req, call)
             raise
@@ -142,10 +144,9 @@
             self._deps.metrics.add("callers_claims_not_released")
 
     async def _attempt_all(
-        self, req: http.Request, call: _Call, idempotent: bool
+        self, req: http.Request, call: _Call, attempts: retries.Attempts
     ) -> None:
         self._budget.note_request(self._now_ms())
-        attempts = retries.Attempts(idempotent, call.deadline_ms)
         upload = _Upload(req, self._deps.settings)
         await upload.buffer()
         tried: set[str] = set()
--- a/lacewingwood/routing/prefix.py
+++ b/lacewingwood/routing/prefix.py
@@ -11,6 +11,9 @@
 _MAX_BYTES = _MAX_BLOCKS * upstream_prefix.BLOCK_BYTES
 # Replicas remembered for a block; more would only spread a hot prefix thinner.
 _MAX_HOLDERS = 4
+# Engines lose single events all the time; a gap this long is a restart or an
+# outage, after which little of what was known is still true.
+_MAX_GAP = 1000
 
 
 def block_hashes(model: str, prompt: bytes) -> tuple[int, ...]:
@@ -69,8 +72,8 @@
     ) -> None:
         """Takes over a replica's cache events.
 
-        Events that were seen already are passed over. After a gap evictions
-        may have been lost, so that what was known of the replica is dropped.
+        Events that were seen already are passed over. A lost eviction costs
+        one wrong guess; after many lost events all guesses are dropped.
         """
         for event in events:
             self._apply(replica_id, event)
@@ -98,7 +101,7 @@
         last = self._serials.get(replica_id)
         if last is not None and event.serial <= last:
             return
-        if last is not None and event.serial > last + 1:
+        if last is not None and event.serial > last + _MAX_GAP:
             self.forget(replica_id)
         self._serials[replica_id] = event.serial
         block = _parse_block(event.block)
--- a/lacewingwood/routing/retries.py
+++ b/lacewingwood/routing/retries.py
@@ -75,11 +75,13 @@
         idempotent: Whether it may run more than once.
         deadline_ms: When its caller no longer waits.
         retries: Attempts made after the first.
+        ran: Whether any attempt can have had an effect.
     """
 
     idempotent: bool
     deadline_ms: float
     retries: int = 0
+    ran: errors.Ran = errors.Ran.NOT_RUN
 
     def after(
         self, outcome: outcomes.Outcome, budget: Budget, now_ms: float
@@ -88,6 +90,8 @@
 
         A retry that is granted is counted here and in `budget`.
         """
+        if _may_have_run(outcome):
+            self.ran = errors.Ran.MAY_HAVE_RUN
         reason = self._obstacle(outcome) or self._limit(budget, now_ms)
         if reason:
             return GiveUp(reason)
@@ -103,13 +107,9 @@
                 return "rejected"
             case outcomes.Refused() | outcomes.Unreachable():
                 return ""
-            case (
-                outcomes.Broken(ran=ran)
-                | outcomes.Malformed(ran=ran)
-                | outcomes.TimedOut(ran=ran)
-            ):
-                repeatable = self.idempotent or ran is errors.Ran.NOT_RUN
-                return "" if repeatable else "may_have_run"
+            case _:
+                harmless = self.idempotent or not _may_have_run(outcome)
+                return "" if harmless else "may_have_run"
 
     def _limit(self, budget: Budget, now_ms: float) -> str:
         if self.retries >= _MAX_RETRIES:
@@ -117,3 +117,15 @@
         if now_ms + _MIN_LEFT_MS > self.deadline_ms:
             return "deadline"
         return "" if budget.allows(now_ms) else "budget"
+
+
+def _may_have_run(outcome: outcomes.Outcome) -> bool:
+    match outcome:
+        case (
+            outcomes.Broken(ran=ran)
+            | outcomes.Malformed(ran=ran)
+            | outcomes.TimedOut(ran=ran)
+        ):
+            return ran is errors.Ran.MAY_HAVE_RUN
+        case _:
+            return isinstance(outcome, outcomes.Completed | outcomes.Cancelled)
--- a/tests/callers/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -149,6 +149,27 @@
     assert fakes.header(got, b"retry-after")
 
 
+async def test_not_run_is_said_only_if_no_attempt_may_have_run() -> None:
+    """Guards against an untrue refusal after an attempt that broke off."""
+    world = fakes.World()
+    failures: list[Exception] = [
+        upstream_errors.ConnectError("refused"),
+        upstream_errors.ConnectError("refused"),
+        upstream_errors.BrokenError("cut"),
+    ]
+
+    async def run(body: dict[str, Any]) -> AsyncIterator[bytes]:
+        raise failures.pop()
+        yield b""
+
+    world.engines.scripts["*"] = run
+    async with world.serve() as served, served.client() as client:
+        got = await client.call("POST", fakes.CHAT, fakes.body())
+    assert not failures
+    assert got.status == 503
+    assert fakes.error(got)["ran"] == "may_have_run"
+
+
 async def test_waiting_requests_get_places_in_turn() -> None:
     """Guards against overfilling engines, and against places that leak."""
     world = fakes.World()
