--- a/lacewingwood/callers/placement.py
+++ b/lacewingwood/callers/placement.py
@@ -223,17 +223,19 @@
         replica_id = started.replica.id
         match outcome:
             case outcomes.Broken(ran=errors.Ran.MAY_HAVE_RUN):
-                self._note_crash(replica_id, call.request_id)
+                self._note_crash(started.replica, call.request_id)
             case outcomes.Completed():
                 self._note_completed(call.fingerprint)
         self.suspects.ended(call.fingerprint, replica_id)
         self._end(started, outcome)
 
-    def _note_crash(self, replica_id: str, event_id: str) -> None:
-        fingerprints = self.suspects.running_on(replica_id)
-        self.suspects.crashed(replica_id, fingerprints, self._now_ms())
+    def _note_crash(self, replica: routers.Replica, event_id: str) -> None:
+        fingerprints = self.suspects.running_on(replica.id)
+        self.suspects.crashed(
+            replica.id, fingerprints, self._now_ms(), replica.boot_id
+        )
         self._deps.notices.crash_suspect(
-            messages.CrashSuspect(replica_id, fingerprints, event_id)
+            messages.CrashSuspect(replica.id, fingerprints, event_id)
         )
 
     def _note_completed(self, fingerprint: str) -> None:
--- a/lacewingwood/routing/suspects.py
+++ b/lacewingwood/routing/suspects.py
@@ -60,12 +60,14 @@
         replica: The replica.
         at_ms: When it was first seen.
         pending: Fingerprints of requests that have not completed since.
+        boot_id: The replica's last known start before it, or an empty string.
         explained: True once a convicted request may have caused it.
     """
 
     replica: str
     at_ms: float
     pending: set[str]
+    boot_id: str = ""
     explained: bool = False
 
     def proves(self, fingerprint: str) -> bool:
@@ -124,22 +126,41 @@
         return marks is not None
 
     def crashed(
-        self, replica: str, fingerprints: Iterable[str], now_ms: float
+        self,
+        replica: str,
+        fingerprints: Iterable[str],
+        now_ms: float,
+        boot_id: str = "",
     ) -> None:
-        """Marks the requests that were in flight when a replica crashed."""
+        """Marks the requests that were in flight when a replica crashed.
+
+        Args:
+            replica: The replica.
+            fingerprints: The requests.
+            now_ms: The time.
+            boot_id: The replica's last known start before, if known.
+        """
         self._expire(now_ms)
         crash = self._by_replica.get(replica)
         if crash is None or now_ms - crash.at_ms > _SETTLE_MS:
-            crash = _Crash(replica, now_ms, set())
+            crash = _Crash(replica, now_ms, set(), boot_id)
             self._by_replica[replica] = crash
             self._crashes.append(crash)
         for fingerprint in fingerprints:
             self._mark(fingerprint, crash)
 
-    def survived(self, replica: str, now_ms: float) -> None:
-        """Takes back a crash: the replica turned out not to have restarted."""
+    def survived(self, replica: str, boot_id: str, asked_ms: float) -> None:
+        """Takes back a crash if the replica turns out not to have restarted.
+
+        Args:
+            replica: The replica.
+            boot_id: What it has answered.
+            asked_ms: When it was asked.
+        """
         crash = self._by_replica.get(replica)
-        if crash is not None and now_ms - crash.at_ms <= _SETTLE_MS:
+        if crash is None or not boot_id or crash.at_ms >= asked_ms:
+            return
+        if crash.boot_id == boot_id:
             self._forget(crash)
 
     def _mark(self, fingerprint: str, crash: _Crash) -> None:
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -125,6 +125,11 @@
 def test_network_break_leaves_no_mark() -> None:
     """Guards against refusing requests for breaks that were no crash."""
     marks = suspects.Suspects()
-    marks.crashed("e1", ["x:1"], 0)
-    marks.survived("e1", 100)
-    assert marks.check("x:1", 200) == suspects.Unsuspected()
+    marks.crashed("e1", ["x:1"], 100, "boot-1")
+    held = suspects.Alone(frozenset({"e1"}))
+    marks.survived("e1", "boot-1", 90)
+    assert marks.check("x:1", 110) == held, "asked before the crash"
+    marks.survived("e1", "boot-2", 110)
+    assert marks.check("x:1", 110) == held, "it has restarted"
+    marks.survived("e1", "boot-1", 110)
+    assert marks.check("x:1", 110) == suspects.Unsuspected()
