--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -1,5 +1,6 @@
 """Chat completions and completions, from one engine or several in turn."""
 
+import msgspec
 import trio
 
 from lacewingwood.callers import calls
@@ -16,6 +17,17 @@
 _DONE = b"data: [DONE]\n\n"
 
 
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Answer(msgspec.Struct):
+    usage: _Usage
+
+
+_answer_decoder = msgspec.json.Decoder(_Answer)
+
+
 class Inference:
     """Runs inference requests.
 
@@ -47,6 +59,8 @@
                 await respond(req, call, tried, attempts)
         except errors.CallerError as exc:
             raise exc.after(attempts.ran) from exc.__cause__
+        finally:
+            self.placement.settle(call, None)
         if scope.cancelled_caught:
             raise _deadline_error(tried)
 
@@ -70,6 +84,7 @@
                 break
             except upstream_errors.UpstreamError as exc:
                 self._retry_or_raise(attempts, exc)
+        self.placement.settle(call, _completion_tokens(answer))
         await req.respond(200, answer)
 
     async def _stream(
@@ -93,6 +108,7 @@
                     raise errors.from_upstream(exc) from exc
                 self._retry_or_raise(attempts, exc)
                 progress.resume()
+        self.placement.settle(call, len(progress.chunks))
         await req.end(_DONE)
 
     async def _relay(
@@ -153,3 +169,10 @@
         "the request's deadline has passed",
         ran=errors.Ran.MAY_HAVE_RUN,
     )
+
+
+def _completion_tokens(answer: bytes) -> int | None:
+    try:
+        return _answer_decoder.decode(answer).usage.completion_tokens
+    except msgspec.MsgspecError:
+        return None
--- a/lacewingwood/callers/placement.py
+++ b/lacewingwood/callers/placement.py
@@ -44,13 +44,15 @@
         suspects: Requests that were running on a replica when it crashed.
     """
 
-    __slots__ = ("_deps", "_queues", "_waiters", "suspects")
+    __slots__ = ("_deps", "_queues", "_served", "_waiters", "suspects")
 
     def __init__(self, deps: dependencies.Dependencies) -> None:
         self.suspects = deps.suspects
         self._deps = deps
         self._queues: dict[str, fair_queue.FairQueue] = {}
         self._waiters: dict[fair_queue.Ticket, _Waiter] = {}
+        # Tickets of requests that have had their turn, by request id.
+        self._served: dict[str, fair_queue.Ticket] = {}
 
     async def run_for_ever(self) -> None:
         """Looks at intervals whether waiting requests can be placed."""
@@ -87,6 +89,18 @@
         finally:
             self._finish(call, started, outcome)
 
+    def settle(self, call: calls.Call, answer_tokens: int | None) -> None:
+        """Charges a request that has ended with the tokens it really took.
+
+        Args:
+            call: The request.
+            answer_tokens: Length of its answer, None if not known.
+        """
+        ticket = self._served.pop(call.request_id, None)
+        if ticket is not None and answer_tokens is not None:
+            tokens = call.prompt_tokens + answer_tokens
+            self._queues[call.service].correct(ticket, tokens)
+
     async def _place(
         self, call: calls.Call, tried: set[str]
     ) -> routers.Started:
@@ -176,6 +190,7 @@
             queue.cancel(ticket)
         if waiter.started is None:
             raise overloaded_error("deadline", 1000)
+        self._served[call.request_id] = ticket
         return waiter.started
 
     def _abandon(self, waiter: _Waiter) -> None:
--- a/tests/callers/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from lacewingwood.routing import fair_queue
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import types as upstream_types
 from tests.callers import fakes
@@ -216,6 +217,25 @@
     assert all(r.own == 0 for r in world.router.fleet.of_service("sabeel-lm"))
 
 
+async def test_customers_pay_for_the_tokens_they_took(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against shares that follow max_tokens and not real answers."""
+    world = fakes.World()
+    charged: list[float] = []
+
+    def correct(
+        queue: fair_queue.FairQueue, ticket: fair_queue.Ticket, tokens: float
+    ) -> None:
+        charged.append(ticket.cost - tokens)
+
+    monkeypatch.setattr(fair_queue.FairQueue, "correct", correct)
+    body = fakes.body(stream=True, max_tokens=100)
+    async with world.serve() as served, served.client() as client:
+        await client.call("POST", fakes.CHAT, body)
+    assert charged == [100 - len(("Hello", " ", "there", ""))]
+
+
 async def test_request_that_crashes_replicas_costs_two() -> None:
     """Guards against a request that is sent again until no replica is left."""
     world = fakes.World()
