--- a/bench/relay.py
+++ b/bench/relay.py
@@ -30,6 +30,7 @@
 from lacewingwood.limits import limiter
 from lacewingwood.routing import router as routers
 from lacewingwood.state import records
+from lacewingwood.upstreams import types as upstream_types
 
 _CHUNKS = 2000
 _STREAMS = 8
@@ -74,7 +75,22 @@
         yield _Answer()
 
     async def complete(self, *args: Any) -> bytes:
-        raise NotImplementedError
+        return b""
+
+    async def load(self, *args: Any) -> upstream_types.LoadReport:
+        return upstream_types.LoadReport(
+            running=0,
+            waiting=0,
+            slots=100,
+            kv_used=0,
+            step_ms=30,
+            leaving=False,
+            versions={},
+            boot_id="b",
+        )
+
+    async def cache_events(self, *args: Any) -> list[upstream_types.CacheEvent]:
+        return []
 
 
 @dataclasses.dataclass
--- a/lacewingwood/callers/app.py
+++ b/lacewingwood/callers/app.py
@@ -18,6 +18,7 @@
 from lacewingwood.callers import http
 from lacewingwood.callers import inference
 from lacewingwood.callers import proxy
+from lacewingwood.callers import reports
 from lacewingwood.callers import running
 
 _INFERENCE_PATHS = frozenset(("/v1/chat/completions", "/v1/completions"))
@@ -47,7 +48,12 @@
 
     async def run_for_ever(self) -> None:
         """Does the work that no single request does; `serve` starts it."""
+        deps = self._deps
+        fetcher = reports.Reports(
+            deps.engines, deps.router, deps.suspects, deps.clock
+        )
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(fetcher.run_for_ever)
             nursery.start_soon(self.running.check_for_ever)
             nursery.start_soon(self._inference.placement.run_for_ever)
 
--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -17,6 +17,7 @@
 from lacewingwood.routing import router as routers
 from lacewingwood.routing import suspects as suspects_module
 from lacewingwood.state import records
+from lacewingwood.upstreams import types as upstream_types
 
 
 class View(Protocol):
@@ -95,6 +96,14 @@
     ) -> bytes:
         """Returns the JSON answer of a request."""
 
+    async def load(self, address: str) -> upstream_types.LoadReport:
+        """Returns an engine's load report."""
+
+    async def cache_events(
+        self, address: str, start: int
+    ) -> list[upstream_types.CacheEvent]:
+        """Returns an engine's cache events from serial `start` on."""
+
 
 class PlainResponse(Protocol):
     """A plain service's answer; iterating over it gives its body."""
--- a/lacewingwood/callers/placement.py
+++ b/lacewingwood/callers/placement.py
@@ -126,7 +126,7 @@
         route = _route(call, exclude, queue_if_full=True)
         choice = self._deps.router.choose(route, self._now_ms())
         if isinstance(choice, routers.NoReplica):
-            raise errors.unavailable("no_replica", "no replica is available")
+            raise _no_replica_error()
         return self._start(choice, route)
 
     async def _place_suspect(
@@ -142,7 +142,7 @@
                 case suspects_module.Convicted():
                     raise _convicted_error()
                 case suspects_module.Alone(avoid=avoid):
-                    started = self._place_alone(call, avoid | tried)
+                    started = self._place_alone(call, avoid, tried)
                     if started is not None:
                         return started
                 case suspects_module.Hold():
@@ -152,13 +152,20 @@
             await self._deps.clock.sleep_ms(_TICK_MS)
 
     def _place_alone(
-        self, call: calls.Call, exclude: frozenset[str]
+        self, call: calls.Call, avoid: frozenset[str], tried: set[str]
     ) -> routers.Started | None:
-        route = _route(call, exclude, queue_if_full=True)
-        choice = self._deps.router.choose(route, self._now_ms())
-        if isinstance(choice, routers.NoReplica):
-            return None
-        return self._start(choice, route)
+        """Places a suspect, or returns None if that may work later."""
+        now_ms = self._now_ms()
+        route = _route(call, avoid | tried, queue_if_full=True)
+        choice = self._deps.router.choose(route, now_ms)
+        if isinstance(choice, routers.Choice):
+            return self._start(choice, route)
+        anywhere = _route(call, frozenset(tried), queue_if_full=True)
+        if isinstance(
+            self._deps.router.choose(anywhere, now_ms), routers.NoReplica
+        ):
+            raise _no_replica_error()
+        return None
 
     async def _place_in_turn(self, call: calls.Call) -> routers.Started:
         """Places a request when it is its customer's turn.
@@ -290,6 +297,10 @@
     return errors.unavailable("overloaded", message, retry_after_ms)
 
 
+def _no_replica_error() -> errors.CallerError:
+    return errors.unavailable("no_replica", "no replica is available")
+
+
 def _held_error() -> errors.CallerError:
     message = "the request was running when a replica crashed; it is held back"
     return errors.unavailable("held_back", message)
--- a/lacewingwood/callers/reports.py
+++ b/lacewingwood/callers/reports.py
@@ -3,11 +3,11 @@
 import collections
 import heapq
 import math
-from typing import Protocol
 
 import trio
 
 from lacewingwood import clock as clocks
+from lacewingwood.callers import dependencies
 from lacewingwood.routing import replicas as replicas_module
 from lacewingwood.routing import router as routers
 from lacewingwood.routing import suspects as suspects_module
@@ -18,7 +18,8 @@
 # below the 15 KB/s that a node may spend on control traffic.
 _POLLS_PER_S = 20
 _TICK_MS = 1000 / _POLLS_PER_S
-# Replicas with requests in flight from here are asked this often at most.
+# Replicas with requests in flight from here, or failures, are asked this often
+# at most.
 _BUSY_AGE_MS = 500.0
 _IDLE_AGE_MS = 5000.0
 _MAX_RUNNING = 8
@@ -27,18 +28,6 @@
 _PLAN_SIZE = int(_PLAN_MS / _TICK_MS)
 
 
-class Engines(Protocol):
-    """The part of upstreams.engine.EngineClient that is needed here."""
-
-    async def load(self, address: str) -> upstream_types.LoadReport:
-        """Returns the engine's load report."""
-
-    async def cache_events(
-        self, address: str, start: int
-    ) -> list[upstream_types.CacheEvent]:
-        """Returns the cache events from serial `start` on."""
-
-
 class Reports:
     """Asks engines in turn, those that are in use first."""
 
@@ -56,7 +45,7 @@
 
     def __init__(
         self,
-        engines: Engines,
+        engines: dependencies.Engines,
         router: routers.Router,
         suspects: suspects_module.Suspects,
         clock: clocks.Clock,
@@ -107,7 +96,8 @@
         if replica.id in self._running:
             return 0.0
         age_ms = now_ms - self._asked_ms.get(replica.id, -math.inf)
-        return age_ms / (_BUSY_AGE_MS if replica.own else _IDLE_AGE_MS)
+        wanted = replica.own or replica.failures
+        return age_ms / (_BUSY_AGE_MS if wanted else _IDLE_AGE_MS)
 
     async def _ask(self, replica: replicas_module.Replica) -> None:
         asked_ms = self._clock.now_ms()
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -21,6 +21,8 @@
 from lacewingwood.limits import limiter
 from lacewingwood.routing import router as routers
 from lacewingwood.state import records
+from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import types as upstream_types
 
 SECRET = "sk-tanta-1"
 SERVICE = "sabeel-lm"
@@ -114,6 +116,14 @@
             {**_base("chat.completion"), "choices": [choice]}
         ).encode()
 
+    async def load(self, address: str) -> upstream_types.LoadReport:
+        raise upstream_errors.ConnectError("no reports here")
+
+    async def cache_events(
+        self, address: str, start: int
+    ) -> list[upstream_types.CacheEvent]:
+        return []
+
     def _script(self, address: str) -> Script:
         return self.scripts.get(address) or self.scripts["*"]
 
