--- a/tests/log/test_client.py
+++ b/tests/log/test_client.py
@@ -141,7 +141,8 @@
     pages: list[types.Page] = []
 
     async def poll(start: int) -> None:
-        pages.append(await reader.read("s", start, wait_ms=_LONG_MS))
+        with trio.fail_after(_LONG_MS / 3000):
+            pages.append(await reader.read("s", start, wait_ms=_LONG_MS))
 
     async with trio.open_nursery() as polls:
         polls.start_soon(poll, 0)
