--- a/lacewingwood/upstreams/plain.py
+++ b/lacewingwood/upstreams/plain.py
@@ -31,7 +31,7 @@
 
 
 class Response:
-    """A response; iterate over it for its body as it arrives.
+    """A response whose body is read as it arrives.
 
     Attributes:
         status: HTTP status.
@@ -50,6 +50,14 @@
         """Trailer fields; known once the body has been read."""
         return self._exchange.trailers
 
+    def body(self) -> AsyncIterator[bytes]:
+        """Iterates over the rest of the body, as the response itself does.
+
+        Raises:
+            BrokenError: The connection ended before the response did.
+        """
+        return self
+
     def __aiter__(self) -> "Response":
         return self
 
--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -125,7 +125,8 @@
     nursery: trio.Nursery,
 ) -> None:
     """Guards against the rest of one answer reaching the next request."""
-    fleet = await _Fleet().start(nursery)
+    fleet = await _Fleet(report_lag_ms=0).start(nursery)
+    fleet.engine.set_faults({"slow_factor": 50})
     body = _body(stream=True, max_tokens=60)
     async with fleet.client.stream(
         fleet.address, _CHAT, body, "r1", _deadline_ms()
@@ -135,6 +136,7 @@
     first = fleet.clients[0]
     assert await fleet.stream("r2", content="other")
     assert first not in fleet.clients[1:]
+    assert fleet.engine.load().running == 0
 
 
 @hypothesis.settings(max_examples=20)
--- a/tests/upstreams/test_plain.py
+++ b/tests/upstreams/test_plain.py
@@ -85,7 +85,7 @@
     async with service.request("POST", "/stream", body=receive) as answer:
         for chunk in (b"one", b"two"):
             await send.send(chunk)
-            assert await anext(aiter(answer)) == chunk
+            assert await anext(answer.body()) == chunk
         await send.aclose()
         assert await answer.read() == b""
 
