--- a/tests/state/lease_search.py
+++ b/tests/state/lease_search.py
@@ -75,9 +75,14 @@
     release_counts_as_effective: bool = False
 
 
-@functools.cache
 def _lease_at(log: tuple[Entry, ...]) -> entities.Lease | None:
-    """Returns the lease by the real view after the records of `log`."""
+    """Returns the lease after the records of `log`."""
+    return _view_at(log).leases.get("l")
+
+
+@functools.cache
+def _view_at(log: tuple[Entry, ...]) -> view_lib.View:
+    """Returns the real view after the records of `log`."""
     view = view_lib.View()
     for name in _NODES:
         body: records.Body = records.MemberJoined(fakes.member(name))
@@ -90,7 +95,7 @@
             view.apply(view.offset, b"")
         else:
             _apply(view, records.Record(str(number), author, body, base))
-    return view.leases.get("l")
+    return view
 
 
 def _apply(view: view_lib.View, record: records.Record) -> None:
@@ -329,11 +334,8 @@
 
 def _bases(state: State, process: Process) -> set[int]:
     """Returns all bases seen so far, as an append may arrive late."""
-    bases = set()
-    for count in range(process.applied - _FIRST + 1):
-        lease = _lease_at(state.log[:count])
-        bases.add(lease.epoch if lease is not None else -1)
-    return bases
+    counts = range(process.applied - _FIRST + 1)
+    return {_view_at(state.log[:n]).version("lease", "l") for n in counts}
 
 
 def _release(state: State, process: Process, rules: Rules) -> Iterator[State]:
@@ -353,8 +355,8 @@
 
 def _appended(state: State, entry: Entry, **budget: int) -> State:
     """Appends a record; all that change nothing are taken as the same."""
-    before = _lease_at(state.log)
-    if _lease_at((*state.log, entry)) == before:
+    before, after = _view_at(state.log), _view_at((*state.log, entry))
+    if before.versions == after.versions:
         entry = _VOID
     return dataclasses.replace(state, log=(*state.log, entry), **budget)
 
