--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -18,6 +18,8 @@
 _CONNECTIONS = 256
 _CONTROL_CONNECTIONS = 4
 _CONTROL_TIMEOUT_MS = 2000.0
+# A deadline that is further away, or infinite, is sent as this.
+_LONGEST_MS = 86_400_000
 _KV_TIMEOUT_MS = 30_000.0
 _JSON = b"application/json"
 _REFUSALS = range(400, 500)
@@ -33,19 +35,24 @@
         status: HTTP status.
     """
 
-    __slots__ = ("_exchange", "status")
+    __slots__ = ("_events", "status")
 
     def __init__(self, exchange: http1.Exchange) -> None:
-        self._exchange = exchange
+        self._events = sse.Events(exchange)
         self.status = exchange.status
 
+    @property
+    def done(self) -> bool:
+        """True once the whole answer was received."""
+        return self._events.done
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Iterates over the payloads of the events, without `[DONE]`.
 
         Raises:
             BrokenError: The stream ended without `[DONE]`.
         """
-        return sse.events(self._exchange.chunks())
+        return self._events
 
 
 class EngineClient:
@@ -101,7 +108,10 @@
             address, path, body, request_id, deadline_ms
         ) as exchange:
             _check_is_stream(exchange)
-            yield Stream(exchange)
+            stream = Stream(exchange)
+            yield stream
+            if stream.done:
+                await exchange.drain()
 
     async def complete(
         self,
@@ -206,7 +216,7 @@
             path,
             body,
             (b"x-request-id", request_id.encode()),
-            (b"x-deadline-ms", b"%d" % max(0, left_ms)),
+            (b"x-deadline-ms", b"%d" % min(max(0, left_ms), _LONGEST_MS)),
         )
         async with self._exchange(
             self._requests, address, head, body, left_ms
@@ -227,9 +237,7 @@
         with trio.move_on_after(max(0.0, timeout_ms) / 1000) as scope:
             async with pools.pool(address).exchange() as exchange:
                 sent = exchange
-                await exchange.send(
-                    head, h11.Data(data=body), h11.EndOfMessage()
-                )
+                await exchange.send_whole(head, body)
                 await exchange.receive_head()
                 await _check_status(exchange)
                 yield exchange
@@ -259,7 +267,10 @@
     if 200 <= status < 300:
         return
     if status in _REFUSALS or status == _UNAVAILABLE:
-        body = await exchange.read()
+        body = b""
+        # The status alone says that the request was not run.
+        with contextlib.suppress(errors.UpstreamError):
+            body = await exchange.read()
         raise errors.RefusedError(f"refused with {status}", status, body)
     raise errors.BrokenError(f"engine answered with {status}")
 
--- a/lacewingwood/upstreams/plain.py
+++ b/lacewingwood/upstreams/plain.py
@@ -13,10 +13,25 @@
 from lacewingwood.upstreams import http1
 
 _CONNECTIONS = 256
+# Fields made here, or that concern only the connection they came on.
+_OWN = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"host",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
 
 
 class Response:
-    """A response whose body is read as it arrives.
+    """A response; iterate over it for its body as it arrives.
 
     Attributes:
         status: HTTP status.
@@ -35,13 +50,27 @@
         """Trailer fields; known once the body has been read."""
         return self._exchange.trailers
 
-    def body(self) -> AsyncIterator[bytes]:
-        """Iterates over the body.
+    def __aiter__(self) -> "Response":
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next part of the body.
+
+        Raises:
+            BrokenError: The connection ended before the response did.
+        """
+        chunk = await self._exchange.next_chunk()
+        if not chunk:
+            raise StopAsyncIteration
+        return chunk
+
+    async def read(self) -> bytes:
+        """Returns the rest of the body.
 
         Raises:
             BrokenError: The connection ended before the response did.
         """
-        return self._exchange.chunks()
+        return await self._exchange.read()
 
 
 class PlainClient:
@@ -80,8 +109,8 @@
             address: `host:port` of the service.
             method: HTTP method.
             path: Path and query.
-            headers: Header fields to send; `host` and those that frame the
-                body are added here and must not be among them.
+            headers: Header fields to send; those that concern only one
+                connection are left out.
             body: Request body.
             deadline_ms: Time on `clock` by which the block must be left.
 
@@ -122,7 +151,8 @@
     framing = (b"transfer-encoding", b"chunked")
     if isinstance(body, bytes):
         framing = (b"content-length", b"%d" % len(body))
-    fields = [(b"host", address.encode()), framing, *headers]
+    passed = [field for field in headers if field[0].lower() not in _OWN]
+    fields = [(b"host", address.encode()), framing, *passed]
     return h11.Request(method=method, target=path, headers=fields)
 
 
@@ -134,10 +164,10 @@
 ) -> AsyncIterator[None]:
     """Sends a request, an iterated body while the block runs."""
     if isinstance(body, bytes):
-        await exchange.send(head, h11.Data(data=body), h11.EndOfMessage())
+        await exchange.send_whole(head, body)
         yield
         return
-    await exchange.send(head)
+    await exchange.send_head(head)
     failure: Exception | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send_body, exchange, body)
