Replace a member by the next one of its role on its host

After a crash of all processes their successors have new peer addresses, so the dead counted for the majority and no lease could be taken over any more. A host runs one process of each role, so the later one shows that the earlier is dead. Evidence that changes nothing no longer wakes those that wait.

--- a/lacewingwood/state/follower.py
+++ b/lacewingwood/state/follower.py
@@ -75,6 +75,7 @@
         self._loader: catchup.Loader | None = catchup.Loader(0)
         self._loaded = False
         self._ready = False
+        self._now_fresh = False
         self._history = catchup.History()
         self._change = trio.Event()
         self._hosts: frozenset[str] | None = None
@@ -146,11 +147,15 @@
             nursery.start_soon(self.prober.run)
 
     def change(self) -> trio.Event:
-        """Returns the event of the next change of view or freshness."""
+        """Returns the event of the next change.
+
+        It is set when the view changes and when it turns fresh after it was
+        stale; turning stale and the passing of time set nothing.
+        """
         return self._change
 
     async def wait_change(self) -> None:
-        """Waits for the next change of view or freshness."""
+        """Waits for the event that `change` returns now."""
         await self._change.wait()
 
     async def wait_until(self, condition: Callable[[], bool]) -> None:
@@ -219,12 +224,27 @@
         self.notify()
 
     def notify(self) -> None:
-        """Draws conclusions from new evidence and wakes those that wait."""
-        self.freshness.update(self._view.offset, self.quorum_set())
-        self._ready = self._ready or self.fresh()
+        """Draws conclusions from a change and wakes those that wait."""
+        self._judge()
         self._change.set()
         self._change = trio.Event()
 
+    def note_evidence(self) -> None:
+        """Draws conclusions from evidence; wakes others if it turns fresh.
+
+        Evidence comes several times a second and mostly changes nothing.
+        """
+        before = self._now_fresh
+        if self._judge() and not before:
+            self.notify()
+
+    def _judge(self) -> bool:
+        """Returns whether the view is fresh by all evidence."""
+        self.freshness.update(self._view.offset, self.quorum_set())
+        self._now_fresh = self.fresh()
+        self._ready = self._ready or self._now_fresh
+        return self._now_fresh
+
     async def _follow_log(self) -> None:
         while True:
             try:
@@ -258,7 +278,7 @@
             self.metrics.add("state_log_behind")
             return
         self.freshness.log_read(sent_ms, head, self._view.offset)
-        self.notify()
+        self.note_evidence()
 
     async def _load(self, loader: catchup.Loader, page: log_types.Page) -> None:
         loader.add(page.entries)
@@ -267,9 +287,9 @@
         view = loader.view()
         if view is not None:
             self.install(view)
-            return
-        self.metrics.add("state_no_snapshot")
-        await self.clock.sleep_ms(_RETRY_MS)
+        if self.loading:
+            self.metrics.add("state_no_snapshot")
+            await self.clock.sleep_ms(_RETRY_MS)
 
     async def _record(
         self, publication: "_Publication", timeout_ms: float
--- a/lacewingwood/state/lease_manager.py
+++ b/lacewingwood/state/lease_manager.py
@@ -135,8 +135,11 @@
         follower.prober.regions_to_ask = self._claims.waiting_regions()
 
     def _on_answer(self, node_id: str, offset: int | None) -> None:
-        if offset is not None:
-            self._claims.answer(node_id, offset)
+        if offset is None:
+            return
+        self._claims.answer(node_id, offset)
+        if self._claims.waiting_regions():
+            self._update()
 
     def _mine(self, name: str) -> entities.Lease | None:
         lease = self._follower.view.leases.get(name)
--- a/lacewingwood/state/leases.py
+++ b/lacewingwood/state/leases.py
@@ -46,6 +46,10 @@
             if lease.holder == self._node_id and lease.waits_on
         }
         self._forget_all_but(mine)
+        counted = frozenset().union(*quorum_sets.values())
+        if len(self._acknowledged) > 2 * len(counted):
+            kept = self._acknowledged.keys() & counted
+            self._acknowledged = {n: self._acknowledged[n] for n in kept}
         for epoch, lease in mine.items():
             if epoch not in self._effective_ms:
                 waiting = self._waiting.setdefault(epoch, set(lease.waits_on))
--- a/lacewingwood/state/membership.py
+++ b/lacewingwood/state/membership.py
@@ -19,7 +19,7 @@
     """Returns the node ids of a region of which a majority must answer.
 
     The view has already left out the members that left and those that a later
-    one with the same address replaced.
+    one at the same address, or of the same role on the same host, replaced.
 
     Args:
         members: The view's members.
--- a/lacewingwood/state/prober.py
+++ b/lacewingwood/state/prober.py
@@ -66,7 +66,7 @@
         offset = await self._offset_of(member)
         if offset is not None:
             self._follower.freshness.answer(member.node_id, sent_ms, offset)
-            self._follower.notify()
+            self._follower.note_evidence()
         for listener in self.listeners:
             listener(member.node_id, offset)
         if offset is not None and offset > self._follower.view.offset:
--- a/lacewingwood/state/view.py
+++ b/lacewingwood/state/view.py
@@ -259,9 +259,14 @@
             self.keys[self._digests[key_id]].withdrawn = True
 
     def _join(self, member: records.Member) -> None:
-        """Adds a member in place of an earlier one with the same address."""
+        """Adds a member in place of the earlier ones that it shows to be dead.
+
+        A host runs one process of each role, and an address serves one.
+        """
         for other in list(self.members.values()):
-            if other.address == member.address:
+            same_host = other.host == member.host != ""
+            same_place = same_host and other.role == member.role
+            if same_place or other.address == member.address:
                 self._drop("member", other.node_id)
         self.members[member.node_id] = member
 
--- a/tests/state/fakes.py
+++ b/tests/state/fakes.py
@@ -176,4 +176,6 @@
 def member(
     node_id: str, region: str = "r", role: str = "entry"
 ) -> records.Member:
-    return records.Member(node_id, role, node_id, "z", region, f"h-{node_id}")
+    """Returns a member; `a2` is the process after `a` on the same host."""
+    host = f"h-{node_id[0]}"
+    return records.Member(node_id, role, node_id, "z", region, host)
--- a/tests/state/test_leases.py
+++ b/tests/state/test_leases.py
@@ -1,6 +1,7 @@
 """Tests of leases, membership and snapshots of running processes."""
 
 import dataclasses
+from collections.abc import Iterable
 
 import pytest
 import trio
@@ -51,7 +52,10 @@
 
 
 async def _start(
-    site: fakes.Site, nursery: trio.Nursery, names: str, region: str = "r"
+    site: fakes.Site,
+    nursery: trio.Nursery,
+    names: Iterable[str],
+    region: str = "r",
 ) -> list[_Node]:
     nodes = [_node(site, name, region) for name in names]
     for node in nodes:
@@ -108,6 +112,24 @@
     assert c.leases.held("job/1") is not None
 
 
+async def test_lease_survives_a_restart_of_all(nursery: trio.Nursery) -> None:
+    """Guards against a majority that can't be had, as the dead count for it.
+
+    The new processes have other addresses on the same hosts.
+    """
+    site = fakes.Site()
+    old = await _start(site, nursery, "abc")
+    await old[0].leases.claim("job/1")
+    for node in old:
+        node.scope.cancel()
+        site.network.isolate(node.follower.node_id)
+    new, *_ = await _start(site, nursery, ["a2", "b2", "c2"])
+    await new.leases.claim("job/1")
+    assert new.leases.held("job/1") is None
+    await site.run_for(_WAIT_MS + 1000)
+    assert new.leases.held("job/1") is not None
+
+
 async def test_claim_that_never_took_effect_passes_on_its_wait(
     nursery: trio.Nursery,
 ) -> None:
