Wake those that wait when the view turns fresh again

After a pause the last judgement was still fresh, so new evidence woke nobody. Leases are also kept when only the host list has changed. Publishing has its own module.

--- a/lacewingwood/state/follower.py
+++ b/lacewingwood/state/follower.py
@@ -1,6 +1,5 @@
 """Follows the stream `control` and keeps the view up to date."""
 
-import random
 import uuid
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -14,17 +13,15 @@
 from lacewingwood.log import types as log_types
 from lacewingwood.peers import messages
 from lacewingwood.state import catchup
-from lacewingwood.state import entities
 from lacewingwood.state import errors
 from lacewingwood.state import freshness as freshness_lib
 from lacewingwood.state import membership
 from lacewingwood.state import ports
 from lacewingwood.state import prober as prober_lib
+from lacewingwood.state import publisher
 from lacewingwood.state import records
 from lacewingwood.state import view as view_lib
 
-STREAM = "control"
-
 _READ_LIMIT = 1000
 
 # An empty poll proves freshness only from before it was sent, so that evidence
@@ -33,10 +30,6 @@
 
 _RETRY_MS = 200.0
 
-_APPEND_RETRY_MS = 100.0
-_APPEND_RETRY_MAX_MS = 2000.0
-_PUBLISH_MS = 15_000.0
-
 
 class Follower:
     """This process's copy of the shared state.
@@ -75,12 +68,12 @@
         self._loader: catchup.Loader | None = catchup.Loader(0)
         self._loaded = False
         self._ready = False
-        self._now_fresh = False
         self._history = catchup.History()
         self._change = trio.Event()
         self._hosts: frozenset[str] | None = None
         self._quorum_sets: dict[str, frozenset[str]] = {}
         self._quorum_offset = -1
+        self._publisher = publisher.Publisher(self, log_client)
         self.prober = prober_lib.Prober(self)
 
     @property
@@ -158,6 +151,18 @@
         """Waits for the event that `change` returns now."""
         await self._change.wait()
 
+    async def wait_for(self, change: trio.Event, timeout_ms: float) -> None:
+        """Waits for an event from `change`, or until the time has passed."""
+        async with trio.open_nursery() as nursery:
+
+            async def time_out() -> None:
+                await self.clock.sleep_ms(timeout_ms)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(time_out)
+            await change.wait()
+            nursery.cancel_scope.cancel()
+
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         """Waits until `condition` holds, looking again after each change."""
         while not condition():
@@ -172,7 +177,7 @@
         body: records.Body,
         based_on: int | None = None,
         record_id: str | None = None,
-        timeout_ms: float = _PUBLISH_MS,
+        timeout_ms: float = publisher.TIMEOUT_MS,
     ) -> int:
         """Puts a change on the log and waits until it is in the view.
 
@@ -195,10 +200,7 @@
         record = records.Record(
             record_id or uuid.uuid4().hex, self.node_id, body, based_on
         )
-        publication = _Publication(record.id, records.encode(record))
-        if self._seen(publication) is None:
-            await self._record(publication, timeout_ms)
-        return self._published(publication)
+        return await self._publisher.publish(record, timeout_ms)
 
     def apply(self, entries: Iterable[tuple[int, bytes]]) -> None:
         """Applies the records among `entries` that come next."""
@@ -229,21 +231,20 @@
         self._change.set()
         self._change = trio.Event()
 
-    def note_evidence(self) -> None:
-        """Draws conclusions from evidence; wakes others if it turns fresh.
+    def note_evidence(self, note: Callable[[], None]) -> None:
+        """Takes evidence by `note`; wakes others if the view turns fresh.
 
         Evidence comes several times a second and mostly changes nothing.
         """
-        before = self._now_fresh
-        if self._judge() and not before:
+        before = self.fresh()
+        note()
+        self._judge()
+        if self.fresh() and not before:
             self.notify()
 
-    def _judge(self) -> bool:
-        """Returns whether the view is fresh by all evidence."""
+    def _judge(self) -> None:
         self.freshness.update(self._view.offset, self.quorum_set())
-        self._now_fresh = self.fresh()
-        self._ready = self._ready or self._now_fresh
-        return self._now_fresh
+        self._ready = self._ready or self.fresh()
 
     async def _follow_log(self) -> None:
         while True:
@@ -261,7 +262,7 @@
         start = loader.next_offset if loader else self._view.offset
         wait_ms = 0 if loader else _POLL_MS
         sent_ms = self.clock.now_ms()
-        page = await self._log.read(STREAM, start, _READ_LIMIT, wait_ms)
+        page = await self._log.read(ports.CONTROL, start, _READ_LIMIT, wait_ms)
         self.retention_ms = page.retention_ms
         self.log_first = page.first
         if loader is not None:
@@ -277,8 +278,9 @@
         if head < self._view.offset:
             self.metrics.add("state_log_behind")
             return
-        self.freshness.log_read(sent_ms, head, self._view.offset)
-        self.note_evidence()
+        self.note_evidence(
+            lambda: self.freshness.log_read(sent_ms, head, self._view.offset)
+        )
 
     async def _load(self, loader: catchup.Loader, page: log_types.Page) -> None:
         loader.add(page.entries)
@@ -291,70 +293,6 @@
             self.metrics.add("state_no_snapshot")
             await self.clock.sleep_ms(_RETRY_MS)
 
-    async def _record(
-        self, publication: "_Publication", timeout_ms: float
-    ) -> None:
-        """Returns once a change is in the view, or can't be in time."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._append, publication)
-            nursery.start_soon(self._give_up, publication, timeout_ms)
-            await self.wait_until(
-                lambda: publication.ended or self._seen(publication) is not None
-            )
-            nursery.cancel_scope.cancel()
-
-    async def _append(self, publication: "_Publication") -> None:
-        """Repeats an append until the log has certainly taken it."""
-        retry_ms = _APPEND_RETRY_MS
-        while not await self._append_once(publication):
-            await self.clock.sleep_ms(retry_ms * random.uniform(0.5, 1))
-            retry_ms = min(2 * retry_ms, _APPEND_RETRY_MAX_MS)
-
-    async def _append_once(self, publication: "_Publication") -> bool:
-        before = publication.may_have_taken_effect
-        publication.may_have_taken_effect = True
-        try:
-            await self._log.append(STREAM, publication.data)
-        except log_errors.UnavailableError as exc:
-            publication.may_have_taken_effect = (
-                before or exc.may_have_taken_effect
-            )
-            return False
-        except log_errors.RecordTooLargeError:
-            publication.may_have_taken_effect = before
-            publication.too_large = True
-            self._end(publication)
-        except log_errors.LogError:
-            publication.may_have_taken_effect = before
-            return False
-        return True
-
-    async def _give_up(
-        self, publication: "_Publication", timeout_ms: float
-    ) -> None:
-        await self.clock.sleep_ms(timeout_ms)
-        self._end(publication)
-
-    def _end(self, publication: "_Publication") -> None:
-        publication.ended = True
-        self.notify()
-
-    def _seen(self, publication: "_Publication") -> entities.Seen | None:
-        return self._view.seen(publication.record_id)
-
-    def _published(self, publication: "_Publication") -> int:
-        seen = self._seen(publication)
-        if seen is None and publication.too_large:
-            raise errors.TooLargeError("the log takes no record of this size")
-        if seen is None:
-            raise errors.UnavailableError(
-                "the change was not seen on the log in time",
-                publication.may_have_taken_effect,
-            )
-        if seen.outcome is entities.Outcome.VOID:
-            raise errors.ConflictError("another change came first")
-        return seen.offset
-
     async def _on_ping(self, ping: messages.Ping) -> messages.Message:
         age_ms = self.log_age_ms()
         return messages.Pong(
@@ -375,22 +313,3 @@
         if not self._loaded:
             return messages.Refused("not_ready", "no view yet")
         return messages.EncodedView(self._view.offset, self._view.encode())
-
-
-class _Publication:
-    """A change on its way to the log."""
-
-    __slots__ = (
-        "data",
-        "ended",
-        "may_have_taken_effect",
-        "record_id",
-        "too_large",
-    )
-
-    def __init__(self, record_id: str, data: bytes) -> None:
-        self.record_id = record_id
-        self.data = data
-        self.ended = False
-        self.may_have_taken_effect = False
-        self.too_large = False
--- a/lacewingwood/state/lease_manager.py
+++ b/lacewingwood/state/lease_manager.py
@@ -14,6 +14,9 @@
 
 _RETRY_MS = 500.0
 
+# Names come and go with the host list, which changes without the view.
+_CHECK_MS = 1000.0
+
 
 class LeaseManager:
     """The leases of this process.
@@ -111,7 +114,7 @@
                 for name in list(names()):
                     if self._should_claim(name, role):
                         await self._claim_if_free(name)
-                await change.wait()
+                await self._follower.wait_for(change, _CHECK_MS)
             except errors.StateError as exc:
                 self._follower.metrics.add("lease_errors", code=exc.code)
                 await self._follower.clock.sleep_ms(_RETRY_MS)
--- a/lacewingwood/state/ports.py
+++ b/lacewingwood/state/ports.py
@@ -8,6 +8,8 @@
 from lacewingwood.log import types as log_types
 from lacewingwood.peers import messages
 
+CONTROL = "control"
+
 
 class Log(Protocol):
     """The log service's client.
--- a/lacewingwood/state/prober.py
+++ b/lacewingwood/state/prober.py
@@ -65,14 +65,19 @@
         sent_ms = self._follower.clock.now_ms()
         offset = await self._offset_of(member)
         if offset is not None:
-            self._follower.freshness.answer(member.node_id, sent_ms, offset)
-            self._follower.note_evidence()
+            self._note(member.node_id, sent_ms, offset)
         for listener in self.listeners:
             listener(member.node_id, offset)
         if offset is not None and offset > self._follower.view.offset:
             await self._fetch(member, offset)
         return offset is not None
 
+    def _note(self, node_id: str, sent_ms: float, offset: int) -> None:
+        freshness_of = self._follower.freshness
+        self._follower.note_evidence(
+            lambda: freshness_of.answer(node_id, sent_ms, offset)
+        )
+
     async def _ask(self, member: records.Member) -> None:
         self._asked.add(member.node_id)
         try:
--- a/tests/state/test_follower.py
+++ b/tests/state/test_follower.py
@@ -1,13 +1,18 @@
 """Tests of the follower with an in-memory log and network."""
 
+import itertools
+
 import pytest
 import trio
 import trio.testing
 
+from lacewingwood.log import types as log_types
+from lacewingwood.state import catchup
 from lacewingwood.state import errors
 from lacewingwood.state import freshness
 from lacewingwood.state import records
 from lacewingwood.state import snapshot
+from lacewingwood.state import view as view_lib
 from tests.state import fakes
 
 _CUSTOMER = records.CustomerPut(records.Customer("c", 1.0, 1))
@@ -105,6 +110,60 @@
     assert [each.fresh() for each in all_three] == [True, True, False]
 
 
+async def test_minority_goes_stale(nursery: trio.Nursery) -> None:
+    """Guards against two parts of a region that both go on by themselves."""
+    site = fakes.Site()
+    site.join(*"abcde")
+    five = [site.follower(n) for n in "abcde"]
+    for each in five:
+        nursery.start_soon(each.run)
+    await site.run_for(1000)
+    site.log.is_down = True
+    for one, other in itertools.product("ab", "cde"):
+        site.network.cut.add(frozenset({one, other}))
+    await site.run_for(2 * freshness.WINDOW_MS)
+    assert [each.fresh() for each in five] == [False] * 2 + [True] * 3
+
+
+async def test_another_process_at_an_address_is_no_evidence(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against the word of a process that took a dead member's place."""
+    site = fakes.Site()
+    site.join("a", "b")
+    a, later = site.follower("a"), site.follower("b2")
+    site.network.nodes["b"] = site.network.nodes["b2"]
+    nursery.start_soon(a.run)
+    nursery.start_soon(later.run)
+    await site.run_for(1000)
+    site.log.is_down = True
+    await site.run_for(freshness.WINDOW_MS + 1000)
+    assert not a.fresh()
+
+
+def test_snapshot_that_leaves_a_gap_is_not_used() -> None:
+    """Guards against a view that lacks the records that expired between."""
+    view = view_lib.View()
+    [part] = snapshot.split(view, "s")
+    data = records.encode(records.Record("i", "a", part))
+    for start, usable in ((0, True), (5, False)):
+        loader = catchup.Loader(start)
+        loader.add([log_types.Entry(start, 0, data)])
+        assert (loader.view() is not None) == usable
+
+
+async def test_log_that_lags_is_no_evidence(nursery: trio.Nursery) -> None:
+    """Guards against trust in a log that lost records or is read late."""
+    site = fakes.Site()
+    a = site.follower("a")
+    nursery.start_soon(a.run)
+    await a.publish(_CUSTOMER)
+    site.log.entries.clear()
+    await site.run_for(freshness.WINDOW_MS + 1000)
+    assert not a.fresh()
+    assert a.ready
+
+
 async def test_fetches_newer_records_from_a_peer(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/state/test_leases.py
+++ b/tests/state/test_leases.py
@@ -244,6 +244,24 @@
     assert "job/1" not in b.follower.view.leases
 
 
+async def test_leaving_ends_the_use_of_leases(nursery: trio.Nursery) -> None:
+    """Guards against a process that works on while its leave is in flight."""
+    site = fakes.Site()
+    a, *_ = await _start(site, nursery, "abc")
+    await a.leases.claim("job/1")
+    site.log.is_down = True
+
+    async def leave() -> None:
+        with pytest.raises(errors.UnavailableError):
+            await a.presence.leave()
+
+    nursery.start_soon(leave)
+    await site.run_for(100)
+    assert a.leases.held("job/1") is None
+    await site.run_for(16_000, step_ms=250)
+    assert a.leases.held("job/1") is None
+
+
 async def test_snapshots_are_written_before_records_expire(
     nursery: trio.Nursery,
 ) -> None:
