--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -1,5 +1,6 @@
 """Chat completions and completions, from one engine or several in turn."""
 
+import msgspec
 import trio
 
 from lacewingwood.callers import calls
@@ -16,6 +17,17 @@
 _DONE = b"data: [DONE]\n\n"
 
 
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Answer(msgspec.Struct):
+    usage: _Usage
+
+
+_answer_decoder = msgspec.json.Decoder(_Answer)
+
+
 class Inference:
     """Runs inference requests.
 
@@ -39,17 +51,26 @@
         now_ms = self._deps.clock.now_ms()
         self._budget.note_request(now_ms)
         left_s = (call.deadline_ms - now_ms) / 1000
-        with trio.move_on_after(left_s) as scope:
-            if call.stream:
-                await self._stream(req, call)
-            else:
-                await self._complete(req, call)
+        tried: set[str] = set()
+        attempts = retries.Attempts(True, call.deadline_ms)
+        respond = self._stream if call.stream else self._complete
+        try:
+            with trio.move_on_after(left_s) as scope:
+                await respond(req, call, tried, attempts)
+        except errors.CallerError as exc:
+            raise exc.after(attempts.ran) from exc.__cause__
+        finally:
+            self.placement.settle(call, None)
         if scope.cancelled_caught:
-            raise _deadline_error()
+            raise _deadline_error(tried)
 
-    async def _complete(self, req: http.Request, call: calls.Call) -> None:
-        attempts = retries.Attempts(True, call.deadline_ms)
-        tried: set[str] = set()
+    async def _complete(
+        self,
+        req: http.Request,
+        call: calls.Call,
+        tried: set[str],
+        attempts: retries.Attempts,
+    ) -> None:
         while True:
             try:
                 async with self.placement.attempt(call, tried) as started:
@@ -63,12 +84,17 @@
                 break
             except upstream_errors.UpstreamError as exc:
                 self._retry_or_raise(attempts, exc)
+        self.placement.settle(call, _completion_tokens(answer))
         await req.respond(200, answer)
 
-    async def _stream(self, req: http.Request, call: calls.Call) -> None:
-        attempts = retries.Attempts(True, call.deadline_ms)
+    async def _stream(
+        self,
+        req: http.Request,
+        call: calls.Call,
+        tried: set[str],
+        attempts: retries.Attempts,
+    ) -> None:
         progress = resume.Progress(call)
-        tried: set[str] = set()
         while True:
             try:
                 async with self.placement.attempt(call, tried) as started:
@@ -77,10 +103,12 @@
             except upstream_errors.UpstreamError as exc:
                 if progress.text_ended():
                     break
-                if req.started and not call.resumable:
+                resumable = call.resumable and progress.resumable()
+                if req.started and not resumable:
                     raise errors.from_upstream(exc) from exc
                 self._retry_or_raise(attempts, exc)
                 progress.resume()
+        self.placement.settle(call, len(progress.chunks))
         await req.end(_DONE)
 
     async def _relay(
@@ -132,10 +160,19 @@
                 raise errors.from_upstream(exc) from exc
 
 
-def _deadline_error() -> errors.CallerError:
+def _deadline_error(tried: set[str]) -> errors.CallerError:
+    if not tried:
+        return placement.overloaded_error("deadline", 1000)
     return errors.CallerError(
         504,
         "deadline_exceeded",
         "the request's deadline has passed",
         ran=errors.Ran.MAY_HAVE_RUN,
     )
+
+
+def _completion_tokens(answer: bytes) -> int | None:
+    try:
+        return _answer_decoder.decode(answer).usage.completion_tokens
+    except msgspec.MsgspecError:
+        return None
--- a/lacewingwood/callers/placement.py
+++ b/lacewingwood/callers/placement.py
@@ -44,13 +44,15 @@
         suspects: Requests that were running on a replica when it crashed.
     """
 
-    __slots__ = ("_deps", "_queues", "_waiters", "suspects")
+    __slots__ = ("_deps", "_queues", "_served", "_waiters", "suspects")
 
     def __init__(self, deps: dependencies.Dependencies) -> None:
         self.suspects = deps.suspects
         self._deps = deps
         self._queues: dict[str, fair_queue.FairQueue] = {}
         self._waiters: dict[fair_queue.Ticket, _Waiter] = {}
+        # Tickets of requests that have had their turn, by request id.
+        self._served: dict[str, fair_queue.Ticket] = {}
 
     async def run_for_ever(self) -> None:
         """Looks at intervals whether waiting requests can be placed."""
@@ -87,6 +89,18 @@
         finally:
             self._finish(call, started, outcome)
 
+    def settle(self, call: calls.Call, answer_tokens: int | None) -> None:
+        """Charges a request that has ended with the tokens it really took.
+
+        Args:
+            call: The request.
+            answer_tokens: Length of its answer, None if not known.
+        """
+        ticket = self._served.pop(call.request_id, None)
+        if ticket is not None and answer_tokens is not None:
+            tokens = call.prompt_tokens + answer_tokens
+            self._queues[call.service].correct(ticket, tokens)
+
     async def _place(
         self, call: calls.Call, tried: set[str]
     ) -> routers.Started:
@@ -147,7 +161,10 @@
         return self._start(choice, route)
 
     async def _place_in_turn(self, call: calls.Call) -> routers.Started:
-        """Places a request when it is its customer's turn."""
+        """Places a request when it is its customer's turn.
+
+        The caller of this cancels the wait at the request's deadline.
+        """
         queue = self._queues.get(call.service)
         if queue is None:
             queue = self._queues[call.service] = fair_queue.FairQueue()
@@ -159,12 +176,12 @@
             self._now_ms(),
         )
         if isinstance(ticket, fair_queue.Refused):
-            raise _overloaded_error(ticket.reason, ticket.retry_after_ms)
+            raise overloaded_error(ticket.reason, ticket.retry_after_ms)
         route = _route(call, frozenset(), queue_if_full=False)
         waiter = self._waiters[ticket] = _Waiter(route, trio.Event())
         self._dispatch(call.service)
         try:
-            await self._wait(waiter, call.deadline_ms)
+            await waiter.event.wait()
         except BaseException:
             self._abandon(waiter)
             raise
@@ -172,16 +189,10 @@
             del self._waiters[ticket]
             queue.cancel(ticket)
         if waiter.started is None:
-            raise _overloaded_error("deadline", 1000)
+            raise overloaded_error("deadline", 1000)
+        self._served[call.request_id] = ticket
         return waiter.started
 
-    async def _wait(self, waiter: _Waiter, deadline_ms: float) -> None:
-        if waiter.event.is_set():
-            return
-        left_s = max(0.0, deadline_ms - self._now_ms()) / 1000
-        with trio.move_on_after(left_s):
-            await waiter.event.wait()
-
     def _abandon(self, waiter: _Waiter) -> None:
         """Gives a place back whose request was cancelled meanwhile."""
         if waiter.started is not None:
@@ -227,17 +238,19 @@
         replica_id = started.replica.id
         match outcome:
             case outcomes.Broken(ran=errors.Ran.MAY_HAVE_RUN):
-                self._note_crash(replica_id, call.request_id)
+                self._note_crash(started.replica, call.request_id)
             case outcomes.Completed():
                 self._note_completed(call.fingerprint)
         self.suspects.ended(call.fingerprint, replica_id)
         self._end(started, outcome)
 
-    def _note_crash(self, replica_id: str, event_id: str) -> None:
-        fingerprints = self.suspects.running_on(replica_id)
-        self.suspects.crashed(replica_id, fingerprints, self._now_ms())
+    def _note_crash(self, replica: routers.Replica, event_id: str) -> None:
+        fingerprints = self.suspects.running_on(replica.id)
+        self.suspects.crashed(
+            replica.id, fingerprints, self._now_ms(), replica.boot_id
+        )
         self._deps.notices.crash_suspect(
-            messages.CrashSuspect(replica_id, fingerprints, event_id)
+            messages.CrashSuspect(replica.id, fingerprints, event_id)
         )
 
     def _note_completed(self, fingerprint: str) -> None:
@@ -269,7 +282,8 @@
     )
 
 
-def _overloaded_error(reason: str, retry_after_ms: float) -> errors.CallerError:
+def overloaded_error(reason: str, retry_after_ms: float) -> errors.CallerError:
+    """Returns the refusal of a request that got no replica in time."""
     message = "all replicas are busy"
     if reason == "deadline":
         message += " and the request would miss its deadline"
