--- a/lacewingwood/batch/dispatch.py
+++ b/lacewingwood/batch/dispatch.py
@@ -18,6 +18,11 @@
 RUN_MS = 660_000.0
 
 _WANT_MS = 500.0
+_TICK_MS = 100.0
+# Without a pause, items that a replica hands back at once and the messages
+# about them would go to and fro as fast as the network allows.
+_PAUSE_MS = 100.0
+_LEAST_WANT_MS = 20.0
 # An offer that is not repeated for this time is void.
 _OFFER_MS = 3_000.0
 # Owners ask only some replicas for room, so that messages grow with the work
@@ -40,6 +45,13 @@
     running: int = 0
     asked: dict[str, int] = dataclasses.field(default_factory=dict)
     asked_ms: float = -math.inf
+    paused_until_ms: float = -math.inf
+
+    def open(self, now_ms: float) -> bool:
+        """Returns whether an item may be sent there now."""
+        heard = now_ms - self.heard_ms <= _OFFER_MS
+        paused = now_ms < self.paused_until_ms
+        return heard and not paused and self.running < self.room
 
 
 class Dispatcher:
@@ -150,9 +162,7 @@
         self._rng.shuffle(hosts)
         for host in hosts:
             place = self._places.setdefault(host.id, _Place())
-            if now_ms - place.heard_ms > _OFFER_MS:
-                continue
-            while place.running < place.room:
+            while place.open(now_ms):
                 item = self._schedule.take(
                     functools.partial(self.can_run, host)
                 )
@@ -184,7 +194,8 @@
             wants = self._schedule.wants(functools.partial(self.can_run, host))
             changed = bool(wants) != bool(place.asked)
             due = now_ms - place.asked_ms >= _WANT_MS
-            if not changed and not (due and wants):
+            early = now_ms - place.asked_ms < _LEAST_WANT_MS
+            if early or not (changed or (due and wants)):
                 continue
             holder = self._deps.leases.holder(f"replica/{host.id}")
             if holder is None:
@@ -199,7 +210,7 @@
 
     async def _repeat_wants(self) -> None:
         while True:
-            await self._deps.clock.sleep_ms(_WANT_MS)
+            await self._deps.clock.sleep_ms(_TICK_MS)
             self.wake()
 
     def _send(
@@ -242,16 +253,15 @@
         holder = self._deps.leases.holder(f"replica/{host.id}")
         request = self._request(host.id, item)
         if holder is None or request is None:
-            place.room = 0
+            self._pause(place)
             return schedule.Yielded()
         try:
             answer = await self._deps.network.call(
                 holder.address, request, RUN_MS
             )
         except base_errors.Error:
-            # The holder died or does not answer; the item may be run again,
-            # and a new offer tells when the replica can be used again.
-            place.room = 0
+            # The holder died or does not answer; the item may be run again.
+            self._pause(place)
             return schedule.Yielded()
         return self._outcome(host.id, place, answer)
 
@@ -264,16 +274,21 @@
             case messages.ItemYielded(text=text):
                 return schedule.Yielded(text)
             case messages.ItemFailed(crashed=True, text=text):
-                place.room = 0
+                self._pause(place)
                 return schedule.Crashed(replica, text)
             case messages.ItemFailed(own_fault=True, code=code, message=why):
                 return schedule.OwnFault(code, why)
             case messages.ItemFailed(text=text):
-                place.room = 0
+                self._pause(place)
                 return schedule.Yielded(text)
-        place.room = 0
+        self._pause(place)
         return schedule.Yielded()
 
+    def _pause(self, place: _Place) -> None:
+        """Sends nothing for a while to a replica that did not take an item."""
+        place.room = 0
+        place.paused_until_ms = self._deps.clock.now_ms() + _PAUSE_MS
+
     def _request(
         self, replica: str, item: schedule.Item
     ) -> messages.RunItem | None:
--- a/lacewingwood/batch/intake.py
+++ b/lacewingwood/batch/intake.py
@@ -299,6 +299,8 @@
             raise errors.UnavailableError(exc.message, ran) from exc
         except state_errors.StaleError as exc:
             raise errors.UnavailableError(exc.message) from exc
+        except state_errors.TooLargeError as exc:
+            raise errors.InvalidError(exc.message, param="metadata") from exc
 
     async def _check_lines(self, file_id: str, endpoint: str) -> int:
         """Checks every line and returns the number of items."""
--- a/lacewingwood/batch/owner.py
+++ b/lacewingwood/batch/owner.py
@@ -230,9 +230,13 @@
         self._dispatcher.wake()
 
     def _may_send(self, job_id: str) -> bool:
-        """Returns whether results of more items fit into memory."""
+        """Returns whether the job may be run and its results fit in memory."""
+        running = self._jobs.get(job_id)
+        held = self._deps.leases.held(f"job/{job_id}")
+        if running is None or held != running.epoch:
+            return False
         pending = sum(r.recorder.pending_bytes for r in self._jobs.values())
-        return job_id in self._jobs and pending < _MAX_PENDING_BYTES
+        return pending < _MAX_PENDING_BYTES
 
     def _ahead(self, running: _Running) -> bool:
         """Returns whether enough items are read."""
@@ -343,10 +347,10 @@
         while True:
             try:
                 await self._deps.follower.publish(body)
-            except (state_errors.UnavailableError, state_errors.StaleError):
-                await self._deps.clock.sleep_ms(_RETRY_MS)
             except state_errors.ConflictError:
                 return
+            except state_errors.StateError:
+                await self._deps.clock.sleep_ms(_RETRY_MS)
             else:
                 return
 
--- a/lacewingwood/batch/room.py
+++ b/lacewingwood/batch/room.py
@@ -237,9 +237,13 @@
         while self._peaks and now_ms - self._peaks[0][0] > _LAG_MS:
             self._peaks.popleft()
         known = self.online + self.batch + len(self.stopping)
-        peak = max([known, *(number for _, number in self._peaks)])
-        return max(0, self._load.running + self._load.waiting - peak)
+        peak = self._peaks[0][1] if self._peaks else 0
+        reported = self._load.running + self._load.waiting
+        return max(0, reported - max(known, peak))
 
     def _note_peak(self, now_ms: float) -> None:
         known = self.online + self.batch + len(self.stopping)
+        # Kept in falling order, so that the first is the highest.
+        while self._peaks and self._peaks[-1][1] <= known:
+            self._peaks.pop()
         self._peaks.append((now_ms, known))
--- a/lacewingwood/batch/worker.py
+++ b/lacewingwood/batch/worker.py
@@ -1,6 +1,5 @@
 """Ties the batch side of a worker together."""
 
-import functools
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -8,7 +7,6 @@
 
 import structlog
 import trio
-import xxhash
 
 from lacewingwood import errors as base_errors
 from lacewingwood.batch import deps as deps_module
@@ -16,6 +14,7 @@
 from lacewingwood.batch import replica_runner
 from lacewingwood.hostlist import types as host_types
 from lacewingwood.peers import messages
+from lacewingwood.state import placement
 from lacewingwood.state import records
 
 _CHECK_MS = 250.0
@@ -179,20 +178,20 @@
             else:
                 self._claim(nursery, name, self._workers(host.region))
 
-    def _workers(self, region: str) -> list[str]:
+    def _workers(self, region: str) -> list[records.Member]:
         """Returns workers that may hold a lease, those of `region` if any."""
         members = self._deps.follower.view.members.values()
         workers = [m for m in members if m.role == "worker"]
-        near = [m for m in workers if m.region == region]
-        return [member.node_id for member in near or workers]
+        return [m for m in workers if m.region == region] or workers
 
     def _claim(
-        self, nursery: trio.Nursery, name: str, workers: list[str]
+        self, nursery: trio.Nursery, name: str, workers: list[records.Member]
     ) -> None:
         free = self._deps.leases.holder(name) is None
         if not free or name in self._claiming:
             return
-        if preferred(name, workers) == self._deps.node_id:
+        chosen = placement.preferred(name, workers, "worker")
+        if chosen is not None and chosen.node_id == self._deps.node_id:
             self._claiming.add(name)
             nursery.start_soon(self._claim_now, name)
 
@@ -252,18 +251,3 @@
     async with trio.open_nursery() as nursery:
         for one in waits:
             nursery.start_soon(wait, one, nursery.cancel_scope)
-
-
-def preferred(name: str, workers: list[str]) -> str | None:
-    """Returns the worker that should claim a lease.
-
-    Rendezvous hashing: a change of the workers moves only the leases of those
-    that came or went.
-    """
-    if not workers:
-        return None
-    return max(workers, key=functools.partial(_score, name))
-
-
-def _score(name: str, worker: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{name}/{worker}".encode())
--- a/tests/batch/test_api.py
+++ b/tests/batch/test_api.py
@@ -23,14 +23,6 @@
 from tests.callers import fakes as caller_fakes
 
 
-class _App(apps.App):
-    """The application with only the paths under test."""
-
-    async def _dispatch(self, req: http.Request) -> None:
-        api = files_api if req.path.startswith("/v1/files") else batch_api
-        await api.handle(req, fakes.CUSTOMER, self._deps)
-
-
 @contextlib.asynccontextmanager
 async def _client():
     """Yields a client of a server with one worker and one engine."""
@@ -43,19 +35,23 @@
         world.deps.batch = intakes.Intake(
             batch.log, deps.follower, deps.clock, deps.wall_ms, 1 << 20
         )
+        world.deps.handlers = {
+            "/v1/files": files_api.handle,
+            "/v1/batches": batch_api.handle,
+        }
         nursery.start_soon(workers.Worker(deps).run)
 
         async def serve(
             task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
         ) -> None:
-            app = _App(world.deps)
+            app = apps.make_app(world.deps)
             await server.serve(
                 app, "127.0.0.1", 0, shutdown, 0, task_status=task_status
             )
 
         port = await nursery.start(serve)
         client = openai.AsyncOpenAI(
-            api_key="sk-1",
+            api_key=caller_fakes.SECRET,
             base_url=f"http://127.0.0.1:{port}/v1",
             max_retries=0,
         )
