--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -24,6 +24,7 @@
 
 MODEL = "sabeel-lm"
 CUSTOMER = "tanta-office"
+_LATENCY_S = 0.001
 WALL_START_MS = 1_700_000_000_000
 
 
@@ -184,11 +185,16 @@
 
 
 class Bus:
-    """Carries messages between the processes of one test."""
+    """Carries messages between the processes of one test.
+
+    Attributes:
+        carried: Number of calls and messages carried.
+    """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
         self.networks: dict[str, Network] = {}
+        self.carried = 0
 
 
 class Network:
@@ -210,6 +216,8 @@
     async def call(
         self, address: str, request: messages.Message, timeout_ms: float
     ) -> messages.Message:
+        self._bus.carried += 1
+        await trio.sleep(_LATENCY_S)
         peer = self._bus.networks.get(address)
         if peer is None:
             raise UnreachableError("gone")
@@ -221,6 +229,7 @@
 
     def send(self, address: str, message: messages.Message) -> None:
         peer = self._bus.networks.get(address)
+        self._bus.carried += 1
         if peer is not None and type(message) in peer._handlers:
             handler = peer._handlers[type(message)]
             self._bus.nursery.start_soon(handler, message)
--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import random
+import secrets
 from collections.abc import AsyncIterator
+from unittest import mock
 
 import hypothesis
 import pytest
@@ -175,9 +177,12 @@
     faults: list[tuple[int, str]], seed: int
 ) -> None:
     """Guards against lost or doubled items under faults at any moment."""
+    rng = random.Random(seed)
+
+    def token_hex(size: int) -> str:
+        return rng.randbytes(size).hex()
 
     async def run() -> None:
-        rng = random.Random(seed)
         async with scene(replicas=2) as here:
             here.world.log.lose = lambda: rng.random() < 0.2
             for name in ("w1", "w2"):
@@ -202,8 +207,13 @@
             (finish,) = here.world.control.finishes
             counts = (finish.completed, finish.failed)
             assert counts == (len(texts), len(failed))
+            # Messages that go to and fro without a pause would be far more.
+            most = 300 + 300 * trio.current_time()
+            assert here.world.bus.carried < most
 
-    trio.run(run, clock=trio_testing.MockClock(autojump_threshold=0))
+    # File ids are random; here they follow from the seed.
+    with mock.patch.object(secrets, "token_hex", token_hex):
+        trio.run(run, clock=trio_testing.MockClock(autojump_threshold=0))
 
 
 async def _inject(here: Scene, fault: str, number: int, file_id: str) -> None:
