--- a/lacewingwood/batch/replica_runner.py
+++ b/lacewingwood/batch/replica_runner.py
@@ -96,6 +96,11 @@
         """Fencing number of the lease under which this runs."""
         return self._epoch
 
+    @property
+    def address(self) -> str:
+        """Where the replica serves."""
+        return self._address
+
     async def run(self) -> None:
         """Runs until cancelled; all items then go back to their owners."""
         try:
@@ -137,9 +142,9 @@
             if request.job_id not in jobs or request.node_id not in owners:
                 self._stop(run)
 
-    def leave(self) -> None:
-        """Notes that the replica is to get no new work."""
-        self._room.leave()
+    def set_leaving(self, leaving: bool) -> None:
+        """Notes whether the replica is to get no new work."""
+        self._room.set_leaving(leaving)
         self._apply()
 
     async def run_item(self, request: messages.RunItem) -> messages.Message:
--- a/lacewingwood/batch/room.py
+++ b/lacewingwood/batch/room.py
@@ -108,7 +108,8 @@
     @property
     def leaving(self) -> bool:
         """Whether the replica is to get no new work."""
-        return self._leaving
+        reported = self._load is not None and self._load.leaving
+        return self._leaving or reported
 
     @property
     def slots(self) -> int:
@@ -136,15 +137,14 @@
         self._load = load
         self.paused = False
         self._heard_report_ms = now_ms
-        self._leaving = self._leaving or load.leaving
 
     def pause(self) -> None:
         """Starts nothing until the next load report."""
         self.paused = True
 
-    def leave(self) -> None:
-        """Notes that the replica is to get no new work."""
-        self._leaving = True
+    def set_leaving(self, leaving: bool) -> None:
+        """Notes what the host list says about the replica."""
+        self._leaving = leaving
 
     def started(self, item: str, now_ms: float) -> None:
         """Notes that an item was sent to the engine."""
@@ -220,7 +220,7 @@
     def _closed(self, fresh: bool, now_ms: float) -> str:
         if not fresh:
             return "stale"
-        if self._leaving:
+        if self.leaving:
             return "leaving"
         if now_ms - self._since_ms < SETTLE_MS:
             return "settling"
--- a/lacewingwood/batch/worker.py
+++ b/lacewingwood/batch/worker.py
@@ -1,9 +1,6 @@
 """Ties the batch side of a worker together."""
 
 import random
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Iterable
 
 import structlog
 import trio
@@ -17,6 +14,8 @@
 from lacewingwood.state import placement
 from lacewingwood.state import records
 
+# Not at every change of the view: looking through all jobs and replicas takes
+# milliseconds in a large deployment, and changes come many times a second.
 _CHECK_MS = 250.0
 _LEASE_CHECK_MS = 50.0
 _ERROR_PAUSE_MS = 1_000.0
@@ -33,6 +32,7 @@
         "_idle",
         "_owner",
         "_runners",
+        "_running",
         "_scopes",
         "_stopping",
     )
@@ -45,6 +45,7 @@
         self._runners: dict[str, replica_runner.ReplicaRunner] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._claiming: set[str] = set()
+        self._running: set[str] = set()
         self._stopping = False
         self._idle = trio.Event()
 
@@ -66,7 +67,7 @@
             nursery.start_soon(self._watch_leases)
             while not self._stopping:
                 self._reconcile(nursery)
-                await self._wait_change()
+                await self._deps.clock.sleep_ms(_CHECK_MS)
             await self._idle.wait()
             nursery.cancel_scope.cancel()
 
@@ -141,12 +142,14 @@
 
     def _reconcile_job(self, nursery: trio.Nursery, job: records.Job) -> None:
         name = f"job/{job.job_id}"
+        if job.job_id in self._running:
+            return
         epoch = self._deps.leases.held(name)
-        running = self._owner.jobs.get(job.job_id)
-        if epoch is not None and running is None:
+        if epoch is not None:
+            self._running.add(job.job_id)
             nursery.start_soon(self._run_job, job, epoch)
-        elif epoch is None and running is None:
-            self._claim(nursery, name, self._workers(""))
+        else:
+            self._claim(nursery, name, "")
 
     async def _run_job(self, job: records.Job, epoch: int) -> None:
         try:
@@ -156,6 +159,8 @@
             self._deps.metrics.add("batch_job_errors")
             _log.exception("job failed", job_id=job.job_id)
             await self._deps.clock.sleep_ms(_ERROR_PAUSE_MS)
+        finally:
+            self._running.discard(job.job_id)
         state = self._deps.follower.view.jobs.get(job.job_id)
         ended = state is None or state.status != "accepted"
         name = f"job/{job.job_id}"
@@ -165,18 +170,32 @@
     def _reconcile_replicas(self, nursery: trio.Nursery) -> None:
         hosts = {h.id: h for h in self._deps.hosts() if h.kind == "engine"}
         for replica, runner in self._runners.items():
-            host = hosts.get(replica)
-            if host is None or host.state != "live":
-                runner.leave()
+            self._update_runner(nursery, runner, replica, hosts.get(replica))
         for replica, host in hosts.items():
-            name = f"replica/{replica}"
-            epoch = self._deps.leases.held(name)
             if replica in self._runners or host.state != "live":
                 continue
+            name = f"replica/{replica}"
+            epoch = self._deps.leases.held(name)
             if epoch is not None:
                 nursery.start_soon(self._run_replica, host, epoch)
             else:
-                self._claim(nursery, name, self._workers(host.region))
+                self._claim(nursery, name, host.region)
+
+    def _update_runner(
+        self,
+        nursery: trio.Nursery,
+        runner: replica_runner.ReplicaRunner,
+        replica: str,
+        host: host_types.Host | None,
+    ) -> None:
+        if host is None:
+            self._scopes[replica].cancel()
+            nursery.start_soon(self._release, f"replica/{replica}")
+        elif host.address != runner.address:
+            # It is started again with the new address.
+            self._scopes[replica].cancel()
+        else:
+            runner.set_leaving(host.state != "live")
 
     def _workers(self, region: str) -> list[records.Member]:
         """Returns workers that may hold a lease, those of `region` if any."""
@@ -184,13 +203,11 @@
         workers = [m for m in members if m.role == "worker"]
         return [m for m in workers if m.region == region] or workers
 
-    def _claim(
-        self, nursery: trio.Nursery, name: str, workers: list[records.Member]
-    ) -> None:
+    def _claim(self, nursery: trio.Nursery, name: str, region: str) -> None:
         free = self._deps.leases.holder(name) is None
         if not free or name in self._claiming:
             return
-        chosen = placement.preferred(name, workers, "worker")
+        chosen = placement.preferred(name, self._workers(region), "worker")
         if chosen is not None and chosen.node_id == self._deps.node_id:
             self._claiming.add(name)
             nursery.start_soon(self._claim_now, name)
@@ -229,25 +246,3 @@
                 if lost or gone:
                     self._scopes[replica].cancel()
             await self._deps.clock.sleep_ms(_LEASE_CHECK_MS)
-
-    async def _wait_change(self) -> None:
-        await first(
-            [
-                self._deps.follower.wait_change,
-                lambda: self._deps.clock.sleep_ms(_CHECK_MS),
-            ]
-        )
-
-
-async def first(waits: Iterable[Callable[[], Awaitable[None]]]) -> None:
-    """Waits until the first of several waits is over."""
-
-    async def wait(
-        one: Callable[[], Awaitable[None]], scope: trio.CancelScope
-    ) -> None:
-        await one()
-        scope.cancel()
-
-    async with trio.open_nursery() as nursery:
-        for one in waits:
-            nursery.start_soon(wait, one, nursery.cancel_scope)
--- a/tests/batch/test_room.py
+++ b/tests/batch/test_room.py
@@ -1,6 +1,7 @@
 """Batch capacity of a replica."""
 
 import hypothesis
+import msgspec
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -156,5 +157,10 @@
     assert subject.decide(True, 1_500.0).reason == "no_report"
     subject.report(load(), 1_500.0)
     assert subject.decide(True, 1_500.0).start == 8
-    subject.leave()
+    subject.set_leaving(True)
     assert subject.decide(True, 1_600.0).start == 0
+    subject.set_leaving(False)
+    assert subject.decide(True, 1_600.0).start == 8
+    leaving = msgspec.structs.replace(load(), leaving=True)
+    subject.report(leaving, 1_700.0)
+    assert subject.decide(True, 1_700.0).reason == "leaving"
