--- a/lacewingwood/batch/recorder.py
+++ b/lacewingwood/batch/recorder.py
@@ -186,7 +186,10 @@
     async def _replay_to(self, offset: int) -> None:
         """Applies the records below `offset` that are not yet applied."""
         while self._next < offset:
-            page = await results.read_page(self._log, self._job_id, self._next)
+            # Items whose results have expired are run again.
+            page = await results.read_page(
+                self._log, self._job_id, self._next, skip_expired=True
+            )
             for entry in page.entries:
                 if entry.offset < offset:
                     self.replay.apply(entry.data)
--- a/lacewingwood/batch/results.py
+++ b/lacewingwood/batch/results.py
@@ -175,19 +175,31 @@
         return None
 
 
-async def read_page(log: deps.Log, job_id: str, start: int) -> log_types.Page:
+async def read_page(
+    log: deps.Log, job_id: str, start: int, skip_expired: bool = False
+) -> log_types.Page:
     """Reads some records of a job's stream.
 
+    Args:
+        log: The log.
+        job_id: The job.
+        start: First offset wanted.
+        skip_expired: True to begin at the first record that is left.
+
     Raises:
         errors.CorruptError: The records have expired.
         errors.UnavailableError: The log is down.
     """
-    try:
-        return await log.read(stream(job_id), start, _PAGE_RECORDS, 0)
-    except log_errors.OffsetExpiredError as exc:
-        raise errors.CorruptError(f"results of {job_id} expired") from exc
-    except log_errors.LogError as exc:
-        raise errors.UnavailableError(exc.message) from exc
+    while True:
+        try:
+            return await log.read(stream(job_id), start, _PAGE_RECORDS, 0)
+        except log_errors.OffsetExpiredError as exc:
+            if not skip_expired or exc.first <= start:
+                message = f"results of {job_id} have expired"
+                raise errors.CorruptError(message) from exc
+            start = exc.first
+        except log_errors.LogError as exc:
+            raise errors.UnavailableError(exc.message) from exc
 
 
 async def read_results(log: deps.Log, job_id: str) -> AsyncIterator[Result]:
@@ -212,16 +224,20 @@
     that lost its lease stops at its first void group, so that such a record
     is never far.
     """
-    start = (await read_page(log, job_id, 0)).head
+    start = (await read_page(log, job_id, 0, skip_expired=True)).head
     entries: list[log_types.Entry] = []
     while start > 0:
         end, start = start, max(0, start - _PAGE_RECORDS)
-        page = await read_page(log, job_id, start)
+        page = await read_page(log, job_id, start, skip_expired=True)
+        start = max(start, page.first)
         entries = [e for e in page.entries if e.offset < end] + entries
         latest = _latest_group(entries)
-        if latest >= _FEW_RECORDS or (latest >= 0 and not start):
+        at_first = start <= page.first
+        if latest >= _FEW_RECORDS or (latest >= 0 and at_first):
             group = decode(entries[latest].data)
             return group.progress if isinstance(group, Group) else Progress()
+        if at_first:
+            break
     return Progress()
 
 
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -45,6 +45,7 @@
         self.streams: dict[str, list[bytes]] = {}
         self.down = False
         self.lose: Callable[[], bool] = lambda: False
+        self.first: dict[str, int] = {}
 
     async def append(self, stream: str, data: bytes) -> int:
         await trio.lowlevel.checkpoint()
@@ -66,9 +67,12 @@
         if self.down:
             raise log_errors.UnavailableError("down", False)
         data = self.streams.get(stream, [])
+        first = self.first.get(stream, 0)
+        if start < first:
+            raise log_errors.OffsetExpiredError("expired", first)
         part = enumerate(data[start : start + limit], start)
         entries = [log_types.Entry(offset, 0, item) for offset, item in part]
-        return log_types.Page(entries, 0, len(data), 10**9)
+        return log_types.Page(entries, first, len(data), 10**9)
 
 
 @dataclasses.dataclass
--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -345,6 +345,27 @@
         assert sum(len(e.bodies) for e in engines) <= 60 + in_flight
 
 
+async def test_results_that_expired_are_made_again_or_missed_openly(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against output that is cut by the log's retention."""
+    async with scene() as here:
+        here.start_worker("w1")
+        data = b"".join(fakes.line(f"q{n}", 20) for n in range(60))
+        job_id = await here.submit(data)
+        await trio.sleep(4)
+        here.kill("w1")
+        stream = f"job/{job_id}"
+        assert len(here.world.log.streams[stream]) > 4
+        here.world.log.first[stream] = 4
+        here.start_worker("w2")
+        await here.finished(job_id)
+        (finish,) = here.world.control.finishes
+        assert finish.completed == 60
+        with pytest.raises(errors.CorruptError):
+            await here.output(job_id)
+
+
 async def test_paused_owner_adds_nothing_after_its_successor(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
