--- a/lacewingwood/state/lease_manager.py
+++ b/lacewingwood/state/lease_manager.py
@@ -14,6 +14,9 @@
 
 _RETRY_MS = 500.0
 
+# Names come and go with the host list, which changes without the view.
+_CHECK_MS = 1000.0
+
 
 class LeaseManager:
     """The leases of this process.
@@ -111,7 +114,7 @@
                 for name in list(names()):
                     if self._should_claim(name, role):
                         await self._claim_if_free(name)
-                await change.wait()
+                await self._follower.wait_for(change, _CHECK_MS)
             except errors.StateError as exc:
                 self._follower.metrics.add("lease_errors", code=exc.code)
                 await self._follower.clock.sleep_ms(_RETRY_MS)
@@ -135,8 +138,11 @@
         follower.prober.regions_to_ask = self._claims.waiting_regions()
 
     def _on_answer(self, node_id: str, offset: int | None) -> None:
-        if offset is not None:
-            self._claims.answer(node_id, offset)
+        if offset is None:
+            return
+        self._claims.answer(node_id, offset)
+        if self._claims.waiting_regions():
+            self._update()
 
     def _mine(self, name: str) -> entities.Lease | None:
         lease = self._follower.view.leases.get(name)
