--- a/lacewingwood/limits/borrower.py
+++ b/lacewingwood/limits/borrower.py
@@ -96,9 +96,13 @@
         """Uses up part of its level."""
         self._bucket.take(now_ms, amount)
 
+    def rate(self, now_ms: float) -> float:
+        """Returns its refill in requests a second."""
+        return self._bucket.rate if now_ms < self._end_ms else 0.0
+
     def refills(self, now_ms: float) -> bool:
         """Returns whether it refills by itself."""
-        return now_ms < self._end_ms and self._bucket.rate > 0
+        return self.rate(now_ms) > 0
 
     def due(self, now_ms: float) -> bool:
         """Returns whether it should be renewed."""
@@ -123,7 +127,7 @@
             part=self._index,
             want=want,
             demand=demand,
-            rate=self._bucket.rate if live else 0.0,
+            rate=self.rate(now_ms),
             depth=self._bucket.depth if live else 0.0,
             level=self.level(now_ms),
             serial=self.serial,
--- a/lacewingwood/limits/lender.py
+++ b/lacewingwood/limits/lender.py
@@ -170,6 +170,11 @@
         self._advance(now_ms)
         return self._bucket.level(now_ms)
 
+    def rate(self, now_ms: float) -> float:
+        """Returns the refill of what is not lent, in requests a second."""
+        self._advance(now_ms)
+        return self._bucket.rate
+
     def borrow(
         self, msg: messages.Borrow, now_ms: float
     ) -> messages.Lent | None:
