Give the two parts of a bucket to different entries

Cause: the first entry to start claimed every free part, often both parts of a bucket; when it left, its successors lent nothing new for 15 s and all of those customers were refused. Ruled out: lost pieces of the surviving entries and lease conflicts.

--- a/lacewingwood/limits/split.py
+++ b/lacewingwood/limits/split.py
@@ -48,6 +48,11 @@
     ]
 
 
+def sibling(name: str, part: int) -> str:
+    """Returns the lease of another part of the same bucket."""
+    return f"{name.rpartition('/')[0]}/{part}"
+
+
 def regional(
     customer: records.Customer, weights: Mapping[str, float], region: str
 ) -> Limit:
--- a/lacewingwood/roles/entry.py
+++ b/lacewingwood/roles/entry.py
@@ -1,6 +1,7 @@
 """An entry process: takes callers' requests."""
 
 import dataclasses
+import functools
 import random
 from typing import Any
 
@@ -15,16 +16,25 @@
 from lacewingwood.callers import idempotency
 from lacewingwood.callers import server
 from lacewingwood.limits import limiter as limiter_lib
+from lacewingwood.limits import placement as limit_placement
 from lacewingwood.limits import split
 from lacewingwood.roles import node as node_lib
 from lacewingwood.roles import notices as notices_lib
 from lacewingwood.routing import replicas
 from lacewingwood.routing import router as router_lib
 from lacewingwood.routing import suspects as suspects_lib
+from lacewingwood.state import errors as state_errors
 from lacewingwood.state import records
 from lacewingwood.upstreams import engine
 from lacewingwood.upstreams import plain
 
+_SETTLE_MS = 1_000.0
+_OWNERS_TIMEOUT_S = 10.0
+
+# A part that has moved lends nothing new for 15 s; moves are spaced so that a
+# customer's two parts are never both in that state because of a move.
+_SPREAD_INTERVAL_MS = 20_000.0
+
 
 def run(cfg: settings.EntrySettings) -> None:
     """Runs an entry until it is told to stop."""
@@ -67,7 +77,7 @@
         app = app_lib.make_app(self._make_dependencies())
         async with node.running() as nursery:
             nursery.start_soon(self._limiter.run)
-            nursery.start_soon(node.leases.keep, split.lease_names, "entry")
+            await self._start_owning(nursery)
             nursery.start_soon(self._notices.run)
             async with trio.open_nursery() as serving:
                 port = await serving.start(self._serve, app)
@@ -77,6 +87,43 @@
             await node.leave()
         return node.exit_code()
 
+    async def _start_owning(self, nursery: trio.Nursery) -> None:
+        """Starts claiming parts of buckets; waits until all have owners."""
+        node = self._node
+        # Entries that start together wait for each other, so that the first
+        # one does not claim everything.
+        await node.clock.sleep_ms(_SETTLE_MS)
+        keep = functools.partial(
+            node.leases.keep,
+            split.lease_names,
+            "entry",
+            limit_placement.preferred,
+        )
+        nursery.start_soon(keep)
+        nursery.start_soon(self._spread_parts)
+        with trio.move_on_after(_OWNERS_TIMEOUT_S):
+            await node.follower.wait_until(self._all_parts_owned)
+
+    def _all_parts_owned(self) -> bool:
+        holder = self._node.leases.holder
+        return all(holder(name) is not None for name in split.lease_names())
+
+    async def _spread_parts(self) -> None:
+        """Moves parts whose siblings are owned here, too, to other entries."""
+        node = self._node
+        while True:
+            await node.clock.sleep_ms(_SPREAD_INTERVAL_MS)
+            for name in limit_placement.misplaced(
+                split.lease_names(),
+                node.leases.held,
+                node.follower.view.members,
+                node.node_id,
+            ):
+                try:
+                    await node.leases.release(name)
+                except state_errors.StateError as exc:
+                    node.metrics.add("lease_errors", code=exc.code)
+
     async def _serve(
         self,
         app: app_lib.App,
--- a/lacewingwood/state/lease_manager.py
+++ b/lacewingwood/state/lease_manager.py
@@ -14,6 +14,8 @@
 
 _RETRY_MS = 500.0
 
+Choose = Callable[[str, Iterable[records.Member], str], records.Member | None]
+
 # Names come and go with the host list, which changes without the view.
 _CHECK_MS = 1000.0
 
@@ -101,18 +103,24 @@
             if lease.waits_on:
                 await self._publish_release(lease)
 
-    async def keep(self, names: Callable[[], Iterable[str]], role: str) -> None:
+    async def keep(
+        self,
+        names: Callable[[], Iterable[str]],
+        role: str,
+        choose: Choose = placement.preferred,
+    ) -> None:
         """Claims free leases that placement gives to this process.
 
         Args:
             names: Returns the names of the leases that should be held.
             role: Role of the processes that share them.
+            choose: Returns which of them should hold a lease.
         """
         while True:
             change = self._follower.change()
             try:
                 for name in list(names()):
-                    if self._should_claim(name, role):
+                    if self._should_claim(name, role, choose):
                         await self._claim_if_free(name)
                 await self._follower.wait_for(change, _CHECK_MS)
             except errors.StateError as exc:
@@ -154,14 +162,14 @@
         all_leases = self._follower.view.leases.values()
         return [lease for lease in all_leases if lease.holder == node_id]
 
-    def _should_claim(self, name: str, role: str) -> bool:
+    def _should_claim(self, name: str, role: str, choose: Choose) -> bool:
         """Returns whether a lease is free and this process's to claim."""
         if self._stopped or not self._follower.fresh():
             return False
         if self.holder(name) is not None:
             return False
         members = self._follower.view.members.values()
-        chosen = placement.preferred(name, members, role)
+        chosen = choose(name, members, role)
         return chosen is not None and chosen.node_id == self._follower.node_id
 
     async def _claim_if_free(self, name: str) -> None:
