Refund lost answers only while they count as lent; tune pieces

The refund is now limited to the time in which the offer counts as lent.

Against one naive bucket in a calm network of 10 hosts (8 customers with loads from 0.8 to 3 times the rate, on one and on ten hosts) the fleet now admits at least 99.9% in each of the 16 cases.

--- a/lacewingwood/limits/borrower.py
+++ b/lacewingwood/limits/borrower.py
@@ -12,11 +12,11 @@
 # An owner that has not answered for this long is not waited for if the other
 # part can help.
 _LATE_MS = 20.0
-_LEAST_USE_MS = 20.0
+_LEAST_USE_MS = 10.0
 _RTT_WEIGHT = 0.2
-_FIRST_RTT_MS = 5.0
+_FIRST_RTT_MS = 2.5
 # Demand is averaged over about this time.
-_DEMAND_MS = 1_000.0
+_DEMAND_MS = 2_000.0
 _IDLE_MS = 5_000.0
 # From this burst on one part is asked at a time: with fewer requests in a part
 # one can be full, and lose its refill, while the other is short.
@@ -44,6 +44,7 @@
         "_node_id",
         "_rtt_ms",
         "_serials",
+        "_unconfirmed",
         "_use_ms",
         "asked_ms",
         "limit",
@@ -82,6 +83,8 @@
         self._serials = serials
         self._rtt_ms = _FIRST_RTT_MS
         self._use_ms = _LEAST_USE_MS
+        # True if the owner still counts more as lent than is held.
+        self._unconfirmed = False
         self.limit = limit
         self.unit = 1.0
         self.asked_ms: float | None = None
@@ -120,6 +123,7 @@
         self.serial = next(self._serials)
         self.asked_ms = now_ms
         self.wanted = want
+        self._unconfirmed = False
         live = now_ms < self._end_ms
         return messages.Borrow(
             node_id=self._node_id,
@@ -147,6 +151,7 @@
         self.retry_at_ms = now_ms + self._retry_ms(now_ms, answer)
         if took_ms >= min(lender.ANSWER_MS, answer.ttl_ms):
             return
+        self._unconfirmed = answer.rate < self.rate(now_ms)
         level = self.level(now_ms) + answer.add_level
         self._bucket = bucket.Bucket(answer.rate, answer.depth, level, now_ms)
         self._end_ms = asked_ms + answer.ttl_ms
@@ -162,11 +167,13 @@
 
     def give_back(self, now_ms: float) -> messages.Return | None:
         """Ends the use of the piece; returns the message that says so."""
-        if now_ms >= self._end_ms:
+        level = self.level(now_ms)
+        empty = level <= bucket.ROUNDING and not self.refills(now_ms)
+        if empty and not self._unconfirmed:
             return None
+        self._unconfirmed = False
         self.serial = next(self._serials)
         self.asked_ms = None
-        level = self.level(now_ms)
         self._end_ms = -math.inf
         return messages.Return(
             node_id=self._node_id,
@@ -188,7 +195,7 @@
     def _learn(self, took_ms: float) -> None:
         """Adapts the time in which answers are expected to be of use."""
         self._rtt_ms += _RTT_WEIGHT * (took_ms - self._rtt_ms)
-        use_ms = max(_LEAST_USE_MS, 6 * self._rtt_ms)
+        use_ms = max(_LEAST_USE_MS, 4 * self._rtt_ms)
         if took_ms >= self._use_ms:
             use_ms = max(use_ms, 2 * took_ms)
         self._use_ms = min(use_ms, lender.ANSWER_MS)
@@ -307,6 +314,14 @@
         at_ms = min((p.retry_at_ms for p in usable), default=math.inf)
         return max(0.0, at_ms - now_ms)
 
+    def refill_ms(self, now_ms: float, most_ms: float) -> float:
+        """Returns how long until all parts that refill soon have done so.
+
+        Asking one of them for the other's share would exhaust it.
+        """
+        waits = [max(0.0, piece.retry_at_ms - now_ms) for piece in self.pieces]
+        return max((wait for wait in waits if wait <= most_ms), default=0.0)
+
     def _ask(
         self, index: int, now_ms: float, want: float
     ) -> tuple[int, messages.Borrow]:
--- a/lacewingwood/limits/lender.py
+++ b/lacewingwood/limits/lender.py
@@ -23,15 +23,18 @@
 
 # Covers the difference between two hosts' clock rates over a piece's life.
 _DRIFT = 1.001
-# A refilling piece holds what arrives in this time; entries with less than one
-# request in it borrow for each request.
-_STANDING_MS = 250.0
+# A refilling piece holds what arrives in this time. With less than two
+# requests in it, it would often be full and lose its refill; such entries
+# borrow for each request instead.
+_STANDING_MS = 500.0
+_LEAST_DEPTH = 2.0
+_KEEP_DEPTH = 1.0
 # Most of the depth that refilling pieces may hold, so that the rest remains
 # for requests that land on other entries.
 _STANDING_SHARE = 0.5
 # Part of an entry's demand that its piece refills; a piece that refills faster
 # than it is used would be full and waste the rate.
-_REFILL_SHARE = 0.8
+_REFILL_SHARE = 0.5
 _FORGET_MS = 2 * TTL_MS
 # An owner learns of a changed limit within the 3 s in which it is fresh.
 _RAISE_MS = 3_000 + TTL_MS * _DRIFT
@@ -266,8 +269,10 @@
         if applied >= asked:
             borrower.held = offer.share
             return
-        self._rebalance(now_ms)
-        self._bucket.put(now_ms, offer.added)
+        # Later the offer no longer counted as lent and was refilled here.
+        if now_ms < min(offer.applied_by_ms, offer.share.end_ms):
+            self._rebalance(now_ms)
+            self._bucket.put(now_ms, offer.added)
 
     def _adopt(self, borrower: _Borrower, msg: messages.Borrow) -> None:
         """Takes over a piece that an earlier owner lent."""
@@ -361,7 +366,9 @@
             used * _STANDING_MS / 1000,
             self._limit.burst * share * _STANDING_SHARE,
         )
-        if depth < 1:
+        # An entry keeps its piece until its demand has clearly fallen: what is
+        # left in a piece that ends is lost.
+        if depth < (_LEAST_DEPTH if held.rate <= 0 else _KEEP_DEPTH):
             return 0.0, 0.0
         return used * _REFILL_SHARE, depth
 
--- a/lacewingwood/limits/limiter.py
+++ b/lacewingwood/limits/limiter.py
@@ -22,7 +22,7 @@
 # A request waits at most this long for an owner.
 _WAIT_MS = 250.0
 # A request waits for a refill that is nearer than this.
-_REFILL_WAIT_MS = 50.0
+_REFILL_WAIT_MS = 100.0
 _MAX_WAITING = 1_000
 _TICK_MS = 500.0
 # When an owner that failed is asked again.
@@ -253,7 +253,10 @@
         elif retry_ms > _REFILL_WAIT_MS:
             account.refuse_all(now_ms)
         else:
-            await trio.sleep(max(1.0, retry_ms) / 1000)
+            # Parts of a request would end unused during the wait.
+            self._return_rest(account)
+            wait_ms = account.borrower.refill_ms(now_ms, _REFILL_WAIT_MS)
+            await trio.sleep(max(1.0, wait_ms) / 1000)
 
     def _ask(
         self,
--- a/tests/limits/test_limiter.py
+++ b/tests/limits/test_limiter.py
@@ -16,7 +16,6 @@
 from lacewingwood.limits import bucket
 from lacewingwood.limits import lender
 from lacewingwood.limits import limiter
-from lacewingwood.limits import split
 from lacewingwood.peers import errors as peer_errors
 from lacewingwood.peers import messages
 from lacewingwood.state import records
@@ -56,7 +55,7 @@
                 lambda name: self.customer,
                 self.clock,
                 self.metrics,
-                unused=lambda name: 1 in self.epochs,
+                unused=lambda name: self.epochs[int(name[-1])] == 1,
             )
             for index in range(hosts)
         ]
@@ -130,8 +129,9 @@
 async def _run(
     fleet: Fleet, arrivals: list[tuple[float, int]]
 ) -> tuple[int, int]:
-    """Sends requests (s, host); returns how many a naive bucket and the fleet
-    admit, and checks that the fleet's admissions conform to the limit.
+    """Returns how many requests (s, host) a naive bucket and the fleet admit.
+
+    Checks that the fleet's admissions conform to the limit.
     """
     customer = fleet.customer
     naive, check = (
@@ -197,5 +197,66 @@
     naive, admitted = await _run(
         fleet, _arrivals(rate * load, seconds, spread, seed=burst)
     )
-    print(rate, burst, load, spread, naive, admitted, fleet.calls, len(_arrivals(rate * load, seconds, spread, seed=burst)))
     assert admitted >= 0.999 * naive
+
+
+async def test_owner_that_dies_is_replaced_without_over_admission(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against tokens lent twice, and against a stop of busy entries."""
+    fleet = Fleet(6, records.Customer("c", 100.0, 100))
+
+    async def fail_over() -> None:
+        await trio.sleep(10)
+        fleet.dead.add(0)
+        await trio.sleep(5)
+        fleet.owners[0], fleet.epochs[0] = 2, 2
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fail_over)
+        arrivals = _arrivals(60.0, 60.0, 5, seed=3)
+        survivors = [(at, host + 1) for at, host in arrivals]
+        naive, admitted = await _run(fleet, survivors)
+    assert naive == len(arrivals)
+    assert admitted >= 0.9 * naive
+
+
+async def test_lowered_rate_is_kept_within_the_time_to_live(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against entries that go on with pieces of the old limit."""
+    fleet = Fleet(4, records.Customer("c", 100.0, 100))
+    admitted = 0
+
+    async def one(host: int) -> None:
+        nonlocal admitted
+        admitted += await fleet.admit(host)
+
+    async with trio.open_nursery() as nursery:
+        for each in fleet.limiters:
+            nursery.start_soon(each.run)
+        async with trio.open_nursery() as requests:
+            for at_s, host in _arrivals(200.0, 30.0, 4, seed=5):
+                await trio.sleep_until(at_s)
+                if at_s > 5:
+                    fleet.customer = records.Customer("c", 10.0, 10)
+                if at_s < 5 + lender.TTL_MS / 1000 + 1:
+                    admitted = 0
+                requests.start_soon(one, host)
+        nursery.cancel_scope.cancel()
+    seconds = 30 - 5 - lender.TTL_MS / 1000 - 1
+    assert admitted <= 10 * (seconds + 1) + 10
+
+
+async def test_request_is_refused_in_time_without_any_owner(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against requests that hang on owners that vanished."""
+    fleet = Fleet(3, records.Customer("c", 1.0, 4))
+    fleet.dead = {0, 1}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.limiters[2].run)
+        start_s = trio.current_time()
+        assert not await fleet.admit(2)
+        assert trio.current_time() - start_s <= 0.25 + _SLACK
+        nursery.cancel_scope.cancel()
