--- a/lacewingwood/batch/owner.py
+++ b/lacewingwood/batch/owner.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator
+from typing import Any
 
 import msgspec
 import trio
@@ -29,6 +30,7 @@
 _HAND_OVER_MS = 2_000.0
 # Tokens assumed for an answer whose length the request does not bound.
 _ANSWER_TOKENS = 256
+_MAX_ANSWER_TOKENS = 1_000_000
 _BYTES_PER_TOKEN = 4
 
 
@@ -36,8 +38,8 @@
     """Fields of a request that bound its answer."""
 
     model: str
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Any = None
+    max_completion_tokens: Any = None
 
 
 class _Usage(msgspec.Struct):
@@ -228,9 +230,13 @@
         self._dispatcher.wake()
 
     def _may_send(self, job_id: str) -> bool:
-        """Returns whether results of more items fit into memory."""
+        """Returns whether the job may be run and its results fit in memory."""
+        running = self._jobs.get(job_id)
+        held = self._deps.leases.held(f"job/{job_id}")
+        if running is None or held != running.epoch:
+            return False
         pending = sum(r.recorder.pending_bytes for r in self._jobs.values())
-        return job_id in self._jobs and pending < _MAX_PENDING_BYTES
+        return pending < _MAX_PENDING_BYTES
 
     def _ahead(self, running: _Running) -> bool:
         """Returns whether enough items are read."""
@@ -341,10 +347,10 @@
         while True:
             try:
                 await self._deps.follower.publish(body)
-            except (state_errors.UnavailableError, state_errors.StaleError):
-                await self._deps.clock.sleep_ms(_RETRY_MS)
             except state_errors.ConflictError:
                 return
+            except state_errors.StateError:
+                await self._deps.clock.sleep_ms(_RETRY_MS)
             else:
                 return
 
@@ -362,13 +368,20 @@
     parsed = _body_decoder.decode(line)
     body = bytes(parsed.body)
     limits = _limits_decoder.decode(body)
-    answer = limits.max_completion_tokens or limits.max_tokens
-    cost = len(body) / _BYTES_PER_TOKEN + (answer or _ANSWER_TOKENS)
+    cost = len(body) / _BYTES_PER_TOKEN + _answer_tokens(limits)
     return schedule.Item(
         job_id, index, parsed.custom_id, body, limits.model, cost
     )
 
 
+def _answer_tokens(limits: _Limits) -> int:
+    # The engine judges these fields; a wrong value only spoils the estimate.
+    for tokens in (limits.max_completion_tokens, limits.max_tokens):
+        if isinstance(tokens, int) and 0 < tokens <= _MAX_ANSWER_TOKENS:
+            return tokens
+    return _ANSWER_TOKENS
+
+
 def _tokens(response: bytes, cost: float) -> float:
     """Returns the tokens an answer used, or `cost` if it doesn't tell."""
     try:
--- a/lacewingwood/batch/results.py
+++ b/lacewingwood/batch/results.py
@@ -20,6 +20,8 @@
 
 # Records are at most 1 MiB, which bounds what one reader holds.
 _PAGE_RECORDS = 16
+# Records before a group that show whether it is void.
+_FEW_RECORDS = 8
 
 
 class Result(msgspec.Struct, array_like=True):
@@ -173,19 +175,31 @@
         return None
 
 
-async def read_page(log: deps.Log, job_id: str, start: int) -> log_types.Page:
+async def read_page(
+    log: deps.Log, job_id: str, start: int, skip_expired: bool = False
+) -> log_types.Page:
     """Reads some records of a job's stream.
 
+    Args:
+        log: The log.
+        job_id: The job.
+        start: First offset wanted.
+        skip_expired: True to begin at the first record that is left.
+
     Raises:
         errors.CorruptError: The records have expired.
         errors.UnavailableError: The log is down.
     """
-    try:
-        return await log.read(stream(job_id), start, _PAGE_RECORDS, 0)
-    except log_errors.OffsetExpiredError as exc:
-        raise errors.CorruptError(f"results of {job_id} expired") from exc
-    except log_errors.LogError as exc:
-        raise errors.UnavailableError(exc.message) from exc
+    while True:
+        try:
+            return await log.read(stream(job_id), start, _PAGE_RECORDS, 0)
+        except log_errors.OffsetExpiredError as exc:
+            if not skip_expired or exc.first <= start:
+                message = f"results of {job_id} have expired"
+                raise errors.CorruptError(message) from exc
+            start = exc.first
+        except log_errors.LogError as exc:
+            raise errors.UnavailableError(exc.message) from exc
 
 
 async def read_results(log: deps.Log, job_id: str) -> AsyncIterator[Result]:
@@ -205,29 +219,36 @@
 async def read_progress(log: deps.Log, job_id: str) -> Progress:
     """Returns the counts in the latest valid group.
 
-    The last records are enough: each group repeats the whole job's counts. A
-    void group at the very end is passed over if the latest `OwnerStarted` is
-    among the records read.
+    The last records are enough, as each group repeats the whole job's counts.
+    A void group is known by an earlier record with a higher epoch; an owner
+    that lost its lease stops at its first void group, so that such a record
+    is never far.
     """
-    end = (await read_page(log, job_id, 0)).head
-    while end > 0:
-        start = max(0, end - _PAGE_RECORDS)
-        page = await read_page(log, job_id, start)
-        latest = _latest_progress(page.entries)
-        if latest is not None:
-            return latest
-        end = start
+    start = (await read_page(log, job_id, 0, skip_expired=True)).head
+    entries: list[log_types.Entry] = []
+    while start > 0:
+        end, start = start, max(0, start - _PAGE_RECORDS)
+        page = await read_page(log, job_id, start, skip_expired=True)
+        start = max(start, page.first)
+        entries = [e for e in page.entries if e.offset < end] + entries
+        latest = _latest_group(entries)
+        at_first = start <= page.first
+        if latest >= _FEW_RECORDS or (latest >= 0 and at_first):
+            group = decode(entries[latest].data)
+            return group.progress if isinstance(group, Group) else Progress()
+        if at_first:
+            break
     return Progress()
 
 
-def _latest_progress(entries: list[log_types.Entry]) -> Progress | None:
-    latest: Progress | None = None
-    epoch = -1
-    for entry in entries:
+def _latest_group(entries: list[log_types.Entry]) -> int:
+    """Returns the index of the last group that is not void, -1 if none."""
+    latest = epoch = -1
+    for index, entry in enumerate(entries):
         match decode(entry.data):
             case OwnerStarted(epoch=started):
                 epoch = max(epoch, started)
-            case Group(epoch=written, progress=progress) if written >= epoch:
+            case Group(epoch=written) if written >= epoch:
                 epoch = written
-                latest = progress
+                latest = index
     return latest
--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -1,12 +1,13 @@
 """Chat completions and completions, from one engine or several in turn."""
 
-import contextlib
-from collections.abc import AsyncIterator
+import msgspec
+import trio
 
 from lacewingwood.callers import calls
 from lacewingwood.callers import dependencies
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
+from lacewingwood.callers import placement
 from lacewingwood.callers import resume
 from lacewingwood.routing import outcomes
 from lacewingwood.routing import retries
@@ -16,12 +17,28 @@
 _DONE = b"data: [DONE]\n\n"
 
 
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Answer(msgspec.Struct):
+    usage: _Usage
+
+
+_answer_decoder = msgspec.json.Decoder(_Answer)
+
+
 class Inference:
-    """Runs inference requests."""
+    """Runs inference requests.
 
-    __slots__ = ("_budget", "_deps")
+    Attributes:
+        placement: Places them on replicas.
+    """
+
+    __slots__ = ("_budget", "_deps", "placement")
 
     def __init__(self, deps: dependencies.Dependencies) -> None:
+        self.placement = placement.Placement(deps)
         self._deps = deps
         self._budget = retries.Budget()
 
@@ -31,18 +48,32 @@
         Raises:
             errors.CallerError: It failed; the answer may have been started.
         """
-        self._budget.note_request(self._deps.clock.now_ms())
-        if call.stream:
-            await self._stream(req, call)
-        else:
-            await self._complete(req, call)
-
-    async def _complete(self, req: http.Request, call: calls.Call) -> None:
-        attempts = retries.Attempts(True, call.deadline_ms)
+        now_ms = self._deps.clock.now_ms()
+        self._budget.note_request(now_ms)
+        left_s = (call.deadline_ms - now_ms) / 1000
         tried: set[str] = set()
+        attempts = retries.Attempts(True, call.deadline_ms)
+        respond = self._stream if call.stream else self._complete
+        try:
+            with trio.move_on_after(left_s) as scope:
+                await respond(req, call, tried, attempts)
+        except errors.CallerError as exc:
+            raise exc.after(attempts.ran) from exc.__cause__
+        finally:
+            self.placement.settle(call, None)
+        if scope.cancelled_caught:
+            raise _deadline_error(tried)
+
+    async def _complete(
+        self,
+        req: http.Request,
+        call: calls.Call,
+        tried: set[str],
+        attempts: retries.Attempts,
+    ) -> None:
         while True:
             try:
-                async with self._attempt(call, tried) as started:
+                async with self.placement.attempt(call, tried) as started:
                     answer = await self._deps.engines.complete(
                         started.replica.address,
                         call.path,
@@ -53,25 +84,32 @@
                 break
             except upstream_errors.UpstreamError as exc:
                 self._retry_or_raise(attempts, exc)
+        self.placement.settle(call, _completion_tokens(answer))
         await req.respond(200, answer)
 
-    async def _stream(self, req: http.Request, call: calls.Call) -> None:
-        attempts = retries.Attempts(True, call.deadline_ms)
+    async def _stream(
+        self,
+        req: http.Request,
+        call: calls.Call,
+        tried: set[str],
+        attempts: retries.Attempts,
+    ) -> None:
         progress = resume.Progress(call)
-        tried: set[str] = set()
         while True:
             try:
-                async with self._attempt(call, tried) as started:
+                async with self.placement.attempt(call, tried) as started:
                     await self._relay(req, call, progress, started)
                 break
             except upstream_errors.UpstreamError as exc:
                 if progress.text_ended():
                     break
-                if req.started and not call.resumable:
+                resumable = call.resumable and progress.resumable()
+                if req.started and not resumable:
                     raise errors.from_upstream(exc) from exc
                 self._retry_or_raise(attempts, exc)
                 progress.resume()
-        await req.write(_DONE, more=False)
+        self.placement.settle(call, len(progress.chunks))
+        await req.end(_DONE)
 
     async def _relay(
         self,
@@ -110,38 +148,6 @@
     def _note_first_token(self, started: routers.Started) -> None:
         self._deps.router.first_token(started, self._deps.clock.now_ms())
 
-    @contextlib.asynccontextmanager
-    async def _attempt(
-        self, call: calls.Call, tried: set[str]
-    ) -> AsyncIterator[routers.Started]:
-        """Chooses a replica and notes how the attempt on it ends."""
-        route = self._route(call, tried)
-        router = self._deps.router
-        choice = router.choose(route, self._deps.clock.now_ms())
-        if isinstance(choice, routers.NoReplica):
-            raise errors.unavailable("no_replica", "no replica is available")
-        started = router.started(choice, route, self._deps.clock.now_ms())
-        tried.add(choice.replica.id)
-        outcome: outcomes.Outcome = outcomes.Cancelled()
-        try:
-            yield started
-            outcome = outcomes.Completed()
-        except upstream_errors.UpstreamError as exc:
-            outcome = outcomes.of_error(exc)
-            raise
-        finally:
-            router.finished(started, outcome, self._deps.clock.now_ms())
-
-    def _route(self, call: calls.Call, tried: set[str]) -> routers.RouteRequest:
-        return routers.RouteRequest(
-            service=call.service,
-            model=call.model,
-            blocks=call.blocks,
-            prompt_tokens=call.prompt_tokens,
-            exclude=frozenset(tried),
-            queue_if_full=True,
-        )
-
     def _retry_or_raise(
         self, attempts: retries.Attempts, exc: upstream_errors.UpstreamError
     ) -> None:
@@ -152,3 +158,21 @@
                 self._deps.metrics.add("callers_retries")
             case retries.GiveUp():
                 raise errors.from_upstream(exc) from exc
+
+
+def _deadline_error(tried: set[str]) -> errors.CallerError:
+    if not tried:
+        return placement.overloaded_error("deadline", 1000)
+    return errors.CallerError(
+        504,
+        "deadline_exceeded",
+        "the request's deadline has passed",
+        ran=errors.Ran.MAY_HAVE_RUN,
+    )
+
+
+def _completion_tokens(answer: bytes) -> int | None:
+    try:
+        return _answer_decoder.decode(answer).usage.completion_tokens
+    except msgspec.MsgspecError:
+        return None
--- a/lacewingwood/routing/outcomes.py
+++ b/lacewingwood/routing/outcomes.py
@@ -7,8 +7,9 @@
 from lacewingwood import errors
 from lacewingwood.upstreams import errors as upstream_errors
 
-# Statuses with which an upstream says that another one may take the request.
-_BUSY = frozenset((401, 403, 408, 425, 429))
+# Statuses with which an upstream says that another one may take the request;
+# with 404, that it has not loaded a model which exists.
+_BUSY = frozenset((401, 403, 404, 408, 425, 429))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,7 +41,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Broken:
-    """The connection broke, or the answer was malformed."""
+    """The connection broke."""
+
+    ran: errors.Ran = errors.Ran.MAY_HAVE_RUN
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Malformed:
+    """The answer made no sense."""
 
     ran: errors.Ran = errors.Ran.MAY_HAVE_RUN
 
@@ -53,7 +61,14 @@
 
 
 Outcome = (
-    Completed | Cancelled | Rejected | Refused | Unreachable | Broken | TimedOut
+    Completed
+    | Cancelled
+    | Rejected
+    | Refused
+    | Unreachable
+    | Broken
+    | Malformed
+    | TimedOut
 )
 
 
@@ -68,6 +83,8 @@
             return Unreachable()
         case upstream_errors.TimeoutError():
             return TimedOut(exc.ran)
+        case upstream_errors.BadAnswerError():
+            return Malformed(exc.ran)
         case _:
             return Broken(exc.ran)
 
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -6,10 +6,10 @@
 import json
 import random
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
+import httpcore
 import trio
 
 from lacewingwood import clock as clocks
@@ -18,8 +18,11 @@
 from lacewingwood.callers import dependencies
 from lacewingwood.callers import server
 from lacewingwood.hostlist import types as host_types
+from lacewingwood.limits import limiter
 from lacewingwood.routing import router as routers
 from lacewingwood.state import records
+from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import types as upstream_types
 
 SECRET = "sk-tanta-1"
 SERVICE = "sabeel-lm"
@@ -39,6 +42,7 @@
 
     def add_key(self, secret: str, customer: str) -> None:
         self.keys[hashlib.sha256(secret.encode()).hexdigest()] = customer
+        self.customers[customer] = records.Customer(customer, 100.0, 200)
 
 
 class State:
@@ -52,25 +56,15 @@
         return self.is_fresh
 
 
-@dataclasses.dataclass
-class Admitted:
-    """The limiter's consent."""
-
-
-@dataclasses.dataclass
-class Refused:
-    """The limiter's refusal."""
-
-    retry_after_ms: float
-
-
 class Limiter:
     """Gives the same answer to all."""
 
     def __init__(self) -> None:
-        self.answer: Any = Admitted()
+        self.answer: limiter.Admitted | limiter.Refused = limiter.Admitted()
 
-    async def admit(self, customer: str, deadline_ms: float) -> Any:
+    async def admit(
+        self, customer: records.Customer, deadline_ms: float
+    ) -> limiter.Admitted | limiter.Refused:
         return self.answer
 
 
@@ -122,6 +116,14 @@
             {**_base("chat.completion"), "choices": [choice]}
         ).encode()
 
+    async def load(self, address: str) -> upstream_types.LoadReport:
+        raise upstream_errors.ConnectError("no reports here")
+
+    async def cache_events(
+        self, address: str, start: int
+    ) -> list[upstream_types.CacheEvent]:
+        return []
+
     def _script(self, address: str) -> Script:
         return self.scripts.get(address) or self.scripts["*"]
 
@@ -164,6 +166,61 @@
     return run
 
 
+@dataclasses.dataclass
+class Response:
+    """An answer of a plain service."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    content: AsyncIterator[bytes]
+    trailers: list[tuple[bytes, bytes]]
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self.content
+
+
+@dataclasses.dataclass
+class Sent:
+    """What a plain service was sent."""
+
+    address: str
+    method: str
+    path: str
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Plain:
+    """A plain service that echoes bodies after `fails` failures."""
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+        self.fails: list[Exception] = []
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        *,
+        headers: Any,
+        body: bytes | AsyncIterator[bytes],
+        deadline_ms: float,
+    ) -> AsyncIterator[Response]:
+        got = body if isinstance(body, bytes) else b""
+        if not isinstance(body, bytes):
+            got = b"".join([chunk async for chunk in body])
+        self.sent.append(Sent(address, method, path, dict(headers), got))
+        if self.fails:
+            raise self.fails.pop(0)
+
+        async def echo() -> AsyncIterator[bytes]:
+            yield got
+
+        yield Response(200, [(b"etag", b"1")], echo(), [(b"x-sum", b"7")])
+
+
 class World:
     """Dependencies with fakes and three replicas of one service."""
 
@@ -186,6 +243,18 @@
             for i in range(1, 4)
         ]
         self.router.fleet.update_hosts(self.hosts)
+        self.plain = Plain()
+        self.plain_router = routers.Router(
+            routers.Settings(), random.Random(1), kind="plain"
+        )
+        self.plain_router.fleet.update_hosts(
+            [
+                host_types.Host(
+                    f"p{i}", f"p{i}", "plain", "permits", "", "", "live"
+                )
+                for i in range(3)
+            ]
+        )
         self.state.view.models["sabeel"] = records.Model(
             name="sabeel", service=SERVICE, version="1"
         )
@@ -196,6 +265,8 @@
             limiter=self.limiter,
             router=self.router,
             engines=self.engines,
+            plain=self.plain,
+            plain_router=self.plain_router,
             clock=self.clock,
             metrics=metrics.Registry(),
             settings=dependencies.Settings(check_every_ms=5, stale_grace_ms=0),
@@ -233,6 +304,63 @@
     shutdown: trio.Event
     app: apps.App
 
+    @contextlib.asynccontextmanager
+    async def client(self, http2: bool = False) -> AsyncIterator["Client"]:
+        """Gives a client whose connections are kept."""
+        pool = httpcore.AsyncConnectionPool(
+            http1=not http2, http2=http2, max_connections=1 if http2 else 20
+        )
+        async with pool:
+            yield Client(pool, f"http://127.0.0.1:{self.port}")
+
+
+@dataclasses.dataclass
+class Client:
+    """An HTTP client with the right key."""
+
+    pool: httpcore.AsyncConnectionPool
+    base: str
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        content: Any = None,
+        headers: Any = None,
+        secret: str = SECRET,
+    ) -> httpcore.Response:
+        """Returns a whole answer; `headers` replace the key's."""
+        sent = headers if headers is not None else bearer(secret)
+        return await self.pool.request(
+            method, self.base + path, headers=sent, content=content
+        )
+
+    def stream(self, **fields: Any) -> Any:
+        """Gives a streamed chat completion as a context manager."""
+        secret = fields.pop("secret", SECRET)
+        return self.pool.stream(
+            "POST",
+            self.base + CHAT,
+            headers=bearer(secret),
+            content=body(stream=True, **fields),
+        )
+
+
+def bearer(secret: str = SECRET) -> list[tuple[bytes, bytes]]:
+    """Returns the header that carries a key."""
+    return [(b"Authorization", b"Bearer " + secret.encode())]
+
+
+def error(response: httpcore.Response) -> dict[str, Any]:
+    """Returns the error in an answer."""
+    found: dict[str, Any] = json.loads(response.content)["error"]
+    return found
+
+
+def header(response: httpcore.Response, name: bytes) -> bytes | None:
+    """Returns a header of an answer."""
+    return dict(response.headers).get(name)
+
 
 async def eventually(condition: Callable[[], bool]) -> None:
     """Waits until `condition` holds."""
@@ -241,4 +369,25 @@
             await trio.sleep(0.001)
 
 
-Work = Callable[[], Awaitable[None]]
+CHAT = "/v1/chat/completions"
+
+
+def body(**fields: Any) -> bytes:
+    """Returns the body of a chat completion."""
+    messages = [{"role": "user", "content": "Is stall 12 permitted?"}]
+    return json.dumps(
+        {"model": "sabeel", "messages": messages, **fields}
+    ).encode()
+
+
+def events(answer: bytes) -> list[Any]:
+    """Returns the decoded events of an answer, `[DONE]` as it is."""
+    parts = [p.removeprefix(b"data: ") for p in answer.split(b"\n\n") if p]
+    return [p if p == b"[DONE]" else json.loads(p) for p in parts]
+
+
+def text(answer: bytes) -> str:
+    """Returns the text of a streamed chat completion."""
+    found = [e for e in events(answer) if isinstance(e, dict)]
+    choices = [e["choices"][0] for e in found if "choices" in e]
+    return "".join(c["delta"].get("content") or "" for c in choices)
