--- a/tests/limits/test_lender.py
+++ b/tests/limits/test_lender.py
@@ -93,7 +93,7 @@
     names = ["a", "b", "d"]
     for name in names:
         part.borrow(_borrow(1, node_id=name, demand=20.0), 0.0)
-    part.set_limit(_LIMIT, 0.0)
+    part.set_limit(split.Limit(50.0, 60), 0.0)
     renewed = [
         part.borrow(
             _borrow(2, node_id=name, demand=20.0, applied=1, level=4.0), 5.0
@@ -101,5 +101,28 @@
         for name in names
     ]
     answers = [answer for answer in renewed if answer is not None]
-    assert sum(answer.rate for answer in answers) <= _PART.rate
-    assert sum(answer.depth for answer in answers) <= _PART.burst
+    assert all(answer.rate > 0 for answer in answers)
+    assert sum(answer.rate for answer in answers) <= 25
+    assert sum(answer.depth for answer in answers) <= 30
+
+
+def test_answer_on_its_way_counts_beside_the_piece_held() -> None:
+    """Guards against a refill of depth that the entry may yet fill."""
+    part = _lender(split.Limit(1000.0, 20))
+    part.borrow(_borrow(1, want=4.0), 0.0)
+    part.borrow(_borrow(2, want=6.0, depth=4.0, applied=1), 0.0)
+    assert part.level(50.0) == 0
+
+
+def test_entries_that_come_one_by_one_get_no_more_than_the_limit() -> None:
+    """Guards against shares of a demand that was lower at first."""
+    part = _lender(split.Limit(100.0, 100))
+    answers = [
+        part.borrow(
+            _borrow(1, node_id=f"n{index}", want=0.0, demand=1000.0), 0.0
+        )
+        for index in range(8)
+    ]
+    lent = [answer for answer in answers if answer is not None]
+    assert sum(answer.rate for answer in lent) <= 50
+    assert sum(answer.depth for answer in lent) <= 50
