Hand bucket parts over at a planned stop

Cause: after a planned stop the next owner could not know what the leaving one had lent, so it lent nothing new for 15 s; with a crash shortly before, both parts of some customers were in that state. Change: the leaving owner stops lending and, once its leases are released, tells each successor what is lent and until when; a successor accepts it only if its claim directly follows that release.

--- a/devtools/demo.py
+++ b/devtools/demo.py
@@ -34,7 +34,6 @@
     "tanta-office": 12.0,
     "mahalla-vendors": 8.0,
     "kafr-inspectors": 4.0,
-    "guest-cart": 3.0,
 }
 
 
@@ -106,7 +105,6 @@
         callers = [
             load.Caller(customer=name, key=self.keys[name]["key"], rate=rate)
             for name, rate in _RATES.items()
-            if name != "guest-cart"
         ]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load, target, callers)
--- a/lacewingwood/limits/lender.py
+++ b/lacewingwood/limits/lender.py
@@ -94,6 +94,13 @@
             depth = max(depth, offer.share.depth)
         return rate, depth
 
+    def left_ms(self, now_ms: float) -> float:
+        """Returns the time until nothing is lent any more."""
+        ends = [self.held.end_ms]
+        if self.offer is not None:
+            ends += [self.offer.share.end_ms, self.offer.applied_by_ms]
+        return max(0.0, max(ends) - now_ms)
+
     def kept(self, now_ms: float) -> tuple[float, float]:
         """Returns what it will have once a lowered limit is in effect."""
         rate, depth = self.lent(now_ms)
@@ -213,6 +220,46 @@
         self._rebalance(now_ms)
         self._bucket.put(now_ms, left)
 
+    def hand_over(self, now_ms: float) -> messages.HandedPart | None:
+        """Returns what a new owner must know; nothing may be lent after it.
+
+        None if a change of the limit is still on its way to the other part's
+        owner, which only time can settle.
+        """
+        self._advance(now_ms)
+        if self._raise_ms != float("inf"):
+            return None
+        pieces = [
+            messages.HandedPiece(node_id, *b.lent(now_ms), b.left_ms(now_ms))
+            for node_id, b in self._borrowers.items()
+            if b.lent(now_ms) != (0, 0)
+        ]
+        return messages.HandedPart("", self._bucket.level(now_ms), pieces)
+
+    def take_over(
+        self, part: messages.HandedPart, lend_from_ms: float, now_ms: float
+    ) -> None:
+        """Takes over from the owner before, which lends no more.
+
+        Entries that have asked here already told what they hold themselves.
+        """
+        self._advance(now_ms)
+        if now_ms >= self._lend_from_ms:
+            return
+        for piece in part.pieces:
+            if piece.node_id in self._borrowers:
+                continue
+            borrower = self._borrower(piece.node_id)
+            borrower.seen_ms = now_ms
+            borrower.held = _Share(
+                piece.rate, piece.depth, now_ms + piece.left_ms * _DRIFT
+            )
+            heapq.heappush(self._changes, borrower.held.end_ms)
+        self._lend_from_ms = min(self._lend_from_ms, lend_from_ms)
+        heapq.heappush(self._changes, self._lend_from_ms)
+        self._advance(now_ms)
+        self._bucket.put(now_ms, part.level)
+
     def _shrink_quotas(self, now_ms: float) -> None:
         """Scales what entries may keep so that it fits into the limit."""
         borrowers = list(self._borrowers.values())
--- a/lacewingwood/limits/limiter.py
+++ b/lacewingwood/limits/limiter.py
@@ -29,6 +29,8 @@
 _UNREACHABLE_RETRY_MS = 100.0
 _TIMEOUT_RETRY_MS = 500.0
 _POLL_MS = 10.0
+_HAND_OVER_MS = 2_000.0
+_HAND_OVER_RETRY_MS = 50.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +145,7 @@
         )
         network.handle(messages.Borrow, self._on_borrow)
         network.handle(messages.Return, self._on_return)
+        network.handle(messages.HandOver, self._on_hand_over)
 
     async def admit(
         self, customer: records.Customer, deadline_ms: float
@@ -182,6 +185,46 @@
         for name, account in self._accounts.items():
             self._send(name, account.borrower.give_back(now_ms))
 
+    def stop_lending(self) -> list[messages.HandOver]:
+        """Ends all lending; returns what `hand_over` has to tell."""
+        return self._owner.hand_over()
+
+    async def hand_over(
+        self, handed: list[messages.HandOver], released: Mapping[str, int]
+    ) -> None:
+        """Tells the next owners what is lent, once the leases are released.
+
+        Without it they lend nothing until all pieces have surely ended.
+
+        Args:
+            handed: What `stop_lending` returned.
+            released: Offsets of the releases, by name of the lease.
+        """
+        async with trio.open_nursery() as nursery:
+            for msg in handed:
+                if msg.lease in released:
+                    msg.released = released[msg.lease]
+                    nursery.start_soon(self._hand_over, msg)
+
+    async def _hand_over(self, msg: messages.HandOver) -> None:
+        end_ms = self._clock.now_ms() + _HAND_OVER_MS
+        while self._clock.now_ms() < end_ms:
+            holder = self._leases.holder(msg.lease)
+            try:
+                if holder is not None:
+                    await self._network.call(
+                        holder.address, msg, lender.ANSWER_MS
+                    )
+                    return
+            except base_errors.Error as exc:
+                self._metrics.add("limit_hand_overs_failed", code=exc.code)
+            await self._clock.sleep_ms(_HAND_OVER_RETRY_MS)
+
+    async def _on_hand_over(self, msg: messages.HandOver) -> messages.Message:
+        self._owner.take_over(msg, self._leases.prior(msg.lease))
+        self._metrics.add("limit_hand_overs")
+        return messages.Ack()
+
     def _limit(self, customer: records.Customer) -> split.Limit:
         return split.regional(customer, self._weights, self._region)
 
--- a/lacewingwood/limits/owner.py
+++ b/lacewingwood/limits/owner.py
@@ -54,6 +54,7 @@
         self._region = region
         self._unused = unused
         self._tenures: dict[str, _Tenure] = {}
+        self._closed = False
 
     def watch(self) -> None:
         """Starts the waiting time of leases that have become usable."""
@@ -82,9 +83,55 @@
         part = self._part(msg.customer, msg.part)
         part.take_back(msg, self._clock.now_ms())
 
+    def hand_over(self) -> list[messages.HandOver]:
+        """Ends all lending; returns what the next owners must know.
+
+        Their `released` is still to be filled in.
+        """
+        now_ms = self._clock.now_ms()
+        names = split.lease_names(self._region)
+        tenures = [(name, self._tenure(name)) for name in names]
+        self._closed = True
+        handed = [
+            _handed(name, tenure, now_ms)
+            for name, tenure in tenures
+            if tenure is not None
+        ]
+        return [msg for msg in handed if msg is not None]
+
+    def take_over(self, msg: messages.HandOver, prior: int | None) -> None:
+        """Starts lending what the owner before had not lent.
+
+        Args:
+            msg: What the owner before told.
+            prior: Offset of the change before this process's claim.
+
+        Raises:
+            errors.NotOwnerError: This process does not own the part, or not
+                as the direct successor.
+        """
+        tenure = self._tenure(msg.lease)
+        if tenure is None or prior != msg.released:
+            raise errors.NotOwnerError(f"{msg.lease} is not held here")
+        now_ms = self._clock.now_ms()
+        lend_from_ms = now_ms + max(0.0, msg.lend_in_ms)
+        index = split.part_of(msg.lease)
+        for part in msg.parts:
+            if self._limit_of(part.customer) is not None:
+                taken = self._part(part.customer, index)
+                taken.take_over(part, lend_from_ms, now_ms)
+        handed = {part.customer for part in msg.parts}
+        for customer, other in tenure.parts.items():
+            if customer not in handed:
+                nothing = messages.HandedPart(customer, 0.0, [])
+                other.take_over(nothing, lend_from_ms, now_ms)
+        tenure.lend_from_ms = min(tenure.lend_from_ms, lend_from_ms)
+
     def _tenure(self, name: str) -> _Tenure | None:
         """Returns the state of a lease that may be used now."""
-        epoch = self._leases.held(name) if self._leases.fresh() else None
+        if self._closed or not self._leases.fresh():
+            return None
+        epoch = self._leases.held(name)
         if epoch is None:
             return None
         tenure = self._tenures.get(name)
@@ -114,3 +161,17 @@
             )
         part.set_limit(limit, now_ms)
         return part
+
+
+def _handed(
+    name: str, tenure: _Tenure, now_ms: float
+) -> messages.HandOver | None:
+    parts = []
+    for customer, part in tenure.parts.items():
+        handed = part.hand_over(now_ms)
+        if handed is None:
+            return None
+        handed.customer = customer
+        parts.append(handed)
+    lend_in_ms = max(0.0, tenure.lend_from_ms - now_ms)
+    return messages.HandOver(name, -1, lend_in_ms, parts)
--- a/lacewingwood/limits/ports.py
+++ b/lacewingwood/limits/ports.py
@@ -18,6 +18,9 @@
     def held(self, name: str) -> int | None:
         """Returns the epoch of a lease that this process may use now."""
 
+    def prior(self, name: str) -> int | None:
+        """Returns the offset of the change before a lease's last claim."""
+
     def fresh(self) -> bool:
         """Returns whether this process's view is known to be current."""
 
--- a/lacewingwood/limits/split.py
+++ b/lacewingwood/limits/split.py
@@ -48,6 +48,11 @@
     ]
 
 
+def part_of(name: str) -> int:
+    """Returns the index of the part that a lease is about."""
+    return int(name.rpartition("/")[2])
+
+
 def sibling(name: str, part: int) -> str:
     """Returns the lease of another part of the same bucket."""
     return f"{name.rpartition('/')[0]}/{part}"
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -156,6 +156,52 @@
     applied: int = 0
 
 
+class HandedPiece(msgspec.Struct):
+    """A piece that an entry may still hold when an owner leaves.
+
+    Attributes:
+        node_id: The entry.
+        rate: Refill a second.
+        depth: Most requests the piece can hold.
+        left_ms: Time until the piece has surely ended.
+    """
+
+    node_id: str
+    rate: float
+    depth: float
+    left_ms: float
+
+
+class HandedPart(msgspec.Struct):
+    """One customer's part of a bucket when its owner leaves.
+
+    Attributes:
+        customer: Name of the customer.
+        level: Requests that are not lent.
+        pieces: What is lent.
+    """
+
+    customer: str
+    level: float
+    pieces: list[HandedPiece]
+
+
+class HandOver(Message, tag="hand_over"):
+    """Tells the new owner of bucket parts what the leaving one had lent.
+
+    Attributes:
+        lease: Name of the lease.
+        released: Offset at which the leaving owner gave the lease up.
+        lend_in_ms: Time until all pieces of still earlier owners have ended.
+        parts: Parts from which something was lent; no other has any piece out.
+    """
+
+    lease: str
+    released: int
+    lend_in_ms: float
+    parts: list[HandedPart]
+
+
 class OnlineCount(Message, tag="online_count"):
     """Tells a replica's room holder how many requests an entry has there.
 
@@ -348,6 +394,7 @@
     | Borrow
     | Lent
     | Return
+    | HandOver
     | OnlineCount
     | ReplicaWord
     | Ack
--- a/lacewingwood/roles/entry.py
+++ b/lacewingwood/roles/entry.py
@@ -84,7 +84,8 @@
                 host, _ = settings.split_address(cfg.bind)
                 node.announce(f"{host}:{port}")
             self._limiter.give_back()
-            await node.leave()
+            handed = self._limiter.stop_lending()
+            await node.leave(functools.partial(self._limiter.hand_over, handed))
         return node.exit_code()
 
     async def _start_owning(self, nursery: trio.Nursery) -> None:
@@ -208,6 +209,11 @@
         """Returns the epoch of a lease that may be used now."""
         return self._node.leases.held(name)
 
+    def prior(self, name: str) -> int | None:
+        """Returns the offset of the change before a lease's last claim."""
+        lease = self._node.follower.view.leases.get(name)
+        return lease.prior if lease is not None else None
+
     def fresh(self) -> bool:
         """Returns whether the shared state is known to be current."""
         return self._node.follower.fresh()
--- a/lacewingwood/roles/node.py
+++ b/lacewingwood/roles/node.py
@@ -117,12 +117,22 @@
         print(json.dumps(ready), flush=True)
         _log.info("ready", address=address, admin=self.admin_address)
 
-    async def leave(self) -> None:
-        """Releases all leases and takes leave of the other processes."""
+    async def leave(
+        self,
+        hand_over: Callable[[dict[str, int]], Awaitable[None]] | None = None,
+    ) -> None:
+        """Releases all leases and takes leave of the other processes.
+
+        Args:
+            hand_over: Called with the offsets at which leases were released,
+                to tell their next holders what they must know.
+        """
         with trio.move_on_after(_LEAVE_TIMEOUT_S):
             try:
                 if self._presence is not None:
-                    await self._presence.leave()
+                    released = await self._presence.leave()
+                    if hand_over is not None:
+                        await hand_over(released)
             except state_errors.StateError as exc:
                 self.metrics.add("leave_errors", code=exc.code)
             await self.network.close()
--- a/lacewingwood/state/entities.py
+++ b/lacewingwood/state/entities.py
@@ -59,7 +59,8 @@
         waits_on: Regions in which an earlier holder may still be at work. The
             claim takes effect only after a wait for each of them; empty if it
             is effective at once.
-        first: True if nobody ever claimed this lease before.
+        prior: Offset of the last change to this lease before the claim, -1 if
+            nobody ever claimed it before.
     """
 
     name: str
@@ -67,7 +68,12 @@
     epoch: int
     region: str = ""
     waits_on: tuple[str, ...] = ()
-    first: bool = False
+    prior: int = -1
+
+    @property
+    def first(self) -> bool:
+        """Whether nobody ever claimed this lease before."""
+        return self.prior < 0
 
 
 class JobState(msgspec.Struct):
--- a/lacewingwood/state/lease_manager.py
+++ b/lacewingwood/state/lease_manager.py
@@ -88,20 +88,31 @@
             self._let_go[name] = lease.epoch
             await self._publish_release(lease)
 
-    async def stop(self) -> None:
+    async def stop(self) -> dict[str, int]:
         """Ends the use of all leases before this process leaves.
 
         Leaving frees the leases whose claims were effective at once; the
         others are released here, as only this process knows that their wait
         is over.
 
+        Returns:
+            Offsets of the releases made here, by name of the lease.
+
         Raises:
             errors.UnavailableError: The log is down.
         """
         self._stopped = True
+        released: dict[str, int] = {}
         for lease in self._all_mine():
             if lease.waits_on:
-                await self._publish_release(lease)
+                offset = await self._publish_release(lease)
+                if offset is not None:
+                    released[lease.name] = offset
+        return released
+
+    def names(self) -> list[str]:
+        """Returns the names of all leases that this process has claimed."""
+        return [lease.name for lease in self._all_mine()]
 
     async def keep(
         self,
@@ -178,16 +189,18 @@
         except errors.ConflictError:
             self._follower.metrics.add("lease_conflicts")
 
-    async def _publish_release(self, lease: entities.Lease) -> None:
+    async def _publish_release(self, lease: entities.Lease) -> int | None:
+        """Returns the offset of the release, None if it has no effect."""
         now_ms = self._follower.clock.now_ms()
         effective = now_ms >= self._claims.effective_ms(lease)
         release = records.LeaseReleased(
             lease.name, self._follower.node_id, effective
         )
         try:
-            await self._follower.publish(release, based_on=lease.epoch)
+            return await self._follower.publish(release, based_on=lease.epoch)
         except errors.ConflictError:
             self._follower.metrics.add("lease_conflicts")
+            return None
 
     async def _repeat_releases(self) -> None:
         while True:
--- a/lacewingwood/state/maintenance.py
+++ b/lacewingwood/state/maintenance.py
@@ -49,20 +49,25 @@
             self._follower.metrics.add("member_evicted")
             self.evicted.set()
 
-    async def leave(self) -> None:
+    async def leave(self) -> dict[str, int]:
         """Ends the use of all leases and records that this process stops.
 
+        Returns:
+            Offsets at which leases were released, by name of the lease.
+
         Raises:
             errors.UnavailableError: The log is down; others will find out.
         """
         self._leaving = True
-        await self._leases.stop()
+        released = await self._leases.stop()
+        held = self._leases.names()
         try:
-            await self._follower.publish(
+            offset = await self._follower.publish(
                 records.MemberLeft(self._member.node_id)
             )
         except errors.ConflictError:
-            return
+            return released
+        return {**dict.fromkeys(held, offset), **released}
 
     async def _join(self) -> None:
         record_id = uuid.uuid4().hex
--- a/lacewingwood/state/view.py
+++ b/lacewingwood/state/view.py
@@ -208,7 +208,7 @@
     def _change(self, offset: int, record: records.Record, data: bytes) -> None:
         """Makes an allowed change and keeps the record that it follows from."""
         kind, name = entities.entity(record.body)
-        known = (kind, name) in self.versions
+        prior = self.version(kind, name)
         self.versions[kind, name] = offset
         match record.body:
             case (
@@ -233,7 +233,7 @@
             case records.MemberLeft():
                 self._leave(name, offset, of_itself=record.by == name)
             case records.LeaseClaimed(_, holder):
-                self._claim(name, holder, offset, first=not known)
+                self._claim(name, holder, offset, prior)
                 self._retained[kind, name] = [(offset, data)]
             case records.LeaseReleased(_, _, effective):
                 self._let_go(name, offset, effective)
@@ -278,9 +278,7 @@
             if lease.holder == node_id:
                 self._let_go(lease.name, offset, not lease.waits_on)
 
-    def _claim(
-        self, name: str, holder: str, offset: int, *, first: bool
-    ) -> None:
+    def _claim(self, name: str, holder: str, offset: int, prior: int) -> None:
         earlier = self.leases.get(name)
         waits_on: tuple[str, ...] = ()
         if earlier is not None:
@@ -289,7 +287,7 @@
         member = self.members.get(holder)
         region = member.region if member is not None else ""
         self.leases[name] = entities.Lease(
-            name, holder, offset, region, waits_on, first
+            name, holder, offset, region, waits_on, prior
         )
 
     def _let_go(self, name: str, offset: int, effective: bool) -> None:
--- a/tests/limits/test_limiter.py
+++ b/tests/limits/test_limiter.py
@@ -122,6 +122,9 @@
         mine = self.fleet.owners[part] == self.index
         return self.fleet.epochs[part] if mine else None
 
+    def prior(self, name: str) -> int | None:
+        return None
+
     def fresh(self) -> bool:
         return True
 
