Copy files and results forward before they expire

Cause: the log keeps records for a limited time, so that input of jobs in progress and results of ended jobs fell off.

Results are copied under the carrier's own epoch between OwnerStarted and a new record, Carried. Once the start of a stream has expired, readers and owners begin at a complete copy, so that a void group whose predecessor is gone is not counted. Files are copied chunk by chunk and read past parts of copies.

--- a/lacewingwood/batch/files.py
+++ b/lacewingwood/batch/files.py
@@ -135,15 +135,18 @@
             errors.NotFoundError: There is no such file, or it is incomplete.
             errors.UnavailableError: The log is down.
         """
-        end = (await self._read(file_id, 0, 1)).head
-        while end > 0:
-            start = max(0, end - _TAIL_RECORDS)
+        page = await self._read(file_id, 0, 1)
+        first, end = page.first, page.head
+        while end > first:
+            start = max(first, end - _TAIL_RECORDS)
             page = await self._read(file_id, start, end - start)
             for entry in page.entries:
                 record = _decode(entry.data)
                 if isinstance(record, File):
                     return record
             end = start
+        if first:
+            raise errors.CorruptError(f"file {file_id} has expired")
         raise errors.NotFoundError(f"no file {file_id}")
 
     async def read(self, file_id: str) -> AsyncIterator[bytes]:
@@ -154,19 +157,46 @@
             errors.UnavailableError: The log is down.
         """
         digest = hashlib.sha256()
+        expected = 0
+        async for record in self._records(file_id):
+            match record:
+                case Chunk(data=data):
+                    digest.update(data)
+                    expected += 1
+                    yield data
+                case File() as seal:
+                    _check(seal, expected, digest.hexdigest())
+
+    async def carry(self, file_id: str) -> None:
+        """Appends a copy of a file before its records fall off the log.
+
+        Holds a page of chunks at a time.
+
+        Raises:
+            errors.CorruptError: Content is missing.
+            errors.UnavailableError: The log is down; the copy is incomplete.
+        """
+        async for record in self._records(file_id):
+            await self._append(file_id, record)
+
+    async def _records(self, file_id: str) -> AsyncIterator[Chunk | File]:
+        """Iterates over the chunks in order, each once, and then the seal."""
         start = expected = 0
         while True:
             page = await self._read(file_id, start, _PAGE_RECORDS)
             if not page.entries:
-                raise errors.CorruptError(f"file {file_id} has no seal")
+                raise errors.CorruptError(
+                    f"file {file_id} is incomplete: {expected} chunks"
+                )
             for entry in page.entries:
                 match _decode(entry.data):
-                    case Chunk(index=index, data=data) if index == expected:
-                        digest.update(data)
+                    case Chunk(index=index) as chunk if index == expected:
                         expected += 1
-                        yield data
-                    case File() as seal:
-                        _check(seal, expected, digest.hexdigest())
+                        yield chunk
+                    # Before the seal of a copy there may be one whose first
+                    # chunks have expired.
+                    case File(chunks=chunks) as seal if expected >= chunks:
+                        yield seal
                         return
             start = page.entries[-1].offset + 1
 
@@ -205,18 +235,23 @@
 
     async def _append(self, file_id: str, record: File | Chunk) -> None:
         data = _encoder.encode(record)
-        stream = _stream(file_id)
-        await appends.append(self._log, self._clock, stream, data, _APPEND_MS)
+        name = stream(file_id)
+        await appends.append(self._log, self._clock, name, data, _APPEND_MS)
 
     async def _read(
         self, file_id: str, start: int, limit: int
     ) -> log_types.Page:
-        try:
-            return await self._log.read(_stream(file_id), start, limit, 0)
-        except log_errors.OffsetExpiredError as exc:
-            raise errors.CorruptError(f"file {file_id} has expired") from exc
-        except log_errors.LogError as exc:
-            raise errors.UnavailableError(exc.message) from exc
+        """Reads from `start`, or from the first record that is left."""
+        while True:
+            try:
+                return await self._log.read(stream(file_id), start, limit, 0)
+            except log_errors.OffsetExpiredError as exc:
+                if exc.first <= start:
+                    message = f"file {file_id} has expired"
+                    raise errors.CorruptError(message) from exc
+                start = exc.first
+            except log_errors.LogError as exc:
+                raise errors.UnavailableError(exc.message) from exc
 
 
 class _LineCounter:
@@ -250,7 +285,8 @@
         yield bytes(buffer)
 
 
-def _stream(file_id: str) -> str:
+def stream(file_id: str) -> str:
+    """Returns the name of a file's stream."""
     return f"file/{file_id}"
 
 
--- a/lacewingwood/batch/recorder.py
+++ b/lacewingwood/batch/recorder.py
@@ -85,10 +85,49 @@
             errors.SupersededError: A later owner has started.
             errors.UnavailableError: The log is down.
         """
+        start = await results.find_start(self._log, self._job_id)
+        self._next = max(self._next, start or 0)
         started = results.OwnerStarted(self._epoch, self._node_id)
         await self._append(results.encode(started), _APPEND_MS)
         self._recorded_late = self._late = self.replay.progress.late
 
+    async def carry(self) -> None:
+        """Copies all results that count, as a recorder of its own.
+
+        Holds a page of records at a time.
+
+        Raises:
+            errors.SupersededError: A later owner has started.
+            errors.CorruptError: Some results have expired already.
+            errors.UnavailableError: The log is down; the copy is incomplete.
+        """
+        position = await results.find_start(self._log, self._job_id)
+        if position is None:
+            raise errors.CorruptError(f"results of {self._job_id} have expired")
+        await self.start()
+        started = self._next - 1
+        replay = results.Replay()
+        while position < started:
+            page = await results.read_page(self._log, self._job_id, position)
+            if not page.entries:
+                raise errors.UnavailableError("the log's read lags")
+            items: list[results.Result] = []
+            for entry in page.entries:
+                if entry.offset < started:
+                    items += replay.apply(entry.data)
+            position = page.entries[-1].offset + 1
+            await self._copy(items)
+        carried = results.Carried(self._epoch, started)
+        await self._append(results.encode(carried), _APPEND_MS)
+
+    async def _copy(self, items: list[results.Result]) -> None:
+        while items:
+            length = _group_length(items)
+            progress = self.replay.progress
+            group = results.Group(self._epoch, items[:length], progress)
+            await self._append(results.encode(group), _APPEND_MS)
+            items = items[length:]
+
     def add(self, result: results.Result) -> None:
         """Takes a result that is to be recorded."""
         self._pending.append(result)
@@ -129,7 +168,7 @@
         """
         while self._pending or self._late != self._recorded_late:
             late = self._late
-            taken = self._pending[: self._group_length()]
+            taken = self._pending[: _group_length(self._pending)]
             group = self._group(taken, late)
             await self._append(results.encode(group), _APPEND_MS)
             self._recorded_late = late
@@ -142,14 +181,6 @@
         changed, self._changed = self._changed, trio.Event()
         changed.set()
 
-    def _group_length(self) -> int:
-        size = 0
-        for count, item in enumerate(self._pending):
-            size += _size(item)
-            if size > GROUP_BYTES and count:
-                return count
-        return len(self._pending)
-
     def _group(self, items: list[results.Result], late: bool) -> results.Group:
         failed = sum(item.failed for item in items)
         before = self.replay.progress
@@ -198,6 +229,16 @@
             self._next = min(page.entries[-1].offset + 1, offset)
 
 
+def _group_length(items: list[results.Result]) -> int:
+    """Returns how many of the first items go into one record."""
+    size = 0
+    for count, item in enumerate(items):
+        size += _size(item)
+        if size > GROUP_BYTES and count:
+            return count
+    return len(items)
+
+
 def _size(result: results.Result) -> int:
     return (
         len(result.response)
--- a/lacewingwood/batch/results.py
+++ b/lacewingwood/batch/results.py
@@ -4,6 +4,12 @@
 From that record on, records with a lower epoch are void for every reader, so
 that an owner which was paused past its lease cannot add results. Of several
 valid results of an item the one with the lowest offset counts.
+
+Before records fall off the log, a holder of the job's lease copies them: it
+writes `OwnerStarted`, copies of all earlier results that count, and then
+`Carried`. Once the start of a stream has fallen off, its state follows from
+the `OwnerStarted` of a complete copy; what lies before is not used, as a void
+group there can no longer be told from a valid one.
 """
 
 from collections.abc import AsyncIterator
@@ -84,7 +90,19 @@
     progress: Progress
 
 
-Record = OwnerStarted | Group
+class Carried(msgspec.Struct, tag="carried"):
+    """All results that counted before `start` are copied after it.
+
+    Attributes:
+        epoch: Epoch of the lease under which they were copied.
+        start: Offset of the `OwnerStarted` before the copies.
+    """
+
+    epoch: int
+    start: int
+
+
+Record = OwnerStarted | Group | Carried
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
@@ -202,10 +220,39 @@
             raise errors.UnavailableError(exc.message) from exc
 
 
+async def find_start(log: deps.Log, job_id: str) -> int | None:
+    """Returns the offset from which the stream shows all that counts.
+
+    That is 0 while the log keeps the whole stream, else the start of a
+    complete copy, or None if there is none. A copy that is about to fall off
+    itself is used only if no other follows.
+
+    Raises:
+        errors.UnavailableError: The log is down.
+    """
+    page = await read_page(log, job_id, 0, skip_expired=True)
+    if page.first == 0 or not page.entries:
+        return 0 if page.first == 0 else None
+    safe_ms = page.entries[0].time_ms + page.retention_ms // 8
+    found: int | None = None
+    while page.entries:
+        for entry in page.entries:
+            match decode(entry.data):
+                case Carried(start=start) if start >= page.first:
+                    found = start
+                    if entry.time_ms >= safe_ms:
+                        return found
+        following = page.entries[-1].offset + 1
+        page = await read_page(log, job_id, following, skip_expired=True)
+    return found
+
+
 async def read_results(log: deps.Log, job_id: str) -> AsyncIterator[Result]:
     """Iterates over the results that count, in order of recording."""
     replay = Replay()
-    start = 0
+    start = await find_start(log, job_id)
+    if start is None:
+        raise errors.CorruptError(f"results of {job_id} have expired")
     while True:
         page = await read_page(log, job_id, start)
         for entry in page.entries:
@@ -246,7 +293,7 @@
     latest = epoch = -1
     for index, entry in enumerate(entries):
         match decode(entry.data):
-            case OwnerStarted(epoch=started):
+            case OwnerStarted(epoch=started) | Carried(epoch=started):
                 epoch = max(epoch, started)
             case Group(epoch=written) if written >= epoch:
                 epoch = written
--- a/lacewingwood/batch/worker.py
+++ b/lacewingwood/batch/worker.py
@@ -6,6 +6,7 @@
 import trio
 
 from lacewingwood import errors as base_errors
+from lacewingwood.batch import carrier
 from lacewingwood.batch import deps as deps_module
 from lacewingwood.batch import owner
 from lacewingwood.batch import replica_runner
@@ -27,6 +28,7 @@
     """Claims jobs and replicas, and runs those that it holds."""
 
     __slots__ = (
+        "_carrier",
         "_claiming",
         "_deps",
         "_idle",
@@ -41,6 +43,7 @@
         self, deps: deps_module.Deps, rng: random.Random | None = None
     ) -> None:
         self._deps = deps
+        self._carrier = carrier.Carrier(deps)
         self._owner = owner.Owner(deps, rng or random.Random())
         self._runners: dict[str, replica_runner.ReplicaRunner] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -64,6 +67,7 @@
         self._register()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._owner.run)
+            nursery.start_soon(self._carrier.run)
             nursery.start_soon(self._watch_leases)
             while not self._stopping:
                 self._reconcile(nursery)
@@ -74,6 +78,7 @@
     async def stop(self) -> None:
         """Hands everything over to other workers."""
         self._stopping = True
+        self._carrier.stop()
         async with trio.open_nursery() as nursery:
             for job_id in list(self._owner.jobs):
                 nursery.start_soon(self._owner.hand_over, job_id)
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -1,5 +1,6 @@
 """Fakes of the layers that the batch layer uses, on trio's own clock."""
 
+import bisect
 import contextlib
 import dataclasses
 import json
@@ -75,6 +76,43 @@
         return log_types.Page(entries, first, len(data), 10**9)
 
 
+class AgingLog(Log):
+    """A log that drops records after `retention_ms` on trio's clock."""
+
+    def __init__(self, retention_ms: int) -> None:
+        super().__init__()
+        self.retention_ms = retention_ms
+        self.times: dict[str, list[int]] = {}
+
+    def expire(self) -> None:
+        oldest_ms = self._wall_ms() - self.retention_ms
+        for stream, times in self.times.items():
+            self.first[stream] = bisect.bisect_left(times, oldest_ms)
+
+    async def append(self, stream: str, data: bytes) -> int:
+        try:
+            return await super().append(stream, data)
+        finally:
+            times = self.times.setdefault(stream, [])
+            added = len(self.streams.get(stream, [])) - len(times)
+            times += [self._wall_ms()] * added
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait_ms: int
+    ) -> log_types.Page:
+        self.expire()
+        page = await super().read(stream, start, limit, wait_ms)
+        times = self.times.get(stream, [])
+        entries = [
+            log_types.Entry(e.offset, times[e.offset], e.data)
+            for e in page.entries
+        ]
+        return log_types.Page(entries, page.first, page.head, self.retention_ms)
+
+    def _wall_ms(self) -> int:
+        return WALL_START_MS + int(trio.current_time() * 1000)
+
+
 @dataclasses.dataclass
 class JobState:
     """A job in the view."""
--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -21,6 +21,10 @@
 from tests.batch import fakes
 
 
+def make_intake(deps: fakes.Deps) -> intakes.Intake:
+    return intakes.Intake(deps.log, deps.follower, deps.clock, deps.wall_ms)
+
+
 class Scene:
     """A world with workers that can be killed."""
 
@@ -32,12 +36,7 @@
         self.followers: dict[str, fakes.Follower] = {}
         self.deps = fakes.Deps(self.world, "client")
         del self.world.control.members["client"]
-        self.intake = intakes.Intake(
-            self.world.log,
-            self.deps.follower,
-            self.deps.clock,
-            self.deps.wall_ms,
-        )
+        self.intake = make_intake(self.deps)
 
     def start_worker(self, node_id: str) -> workers.Worker:
         deps = fakes.Deps(self.world, node_id)
