--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,231 @@
+"""Figures of one run, each beside its target."""
+
+import dataclasses
+import operator
+from collections.abc import Callable
+
+from bench import phases
+from bench import probes
+from bench import windows
+from bench import workload
+from devtools import load
+
+_YIELD_MS = workload.STEP_MS + 10
+
+
+@dataclasses.dataclass(slots=True)
+class Figure:
+    """One measured figure.
+
+    Attributes:
+        name: What it is.
+        value: What was measured; None if it could not be.
+        target: What is asked for.
+        at_most: True if the target is an upper bound.
+        note: What else was seen.
+    """
+
+    name: str
+    value: float | None
+    target: float
+    at_most: bool
+    note: str = ""
+
+    @property
+    def met(self) -> bool:
+        """Whether the target is met."""
+        meets: Callable[[float, float], bool]
+        meets = operator.le if self.at_most else operator.ge
+        return self.value is not None and meets(self.value, self.target)
+
+
+def figures(org: workload.Organisation, run: phases.Run) -> list[Figure]:
+    """Returns all figures of a run."""
+    return [
+        _tail(run),
+        _batch_share(run),
+        _over_admission(org, run),
+        _wrong_refusals(org, run),
+        _worst_served(org, run),
+        _yield_time(run),
+        *_added(run),
+    ]
+
+
+def _tail(run: phases.Run) -> Figure:
+    with_batch = first_tokens(run.mixed)
+    alone = first_tokens(run.alone)
+    high, low = _p99(with_batch), _p99(alone)
+    return Figure(
+        "first token p99, with batch / without",
+        high / low if high and low else None,
+        1.05,
+        True,
+        f"{_ms(high)} / {_ms(low)} ms of {len(with_batch)} and {len(alone)}"
+        f" requests; p50 {_ms(load.percentile(with_batch, 0.5))} /"
+        f" {_ms(load.percentile(alone, 0.5))} ms",
+    )
+
+
+def _batch_share(run: phases.Run) -> Figure:
+    used, alone = run.mixed.usage, run.alone.usage
+    # The same requests take as much slot time with batch as alone.
+    online_ms = alone.busy_ms * _complete(run.mixed) / _complete(run.alone)
+    idle_ms = used.total_ms - online_ms
+    online_tokens = alone.tokens * online_ms / alone.busy_ms
+    by_tokens = (used.tokens - online_tokens) * workload.STEP_MS / idle_ms
+    return Figure(
+        "batch slot time / left idle by online",
+        (used.busy_ms - online_ms) / idle_ms,
+        0.95,
+        False,
+        f"by tokens {by_tokens:.3f}; online took"
+        f" {online_ms / used.total_ms:.1%}, all {_busy(used):.1%} of slots;"
+        f" {'filled' if run.filled else 'not full'} before the phase",
+    )
+
+
+def _over_admission(org: workload.Organisation, run: phases.Run) -> Figure:
+    limits = org.limits()
+    certain: dict[str, float] = {}
+    by_sending = 0.0
+    for name, (rate, burst) in limits.items():
+        spans = [
+            windows.Span(o.sent_s, o.answered_s)
+            for o in run.through_entries()
+            if o.customer == name and o.status == 200
+        ]
+        certain[name] = windows.certain_excess(spans, rate, burst)
+        times = [span.sent for span in spans]
+        excess = windows.point_excess(times, rate, burst)
+        by_sending = max(by_sending, excess)
+    worst = max(certain, key=lambda name: certain[name])
+    return Figure(
+        "requests over rate x length + burst, any window",
+        certain[worst],
+        0,
+        True,
+        f"worst {worst}; by sending times alone {by_sending:.2f}",
+    )
+
+
+def _wrong_refusals(org: workload.Organisation, run: phases.Run) -> Figure:
+    """Counts refusals of requests that one ideal bucket would admit."""
+    refused = sent = failed = 0
+    steady = (run.entry_half, run.alone, run.excess, run.mixed)
+    for name, (rate, burst) in org.limits().items():
+        outcomes = [o for p in steady for o in p.outcomes if o.customer == name]
+        if name == org.greedy:
+            greedy = {id(o) for o in run.excess.outcomes}
+            outcomes = [o for o in outcomes if id(o) not in greedy]
+        for outcome, inside in _inside(outcomes, rate, burst):
+            sent += inside
+            refused += inside and outcome.status == 429
+            failed += inside and outcome.status not in (200, 429)
+    return Figure(
+        "refusals inside the rate",
+        refused / sent,
+        0.001,
+        True,
+        f"{refused} of {sent}; {failed} failed in other ways",
+    )
+
+
+def _worst_served(org: workload.Organisation, run: phases.Run) -> Figure:
+    shares: dict[str, float] = {}
+    for name, (rate, burst) in org.limits().items():
+        outcomes = [o for o in run.excess.outcomes if o.customer == name]
+        entitled = sum(inside for _, inside in _inside(outcomes, rate, burst))
+        shares[name] = sum(o.complete for o in outcomes) / entitled
+    worst = min(shares, key=lambda name: shares[name])
+    return Figure(
+        "worst-served customer / entitlement",
+        shares[worst],
+        0.95,
+        False,
+        f"{worst}; {org.greedy}, which sends 5 times its rate:"
+        f" {shares[org.greedy]:.3f}",
+    )
+
+
+def _inside(
+    outcomes: list[load.Outcome], rate: float, burst: float
+) -> list[tuple[load.Outcome, bool]]:
+    outcomes = sorted(outcomes, key=lambda o: o.sent_s)
+    times = [o.sent_s for o in outcomes]
+    return list(
+        zip(outcomes, windows.conforming(times, rate, burst), strict=True)
+    )
+
+
+def _yield_time(run: phases.Run) -> Figure:
+    yielded = [b.yielded_ms for b in run.bursts if b.yielded_ms is not None]
+    earliest = [b.earliest_ms for b in run.bursts if b.earliest_ms is not None]
+    first = [ms for b in run.bursts for ms in b.first_token_ms]
+    complete = len(yielded) == len(run.bursts)
+    note = (
+        f"{len(yielded)} of {len(run.bursts)} bursts made batch yield"
+        f" ({sum(b.yields for b in run.bursts)} items);"
+        f" sent within {max(b.sent_ms for b in run.bursts):.0f} ms,"
+        f" samples up to {max(b.poll_ms for b in run.bursts):.0f} ms apart;"
+        f" burst's first tokens p99 {_ms(_p99(first))} ms"
+    )
+    if earliest:
+        note += f"; not before {max(earliest):.1f} ms"
+    return Figure(
+        "burst to batch yielded, worst, ms",
+        max(yielded) if complete else None,
+        _YIELD_MS,
+        True,
+        note,
+    )
+
+
+def _added(run: phases.Run) -> list[Figure]:
+    found: list[Figure] = []
+    readings = (
+        ("first token", 5.0, first_tokens),
+        ("between tokens", 1.0, gaps),
+    )
+    for name, target, read in readings:
+        entry, direct = read(run.entry_half), read(run.direct_half)
+        high, low = _p99(entry), _p99(direct)
+        found.append(
+            Figure(
+                f"added {name}, p99, ms",
+                high - low if high and low else None,
+                target,
+                True,
+                f"{_ms(high)} through entries, {_ms(low)} direct; p50"
+                f" {_ms(load.percentile(entry, 0.5))},"
+                f" {_ms(load.percentile(direct, 0.5))}",
+            )
+        )
+    return found
+
+
+def first_tokens(phase: phases.Phase) -> list[float]:
+    """Returns the times to first token of a phase in ms."""
+    times = (o.first_token_ms for o in phase.outcomes)
+    return [ms for ms in times if ms is not None]
+
+
+def gaps(phase: phases.Phase) -> list[float]:
+    """Returns the times between tokens of a phase in ms."""
+    return [ms for o in phase.outcomes for ms in o.gaps_ms]
+
+
+def _complete(phase: phases.Phase) -> int:
+    return sum(o.complete for o in phase.outcomes)
+
+
+def _busy(usage: probes.Usage) -> float:
+    return usage.busy_ms / usage.total_ms
+
+
+def _p99(values: list[float]) -> float | None:
+    return load.percentile(values, 0.99)
+
+
+def _ms(value: float | None) -> str:
+    return "-" if value is None else f"{value:.1f}"
--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -160,6 +160,17 @@
         self.engines[index] = engine
         self._list(f"replica-{index}", engine, "engine", index)
 
+    def launch(self, name: str, module: str, args: list[str]) -> Process:
+        """Starts another program; it ends with the deployment."""
+        process = self._start(name, module, args)
+        process.wait_ready()
+        return process
+
+    @property
+    def engine_addresses(self) -> list[str]:
+        """Addresses of the engines."""
+        return [engine.info["address"] for engine in self.engines]
+
     @property
     def log_url(self) -> str:
         """URL of the log service."""
--- a/devtools/load.py
+++ b/devtools/load.py
@@ -45,6 +45,8 @@
         text: The answer's text.
         prompt: The request's prompt.
         tries: Requests sent, the caller's own retries included.
+        sent_s: When the last try was sent (`time.perf_counter`).
+        answered_s: When its response began, 0 if none came.
     """
 
     customer: str
@@ -57,6 +59,8 @@
     gaps_ms: list[float] = dataclasses.field(default_factory=list)
     text: str = ""
     tries: int = 0
+    sent_s: float = 0.0
+    answered_s: float = 0.0
 
 
 class Target:
@@ -65,9 +69,9 @@
     def __init__(self, base_urls: list[str], rng: random.Random) -> None:
         self._urls = list(base_urls)
         self._rng = rng
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=2_000, max_keepalive_connections=500
-        )
+        # A pool looks at all its connections at each request, so that one
+        # pool for all entries would take most of this process's time.
+        self._pools = {url: _make_pool() for url in base_urls}
 
     def remove(self, base_url: str) -> None:
         """Sends nothing more to an entry that is gone or not ready."""
@@ -77,6 +81,16 @@
         """Returns the URL of one entry."""
         return self._rng.choice(self._urls)
 
+    def pool(self, base_url: str) -> httpcore.AsyncConnectionPool:
+        """Returns the connections to one entry."""
+        return self._pools[base_url]
+
+
+def _make_pool() -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=500, max_keepalive_connections=100
+    )
+
 
 async def run(
     target: Target,
@@ -154,13 +168,15 @@
         (b"authorization", b"Bearer " + caller.key.encode()),
         (b"content-type", b"application/json"),
     ]
-    started = time.perf_counter()
-    async with target.pool.stream(
+    url = target.pick()
+    started = outcome.sent_s = time.perf_counter()
+    async with target.pool(url).stream(
         "POST",
-        target.pick() + "/chat/completions",
+        url + "/chat/completions",
         headers=headers,
         content=json.dumps(body).encode(),
     ) as response:
+        outcome.answered_s = time.perf_counter()
         outcome.status = response.status
         if response.status != 200:
             _note_error(outcome, json.loads(await response.aread()))
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of the same name."""
