--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -45,11 +45,11 @@
                 continue
             try:
                 results.append(_measure(org, name))
+                report.print_table(results[-1:])
             except deployment.DeploymentError as exc:
                 print(f"bench: {org.name}, {name}: {exc}", file=sys.stderr)
                 failed = True
     elapsed_s = time.monotonic() - started
-    report.print_table(results)
     print(f"\nbench: seed {workload.SEED}, {elapsed_s:.0f} s")
     print(f"bench: report in {report.write(results, elapsed_s)}")
     return int(failed)
--- a/bench/versions.py
+++ b/bench/versions.py
@@ -65,7 +65,7 @@
 
 def _to_toml(document: dict[str, list[dict[str, object]]]) -> str:
     """Writes sections of flat tables; JSON's scalars are valid in TOML."""
-    lines: list[str] = []
+    lines = ["schema_version = 1"]
     for section, tables in document.items():
         for table in tables:
             lines.append(f"[[{section}]]")
