Read the key's id by its present name in make up

The operators' client prints a new key's public name as key_id; up.configure read key and failed with a KeyError, and with it make up and make demo.

--- a/devtools/up.py
+++ b/devtools/up.py
@@ -42,7 +42,7 @@
         )
         given = running.operate("key", "give", name)
         keys.append(
-            {"name": name, "key": given["secret"], "key_id": given["key"]}
+            {"name": name, "key": given["secret"], "key_id": given["key_id"]}
         )
     return keys
 
