--- a/tests/integration/system.py
+++ b/tests/integration/system.py
@@ -35,6 +35,9 @@
         self.first_byte = threading.Event()
         self.ended = threading.Event()
 
+    def __repr__(self) -> str:
+        return f"<{self.status} {self.body[-300:]!r} broken={self.broken}>"
+
     @property
     def json(self) -> Any:
         return json.loads(self.body) if self.body else None
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -8,6 +8,48 @@
 from tests.integration import system as systems
 
 
+def test_log_outage_refuses_only_what_needs_the_log(
+    system: systems.System,
+) -> None:
+    """Guards against an outage of the log that stops online requests.
+
+    What needs the log must be refused as not run, and work again afterwards.
+    """
+    entry = system.entries[0]
+    file_id = system.upload(entry, system.key, system.items("night", 3, 4))
+    ids = iter(range(1_000_000))
+
+    def keyed(key: str) -> systems.Answer:
+        headers = {"idempotency-key": key}
+        return system.call(
+            entry, "POST", "/orders", system.key, {"n": next(ids)}, headers
+        )
+
+    def served() -> bool:
+        answers = [
+            system.chat(e, system.key, f"outage {next(ids)}")
+            for e in system.entries
+        ]
+        assert [a.status for a in answers] == [200] * 3, answers
+        return True
+
+    with system.log_down():
+        systems.stays(served, systems.FRESHNESS_S + 2)
+        answer = system.create_job(entry, system.key, file_id)
+        assert answer.status == 503, answer.body
+        assert answer.error["ran"] == "not_run"
+        answer = keyed("during-outage")
+        assert answer.status == 503, answer.body
+        assert answer.error["ran"] == "not_run"
+        executions = system.stats(system.running.plain)["executions"]
+        assert "during-outage" not in executions
+    systems.wait_for(
+        lambda: system.create_job(entry, system.key, file_id).status == 200
+    )
+    systems.wait_for(lambda: keyed("after-outage").status == 200)
+    assert served()
+
+
 def test_withdrawn_key_stops_everywhere(system: systems.System) -> None:
     """Guards against a key that lives on in streams, connections or caches.
 
@@ -53,44 +95,14 @@
     return systems.send(conn, "GET", "/v1/models", key).status
 
 
-def test_log_outage_refuses_only_what_needs_the_log(
-    system: systems.System,
-) -> None:
-    """Guards against an outage of the log that stops online requests.
-
-    What needs the log must be refused as not run, and work again afterwards.
-    """
-    entry = system.entries[0]
-    file_id = system.upload(entry, system.key, system.items("night", 3, 4))
-    ids = iter(range(1_000_000))
-
-    def keyed(key: str) -> systems.Answer:
-        headers = {"idempotency-key": key}
-        return system.call(
-            entry, "POST", "/orders", system.key, {"n": next(ids)}, headers
-        )
-
-    def served() -> bool:
-        return all(
-            system.chat(e, system.key, f"outage {next(ids)}").status == 200
-            for e in system.entries
-        )
-
-    with system.log_down():
-        systems.stays(served, systems.FRESHNESS_S + 2)
-        answer = system.create_job(entry, system.key, file_id)
-        assert answer.status == 503, answer.body
-        assert answer.error["ran"] == "not_run"
-        answer = keyed("during-outage")
-        assert answer.status == 503, answer.body
-        assert answer.error["ran"] == "not_run"
-        executions = system.stats(system.running.plain)["executions"]
-        assert "during-outage" not in executions
-    systems.wait_for(
-        lambda: system.create_job(entry, system.key, file_id).status == 200
-    )
-    systems.wait_for(lambda: keyed("after-outage").status == 200)
-    assert served()
+def _wait_all(system: systems.System, key: str, status: int) -> None:
+    """Waits until each entry answers a key with a status."""
+    for entry in system.entries:
+        with contextlib.closing(systems.connect(entry)) as conn:
+            systems.wait_for(
+                lambda c=conn: _status(c, key) == status, within_s=5
+            )
+            assert entry.running
 
 
 def test_isolated_entry_refuses(system: systems.System) -> None:
@@ -117,15 +129,11 @@
     """
     kept = system.customer("keeper", 100, 200)["secret"]
     withdrawn = system.customer("leaver", 100, 200)
-    system.wait_until_served(kept)
-    system.wait_until_served(withdrawn["secret"])
-    system.operate("key", "withdraw", withdrawn["key_id"])
     secret = withdrawn["secret"]
-    for entry in system.entries:
-        systems.wait_for(
-            lambda e=entry: system.chat(e, secret, "in force?").status == 401,
-            within_s=5,
-        )
+    _wait_all(system, secret, 200)
+    system.operate("key", "withdraw", withdrawn["key_id"])
+    _wait_all(system, secret, 401)
+    _wait_all(system, kept, 200)
     running = system.running
     counts = len(running.entries), len(running.workers)
     for node in (*running.entries, *running.workers):
