--- a/tests/integration/system.py
+++ b/tests/integration/system.py
@@ -18,6 +18,7 @@
 # A view that is older may not be used for keys, leases and limits.
 FRESHNESS_S = 3.0
 _POLL_S = 0.02
+_EXIT_EVICTED = 75
 _CHAT = "/v1/chat/completions"
 
 
@@ -107,6 +108,23 @@
         )
         return self.operate("key", "give", name)
 
+    def restart_evicted(self) -> None:
+        """Plays the supervisor: restarts nodes that ended as evicted.
+
+        The others declare a node as left that was paused for too long.
+        """
+        for nodes, role in (
+            (self.entries, "entry"),
+            (self.running.workers, "worker"),
+        ):
+            for index, node in enumerate(nodes):
+                wait_for(lambda n=node: not n.running or _ready(n))
+                if node.running:
+                    continue
+                assert node.wait() == _EXIT_EVICTED, node.name
+                nodes[index] = self.running.spawn(role, index)
+                nodes[index].wait_ready()
+
     def wait_until_served(self, key: str) -> None:
         """Waits until every entry serves a key."""
         for entry in self.entries:
@@ -251,6 +269,14 @@
             self.fault(self.running.log, down=False)
 
 
+def _ready(node: deployment.Process) -> bool:
+    url = f"http://{node.info['admin']}/readyz"
+    try:
+        return deployment.request_json("GET", url)["ready"]
+    except OSError:
+        return False
+
+
 def connect(entry: deployment.Process) -> http.client.HTTPConnection:
     """Returns a connection to an entry."""
     host, port = entry.info["address"].rsplit(":", 1)
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -107,6 +107,7 @@
 
 def test_isolated_entry_refuses(system: systems.System) -> None:
     """Guards against an entry that serves without the log and its peers."""
+    system.restart_evicted()
     alone, *others = system.entries
     running = system.running
     cut = [*others, *running.workers, running.log, running.hostlist]
@@ -127,6 +128,7 @@
 
     All entries and workers are killed at once; the log alone remains.
     """
+    system.restart_evicted()
     kept = system.customer("keeper", 100, 200)["secret"]
     withdrawn = system.customer("leaver", 100, 200)
     secret = withdrawn["secret"]
