--- a/tests/integration/test_engines.py
+++ b/tests/integration/test_engines.py
@@ -8,40 +8,6 @@
 SHAPE = deployment.Shape(replicas=4, workers=1)
 
 
-def test_killed_engine_shortens_no_answer(system: systems.System) -> None:
-    """Guards against a cut answer that looks whole when an engine dies."""
-    prompts = [systems.long_prompt(f"stream {i}") for i in range(12)]
-    answers = [
-        system.start_stream(system.entries[i % 3], system.key, prompt, 100)
-        for i, prompt in enumerate(prompts)
-    ]
-    victim = systems.wait_for(
-        lambda: next(
-            (
-                engine
-                for engine in system.running.engines
-                if any(
-                    run["outcome"] == "running"
-                    for run in system.stats(engine)["runs"]
-                )
-            ),
-            None,
-        )
-    )
-    victim.signal(signal.SIGKILL)
-    victim.wait()
-    for prompt, answer in zip(prompts, answers, strict=True):
-        assert answer.ended.wait(systems.WAIT_S)
-        expected = systems.expected_text(prompt, 100)
-        if answer.done:
-            assert answer.text == expected
-            assert not answer.error
-        else:
-            assert answer.error or answer.broken, answer
-            assert expected.startswith(answer.text)
-    system.running.restart_engine(system.running.engines.index(victim))
-
-
 def test_leaving_engine_gets_no_new_work(system: systems.System) -> None:
     """Guards against work sent to an engine that only its report shows leaving.
 
@@ -94,6 +60,53 @@
     assert not [run for run in runs if key in str(run)]
 
 
+def test_killed_engine_shortens_no_answer(system: systems.System) -> None:
+    """Guards against a cut answer that looks whole when an engine dies."""
+    prompts = [systems.long_prompt(f"stream {i}") for i in range(12)]
+    answers = [
+        system.start_stream(system.entries[i % 3], system.key, prompt, 100)
+        for i, prompt in enumerate(prompts)
+    ]
+    victim = systems.wait_for(
+        lambda: next(
+            (
+                engine
+                for engine in system.running.engines
+                if any(
+                    run["outcome"] == "running"
+                    for run in system.stats(engine)["runs"]
+                )
+            ),
+            None,
+        )
+    )
+    victim.signal(signal.SIGKILL)
+    victim.wait()
+    for prompt, answer in zip(prompts, answers, strict=True):
+        assert answer.ended.wait(systems.WAIT_S)
+        expected = systems.expected_text(prompt, 100)
+        if answer.done:
+            assert answer.text == expected
+            assert not answer.error
+        else:
+            assert answer.error or answer.broken, answer
+            assert expected.startswith(answer.text)
+    system.running.restart_engine(system.running.engines.index(victim))
+    # The host list lags; entries learn the new address within seconds.
+    _wait_served_repeatedly(system)
+
+
+def _wait_served_repeatedly(system: systems.System) -> None:
+    """Waits until each entry serves many requests one after the other."""
+    for entry in system.entries:
+        systems.wait_for(
+            lambda e=entry: all(
+                system.chat(e, system.key, f"settled {n}").status == 200
+                for n in range(20)
+            )
+        )
+
+
 def test_crash_request_takes_two_replicas(system: systems.System) -> None:
     """Guards against a request that crashes engine after engine."""
     other = system.customer("bystander", 100, 200)["secret"]
