--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -228,8 +228,16 @@
         ),
         messages.ReplicaWord("replica-01234", 12, 30, 2, False, 1_234_567),
         messages.Borrow(
-            *("entry-host-00123-0a1b2c3d", "customer-01234", 0),
-            *(1.0, 3.5, 2.0, 4.0, 1.5, 1_234_567, 987_654),
+            node_id="entry-host-00123-0a1b2c3d",
+            customer="customer-01234",
+            part=0,
+            want=1.0,
+            demand=3.5,
+            rate=2.0,
+            depth=4.0,
+            level=1.5,
+            serial=1_234_567,
+            epoch=987_654,
         ),
         messages.Lent(987_654, 2.0, 4.0, 1.5, 15_000.0, 0.0),
     ]
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -67,7 +67,11 @@
         else:
             nursery.start_soon(self._answer, envelope)
 
-    async def _answer(self, envelope: wire.Envelope) -> None:
+    async def _answer(
+        self, envelope: wire.Envelope | wire.UnknownEnvelope
+    ) -> None:
+        if isinstance(envelope, wire.UnknownEnvelope):
+            return
         answer = await _handle(envelope.body)
         self._post(wire.Kind.ANSWER, envelope.call_id, answer)
 
--- a/lacewingwood/roles/node.py
+++ b/lacewingwood/roles/node.py
@@ -65,6 +65,7 @@
             cfg.region,
             self.metrics,
         )
+        self.follower.prober.seeds = list(cfg.seeds)
         self.leases = lease_manager.LeaseManager(self.follower)
         self.watcher = hosts.HostWatcher(
             hostlist_client.HostListClient(cfg.hostlist_url),
--- a/lacewingwood/settings.py
+++ b/lacewingwood/settings.py
@@ -35,6 +35,12 @@
         raise ValueError("Must end in a port from 0 to 65535.")
 
 
+def _check_addresses(type_: object, values: list[str]) -> None:
+    """Accepts a list of `IP:PORT`."""
+    for value in values:
+        _check_address(type_, value)
+
+
 def _check_name(type_: object, value: str) -> None:
     """Accepts non-empty names without white space, slashes or commas."""
     if not value or any(c.isspace() or c in "/," for c in value):
@@ -88,6 +94,14 @@
         str,
         _setting("Listener for health, metrics and dumps.", _check_address),
     ] = "127.0.0.1:0"
+    seeds: Annotated[
+        list[str],
+        _setting(
+            "Peer listeners of other processes, IP:PORT each, asked for the"
+            " configuration when the log is down at the start.",
+            _check_addresses,
+        ),
+    ] = dataclasses.field(default_factory=list)
     drain_ms: Annotated[
         int,
         _duration("Time new requests are still served after SIGTERM, in ms."),
