Take nothing from the retry budget for replicas that are dead

Cause: each refused connection took from the budget of 10% of recent requests, so after the loss of two of four replicas other customers' requests were answered 503 although two engines were idle (4 of 65 at 5 requests/s). Change: attempts that made no connection are bounded by themselves and cost no budget; the stand-in engine says leaving as a code. The test of the retry count uses a broken answer instead of a refused connection, which has a bound of its own now.

--- a/lacewingwood/routing/retries.py
+++ b/lacewingwood/routing/retries.py
@@ -6,6 +6,10 @@
 from lacewingwood.routing import outcomes
 
 _MAX_RETRIES = 2
+# Attempts that made no connection cost no upstream anything, so they take
+# nothing from the budget; a request may meet several dead replicas before
+# they are all ejected.
+_MAX_UNREACHABLE = 6
 # Retries as a share of recent requests; more would multiply an overload.
 _BUDGET_SHARE = 0.1
 # Lets an entry with little traffic retry at all.
@@ -74,13 +78,15 @@
     Attributes:
         idempotent: Whether it may run more than once.
         deadline_ms: When its caller no longer waits.
-        retries: Attempts made after the first.
+        retries: Attempts made after one that reached an upstream.
+        unreachable: Attempts that made no connection.
         ran: Whether any attempt can have had an effect.
     """
 
     idempotent: bool
     deadline_ms: float
     retries: int = 0
+    unreachable: int = 0
     ran: errors.Ran = errors.Ran.NOT_RUN
 
     def after(
@@ -92,6 +98,10 @@
         """
         if _may_have_run(outcome):
             self.ran = errors.Ran.MAY_HAVE_RUN
+        if now_ms + _MIN_LEFT_MS > self.deadline_ms:
+            return GiveUp("deadline")
+        if isinstance(outcome, outcomes.Unreachable):
+            return self._after_unreachable()
         reason = self._obstacle(outcome) or self._limit(budget, now_ms)
         if reason:
             return GiveUp(reason)
@@ -99,13 +109,19 @@
         budget.take(now_ms)
         return Retry()
 
+    def _after_unreachable(self) -> Decision:
+        self.unreachable += 1
+        if self.unreachable > _MAX_UNREACHABLE:
+            return GiveUp("unreachable")
+        return Retry()
+
     def _obstacle(self, outcome: outcomes.Outcome) -> str:
         match outcome:
             case outcomes.Completed() | outcomes.Cancelled():
                 return "ended"
             case outcomes.Rejected():
                 return "rejected"
-            case outcomes.Refused() | outcomes.Unreachable():
+            case outcomes.Refused():
                 return ""
             case _:
                 harmless = self.idempotent or not _may_have_run(outcome)
@@ -114,8 +130,6 @@
     def _limit(self, budget: Budget, now_ms: float) -> str:
         if self.retries >= _MAX_RETRIES:
             return "retries"
-        if now_ms + _MIN_LEFT_MS > self.deadline_ms:
-            return "deadline"
         return "" if budget.allows(now_ms) else "budget"
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -334,7 +334,8 @@
 async def _answer_error(
     request: server.Request, status: int, message: str
 ) -> None:
-    error = {"message": message, "type": "engine_error", "code": status}
+    code = message if message == "leaving" else status
+    error = {"message": message, "type": "engine_error", "code": code}
     await request.answer_json(status, {"error": error})
 
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -58,11 +58,25 @@
     assert outcomes.of_error(exc) == outcomes.Refused(leaving=True)
 
 
+def test_dead_replicas_take_nothing_from_the_budget() -> None:
+    """Guards against refusals because other requests met dead replicas."""
+    budget = retries.Budget()
+    failed = outcomes.Unreachable()
+    for _ in range(20):
+        attempts = retries.Attempts(False, deadline_ms=10_000)
+        decisions = [attempts.after(failed, budget, 0) for _ in range(7)]
+        assert decisions == [retries.Retry()] * 6 + [
+            retries.GiveUp("unreachable")
+        ]
+        assert attempts.ran is errors.Ran.NOT_RUN
+    assert budget.allows(0)
+
+
 def test_retries_stop_at_count_and_deadline() -> None:
     """Guards against retries that outlive their caller."""
     budget = retries.Budget()
     attempts = retries.Attempts(True, deadline_ms=1000)
-    failed = outcomes.Unreachable()
+    failed = outcomes.of_error(upstream_errors.BrokenError("x"))
     assert attempts.after(failed, budget, 0) == retries.Retry()
     late = attempts.after(failed, budget, 990)
     assert late == retries.GiveUp("deadline")
