--- a/lacewingwood/limits/lender.py
+++ b/lacewingwood/limits/lender.py
@@ -23,15 +23,18 @@
 
 # Covers the difference between two hosts' clock rates over a piece's life.
 _DRIFT = 1.001
-# A refilling piece holds what arrives in this time; entries with less than one
-# request in it borrow for each request.
-_STANDING_MS = 250.0
+# A refilling piece holds what arrives in this time. With less than two
+# requests in it, it would often be full and lose its refill; such entries
+# borrow for each request instead.
+_STANDING_MS = 500.0
+_LEAST_DEPTH = 2.0
+_KEEP_DEPTH = 1.0
 # Most of the depth that refilling pieces may hold, so that the rest remains
 # for requests that land on other entries.
 _STANDING_SHARE = 0.5
 # Part of an entry's demand that its piece refills; a piece that refills faster
 # than it is used would be full and waste the rate.
-_REFILL_SHARE = 0.8
+_REFILL_SHARE = 0.5
 _FORGET_MS = 2 * TTL_MS
 # An owner learns of a changed limit within the 3 s in which it is fresh.
 _RAISE_MS = 3_000 + TTL_MS * _DRIFT
@@ -91,6 +94,13 @@
             depth = max(depth, offer.share.depth)
         return rate, depth
 
+    def left_ms(self, now_ms: float) -> float:
+        """Returns the time until nothing is lent any more."""
+        ends = [self.held.end_ms]
+        if self.offer is not None:
+            ends += [self.offer.share.end_ms, self.offer.applied_by_ms]
+        return max(0.0, max(ends) - now_ms)
+
     def kept(self, now_ms: float) -> tuple[float, float]:
         """Returns what it will have once a lowered limit is in effect."""
         rate, depth = self.lent(now_ms)
@@ -210,6 +220,46 @@
         self._rebalance(now_ms)
         self._bucket.put(now_ms, left)
 
+    def hand_over(self, now_ms: float) -> messages.HandedPart | None:
+        """Returns what a new owner must know; nothing may be lent after it.
+
+        None if a change of the limit is still on its way to the other part's
+        owner, which only time can settle.
+        """
+        self._advance(now_ms)
+        if self._raise_ms != float("inf"):
+            return None
+        pieces = [
+            messages.HandedPiece(node_id, *b.lent(now_ms), b.left_ms(now_ms))
+            for node_id, b in self._borrowers.items()
+            if b.lent(now_ms) != (0, 0)
+        ]
+        return messages.HandedPart("", self._bucket.level(now_ms), pieces)
+
+    def take_over(
+        self, part: messages.HandedPart, lend_from_ms: float, now_ms: float
+    ) -> None:
+        """Takes over from the owner before, which lends no more.
+
+        Entries that have asked here already told what they hold themselves.
+        """
+        self._advance(now_ms)
+        if now_ms >= self._lend_from_ms:
+            return
+        for piece in part.pieces:
+            if piece.node_id in self._borrowers:
+                continue
+            borrower = self._borrower(piece.node_id)
+            borrower.seen_ms = now_ms
+            borrower.held = _Share(
+                piece.rate, piece.depth, now_ms + piece.left_ms * _DRIFT
+            )
+            heapq.heappush(self._changes, borrower.held.end_ms)
+        self._lend_from_ms = min(self._lend_from_ms, lend_from_ms)
+        heapq.heappush(self._changes, self._lend_from_ms)
+        self._advance(now_ms)
+        self._bucket.put(now_ms, part.level)
+
     def _shrink_quotas(self, now_ms: float) -> None:
         """Scales what entries may keep so that it fits into the limit."""
         borrowers = list(self._borrowers.values())
@@ -266,8 +316,10 @@
         if applied >= asked:
             borrower.held = offer.share
             return
-        self._rebalance(now_ms)
-        self._bucket.put(now_ms, offer.added)
+        # Later the offer no longer counted as lent and was refilled here.
+        if now_ms < min(offer.applied_by_ms, offer.share.end_ms):
+            self._rebalance(now_ms)
+            self._bucket.put(now_ms, offer.added)
 
     def _adopt(self, borrower: _Borrower, msg: messages.Borrow) -> None:
         """Takes over a piece that an earlier owner lent."""
@@ -361,7 +413,9 @@
             used * _STANDING_MS / 1000,
             self._limit.burst * share * _STANDING_SHARE,
         )
-        if depth < 1:
+        # An entry keeps its piece until its demand has clearly fallen: what is
+        # left in a piece that ends is lost.
+        if depth < (_LEAST_DEPTH if held.rate <= 0 else _KEEP_DEPTH):
             return 0.0, 0.0
         return used * _REFILL_SHARE, depth
 
--- a/lacewingwood/state/lease_manager.py
+++ b/lacewingwood/state/lease_manager.py
@@ -14,6 +14,8 @@
 
 _RETRY_MS = 500.0
 
+Choose = Callable[[str, Iterable[records.Member], str], records.Member | None]
+
 # Names come and go with the host list, which changes without the view.
 _CHECK_MS = 1000.0
 
@@ -86,33 +88,50 @@
             self._let_go[name] = lease.epoch
             await self._publish_release(lease)
 
-    async def stop(self) -> None:
+    async def stop(self) -> dict[str, int]:
         """Ends the use of all leases before this process leaves.
 
         Leaving frees the leases whose claims were effective at once; the
         others are released here, as only this process knows that their wait
         is over.
 
+        Returns:
+            Offsets of the releases made here, by name of the lease.
+
         Raises:
             errors.UnavailableError: The log is down.
         """
         self._stopped = True
+        released: dict[str, int] = {}
         for lease in self._all_mine():
             if lease.waits_on:
-                await self._publish_release(lease)
-
-    async def keep(self, names: Callable[[], Iterable[str]], role: str) -> None:
+                offset = await self._publish_release(lease)
+                if offset is not None:
+                    released[lease.name] = offset
+        return released
+
+    def names(self) -> list[str]:
+        """Returns the names of all leases that this process has claimed."""
+        return [lease.name for lease in self._all_mine()]
+
+    async def keep(
+        self,
+        names: Callable[[], Iterable[str]],
+        role: str,
+        choose: Choose = placement.preferred,
+    ) -> None:
         """Claims free leases that placement gives to this process.
 
         Args:
             names: Returns the names of the leases that should be held.
             role: Role of the processes that share them.
+            choose: Returns which of them should hold a lease.
         """
         while True:
             change = self._follower.change()
             try:
                 for name in list(names()):
-                    if self._should_claim(name, role):
+                    if self._should_claim(name, role, choose):
                         await self._claim_if_free(name)
                 await self._follower.wait_for(change, _CHECK_MS)
             except errors.StateError as exc:
@@ -154,14 +173,14 @@
         all_leases = self._follower.view.leases.values()
         return [lease for lease in all_leases if lease.holder == node_id]
 
-    def _should_claim(self, name: str, role: str) -> bool:
+    def _should_claim(self, name: str, role: str, choose: Choose) -> bool:
         """Returns whether a lease is free and this process's to claim."""
         if self._stopped or not self._follower.fresh():
             return False
         if self.holder(name) is not None:
             return False
         members = self._follower.view.members.values()
-        chosen = placement.preferred(name, members, role)
+        chosen = choose(name, members, role)
         return chosen is not None and chosen.node_id == self._follower.node_id
 
     async def _claim_if_free(self, name: str) -> None:
@@ -170,16 +189,18 @@
         except errors.ConflictError:
             self._follower.metrics.add("lease_conflicts")
 
-    async def _publish_release(self, lease: entities.Lease) -> None:
+    async def _publish_release(self, lease: entities.Lease) -> int | None:
+        """Returns the offset of the release, None if it has no effect."""
         now_ms = self._follower.clock.now_ms()
         effective = now_ms >= self._claims.effective_ms(lease)
         release = records.LeaseReleased(
             lease.name, self._follower.node_id, effective
         )
         try:
-            await self._follower.publish(release, based_on=lease.epoch)
+            return await self._follower.publish(release, based_on=lease.epoch)
         except errors.ConflictError:
             self._follower.metrics.add("lease_conflicts")
+            return None
 
     async def _repeat_releases(self) -> None:
         while True:
