Record time to first token; keep an entry's variables out of the client

Cause: the client's commands read every option from the environment, so on an entry's host LACEWINGWOOD_HOST limited a published route to that Host header. Change: only the log's address comes from there; dump refuses an answer that is not a dump; a listener for peers must have an address that others can reach.

--- a/lacewingwood/callers/calls.py
+++ b/lacewingwood/callers/calls.py
@@ -51,6 +51,7 @@
         blocks: Hashes of the prompt's blocks.
         prompt_tokens: Estimate of the prompt's length.
         max_tokens: Most tokens of the answer, or a guess.
+        received_ms: When its body had come, on the process's clock.
         deadline_ms: When the caller no longer waits, on the process's clock.
         fingerprint: Customer and digest of the body.
     """
@@ -67,6 +68,7 @@
     blocks: tuple[int, ...]
     prompt_tokens: int
     max_tokens: int
+    received_ms: float
     deadline_ms: float
     fingerprint: str
 
@@ -116,6 +118,7 @@
         blocks=prefix.block_hashes(fields.model, prompt),
         prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
         max_tokens=max(1, wanted or _DEFAULT_MAX_TOKENS) * max(1, count),
+        received_ms=deps.clock.now_ms(),
         deadline_ms=deadline_ms(req, deps),
         fingerprint=f"{caller.customer}:{digest}",
     )
--- a/lacewingwood/callers/inference.py
+++ b/lacewingwood/callers/inference.py
@@ -140,6 +140,7 @@
                     first = False
                     self._note_first_token(started)
                     if not req.started:
+                        self._record_first_token(call)
                         await req.start_events()
                 data = progress.adapt(chunk) if progress.resumed else chunk
                 keep(data)
@@ -148,6 +149,10 @@
     def _note_first_token(self, started: routers.Started) -> None:
         self._deps.router.first_token(started, self._deps.clock.now_ms())
 
+    def _record_first_token(self, call: calls.Call) -> None:
+        spent_ms = self._deps.clock.now_ms() - call.received_ms
+        self._deps.metrics.histogram("callers_first_token").record_ms(spent_ms)
+
     def _retry_or_raise(
         self, attempts: retries.Attempts, exc: upstream_errors.UpstreamError
     ) -> None:
--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -16,8 +16,12 @@
     name="lacewingwood",
     help="Serves online and batch inference on one fleet.",
     version=lacewingwood.__version__,
-    config=cyclopts.config.Env(settings.ENV_PREFIX, command=False),
 )
+
+# Roles take every setting from the environment, too. The client's commands
+# take only the log's address from there: on a host whose environment is that
+# of an entry, a variable meant for it must not change what is published.
+_ROLE_CONFIG = cyclopts.config.Env(settings.ENV_PREFIX, command=False)
 for _group in (
     operator.customer_app,
     operator.key_app,
@@ -30,7 +34,7 @@
 app.command(operator.dump)
 
 
-@app.command
+@app.command(config=_ROLE_CONFIG)
 def entry(cfg: settings.EntrySettings) -> None:
     """Runs an entry process: takes callers' requests."""
     from lacewingwood.roles import entry as role  # noqa: PLC0415
@@ -38,7 +42,7 @@
     role.run(cfg)
 
 
-@app.command
+@app.command(config=_ROLE_CONFIG)
 def worker(cfg: settings.WorkerSettings) -> None:
     """Runs a worker process: batch jobs and upkeep of shared state."""
     from lacewingwood.roles import worker as role  # noqa: PLC0415
--- a/lacewingwood/cli/operator.py
+++ b/lacewingwood/cli/operator.py
@@ -254,7 +254,7 @@
     try:
         return file.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
-        raise errors.NotFoundError(f"cannot read {file}: {exc}") from exc
+        raise errors.UnreadableError(f"cannot read {file}: {exc}") from exc
 
 
 @config_app.command(name="check")
@@ -308,4 +308,8 @@
         raise errors.UnavailableError(f"no answer at {admin}: {exc}") from exc
     except (httpcore.ProtocolError, httpcore.UnsupportedProtocol) as exc:
         raise errors.UnavailableError(f"bad answer at {admin}: {exc}") from exc
+    if response.status != 200:
+        raise errors.UnavailableError(
+            f"{admin} answered {response.status}; is it an admin listener?"
+        )
     sys.stdout.write(response.content.decode())
--- a/lacewingwood/operators/errors.py
+++ b/lacewingwood/operators/errors.py
@@ -21,10 +21,10 @@
     code = "conflict"
 
 
-class NotFoundError(OperatorError):
-    """What a command names does not exist."""
+class UnreadableError(OperatorError):
+    """A file that a command names cannot be read."""
 
-    code = "not_found"
+    code = "unreadable"
 
 
 class UnavailableError(OperatorError):
--- a/lacewingwood/roles/entry.py
+++ b/lacewingwood/roles/entry.py
@@ -75,6 +75,7 @@
         """Serves callers until a planned shutdown has ended."""
         cfg, node = self._cfg, self._node
         app = app_lib.make_app(self._make_dependencies())
+        node.metrics.gauge("callers_running", lambda: len(app.running))
         async with node.running() as nursery:
             nursery.start_soon(self._limiter.run)
             await self._start_owning(nursery)
--- a/lacewingwood/settings.py
+++ b/lacewingwood/settings.py
@@ -35,6 +35,14 @@
         raise ValueError("Must end in a port from 0 to 65535.")
 
 
+def _check_reachable(type_: object, value: str) -> None:
+    """Accepts `IP:PORT` of an address that other processes can connect to."""
+    _check_address(type_, value)
+    host, _ = split_address(value)
+    if ipaddress.ip_address(host).is_unspecified:
+        raise ValueError("Must be an address that other hosts can reach.")
+
+
 def _check_addresses(type_: object, values: list[str]) -> None:
     """Accepts a list of `IP:PORT`."""
     for value in values:
@@ -70,7 +78,12 @@
     """Where the platform's log is."""
 
     log_url: Annotated[
-        str, _setting("Log service, http://HOST:PORT.", _check_url)
+        str,
+        cyclopts.Parameter(
+            help="Log service, http://HOST:PORT.",
+            validator=_check_url,
+            env_var=f"{ENV_PREFIX}LOG_URL",
+        ),
     ]
 
 
@@ -88,7 +101,8 @@
     zone: Annotated[str, _setting("Availability zone.", _check_name)]
     region: Annotated[str, _setting("Region.", _check_name)]
     peer_bind: Annotated[
-        str, _setting("Listener for other processes, IP:PORT.", _check_address)
+        str,
+        _setting("Listener for other processes, IP:PORT.", _check_reachable),
     ] = "127.0.0.1:0"
     admin_bind: Annotated[
         str,
