Let parts of a file's copy expire one by one in the test

Cause: in the test all records of a copy expired at the same time, so that a reader which stops at the seal of a cut copy passed.

Change: each append of the fake log can take time.

Conclusion: the test now fails for such a reader and passes for this one.

--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -82,6 +82,7 @@
     def __init__(self, retention_ms: int) -> None:
         super().__init__()
         self.retention_ms = retention_ms
+        self.append_s = 0.0
         self.times: dict[str, list[int]] = {}
 
     def expire(self) -> None:
@@ -90,6 +91,7 @@
             self.first[stream] = bisect.bisect_left(times, oldest_ms)
 
     async def append(self, stream: str, data: bytes) -> int:
+        await trio.sleep(self.append_s)
         try:
             return await super().append(stream, data)
         finally:
