--- a/devtools/binary.py
+++ b/devtools/binary.py
@@ -7,22 +7,27 @@
 OUTPUT = pathlib.Path("dist/lacewingwood")
 
 
-def main() -> int:
-    """Builds `dist/lacewingwood` from the pinned requirements."""
-    OUTPUT.parent.mkdir(exist_ok=True)
+def build(source: pathlib.Path, output: pathlib.Path) -> int:
+    """Builds `output` from `source`; returns the builder's exit code."""
+    output.parent.mkdir(exist_ok=True)
     command = [
         *(sys.executable, "-m", "shiv"),
         *("--console-script", "lacewingwood"),
-        *("--output-file", str(OUTPUT)),
+        *("--output-file", str(output)),
         *("--python", "/usr/bin/env python3.11"),
         "--reproducible",
-        *("--constraint", "requirements.lock"),
-        ".",
+        *("--constraint", str(source / "requirements.lock")),
+        str(source),
     ]
-    done = subprocess.run(command, check=False)
-    if done.returncode == 0:
+    return subprocess.run(command, check=False).returncode
+
+
+def main() -> int:
+    """Builds `dist/lacewingwood` from the pinned requirements."""
+    code = build(pathlib.Path(), OUTPUT)
+    if code == 0:
         print(f"{OUTPUT}: {OUTPUT.stat().st_size / 2**20:.1f} MiB")
-    return done.returncode
+    return code
 
 
 if __name__ == "__main__":
--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -176,6 +176,11 @@
         """URL of the log service."""
         return f"http://{self.log.info['address']}"
 
+    @property
+    def hostlist_url(self) -> str:
+        """URL of the host list."""
+        return f"http://{self.hostlist.info['address']}"
+
     @property
     def base_urls(self) -> list[str]:
         """URLs of the callers' interface, one each entry."""
--- a/lacewingwood/limits/lender.py
+++ b/lacewingwood/limits/lender.py
@@ -11,10 +11,10 @@
   on its way count.
 """
 
-import dataclasses
 import heapq
 
 from lacewingwood.limits import bucket
+from lacewingwood.limits import loans
 from lacewingwood.limits import split
 from lacewingwood.peers import messages
 
@@ -41,72 +41,6 @@
 _NEVER_MS = 1_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Share:
-    """Rate and depth of a piece until `end_ms`."""
-
-    rate: float = 0.0
-    depth: float = 0.0
-    end_ms: float = float("-inf")
-
-
-@dataclasses.dataclass(slots=True)
-class _Offer:
-    """An answer that the entry may have applied or may yet apply."""
-
-    share: _Share
-    added: float
-    applied_by_ms: float
-    answer: messages.Lent
-
-
-@dataclasses.dataclass(slots=True)
-class _Borrower:
-    """What the owner knows of one entry.
-
-    Attributes:
-        held: Piece that the entry has or had before it applied `offer`.
-        offer: The last answer, until a later message tells if it was applied.
-        quota: Rate and depth that the entry may keep after the customer's
-            limit was lowered; at other times no less than what it has.
-        serial: Serial of its last message.
-        demand: Its arrivals a second.
-        seen_ms: Time of its last message.
-    """
-
-    held: _Share
-    quota: _Share
-    serial: int = 0
-    offer: _Offer | None = None
-    demand: float = 0.0
-    seen_ms: float = 0.0
-
-    def lent(self, now_ms: float) -> tuple[float, float]:
-        """Returns the most rate and depth that the entry can have."""
-        live = self.held.end_ms > now_ms
-        rate = self.held.rate if live else 0.0
-        depth = self.held.depth if live else 0.0
-        offer = self.offer
-        if offer is not None and offer.share.end_ms > now_ms:
-            if now_ms < offer.applied_by_ms:
-                depth += offer.added
-            rate = max(rate, offer.share.rate)
-            depth = max(depth, offer.share.depth)
-        return rate, depth
-
-    def left_ms(self, now_ms: float) -> float:
-        """Returns the time until nothing is lent any more."""
-        ends = [self.held.end_ms]
-        if self.offer is not None:
-            ends += [self.offer.share.end_ms, self.offer.applied_by_ms]
-        return max(0.0, max(ends) - now_ms)
-
-    def kept(self, now_ms: float) -> tuple[float, float]:
-        """Returns what it will have once a lowered limit is in effect."""
-        rate, depth = self.lent(now_ms)
-        return min(rate, self.quota.rate), min(depth, self.quota.depth)
-
-
 class Lender:
     """One part of one customer's bucket under one lease.
 
@@ -139,7 +73,7 @@
         self._limit = limit = split.parts(whole)[index]
         self._raise_ms = float("inf")
         self._lend_from_ms = lend_from_ms
-        self._borrowers: dict[str, _Borrower] = {}
+        self._borrowers: dict[str, loans.Borrower] = {}
         self._changes: list[float] = []
         level = float(limit.burst) if full else 0.0
         start_ms = min(now_ms, lend_from_ms) if full else lend_from_ms
@@ -215,7 +149,7 @@
         left = 0.0
         if msg.epoch == self.epoch and held.end_ms > now_ms:
             left = min(max(0.0, msg.level), held.depth)
-        borrower.held = _Share()
+        borrower.held = loans.Share()
         borrower.demand = 0.0
         self._rebalance(now_ms)
         self._bucket.put(now_ms, left)
@@ -251,7 +185,7 @@
                 continue
             borrower = self._borrower(piece.node_id)
             borrower.seen_ms = now_ms
-            borrower.held = _Share(
+            borrower.held = loans.Share(
                 piece.rate, piece.depth, now_ms + piece.left_ms * _DRIFT
             )
             heapq.heappush(self._changes, borrower.held.end_ms)
@@ -269,16 +203,16 @@
         for borrower, (own_rate, own_depth) in zip(
             borrowers, kept, strict=True
         ):
-            borrower.quota = _Share(
+            borrower.quota = loans.Share(
                 own_rate * _fraction(self._limit.rate, rate),
                 own_depth * _fraction(self._limit.burst, depth),
             )
 
-    def _borrower(self, node_id: str) -> _Borrower:
+    def _borrower(self, node_id: str) -> loans.Borrower:
         borrower = self._borrowers.get(node_id)
         if borrower is None:
-            unlimited = _Share(float("inf"), float("inf"))
-            borrower = _Borrower(held=_Share(), quota=unlimited)
+            unlimited = loans.Share(float("inf"), float("inf"))
+            borrower = loans.Borrower(held=loans.Share(), quota=unlimited)
             self._borrowers[node_id] = borrower
         return borrower
 
@@ -304,7 +238,7 @@
         )
 
     def _settle(
-        self, borrower: _Borrower, serial: int, applied: int, now_ms: float
+        self, borrower: loans.Borrower, serial: int, applied: int, now_ms: float
     ) -> None:
         """Learns from a new message whether the last answer was applied."""
         offer = borrower.offer
@@ -321,16 +255,16 @@
             self._rebalance(now_ms)
             self._bucket.put(now_ms, offer.added)
 
-    def _adopt(self, borrower: _Borrower, msg: messages.Borrow) -> None:
+    def _adopt(self, borrower: loans.Borrower, msg: messages.Borrow) -> None:
         """Takes over a piece that an earlier owner lent."""
-        borrower.held = _Share(
+        borrower.held = loans.Share(
             max(0.0, msg.rate), max(0.0, msg.depth), self._lend_from_ms
         )
 
     def _lend(
-        self, borrower: _Borrower, msg: messages.Borrow, now_ms: float
+        self, borrower: loans.Borrower, msg: messages.Borrow, now_ms: float
     ) -> messages.Lent:
-        held = borrower.held if borrower.held.end_ms > now_ms else _Share()
+        held = borrower.held if borrower.held.end_ms > now_ms else loans.Share()
         level = min(max(0.0, msg.level), held.depth)
         room = self._room(borrower, held, now_ms)
         rate, standing = self._standing(borrower, held, now_ms)
@@ -341,7 +275,7 @@
         added = max(0.0, min(added, depth - level))
         refills = rate > 0 and depth > 0
         ttl_ms = TTL_MS if refills else min(max(msg.use_ms, 0.0), TTL_MS)
-        share = _Share(
+        share = loans.Share(
             rate if refills else 0.0, depth, now_ms + ttl_ms * _DRIFT
         )
         self._bucket.take(now_ms, added)
@@ -359,22 +293,24 @@
 
     def _offer(
         self,
-        borrower: _Borrower,
-        share: _Share,
+        borrower: loans.Borrower,
+        share: loans.Share,
         added: float,
         answer: messages.Lent,
         now_ms: float,
     ) -> None:
         applied_by_ms = now_ms + ANSWER_MS * _DRIFT
-        borrower.offer = _Offer(share, added, applied_by_ms, answer)
-        borrower.quota = _Share(share.rate, share.depth)
+        borrower.offer = loans.Offer(share, added, applied_by_ms, answer)
+        borrower.quota = loans.Share(share.rate, share.depth)
         for end_ms in (share.end_ms, applied_by_ms, borrower.held.end_ms):
             if end_ms > now_ms:
                 heapq.heappush(self._changes, end_ms)
         self._forget(now_ms)
         self._rebalance(now_ms)
 
-    def _room(self, borrower: _Borrower, held: _Share, now_ms: float) -> _Share:
+    def _room(
+        self, borrower: loans.Borrower, held: loans.Share, now_ms: float
+    ) -> loans.Share:
         """Returns the most that an entry may get beside all others.
 
         It may keep what it has, unless the limit was lowered.
@@ -385,7 +321,7 @@
         limit = self._limit
         free_rate = limit.rate - sum(rate for rate, _ in lent)
         free_depth = limit.burst - sum(depth for _, depth in lent)
-        return _Share(
+        return loans.Share(
             _at_least_zero(
                 min(
                     max(held.rate, free_rate),
@@ -401,7 +337,7 @@
         )
 
     def _standing(
-        self, borrower: _Borrower, held: _Share, now_ms: float
+        self, borrower: loans.Borrower, held: loans.Share, now_ms: float
     ) -> tuple[float, float]:
         """Returns rate and depth in proportion to the entry's demand."""
         if now_ms < self._lend_from_ms:
