--- /dev/null
+++ b/lacewingwood/callers/forwarding.py
@@ -0,0 +1,419 @@
+"""Passes routed requests to replicas and their answers back to callers."""
+
+import dataclasses
+import math
+import random
+
+import structlog
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import configuration
+from lacewingwood import errors as base_errors
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import errors
+from lacewingwood.callers import http
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import event_stream
+from lacewingwood.upstreams import runs
+
+Ran = base_errors.Ran
+
+# Replicas that refuse a request without running it cost little, but a request
+# that all refuse must get its answer.
+_MAX_REFUSALS = 6
+# Work that would reach a replica with less time than this is not sent.
+_LEAST_RUN_MS = 30.0
+# Share of the longest allowed pause after which a stream that may be resumed
+# goes on at another replica; the rest of the pause is for the new run.
+_GAP_SHARE = 0.6
+# Longest wait for the head of an answer, in objectives, if the request may
+# run elsewhere.
+_HEAD_OBJECTIVES = 1.5
+# Without an objective of its own a route has this one.
+_DEFAULT_OBJECTIVE_MS = 1_000.0
+# When to come back if no replica can be used.
+_RETRY_NO_REPLICA_MS = 300.0
+_BODY_LIMIT_BYTES = 16 << 20
+
+_SERVER_ERROR = 500
+_UNAVAILABLE = 503
+_TOO_MANY = 429
+
+_log = structlog.get_logger()
+
+
+class AbortError(Exception):
+    """Makes the server cut an answer that can't be completed."""
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A caller's request that a route leads to.
+
+    Attributes:
+        req: The request and its answer.
+        route: The route it takes.
+        work: What a replica is asked to run.
+        arrived_ms: When its head was read.
+        deadline_ms: When its caller or its route no longer waits.
+        rank: Priority, 0 is the highest.
+        resume_after: Id of the last event that the caller has, or None.
+    """
+
+    req: http.Request
+    route: configuration.Route
+    work: runs.Work
+    arrived_ms: float
+    deadline_ms: float
+    rank: int
+    resume_after: int | None
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far a call has come.
+
+    Attributes:
+        attempts: Runs that may have begun.
+        refusals: Sends that the replica did not run.
+        ran: Whether the request can have had an effect.
+        tried: Replicas that must not be tried again.
+        events: Splits the stream, None if the answer is not a stream.
+        reason: Code of the last failure.
+        done: True once the caller has its whole answer.
+    """
+
+    attempts: int = 0
+    refusals: int = 0
+    ran: Ran = Ran.NOT_RUN
+    tried: set[str] = dataclasses.field(default_factory=set)
+    events: event_stream.Splitter | None = None
+    reason: str = "no_replica"
+    done: bool = False
+
+
+class _FailedAnswerError(Exception):
+    """A replica's own failure, which another replica may avoid."""
+
+    def __init__(self, status: int, headers: runs.Headers, body: bytes) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Forwarder:
+    """Runs calls at replicas; resumes streams that break."""
+
+    __slots__ = ("_clock", "_dispatcher", "_metrics", "_replicas", "_rng")
+
+    def __init__(
+        self,
+        dispatcher: dispatchers.Dispatcher,
+        replicas: runs.Replicas,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Registry,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._replicas = replicas
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+
+    async def run(self, call: Call) -> None:
+        """Answers a call.
+
+        Raises:
+            errors.CallerError: It failed before its answer was started.
+            AbortError: Its answer was started and can't be completed.
+            http.DisconnectedError: The caller went away.
+        """
+        service = self._pick_service(call.route)
+        progress = _Progress()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, call, nursery.cancel_scope)
+            remaining_ms = call.deadline_ms - self._clock.now_ms()
+            with trio.move_on_after(max(0.0, remaining_ms) / 1000) as limit:
+                await self._run_attempts(call, service, progress)
+            if limit.cancelled_caught:
+                progress.reason = "timeout"
+                self._give_up(call, progress, 504)
+            progress.done = True
+            nursery.cancel_scope.cancel()
+        if not progress.done:
+            raise http.DisconnectedError
+
+    async def _watch_caller(self, call: Call, scope: trio.CancelScope) -> None:
+        await call.req.wait_disconnect()
+        scope.cancel()
+
+    def _pick_service(self, route: configuration.Route) -> str:
+        weights = [target.weight for target in route.targets]
+        if not weights:
+            raise errors.unavailable("no_target", "the route has no target")
+        return self._rng.choices(route.targets, weights)[0].service
+
+    async def _run_attempts(
+        self, call: Call, service: str, progress: _Progress
+    ) -> None:
+        while True:
+            slot = await self._acquire(call, service, progress)
+            if slot is None:
+                self._give_up(call, progress, _UNAVAILABLE)
+                return
+            try:
+                await self._attempt(call, slot, progress)
+                return
+            except upstream_errors.UpstreamError as exc:
+                self._note_failure(call, slot, progress, exc)
+            except _FailedAnswerError as exc:
+                slot.replica.note_failure(self._clock.now_ms())
+                progress.reason = f"status_{exc.status}"
+                if not self._may_go_on(call, progress):
+                    await self._pass_failure(call, exc, progress)
+                    return
+            finally:
+                self._dispatcher.release(slot)
+            if not self._may_go_on(call, progress):
+                self._give_up(call, progress, 502)
+
+    async def _acquire(
+        self, call: Call, service: str, progress: _Progress
+    ) -> dispatchers.Slot | None:
+        if not self._dispatcher.known(service):
+            progress.reason = "no_replica"
+            return None
+        objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
+        return await self._dispatcher.acquire(
+            dispatchers.Demand(
+                service=service,
+                work=load.Work.ONLINE,
+                rank=call.rank,
+                arrived_ms=call.arrived_ms,
+                objective_ms=objective_ms,
+                deadline_ms=call.deadline_ms - _LEAST_RUN_MS,
+                exclude=progress.tried,
+            )
+        )
+
+    async def _attempt(
+        self, call: Call, slot: dispatchers.Slot, progress: _Progress
+    ) -> None:
+        listing = slot.replica.listing
+        sent_ms = self._clock.now_ms()
+        repeatable = call.route.repeatable
+        events = progress.events
+        resume_after = events.last_id if events else call.resume_after
+        may_retry = repeatable and self._attempts_left(call, progress, 1)
+        opening = self._replicas.open(
+            listing,
+            call.work,
+            call.deadline_ms - sent_ms,
+            resume_after,
+            head_limit_ms=self._head_limit_ms(call, may_retry),
+            fresh=not repeatable,
+        )
+        async with opening as run:
+            now_ms = self._clock.now_ms()
+            if run.held >= 0:
+                slot.replica.note_figures(run.held, now_ms)
+            if run.refused:
+                self._note_refusal(call, slot, progress, run)
+            progress.attempts += 1
+            progress.ran = Ran.MAY_HAVE_RUN
+            self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
+            if run.status >= _SERVER_ERROR:
+                body = await _read_all(run)
+                raise _FailedAnswerError(run.status, run.headers, body)
+            if call.route.kind is configuration.RouteKind.STREAM and (
+                run.status < 300
+            ):
+                await self._relay(call, run, slot, progress, may_retry)
+            else:
+                await self._pass_whole(call, run)
+            slot.replica.note_success()
+            self._note_done(call, slot, progress)
+
+    def _head_limit_ms(self, call: Call, may_retry: bool) -> float:
+        if not may_retry:
+            return math.inf
+        objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
+        return objective_ms * _HEAD_OBJECTIVES
+
+    async def _relay(
+        self,
+        call: Call,
+        run: runs.Run,
+        slot: dispatchers.Slot,
+        progress: _Progress,
+        may_retry: bool,
+    ) -> None:
+        """Passes a stream on, event by event."""
+        if progress.events is None:
+            progress.events = event_stream.Splitter(call.resume_after)
+        else:
+            progress.events.restart()
+        gap_ms = math.inf
+        if may_retry and call.route.gap_objective_ms:
+            gap_ms = call.route.gap_objective_ms * _GAP_SHARE
+        splitter = progress.events
+        limit_ms = self._head_limit_ms(call, may_retry)
+        while chunk := await run.next_chunk(limit_ms):
+            whole = splitter.feed(chunk)
+            if not whole:
+                continue
+            limit_ms = gap_ms
+            await self._start(call, run)
+            await call.req.write(whole)
+        if not splitter.between_events:
+            raise upstream_errors.BrokenError("the stream ended in an event")
+        await self._start(call, run)
+        await call.req.end()
+
+    async def _start(self, call: Call, run: runs.Run) -> None:
+        if call.req.started:
+            return
+        waited_ms = self._clock.now_ms() - call.arrived_ms
+        self._metrics.histogram("first_event").record_ms(waited_ms)
+        await call.req.start(run.status, run.headers)
+
+    async def _pass_whole(self, call: Call, run: runs.Run) -> None:
+        body = await _read_all(run)
+        await _respond(call, run.status, run.headers, body)
+
+    async def _pass_failure(
+        self, call: Call, exc: _FailedAnswerError, progress: _Progress
+    ) -> None:
+        """Passes a replica's own failure on, unless it would be untrue."""
+        if exc.status == _UNAVAILABLE or call.req.started:
+            self._give_up(call, progress, 502)
+        await _respond(call, exc.status, exc.headers, exc.body)
+
+    def _note_refusal(
+        self,
+        call: Call,
+        slot: dispatchers.Slot,
+        progress: _Progress,
+        run: runs.Run,
+    ) -> None:
+        """Notes that a replica did not run the request; raises."""
+        now_ms = self._clock.now_ms()
+        if run.misdirected:
+            slot.replica.note_failure(now_ms)
+        else:
+            slot.replica.note_full(now_ms)
+        raise upstream_errors.RefusedError("not run", run.status, b"")
+
+    def _note_failure(
+        self,
+        call: Call,
+        slot: dispatchers.Slot,
+        progress: _Progress,
+        exc: upstream_errors.UpstreamError,
+    ) -> None:
+        replica = slot.replica
+        progress.reason = exc.code
+        progress.tried.add(replica.listing.id)
+        if exc.ran is Ran.NOT_RUN:
+            progress.refusals += 1
+        elif progress.ran is Ran.NOT_RUN or progress.attempts == 0:
+            progress.ran = Ran.MAY_HAVE_RUN
+            progress.attempts = max(1, progress.attempts)
+        if not isinstance(exc, upstream_errors.RefusedError):
+            replica.note_failure(self._clock.now_ms())
+        self._metrics.add("attempt_failures", code=exc.code)
+        _log.info(
+            "attempt failed",
+            request_id=call.work.request_id,
+            replica=replica.listing.id,
+            code=exc.code,
+            detail=exc.message[:80],
+            ran=exc.ran.value,
+            attempts=progress.attempts,
+            failures=replica.failures,
+        )
+
+    def _attempts_left(
+        self, call: Call, progress: _Progress, begun: int = 0
+    ) -> bool:
+        return progress.attempts + begun < call.route.max_attempts
+
+    def _may_go_on(self, call: Call, progress: _Progress) -> bool:
+        if progress.refusals >= _MAX_REFUSALS:
+            return False
+        if progress.ran is Ran.NOT_RUN:
+            return True
+        return call.route.repeatable and self._attempts_left(call, progress)
+
+    def _give_up(self, call: Call, progress: _Progress, status: int) -> None:
+        """Ends a call that no replica answered; always raises."""
+        now_ms = self._clock.now_ms()
+        _log.info(
+            "request given up",
+            request_id=call.work.request_id,
+            route=call.route.name,
+            customer=call.work.customer,
+            reason=progress.reason,
+            ran=progress.ran.value,
+            attempts=progress.attempts,
+            refusals=progress.refusals,
+            waited_ms=round(now_ms - call.arrived_ms),
+            started=call.req.started,
+        )
+        self._metrics.add("requests_given_up", reason=progress.reason)
+        if call.req.started:
+            raise AbortError
+        if progress.ran is Ran.NOT_RUN:
+            raise errors.unavailable(
+                progress.reason,
+                "no replica took the request",
+                _RETRY_NO_REPLICA_MS,
+            )
+        if status == _UNAVAILABLE:
+            status = 502
+        raise errors.CallerError(
+            status,
+            progress.reason,
+            "the request may have run but has no answer",
+            ran=progress.ran,
+        )
+
+    def _note_done(
+        self, call: Call, slot: dispatchers.Slot, progress: _Progress
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        total_ms = now_ms - call.arrived_ms
+        self._metrics.histogram("request").record_ms(total_ms)
+        self._metrics.add("requests_served", route=call.route.name)
+        _log.info(
+            "served",
+            request_id=call.work.request_id,
+            route=call.route.name,
+            customer=call.work.customer,
+            replica=slot.replica.listing.id,
+            attempts=progress.attempts,
+            refusals=progress.refusals,
+            total_ms=round(total_ms),
+        )
+
+
+async def _read_all(run: runs.Run) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while chunk := await run.next_chunk():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > _BODY_LIMIT_BYTES:
+            raise upstream_errors.BadAnswerError("the body is too large")
+    return b"".join(chunks)
+
+
+async def _respond(
+    call: Call, status: int, headers: runs.Headers, body: bytes
+) -> None:
+    rest = [pair for pair in headers if pair[0] != b"content-length"]
+    await call.req.respond(status, body, rest)
--- a/lacewingwood/callers/server.py
+++ b/lacewingwood/callers/server.py
@@ -3,6 +3,7 @@
 import functools
 import sys
 from typing import Any
+from typing import Protocol
 from typing import cast
 
 import structlog
@@ -12,7 +13,6 @@
 from hypercorn import typing as server_typing
 from hypercorn.trio import worker_context
 
-from lacewingwood.callers import app as apps
 from lacewingwood.callers import connection
 
 _MAX_INCOMPLETE_HEADER_BYTES = 128 << 10
@@ -27,8 +27,18 @@
 _log = structlog.get_logger()
 
 
+class App(Protocol):
+    """An ASGI application with work of its own."""
+
+    async def run_for_ever(self) -> None:
+        """Does the work that no single request does."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answers one ASGI connection scope."""
+
+
 async def serve(
-    app: apps.App,
+    app: App,
     host: str,
     port: int,
     shutdown_event: trio.Event,
@@ -56,7 +66,7 @@
 class _Server:
     """The listening sockets and all connections."""
 
-    def __init__(self, app: apps.App) -> None:
+    def __init__(self, app: App) -> None:
         self._app = app_wrappers.ASGIWrapper(cast(Any, app))
         self._config = _make_config()
         self._context = worker_context.WorkerContext(None)
--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -1,6 +1,7 @@
 """The program `lacewingwood`."""
 
 import sys
+from typing import Annotated
 
 import cyclopts
 
@@ -50,6 +51,22 @@
     role.run(cfg)
 
 
+@app.command
+def gateway(
+    config: Annotated[
+        str, cyclopts.Parameter(help="Settings file of the platform.")
+    ] = "",
+) -> None:
+    """Runs a gateway process: routed requests and batch jobs.
+
+    Without `--config`, LACEWINGWOOD_CONFIG names the settings file.
+    """
+    from lacewingwood.platform import settings as files  # noqa: PLC0415
+    from lacewingwood.roles import gateway as role  # noqa: PLC0415
+
+    role.run(config or files.default_path())
+
+
 def main() -> None:
     """Runs the command line; exits with 2 on a mistake in its use."""
     try:
--- /dev/null
+++ b/lacewingwood/configuration.py
@@ -0,0 +1,141 @@
+"""The configuration that operators publish as one versioned document."""
+
+import enum
+
+import msgspec
+
+
+class RouteKind(enum.Enum):
+    """How often a request of a route may run, and what its answer is."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A service that a route leads to, and its share of the requests."""
+
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where requests to a host and path prefix go, and within what bounds.
+
+    Attributes:
+        name: Unique name.
+        host: Value of the `Host` header, in lower case, without a port.
+        path_prefix: Begins and ends with a slash.
+        kind: What may be repeated.
+        targets: Services and their weights.
+        timeout_ms: Longest time until a request's final answer, 0 for none.
+        objective_ms: Time until the first byte, or until a job is accepted.
+        gap_objective_ms: Longest pause between events of a stream, 0 for none.
+        priority: Rank, 0 is the highest.
+        max_attempts: Most replicas that one request may run on.
+        public: True if requests need no key.
+        resumable: True if a broken stream may go on at another replica.
+        result_deadline_ms: When a job's results are due after its first
+            submission.
+        retention_ms: When an item may be given up after that.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    targets: tuple[Target, ...]
+    timeout_ms: float = 0.0
+    objective_ms: float = 0.0
+    gap_objective_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    result_deadline_ms: float = 0.0
+    retention_ms: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """True if a request may run again after it may have run."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind in (RouteKind.IDEMPOTENT, RouteKind.BATCH)
+
+
+class Customer(msgspec.Struct, frozen=True):
+    """A customer, its keys and its agreed rate.
+
+    Attributes:
+        name: Unique name.
+        keys: Secrets that its callers show.
+        rate: Requests a second over all hosts together, 0 for no limit.
+        burst: Requests that may come at once.
+        priority: Rank that replaces the route's, None to keep the route's.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rate: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+
+class Configuration:
+    """One version of the whole configuration, with its indexes.
+
+    Attributes:
+        version: Later versions have greater numbers.
+        routes: All routes.
+        customers: Customers by name.
+        has_customers: False if requests need no key at all.
+        max_body_bytes: Longest body that a caller may send.
+    """
+
+    __slots__ = (
+        "_by_host",
+        "_by_key",
+        "customers",
+        "has_customers",
+        "max_body_bytes",
+        "routes",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        customers: list[Customer],
+        max_body_bytes: int = 4 << 20,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.max_body_bytes = max_body_bytes
+        self.customers = {c.name: c for c in customers}
+        self.has_customers = bool(customers)
+        self._by_key = {key: c for c in customers for key in c.keys}
+        self._by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda r: -len(r.path_prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of `path`, or None."""
+        for route in self._by_host.get(_host_name(host), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def host_known(self, host: str) -> bool:
+        """Returns whether any route has this host."""
+        return _host_name(host) in self._by_host
+
+    def customer_of(self, key: str) -> Customer | None:
+        """Returns the customer that holds a key, or None."""
+        return self._by_key.get(key)
+
+
+def _host_name(host: str) -> str:
+    return host.partition(":")[0].lower()
--- /dev/null
+++ b/lacewingwood/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs whose records live in a keyed log."""
--- /dev/null
+++ b/lacewingwood/jobs/owner.py
@@ -0,0 +1,386 @@
+"""The only writer of results in one partition of the jobs' topic."""
+
+import collections
+from collections.abc import Callable
+
+import structlog
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import errors
+from lacewingwood.jobs import records
+from lacewingwood.jobs import running
+from lacewingwood.jobs import scheduler as schedulers
+from lacewingwood.jobs import table as tables
+from lacewingwood.log import errors as log_errors
+from lacewingwood.log import follow
+from lacewingwood.log import keyed
+
+_PRODUCER = "owner"
+# A read that waits longer would notice a silent connection too late.
+_READ_WAIT_MS = 1_500.0
+# Bounds the reads a second while records come one by one.
+_READ_PAUSE_MS = 60.0
+_RETRY_MS = 150.0
+# Most bytes of one append; a longer one would hold up the others.
+_APPEND_BYTES = 512 << 10
+_SWEEP_MS = 5_000.0
+
+_log = structlog.get_logger()
+
+
+class Owner:
+    """Runs the jobs of one partition and lists their results.
+
+    All writes carry an epoch: once a later owner has set a greater one,
+    nothing of this owner can be appended any more, whatever it believes.
+
+    Attributes:
+        index: Number of the partition among all.
+        epoch: This owner's epoch.
+        lost: Set once a later owner was noticed.
+        loaded: Set once the partition was read.
+    """
+
+    def __init__(
+        self,
+        index: int,
+        partition: keyed.Partition,
+        epoch: int,
+        log: keyed.KeyedLog,
+        scheduler: schedulers.Scheduler,
+        clock: clocks.Clock,
+        wall_ms: Callable[[], int],
+        metrics: metrics_lib.Registry,
+        *,
+        keep_ms: float,
+    ) -> None:
+        """Makes an owner that `run` drives.
+
+        Args:
+            index: Number of the partition among all.
+            partition: The partition.
+            epoch: Greater than that of all earlier owners.
+            log: Where the records are.
+            scheduler: Runs the items.
+            clock: Source of time.
+            wall_ms: Returns Unix time.
+            metrics: Where events are counted.
+            keep_ms: How long a job stays readable after its submission.
+        """
+        self.index = index
+        self.epoch = epoch
+        self.lost = trio.Event()
+        self.loaded = trio.Event()
+        self._partition = partition
+        self._log = log
+        self._scheduler = scheduler
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._metrics = metrics
+        self._keep_ms = keep_ms
+        self._table = tables.Table()
+        self._tasks: dict[tuple[str, int], running.ItemTask] = {}
+        self._fence = keyed.Fence(_PRODUCER, epoch)
+        self._outbox: collections.deque[tuple[str, records.Result]]
+        self._outbox = collections.deque()
+        self._has_work = trio.Event()
+        self._changed = trio.Event()
+        self._writing = trio.Lock()
+        self._follower = follow.Follower(
+            log,
+            partition,
+            self._load,
+            self._apply_all,
+            clock,
+            metrics,
+            wait_ms=_READ_WAIT_MS,
+            pause_ms=_READ_PAUSE_MS,
+        )
+
+    async def run(self) -> None:
+        """Owns the partition until cancelled or fenced."""
+        try:
+            await self._claim()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._follower.run)
+                nursery.start_soon(self._write_results)
+                nursery.start_soon(self._sweep)
+                await self.lost.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.lost.set()
+            self._notify()
+            for task in self._tasks.values():
+                self._scheduler.remove(task)
+            self._tasks.clear()
+
+    async def read(
+        self, key: str, start: int, wait_ms: float
+    ) -> tuple[int, list[records.Result], records.Job]:
+        """Returns total, results from `start` on, and the job.
+
+        Raises:
+            errors.UnknownJobError: No such job exists.
+            errors.UnsureError: This owner can't tell.
+        """
+        entry = await self._find(key)
+        assert entry.job is not None
+        limit = trio.current_time() + wait_ms / 1000
+        while len(entry.results) <= start and not entry.complete:
+            changed = self._changed
+            with trio.move_on_at(limit) as scope:
+                await changed.wait()
+            if scope.cancelled_caught or self.lost.is_set():
+                break
+        if self.lost.is_set() and len(entry.results) <= start:
+            raise errors.UnsureError("the partition has a new owner")
+        return len(entry.job.items), entry.results[start:], entry.job
+
+    async def body(self, key: str, item_id: str) -> bytes:
+        """Returns the body of an item that is not listed yet.
+
+        Raises:
+            errors.UnknownJobError: There is none.
+            errors.UnsureError: This owner can't tell.
+        """
+        entry = await self._find(key)
+        index = entry.item_index(item_id)
+        if index is None or index in entry.listed or entry.ended:
+            raise errors.UnknownJobError("the item has no body any more")
+        body = entry.bodies.get(index)
+        if body is None:
+            raise errors.UnsureError("the item's body has not been read yet")
+        return body
+
+    async def end(self, key: str) -> None:
+        """Ends a job; returns once that is on the log.
+
+        Raises:
+            errors.UnknownJobError: No such job exists.
+            errors.UnsureError: The log can't be written now.
+        """
+        entry = await self._find(key)
+        if entry.ended:
+            return
+        self._drop_tasks(key)
+        try:
+            await self._append([records.end(key)])
+        except log_errors.LogError as exc:
+            raise errors.UnsureError(exc.message) from exc
+        _log.info("job ended", job=key, epoch=self.epoch)
+
+    def knows(self, key: str) -> bool:
+        """Returns whether a job is known to exist."""
+        return self._table.get(key) is not None
+
+    async def _find(self, key: str) -> tables.Entry:
+        """Returns a job; makes sure that an unknown one does not exist."""
+        entry = self._table.get(key)
+        if entry is None:
+            if not self.loaded.is_set() or self.lost.is_set():
+                raise errors.UnsureError("the partition is being read")
+            await self._catch_up()
+            entry = self._table.get(key)
+        if entry is None:
+            raise errors.UnknownJobError("no such job")
+        return entry
+
+    async def _catch_up(self) -> None:
+        try:
+            await self._follower.step(0)
+        except log_errors.LogError as exc:
+            raise errors.UnsureError(exc.message) from exc
+        if self.lost.is_set():
+            raise errors.UnsureError("the partition has a new owner")
+
+    async def _claim(self) -> None:
+        """Shuts out all earlier owners; waits until the log has said so."""
+        while True:
+            try:
+                await self._log.append(self._partition, [], self._fence)
+            except keyed.FencedError:
+                self._note_lost("claim")
+                raise
+            except log_errors.LogError as exc:
+                self._metrics.add("claims_failed", code=exc.code)
+                await self._clock.sleep_ms(_RETRY_MS)
+                continue
+            self._fence.sequence += 1
+            return
+
+    def _load(self, snapshot: list[keyed.Record]) -> None:
+        self._table.load(snapshot)
+        entries = self._table.entries()
+        for entry in entries:
+            self._sync_tasks(entry)
+        self.loaded.set()
+        _log.info(
+            "partition loaded",
+            partition=self.index,
+            epoch=self.epoch,
+            records=len(snapshot),
+            jobs=len(list(entries)),
+            items=len(self._tasks),
+        )
+        self._notify()
+
+    def _apply_all(self, page: list[keyed.Record]) -> None:
+        for record in page:
+            change = self._table.apply(record)
+            match change:
+                case records.JobChange(key, job) if job is not None:
+                    entry = self._table.get(key)
+                    if entry is not None:
+                        self._sync_tasks(entry)
+                case records.EndChange(key):
+                    self._drop_tasks(key)
+                case _:
+                    pass
+        if page:
+            self._notify()
+
+    def _sync_tasks(self, entry: tables.Entry) -> None:
+        """Hands items without a result to the scheduler, once each."""
+        if not entry.open or entry.job is None:
+            return
+        queued = {i for key, _, i in self._queued() if key == entry.key}
+        for index in entry.unlisted():
+            if (entry.key, index) in self._tasks or index in queued:
+                continue
+            body = entry.bodies.get(index)
+            if body is None:
+                _log.error("item without body", job=entry.key, item=index)
+                continue
+            task = running.ItemTask(entry.job, index, body)
+            self._tasks[entry.key, index] = task
+            self._scheduler.add(task, self._note_result)
+
+    def _queued(self) -> list[tuple[str, records.Result, int]]:
+        return [(key, result, result.item) for key, result in self._outbox]
+
+    def _drop_tasks(self, key: str) -> None:
+        for job_key, index in [k for k in self._tasks if k[0] == key]:
+            self._scheduler.remove(self._tasks.pop((job_key, index)))
+
+    def _note_result(
+        self, task: running.ItemTask, result: records.Result
+    ) -> None:
+        key = records.job_key(task.job.customer, task.job.id)
+        self._tasks.pop((key, task.index), None)
+        self._outbox.append((key, result))
+        self._has_work.set()
+
+    async def _write_results(self) -> None:
+        await self.loaded.wait()
+        while True:
+            if not self._outbox:
+                self._has_work = trio.Event()
+                await self._has_work.wait()
+            await self._write_some()
+
+    async def _write_some(self) -> None:
+        """Lists as many results as fit into one append."""
+        batch: list[keyed.Record] = []
+        positions: dict[str, int] = {}
+        size = count = 0
+        for key, result in self._outbox:
+            entry = self._table.get(key)
+            if entry is not None and result.item not in entry.listed:
+                position = positions.setdefault(key, len(entry.results))
+                positions[key] += 1
+                batch += records.listing(key, position, result)
+                size += len(result.output)
+            count += 1
+            if size >= _APPEND_BYTES:
+                break
+        if batch and not await self._try_append(batch):
+            return
+        for _ in range(count):
+            self._outbox.popleft()
+
+    async def _try_append(self, batch: list[keyed.Record]) -> bool:
+        try:
+            await self._append(batch)
+        except keyed.FencedError:
+            return False
+        except log_errors.LogError as exc:
+            self._metrics.add("result_appends_failed", code=exc.code)
+            await self._clock.sleep_ms(_RETRY_MS)
+            return False
+        return True
+
+    async def _append(self, batch: list[keyed.Record]) -> None:
+        """Appends under the fence and takes the records over.
+
+        An append whose outcome is unclear is repeated under the same number
+        before anything else is written, since it may still take effect.
+        """
+        async with self._writing:
+            if self.lost.is_set():
+                raise keyed.FencedError("a later owner exists")
+            pending = _Pending(batch)
+            while True:
+                try:
+                    await self._log.append(
+                        self._partition, pending.records, self._fence
+                    )
+                    break
+                except keyed.FencedError:
+                    self._note_lost("append")
+                    raise
+                except log_errors.UnavailableError as exc:
+                    self._metrics.add("owner_appends_failed", code=exc.code)
+                    if not exc.may_have_taken_effect and not pending.unclear:
+                        raise
+                    pending.unclear = True
+                    await self._clock.sleep_ms(_RETRY_MS)
+            self._fence.sequence += 1
+            for record in batch:
+                self._table.apply(record)
+        self._notify()
+
+    def _note_lost(self, where: str) -> None:
+        _log.warning(
+            "ownership lost",
+            partition=self.index,
+            epoch=self.epoch,
+            noticed_at=where,
+        )
+        self.lost.set()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _sweep(self) -> None:
+        """Removes the records of jobs that need not be readable any more."""
+        await self.loaded.wait()
+        while True:
+            await self._clock.sleep_ms(_SWEEP_MS)
+            limit_ms = self._wall_ms() - self._keep_ms
+            for entry in list(self._table.entries()):
+                job = entry.job
+                if job and job.submitted_ms < limit_ms and not entry.open:
+                    await self._try_append(_removal(entry))
+
+
+class _Pending:
+    """An append that is being tried."""
+
+    __slots__ = ("records", "unclear")
+
+    def __init__(self, batch: list[keyed.Record]) -> None:
+        self.records = batch
+        self.unclear = False
+
+
+def _removal(entry: tables.Entry) -> list[keyed.Record]:
+    """Returns the records that remove a job."""
+    key = entry.key
+    keys = [f"b/{key}/{index}" for index in entry.bodies]
+    keys += [f"r/{key}/{n}" for n in range(len(entry.results))]
+    if entry.ended:
+        keys.append(f"e/{key}")
+    return [keyed.Record(k, None) for k in [*keys, f"j/{key}"]]
--- /dev/null
+++ b/lacewingwood/jobs/service.py
@@ -0,0 +1,306 @@
+"""Callers' operations on jobs, at whichever gateway they arrive."""
+
+from collections.abc import Callable
+
+import structlog
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import errors
+from lacewingwood.jobs import owner as owners
+from lacewingwood.jobs import ownership as ownerships
+from lacewingwood.jobs import records
+from lacewingwood.log import errors as log_errors
+from lacewingwood.log import keyed
+from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import messages
+from lacewingwood.peers import network as network_lib
+
+# Topics of the jobs; all gateways must agree on their number.
+TOPICS = ("jobs-0", "jobs-1", "jobs-2")
+# Time for an answer of the owner besides the wait that the caller asked for.
+_PEER_TIMEOUT_MS = 800.0
+# Pause between attempts to append a job.
+_RETRY_MS = 120.0
+_MAX_WAIT_MS = 1_000.0
+# Longest time to try; after it the caller tries another gateway.
+_SUBMIT_MS = 2_500.0
+
+FindOwner = Callable[[int], str | None]
+
+_log = structlog.get_logger()
+
+
+def partitions(per_topic: int) -> list[keyed.Partition]:
+    """Returns all partitions of the jobs' topics, in a fixed order."""
+    return [
+        keyed.Partition(topic, number)
+        for topic in TOPICS
+        for number in range(per_topic)
+    ]
+
+
+class JobService:
+    """Accepts, reads and ends jobs.
+
+    A job is accepted once all its records are on the log; which gateway
+    received it does not matter. Everything else is answered by the owner of
+    the job's partition, here or at a peer.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_find_owner",
+        "_log",
+        "_max_append_bytes",
+        "_max_record_bytes",
+        "_metrics",
+        "_network",
+        "_ownership",
+        "_partitions",
+    )
+
+    def __init__(
+        self,
+        log: keyed.KeyedLog,
+        partitions_: list[keyed.Partition],
+        ownership: ownerships.Ownership,
+        network: network_lib.Network,
+        find_owner: FindOwner,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Registry,
+        *,
+        max_record_bytes: int,
+        max_append_bytes: int,
+    ) -> None:
+        """Makes the service.
+
+        Args:
+            log: Where the records are.
+            partitions_: All partitions, in the order of all gateways.
+            ownership: What is owned here.
+            network: Carries calls to owners elsewhere.
+            find_owner: Returns the peer address of a partition's owner.
+            clock: Source of time.
+            metrics: Where events are counted.
+            max_record_bytes: Largest record that the log takes.
+            max_append_bytes: Most bytes of one append.
+        """
+        self._log = log
+        self._partitions = partitions_
+        self._ownership = ownership
+        self._network = network
+        self._find_owner = find_owner
+        self._clock = clock
+        self._metrics = metrics
+        self._max_record_bytes = max_record_bytes
+        self._max_append_bytes = max_append_bytes
+        network.handle(messages.JobRead, self._handle_read)
+        network.handle(messages.JobItemRead, self._handle_item)
+        network.handle(messages.JobEnd, self._handle_end)
+
+    async def submit(self, submission: records.Submission) -> None:
+        """Accepts a job; returns once all of it is on the log.
+
+        Raises:
+            errors.InvalidJobError: The log can't take an item of this size.
+            errors.NotAcceptedError: Nothing of it was accepted.
+            errors.UnclearError: It may have been accepted.
+        """
+        job = submission.job
+        key = records.job_key(job.customer, job.id)
+        index = records.partition_index(key, len(self._partitions))
+        owner = self._ownership.owner(index)
+        if owner is not None and owner.knows(key):
+            return
+        calls = self._split(records.submission(key, job, submission.bodies))
+        started_ms = self._clock.now_ms()
+        for call in calls:
+            # Only the last call makes the job exist.
+            last = call is calls[-1]
+            await self._append(self._partitions[index], call, started_ms, last)
+        _log.info(
+            "job accepted",
+            request_id=job.id,
+            customer=job.customer,
+            partition=index,
+            items=len(job.items),
+            ms=round(self._clock.now_ms() - started_ms),
+        )
+
+    async def read(
+        self, customer: str, job_id: str, start: int, wait_ms: float
+    ) -> messages.JobResults:
+        """Returns a job's results from position `start` on.
+
+        Raises:
+            errors.UnknownJobError: No such job exists.
+            errors.UnsureError: Nobody could tell.
+        """
+        wait_ms = min(wait_ms, _MAX_WAIT_MS)
+        request = messages.JobRead(customer, job_id, start, wait_ms)
+        owner, address = self._locate(customer, job_id)
+        if owner is not None:
+            return await self._read_own(owner, request)
+        answer = await self._ask(address, request, wait_ms)
+        if not isinstance(answer, messages.JobResults):
+            raise errors.UnsureError("the owner's answer is not understood")
+        return answer
+
+    async def item_body(
+        self, customer: str, job_id: str, item_id: str
+    ) -> bytes:
+        """Returns the body of an item that is not listed yet.
+
+        Raises:
+            errors.UnknownJobError: There is none.
+            errors.UnsureError: Nobody could tell.
+        """
+        owner, address = self._locate(customer, job_id)
+        if owner is not None:
+            return await owner.body(records.job_key(customer, job_id), item_id)
+        request = messages.JobItemRead(customer, job_id, item_id)
+        answer = await self._ask(address, request, 0)
+        if not isinstance(answer, messages.JobItemBody):
+            raise errors.UnsureError("the owner's answer is not understood")
+        return answer.body
+
+    async def end(self, customer: str, job_id: str) -> None:
+        """Ends a job; returns once that is on the log.
+
+        Raises:
+            errors.UnknownJobError: No such job exists.
+            errors.UnsureError: It could not be ended now.
+        """
+        key = records.job_key(customer, job_id)
+        owner, address = self._locate(customer, job_id)
+        try:
+            if owner is not None:
+                await owner.end(key)
+            else:
+                request = messages.JobEnd(customer, job_id)
+                await self._ask(address, request, 0)
+            return
+        except errors.UnsureError as exc:
+            _log.info("end goes to the log", request_id=job_id, code=exc.code)
+        # The owner reads it there, whichever gateway that will be.
+        index = records.partition_index(key, len(self._partitions))
+        try:
+            await self._log.append(self._partitions[index], [records.end(key)])
+        except log_errors.LogError as exc:
+            raise errors.UnsureError(exc.message) from exc
+
+    def _split(
+        self, all_records: list[keyed.Record]
+    ) -> list[list[keyed.Record]]:
+        """Returns the records in groups that fit into one append each."""
+        groups: list[list[keyed.Record]] = [[]]
+        size = 0
+        for record in all_records:
+            length = len(record.value or b"") + len(record.key) + 5
+            if length > self._max_record_bytes:
+                raise errors.InvalidJobError("the job is too large")
+            if groups[-1] and size + length > self._max_append_bytes:
+                groups.append([])
+                size = 0
+            groups[-1].append(record)
+            size += length
+        return groups
+
+    async def _append(
+        self,
+        partition: keyed.Partition,
+        call: list[keyed.Record],
+        started_ms: float,
+        last: bool,
+    ) -> None:
+        """Appends until it is certain; repeating changes nothing."""
+        unclear = False
+        while True:
+            try:
+                await self._log.append(partition, call)
+                return
+            except keyed.FullError as exc:
+                raise errors.NotAcceptedError(exc.message) from exc
+            except log_errors.UnavailableError as exc:
+                self._metrics.add("submit_appends_failed", code=exc.code)
+                unclear = unclear or (last and exc.may_have_taken_effect)
+                if self._clock.now_ms() - started_ms > _SUBMIT_MS:
+                    kind = (
+                        errors.UnclearError
+                        if unclear
+                        else errors.NotAcceptedError
+                    )
+                    raise kind(exc.message) from exc
+            await self._clock.sleep_ms(_RETRY_MS)
+
+    def _locate(
+        self, customer: str, job_id: str
+    ) -> tuple[owners.Owner | None, str]:
+        """Returns the owner if it is here, else its address."""
+        key = records.job_key(customer, job_id)
+        index = records.partition_index(key, len(self._partitions))
+        owner = self._ownership.owner(index)
+        if owner is not None and not owner.lost.is_set():
+            return owner, ""
+        address = self._find_owner(index)
+        if address is None:
+            raise errors.UnsureError("the job's partition has no owner now")
+        return None, address
+
+    async def _ask(
+        self, address: str, request: messages.Message, wait_ms: float
+    ) -> messages.Message:
+        timeout_ms = _PEER_TIMEOUT_MS + wait_ms
+        try:
+            return await self._network.call(address, request, timeout_ms)
+        except peer_errors.RefusedError as exc:
+            if exc.reason == errors.UnknownJobError.code:
+                raise errors.UnknownJobError(exc.message) from exc
+            raise errors.UnsureError(exc.message) from exc
+        except peer_errors.PeerError as exc:
+            raise errors.UnsureError(exc.message) from exc
+
+    async def _read_own(
+        self, owner: owners.Owner, request: messages.JobRead
+    ) -> messages.JobResults:
+        key = records.job_key(request.customer, request.job_id)
+        total, found, job = await owner.read(
+            key, request.start, request.wait_ms
+        )
+        if not found and not self._ownership.current():
+            # Another owner may have listed more.
+            raise errors.UnsureError("the ownership was not renewed in time")
+        return messages.JobResults(
+            total,
+            [
+                messages.JobResult(
+                    job.items[result.item].id, result.completed, result.output
+                )
+                for result in found
+            ],
+        )
+
+    def _own(self, customer: str, job_id: str) -> owners.Owner:
+        owner, _ = self._locate(customer, job_id)
+        if owner is None:
+            raise errors.UnsureError("the partition is owned elsewhere")
+        return owner
+
+    async def _handle_read(
+        self, request: messages.JobRead
+    ) -> messages.JobResults:
+        owner = self._own(request.customer, request.job_id)
+        return await self._read_own(owner, request)
+
+    async def _handle_item(
+        self, request: messages.JobItemRead
+    ) -> messages.JobItemBody:
+        owner = self._own(request.customer, request.job_id)
+        key = records.job_key(request.customer, request.job_id)
+        return messages.JobItemBody(await owner.body(key, request.item_id))
+
+    async def _handle_end(self, request: messages.JobEnd) -> messages.Ack:
+        owner = self._own(request.customer, request.job_id)
+        await owner.end(records.job_key(request.customer, request.job_id))
+        return messages.Ack()
--- /dev/null
+++ b/lacewingwood/limits/shared.py
@@ -0,0 +1,115 @@
+"""Customers' rates over all gateways, by counts that they tell each other.
+
+Each gateway keeps a token bucket for each customer, filled at the customer's
+whole rate and emptied by its own admissions and by those that its peers
+report. While peers that should report are silent, the bucket fills at the
+share of the rate that belongs to those that are heard: parts of the fleet
+that can't hear each other then admit the agreed rate in sum.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+# Reports come late: what peers admitted meanwhile may overdraw the bucket by
+# at most this many seconds of the rate.
+_MAX_DEBT_S = 2.0
+_MIN_RETRY_MS = 100.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """One customer's bucket.
+
+    Attributes:
+        rate: Tokens a second over the whole fleet.
+        burst: Most tokens.
+        level: Tokens now; negative after late reports.
+        at_ms: When `level` was brought up to date.
+        admitted: Requests admitted here since the start of the process.
+    """
+
+    rate: float
+    burst: float
+    level: float
+    at_ms: float
+    admitted: int = 0
+
+
+class SharedLimits:
+    """Admits requests within each customer's rate and burst."""
+
+    __slots__ = ("_buckets", "_reported", "share")
+
+    def __init__(self) -> None:
+        # Share of the rate that belongs to gateways that are heard, this one
+        # included.
+        self.share = 1.0
+        self._buckets: dict[str, _Bucket] = {}
+        self._reported: dict[str, dict[str, int]] = {}
+
+    def admit(self, customer: str, now_ms: float) -> float | None:
+        """Admits a request, or returns the time after which to try again."""
+        bucket = self._buckets.get(customer)
+        if bucket is None or bucket.rate <= 0:
+            return None
+        self._refill(bucket, now_ms)
+        if bucket.level < 1:
+            wait_ms = (1 - bucket.level) / (bucket.rate * self.share) * 1000
+            return max(wait_ms, _MIN_RETRY_MS)
+        bucket.level -= 1
+        bucket.admitted += 1
+        return None
+
+    def configure(
+        self, rates: Mapping[str, tuple[float, float]], now_ms: float
+    ) -> None:
+        """Takes over all customers' rates and bursts.
+
+        A customer's bucket starts empty: what was admitted before this
+        process started, or heard of the customer, is not known.
+        """
+        for customer in [c for c in self._buckets if c not in rates]:
+            del self._buckets[customer]
+        for customer, (rate, burst) in rates.items():
+            bucket = self._buckets.get(customer)
+            if bucket is None:
+                bucket = _Bucket(rate, burst, 0.0, now_ms)
+                self._buckets[customer] = bucket
+            self._refill(bucket, now_ms)
+            bucket.rate, bucket.burst = rate, burst
+
+    def level(self, customer: str) -> float | None:
+        """Returns a customer's tokens, None if it sent nothing yet."""
+        bucket = self._buckets.get(customer)
+        return bucket.level if bucket else None
+
+    def admitted(self) -> dict[str, int]:
+        """Returns what was admitted here, by customer, for the peers."""
+        return {name: b.admitted for name, b in self._buckets.items()}
+
+    def note_report(
+        self, node: str, admitted: Mapping[str, int], now_ms: float
+    ) -> None:
+        """Takes over what a peer has admitted since its start."""
+        known = self._reported.get(node)
+        self._reported[node] = dict(admitted)
+        if known is None:
+            # What it admitted before is no longer to be counted.
+            return
+        for customer, count in admitted.items():
+            new = count - known.get(customer, 0)
+            bucket = self._buckets.get(customer)
+            if new > 0 and bucket is not None:
+                self._refill(bucket, now_ms)
+                least = -bucket.rate * _MAX_DEBT_S
+                bucket.level = max(bucket.level - new, least)
+
+    def forget(self, node: str) -> None:
+        """Forgets a peer that has stopped."""
+        self._reported.pop(node, None)
+
+    def _refill(self, bucket: _Bucket, now_ms: float) -> None:
+        elapsed_s = max(0.0, now_ms - bucket.at_ms) / 1000
+        bucket.at_ms = now_ms
+        gained = elapsed_s * bucket.rate * self.share
+        bucket.level = min(bucket.burst, bucket.level + gained)
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -382,6 +382,104 @@
     epoch: int
 
 
+class GatewayReport(Message, tag="gateway_report"):
+    """What a gateway runs and has admitted; sent to its peers.
+
+    Attributes:
+        host: The gateway's host.
+        address: Its peer listener.
+        started_ms: Unix time of its start.
+        version: Version of its configuration, 0 if it has none.
+        running: For each replica its online requests and batch items.
+        admitted: Requests admitted since its start, by customer.
+        owned: Job partitions that it owns, with their epochs.
+        leaving: True if it stops.
+    """
+
+    host: str
+    address: str
+    started_ms: int
+    version: int
+    running: dict[str, tuple[int, int]]
+    admitted: dict[str, int]
+    owned: dict[int, int]
+    leaving: bool = False
+
+
+class FetchConfiguration(Message, tag="fetch_configuration"):
+    """Asks a gateway for the configuration and replicas that it knows."""
+
+
+class ConfigurationCopy(Message, tag="configuration_copy"):
+    """Answers `FetchConfiguration`.
+
+    Attributes:
+        document: The operator's document as it was read, empty if none.
+        replicas: Entries of replicas as they were read, by id.
+    """
+
+    document: bytes
+    replicas: dict[str, bytes]
+
+
+class JobRead(Message, tag="job_read"):
+    """Asks the owner of a job for results from a position on.
+
+    Attributes:
+        customer: Whose job it is.
+        job_id: The job.
+        start: Position of the first result wanted.
+        wait_ms: How long to wait for a result.
+    """
+
+    customer: str
+    job_id: str
+    start: int
+    wait_ms: float
+
+
+class JobResult(msgspec.Struct):
+    """One result of a job.
+
+    Attributes:
+        item_id: The item.
+        completed: False if the item was given up.
+        output: Data of all events, joined by line feeds.
+    """
+
+    item_id: str
+    completed: bool
+    output: bytes
+
+
+class JobResults(Message, tag="job_results"):
+    """Answers `JobRead`; `total` counts the job's items."""
+
+    total: int
+    results: list[JobResult]
+
+
+class JobItemRead(Message, tag="job_item_read"):
+    """Asks the owner of a job for the body of an item not yet listed."""
+
+    customer: str
+    job_id: str
+    item_id: str
+
+
+class JobItemBody(Message, tag="job_item_body"):
+    """Answers `JobItemRead`."""
+
+    body: bytes
+
+
+class JobEnd(Message, tag="job_end"):
+    """Asks the owner of a job to end it; answered with `Ack`."""
+
+    customer: str
+    job_id: str
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -408,4 +506,12 @@
     | WantItems
     | RoomOffer
     | StopItems
+    | GatewayReport
+    | FetchConfiguration
+    | ConfigurationCopy
+    | JobRead
+    | JobResults
+    | JobItemRead
+    | JobItemBody
+    | JobEnd
 )
--- /dev/null
+++ b/lacewingwood/peers/presence.py
@@ -0,0 +1,284 @@
+"""Which gateways there are, and what they tell each other."""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+import structlog
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import errors as log_errors
+from lacewingwood.log import follow
+from lacewingwood.log import keyed
+from lacewingwood.peers import messages
+from lacewingwood.peers import network as network_lib
+
+GATEWAYS = keyed.Partition("gateways", 0)
+
+# Each gateway renews its entry at this interval, and is no longer counted
+# after three times that.
+_RENEW_MS = 3_000.0
+_ENTRY_TTL_MS = 3 * _RENEW_MS
+_READ_PAUSE_MS = 1_000.0
+_READ_WAIT_MS = 1_000.0
+_RETRY_MS = 500.0
+# Reports follow changes after this pause, which bounds their number.
+_REPORT_PAUSE_MS = 25.0
+# A gateway without changes reports this often.
+_QUIET_REPORT_MS = 400.0
+# A peer that has not reported for this long is taken to be cut off or dead.
+_SILENCE_MS = 1_500.0
+
+_log = structlog.get_logger()
+
+
+class _Entry(msgspec.Struct, array_like=True):
+    """A gateway's record on the log."""
+
+    address: str
+    zone: str
+    started_ms: int
+    renewal: int
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another gateway.
+
+    Attributes:
+        host: Its host.
+        address: Its peer listener.
+        started_ms: Unix time of its start.
+        entry_ms: When its entry was last seen to change.
+        report_ms: When its last report came.
+        report: Its last report, None before the first.
+    """
+
+    host: str
+    address: str
+    started_ms: int = 0
+    entry_ms: float = float("-inf")
+    report_ms: float = float("-inf")
+    report: messages.GatewayReport | None = None
+
+
+class Presence:
+    """The gateways and their reports.
+
+    Attributes:
+        on_report: Called with each report of a peer.
+        on_silent: Called with the host of a peer that has gone silent.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        address: str,
+        seeds: list[str],
+        log: keyed.KeyedLog,
+        network: network_lib.Network,
+        make_report: Callable[[], messages.GatewayReport],
+        clock: clocks.Clock,
+        metrics: metrics_lib.Registry,
+        started_ms: int,
+    ) -> None:
+        """Makes the presence of a gateway, which `run` announces.
+
+        Args:
+            host: This gateway's host.
+            zone: Its zone.
+            address: Its peer listener.
+            seeds: Peer listeners to try while the log shows none.
+            log: Where gateways have their entries.
+            network: Carries the reports.
+            make_report: Returns this gateway's report.
+            clock: Source of time.
+            metrics: Where events are counted.
+            started_ms: Unix time of this gateway's start.
+        """
+        self.on_report: Callable[[messages.GatewayReport], None]
+        self.on_report = lambda report: None
+        self.on_silent: Callable[[str], None] = lambda host: None
+        self._host = host
+        self._zone = zone
+        self._address = address
+        self._seeds = [seed for seed in seeds if seed != address]
+        self._log = log
+        self._network = network
+        self._make_report = make_report
+        self._clock = clock
+        self._metrics = metrics
+        self._started_ms = started_ms
+        self._peers: dict[str, Peer] = {}
+        self._changed = trio.Event()
+        self._leaving = False
+        network.handle(messages.GatewayReport, self._handle_report)
+        self._follower = follow.Follower(
+            log,
+            GATEWAYS,
+            self._apply,
+            self._apply,
+            clock,
+            metrics,
+            wait_ms=_READ_WAIT_MS,
+            pause_ms=_READ_PAUSE_MS,
+        )
+
+    def heard(self) -> list[Peer]:
+        """Returns the peers that have reported lately."""
+        limit_ms = self._clock.now_ms() - _SILENCE_MS
+        return [p for p in self._peers.values() if p.report_ms >= limit_ms]
+
+    def share(self) -> float:
+        """Returns this part's share of all gateways that should be there."""
+        heard = len(self.heard()) + 1
+        limit_ms = self._clock.now_ms() - _ENTRY_TTL_MS
+        silence_ms = self._clock.now_ms() - _SILENCE_MS
+        silent = sum(
+            1
+            for peer in self._peers.values()
+            if peer.report_ms < silence_ms and peer.entry_ms >= limit_ms
+        )
+        return heard / (heard + silent)
+
+    def owner_address(self, partition: int) -> str | None:
+        """Returns the peer that owns a partition with the greatest epoch."""
+        best, best_epoch = None, -1
+        for peer in self.heard():
+            epoch = peer.report.owned.get(partition) if peer.report else None
+            if epoch is not None and epoch > best_epoch:
+                best, best_epoch = peer.address, epoch
+        return best
+
+    def addresses(self) -> list[str]:
+        """Returns peers to ask, those heard lately first."""
+        heard = [peer.address for peer in self.heard()]
+        known = [peer.address for peer in self._peers.values()]
+        return list(dict.fromkeys([*heard, *known, *self._seeds]))
+
+    def note_change(self) -> None:
+        """Makes a report go out soon."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Announces this gateway and reports to the others."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._renew_entry)
+            nursery.start_soon(self._report)
+            nursery.start_soon(self._watch_silence)
+
+    async def leave(self) -> None:
+        """Tells all others that this gateway stops."""
+        self._leaving = True
+        self._send_report()
+        try:
+            await self._log.append(GATEWAYS, [keyed.Record(self._host, None)])
+        except log_errors.LogError as exc:
+            _log.warning("entry not removed", code=exc.code)
+
+    async def _renew_entry(self) -> None:
+        renewal = 0
+        while not self._leaving:
+            renewal += 1
+            entry = _Entry(self._address, self._zone, self._started_ms, renewal)
+            record = keyed.Record(self._host, msgspec.msgpack.encode(entry))
+            pause_ms = _RENEW_MS
+            try:
+                await self._log.append(GATEWAYS, [record])
+            except log_errors.LogError as exc:
+                self._metrics.add("entry_renewals_failed", code=exc.code)
+                pause_ms = _RETRY_MS
+            await self._clock.sleep_ms(pause_ms)
+
+    def _apply(self, page: list[keyed.Record]) -> None:
+        for record in page:
+            if record.key == self._host:
+                continue
+            if record.value is None:
+                peer = self._peers.get(record.key)
+                if peer is not None:
+                    peer.entry_ms = float("-inf")
+                continue
+            try:
+                entry = msgspec.msgpack.decode(record.value, type=_Entry)
+            except msgspec.MsgspecError:
+                self._metrics.add("gateway_entries_malformed")
+                continue
+            self._note_entry(record.key, entry)
+
+    def _note_entry(self, host: str, entry: _Entry) -> None:
+        peer = self._peers.get(host)
+        if peer is None:
+            peer = self._peers[host] = Peer(host, entry.address)
+            self._changed.set()
+        peer.address = entry.address
+        peer.started_ms = entry.started_ms
+        peer.entry_ms = self._clock.now_ms()
+
+    async def _report(self) -> None:
+        while True:
+            self._changed = trio.Event()
+            self._send_report()
+            await self._clock.sleep_ms(_REPORT_PAUSE_MS)
+            with trio.move_on_after(
+                (_QUIET_REPORT_MS - _REPORT_PAUSE_MS) / 1000
+            ):
+                await self._changed.wait()
+
+    def _send_report(self) -> None:
+        report = self._make_report()
+        report.leaving = self._leaving
+        limit_ms = self._clock.now_ms() - _ENTRY_TTL_MS
+        targets = {
+            peer.address
+            for peer in self._peers.values()
+            if max(peer.entry_ms, peer.report_ms) >= limit_ms
+        }
+        for address in targets or self._seeds:
+            self._network.send(address, report)
+
+    async def _handle_report(self, report: messages.GatewayReport) -> None:
+        if report.host == self._host:
+            return
+        peer = self._peers.get(report.host)
+        if peer is None:
+            peer = self._peers[report.host] = Peer(report.host, report.address)
+        if report.started_ms < peer.started_ms:
+            # A message of the process that ran there before.
+            return
+        if self._is_silent(peer):
+            _log.info("peer heard", peer=report.host, address=report.address)
+        peer.address = report.address
+        peer.started_ms = report.started_ms
+        peer.report = report
+        peer.report_ms = self._clock.now_ms()
+        if report.leaving:
+            peer.entry_ms = peer.report_ms = float("-inf")
+            peer.report = None
+            self.on_silent(peer.host)
+            _log.info("peer left", peer=report.host)
+            return
+        self.on_report(report)
+
+    def _is_silent(self, peer: Peer) -> bool:
+        return self._clock.now_ms() - peer.report_ms > _SILENCE_MS
+
+    async def _watch_silence(self) -> None:
+        silent: set[str] = set()
+        while True:
+            await self._clock.sleep_ms(_SILENCE_MS / 3)
+            for peer in self._peers.values():
+                if not self._is_silent(peer):
+                    silent.discard(peer.host)
+                elif peer.host not in silent:
+                    silent.add(peer.host)
+                    if peer.report is not None:
+                        age_ms = self._clock.now_ms() - peer.report_ms
+                        _log.warning(
+                            "peer lost", peer=peer.host, age_ms=round(age_ms)
+                        )
+                        self.on_silent(peer.host)
--- /dev/null
+++ b/lacewingwood/platform/settings.py
@@ -0,0 +1,112 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from typing import Any
+
+import msgspec
+
+from lacewingwood import errors
+from lacewingwood import settings
+
+ENV = "LACEWINGWOOD_CONFIG"
+
+
+class SettingsError(errors.Error):
+    """The settings file is missing or does not hold what it must."""
+
+    code = "platform_settings"
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float = 256.0
+    max_fds: int = 1024
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    contact_ms: float = 3000.0
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_apply_ms: float = 2000.0
+    quota_window_s: float = 5.0
+    status_s: float = 120.0
+    cancel_ms: float = 3000.0
+    settle_ms: float = 1000.0
+    pass_ms: float = 120.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+    parts: int = 8
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+    ttl_min_ms: int = 1000
+
+
+class _File(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform_settings: _Store
+    region: str = ""
+    port_range: tuple[int, int] | None = None
+    seeds: list[str] = []
+    heartbeat_ms: float = 1200.0
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def load(path: str) -> settings.GatewaySettings:
+    """Reads a settings file.
+
+    Raises:
+        SettingsError: It can't be read, or a value is missing or malformed.
+    """
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+        return _translate(msgspec.convert(raw, _File, strict=False))
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+
+
+def default_path(environ: Any = os.environ) -> str:
+    """Returns the path that the environment names, empty if none."""
+    return str(environ.get(ENV, ""))
+
+
+def _translate(file: _File) -> settings.GatewaySettings:
+    store, bounds = file.platform_settings, file.bounds
+    first_port = file.port_range[0] if file.port_range else 0
+    return settings.GatewaySettings(
+        host=file.node,
+        zone=file.zone,
+        region=file.region,
+        bind=file.listen.front,
+        ready_bind=file.listen.ready,
+        # `control` names a role for outside callers, but nobody calls it:
+        # its address serves as the peers' listener since `seeds` lists it.
+        peer_bind=file.listen.control or f"{file.ip}:{first_port}",
+        admin_bind=f"{file.ip}:{first_port + 1}",
+        seeds=file.seeds,
+        store_address=store.address,
+        partitions_per_topic=store.parts,
+        max_record_bytes=store.record_bytes,
+        max_append_bytes=store.call_bytes,
+        member_ttl_min_ms=store.ttl_min_ms,
+        heartbeat_ms=file.heartbeat_ms,
+        contact_ms=bounds.contact_ms,
+        leave_ms=bounds.drain_ms,
+        grace_ms=bounds.grace_s * 1000,
+        job_status_ms=bounds.status_s * 1000,
+        quota_window_ms=bounds.quota_window_s * 1000,
+    )
--- /dev/null
+++ b/lacewingwood/roles/gateway.py
@@ -0,0 +1,431 @@
+"""A gateway process: takes routed requests and runs batch jobs."""
+
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+import trio
+
+from lacewingwood import clock as clock_lib
+from lacewingwood import configuration
+from lacewingwood import logs
+from lacewingwood import metrics as metrics_lib
+from lacewingwood import settings
+from lacewingwood.callers import forwarding
+from lacewingwood.callers import gateway as gateways
+from lacewingwood.callers import server
+from lacewingwood.jobs import owner as owners
+from lacewingwood.jobs import ownership as ownerships
+from lacewingwood.jobs import running
+from lacewingwood.jobs import scheduler as schedulers
+from lacewingwood.jobs import service as job_service
+from lacewingwood.limits import shared
+from lacewingwood.log import follow
+from lacewingwood.log import keyed
+from lacewingwood.operators import admin
+from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import messages
+from lacewingwood.peers import network as network_lib
+from lacewingwood.peers import presence as presence_lib
+from lacewingwood.platform import documents
+from lacewingwood.platform import ingress
+from lacewingwood.platform import replicas as replica_client
+from lacewingwood.platform import settings as platform_settings
+from lacewingwood.platform import store as store_lib
+from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.state import published
+
+# A read waits this long for a change, and is sent again after this pause;
+# together well below the time in which a change must be in force.
+_CONFIGURATION_WAIT_MS = 900.0
+_CONFIGURATION_PAUSE_MS = 50.0
+_REPLICAS_WAIT_MS = 500.0
+_REPLICAS_PAUSE_MS = 300.0
+_UPKEEP_MS = 100.0
+_FLUSH_MS = 50.0
+_PEER_TIMEOUT_MS = 500.0
+_FETCH_PAUSE_MS = 400.0
+# The balancer notices after two missed checks, one a second; new connections
+# come until then.
+_DRAIN_MS = 2_600.0
+# Time before SIGKILL that is kept for leaving.
+_LEAVE_MS = 700.0
+
+_log = structlog.get_logger()
+
+
+def run(path: str) -> None:
+    """Runs a gateway until it is told to stop."""
+    trio.run(Gateway(path).run)
+
+
+class Gateway:
+    """The parts of a gateway process and how they depend on each other."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._cfg = cfg = platform_settings.load(path)
+        self._started_ms = _wall_ms()
+        self._clock = clock_lib.MonotonicClock()
+        self._metrics = metrics_lib.Registry()
+        self._shutdown = trio.Event()
+        self._writer = logs.configure_bounded(node=cfg.host, zone=cfg.zone)
+        self._store = store_lib.Store(cfg.store_address, self._metrics)
+        self._network = network_lib.Network(
+            cfg.host, self._metrics, self._clock
+        )
+        self._published = published.Published(
+            documents.decode_configuration, self._clock
+        )
+        self._fleet = load.Fleet()
+        self._limits = shared.SharedLimits()
+        self._dispatcher = dispatchers.Dispatcher(
+            self._fleet, cfg.zone, self._clock, self._metrics
+        )
+        self._replica_list = published.ReplicaList(
+            self._fleet,
+            documents.decode_replica,
+            self._clock,
+            directory.silence_of_outage_ms(cfg.heartbeat_ms),
+        )
+        self._presence = self._make_presence()
+        self._followers = self._make_followers()
+        replicas = replica_client.Replicas()
+        self._scheduler = schedulers.Scheduler(
+            self._dispatcher,
+            running.ItemRunner(
+                self._dispatcher, replicas, self._clock, self._metrics
+            ),
+            self._find_route,
+            self._clock,
+            _wall_ms,
+            self._metrics,
+        )
+        partitions = job_service.partitions(cfg.partitions_per_topic)
+        self._ownership = ownerships.Ownership(
+            self._store,
+            f"{cfg.host}-{self._started_ms}",
+            partitions,
+            self._make_owner,
+            self._clock,
+            self._metrics,
+            cfg.member_ttl_min_ms,
+        )
+        jobs = job_service.JobService(
+            self._store,
+            partitions,
+            self._ownership,
+            self._network,
+            self._presence.owner_address,
+            self._clock,
+            self._metrics,
+            max_record_bytes=cfg.max_record_bytes,
+            max_append_bytes=cfg.max_append_bytes,
+        )
+        forwarder = forwarding.Forwarder(
+            self._dispatcher, replicas, self._clock, self._metrics
+        )
+        gateway = gateways.Gateway(
+            self._published,
+            self._limits,
+            forwarder,
+            self._clock,
+            self._metrics,
+        )
+        self._app = ingress.Ingress(gateway, jobs, self._clock, self._metrics)
+        self._dispatcher.on_change = self._presence.note_change
+        self._published.on_change = self._take_configuration
+        self._network.handle(messages.FetchConfiguration, self._handle_fetch)
+        self._add_gauges()
+
+    async def run(self) -> None:
+        """Serves callers until a planned shutdown has ended."""
+        cfg = self._cfg
+        _log.info("starting", started_ms=self._started_ms)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._flush_logs)
+            await nursery.start(self._watch_signals)
+            await self._network.serve(*settings.split_address(cfg.peer_bind))
+            nursery.start_soon(self._network.run)
+            await self._start_admin(nursery)
+            for follower in self._followers:
+                nursery.start_soon(follower.run)
+            nursery.start_soon(self._presence.run)
+            nursery.start_soon(self._scheduler.run)
+            nursery.start_soon(self._ownership.run)
+            nursery.start_soon(self._do_upkeep)
+            nursery.start_soon(self._follow_peers)
+            nursery.start_soon(self._leave)
+            await self._serve()
+            await self._network.close(drain_ms=0)
+            nursery.cancel_scope.cancel()
+        _log.info("stopped")
+        self._writer.flush()
+
+    async def _serve(self) -> None:
+        cfg = self._cfg
+        host, port = settings.split_address(cfg.bind)
+        drain_ms = min(_DRAIN_MS, cfg.grace_ms / 3)
+        await server.serve(
+            self._app,
+            host,
+            port,
+            self._shutdown,
+            drain_ms,
+            grace_ms=max(0.0, cfg.grace_ms - drain_ms - _LEAVE_MS),
+        )
+
+    async def _start_admin(self, nursery: trio.Nursery) -> None:
+        app = admin.AdminApp(self._metrics, self._unready, self._dump)
+        bind = settings.split_address(self._cfg.admin_bind)
+        await nursery.start(admin.serve, app, *bind)
+        ready = ingress.ReadyApp(self._unready)
+        bind = settings.split_address(self._cfg.ready_bind)
+        await nursery.start(admin.serve, ready, *bind)
+
+    async def _leave(self) -> None:
+        """Hands over, once told to stop, while the last requests run."""
+        await self._shutdown.wait()
+        await self._ownership.stop()
+        await self._presence.leave()
+
+    async def _watch_signals(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as received:
+            task_status.started()
+            async for number in received:
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
+                _log.info("stopping", signal=signal.Signals(number).name)
+                self._shutdown.set()
+
+    def _reload(self) -> None:
+        """Reads the settings again; addresses stay as they are."""
+        try:
+            new = platform_settings.load(self._path)
+        except platform_settings.SettingsError as exc:
+            _log.error("settings not reloaded", detail=exc.message)
+            return
+        changed = [
+            name
+            for name in settings.GatewaySettings.__slots__
+            if getattr(new, name) != getattr(self._cfg, name)
+        ]
+        self._cfg = new
+        _log.info("settings reloaded", changed=changed)
+
+    async def _flush_logs(self) -> None:
+        while True:
+            self._writer.flush()
+            await self._clock.sleep_ms(_FLUSH_MS)
+
+    async def _do_upkeep(self) -> None:
+        """Forgets what is out of date, a few times a second."""
+        while True:
+            now_ms = self._clock.now_ms()
+            self._fleet.expire(now_ms)
+            if self._fleet.directory.expire(now_ms):
+                self._fleet.refresh()
+            self._limits.share = self._presence.share()
+            await self._clock.sleep_ms(_UPKEEP_MS)
+
+    async def _follow_peers(self) -> None:
+        """Takes the configuration from peers that know a newer one."""
+        while True:
+            await self._clock.sleep_ms(_FETCH_PAUSE_MS)
+            for address in self._addresses_ahead():
+                if await self._fetch_from(address):
+                    break
+
+    def _addresses_ahead(self) -> list[str]:
+        version = self._published.version
+        if not version:
+            return self._presence.addresses()
+        return [
+            peer.address
+            for peer in self._presence.heard()
+            if peer.report and peer.report.version > version
+        ]
+
+    async def _fetch_from(self, address: str) -> bool:
+        try:
+            answer = await self._network.call(
+                address, messages.FetchConfiguration(), _PEER_TIMEOUT_MS
+            )
+        except peer_errors.PeerError as exc:
+            self._metrics.add("configuration_fetches_failed", code=exc.code)
+            return False
+        if not isinstance(answer, messages.ConfigurationCopy):
+            return False
+        if not self._fleet.directory.replicas():
+            entries = [
+                keyed.Record(replica_id, value)
+                for replica_id, value in answer.replicas.items()
+            ]
+            self._replica_list.apply(entries)
+        return bool(answer.document) and self._published.take(
+            answer.document, "peer"
+        )
+
+    async def _handle_fetch(
+        self, request: messages.FetchConfiguration
+    ) -> messages.ConfigurationCopy:
+        return messages.ConfigurationCopy(
+            self._published.document, self._replica_list.entries
+        )
+
+    def _make_followers(self) -> list[follow.Follower]:
+        def make(
+            partition: keyed.Partition,
+            on_snapshot: Callable[[list[keyed.Record]], None],
+            on_records: Callable[[list[keyed.Record]], None],
+            wait_ms: float,
+            pause_ms: float,
+        ) -> follow.Follower:
+            return follow.Follower(
+                self._store,
+                partition,
+                on_snapshot,
+                on_records,
+                self._clock,
+                self._metrics,
+                wait_ms=wait_ms,
+                pause_ms=pause_ms,
+            )
+
+        return [
+            make(
+                documents.OPERATOR,
+                self._take_documents,
+                self._take_documents,
+                _CONFIGURATION_WAIT_MS,
+                _CONFIGURATION_PAUSE_MS,
+            ),
+            make(
+                documents.REPLICAS,
+                self._replica_list.load,
+                self._replica_list.apply,
+                _REPLICAS_WAIT_MS,
+                _REPLICAS_PAUSE_MS,
+            ),
+        ]
+
+    def _make_presence(self) -> presence_lib.Presence:
+        cfg = self._cfg
+        presence = presence_lib.Presence(
+            cfg.host,
+            cfg.zone,
+            cfg.peer_bind,
+            cfg.seeds,
+            self._store,
+            self._network,
+            self._report,
+            self._clock,
+            self._metrics,
+            self._started_ms,
+        )
+        presence.on_report = self._take_report
+        presence.on_silent = self._fleet.forget
+        return presence
+
+    def _make_owner(
+        self, index: int, partition: keyed.Partition, epoch: int
+    ) -> owners.Owner:
+        return owners.Owner(
+            index,
+            partition,
+            epoch,
+            self._store,
+            self._scheduler,
+            self._clock,
+            _wall_ms,
+            self._metrics,
+            keep_ms=self._cfg.job_status_ms,
+        )
+
+    def _take_documents(self, page: list[keyed.Record]) -> None:
+        for record in page:
+            if record.key == documents.CONFIGURATION_KEY and record.value:
+                self._published.take(record.value, "store")
+
+    def _take_configuration(self, new: configuration.Configuration) -> None:
+        rates = {
+            name: (customer.rate, customer.burst)
+            for name, customer in new.customers.items()
+        }
+        self._limits.configure(rates, self._clock.now_ms())
+        self._presence.note_change()
+
+    def _take_report(self, report: messages.GatewayReport) -> None:
+        now_ms = self._clock.now_ms()
+        self._fleet.note_report(report.host, report.running, now_ms)
+        self._limits.note_report(report.host, report.admitted, now_ms)
+
+    def _report(self) -> messages.GatewayReport:
+        return messages.GatewayReport(
+            host=self._cfg.host,
+            address=self._cfg.peer_bind,
+            started_ms=self._started_ms,
+            version=self._published.version,
+            running=self._fleet.own_counts(),
+            admitted=self._limits.admitted(),
+            owned=self._ownership.epochs(),
+        )
+
+    def _find_route(self, host: str, path: str) -> configuration.Route | None:
+        current = self._published.current
+        return current.find_route(host, path) if current else None
+
+    def _unready(self) -> str | None:
+        if self._shutdown.is_set():
+            return "stopping"
+        if self._published.current is None:
+            return "no configuration yet"
+        if not self._fleet.directory.replicas():
+            return "no replica known yet"
+        return None
+
+    def _add_gauges(self) -> None:
+        gauge = self._metrics.gauge
+        gauge("callers_running", lambda: self._app.running)
+        gauge("requests_waiting", lambda: self._dispatcher.waiting)
+        gauge("items_waiting", lambda: self._scheduler.counts[0])
+        gauge("items_running", lambda: self._scheduler.counts[1])
+        gauge("peers_heard", lambda: len(self._presence.heard()))
+        gauge("configuration_version", lambda: self._published.version)
+        gauge("log_lines_dropped", lambda: self._writer.dropped)
+
+    def _dump(self) -> dict[str, Any]:
+        return {
+            "host": self._cfg.host,
+            "zone": self._cfg.zone,
+            "unready": self._unready(),
+            "version": self._published.version,
+            "share": self._limits.share,
+            "peers": {
+                peer.host: peer.address for peer in self._presence.heard()
+            },
+            "owned": self._ownership.epochs(),
+            "replicas": {
+                replica.listing.id: {
+                    "own": list(replica.own),
+                    "others": list(replica.others),
+                    "leaving": replica.listing.leaving,
+                    "failures": replica.failures,
+                }
+                for replica in self._fleet.all()
+            },
+            "metrics": self._metrics.dump(),
+        }
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/lacewingwood/routing/dispatcher.py
@@ -0,0 +1,229 @@
+"""Gives replicas' slots to requests, and makes those wait that find none.
+
+Replicas admit in order of arrival and know no priorities, so requests wait
+here and not in the replicas' queues.
+"""
+
+import collections
+import dataclasses
+import random
+
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.routing import load
+
+# Online requests that may wait in a replica's own queue: a slot that comes
+# free is then taken at once, and a stale count costs nobody the objective.
+_OVERSHOOT = 1
+# Slots that batch work leaves free on each replica for online requests that
+# arrive before a batch item could yield.
+_RESERVE = 2
+# Most of a replica's slots that urgent batch work may take from online work.
+_URGENT_SHARE = 0.5
+# Requests that can no longer meet their objective wait behind those that can;
+# a first event takes about this long after the request was sent.
+_FIRST_EVENT_MS = 80.0
+# Waiting requests look again at this interval: peers' reports and pauses that
+# end free slots without an event here.
+_POLL_MS = 20.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Demand:
+    """A request for a slot.
+
+    Attributes:
+        service: Service that must run it.
+        work: Kind of work.
+        rank: Priority, 0 is the highest.
+        arrived_ms: When the request arrived.
+        objective_ms: When its first event is due, counted from `arrived_ms`.
+        deadline_ms: When its caller no longer waits.
+        exclude: Replicas that must not be used.
+        urgent: True for batch work that must not wait for idle slots.
+    """
+
+    service: str
+    work: load.Work
+    rank: int = 0
+    arrived_ms: float = 0.0
+    objective_ms: float = 0.0
+    deadline_ms: float = float("inf")
+    exclude: set[str] = dataclasses.field(default_factory=set)
+    urgent: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Slot:
+    """A slot on a replica, held until `Dispatcher.release`."""
+
+    replica: load.Replica
+    work: load.Work
+    held: bool = True
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    demand: Demand
+    ready: trio.Event
+    slot: Slot | None = None
+
+
+class Dispatcher:
+    """Slots of all replicas, as far as this gateway knows.
+
+    Attributes:
+        fleet: The replicas and their load.
+        on_change: Called when this gateway's counts have changed.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_metrics",
+        "_rng",
+        "_waiting",
+        "_zone",
+        "fleet",
+        "on_change",
+    )
+
+    def __init__(
+        self,
+        fleet: load.Fleet,
+        zone: str,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Registry,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.fleet = fleet
+        self.on_change = lambda: None
+        self._zone = zone
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+        self._waiting: collections.deque[_Waiter] = collections.deque()
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a slot."""
+        return len(self._waiting)
+
+    def known(self, service: str) -> bool:
+        """Returns whether any replica of a service can be used."""
+        return any(
+            not r.listing.leaving for r in self.fleet.of_service(service)
+        )
+
+    def try_acquire(self, demand: Demand) -> Slot | None:
+        """Returns a slot if one is free now."""
+        replica = self._choose(demand)
+        return self._take(replica, demand.work) if replica else None
+
+    async def acquire(self, demand: Demand) -> Slot | None:
+        """Waits for a slot; None if there was none before the deadline."""
+        if not self._waiting and (slot := self.try_acquire(demand)):
+            return slot
+        waiter = _Waiter(demand, trio.Event())
+        self._waiting.append(waiter)
+        remaining_ms = demand.deadline_ms - self._clock.now_ms()
+        try:
+            with trio.move_on_after(max(0.0, remaining_ms) / 1000):
+                await self._wait(waiter)
+        except BaseException:
+            if waiter.slot is not None:
+                self.release(waiter.slot)
+            raise
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+        return waiter.slot
+
+    def release(self, slot: Slot) -> None:
+        """Gives a slot back."""
+        if not slot.held:
+            return
+        slot.held = False
+        slot.replica.own[slot.work.value] -= 1
+        self.on_change()
+        self.serve_waiting()
+
+    def serve_waiting(self) -> None:
+        """Gives free slots to waiting requests, the most urgent first."""
+        if not self._waiting:
+            return
+        now_ms = self._clock.now_ms()
+        ordered = sorted(self._waiting, key=lambda w: _order(w.demand, now_ms))
+        for waiter in ordered:
+            slot = self.try_acquire(waiter.demand)
+            if slot is not None:
+                waiter.slot = slot
+                self._waiting.remove(waiter)
+                waiter.ready.set()
+
+    def excess(self, replica: load.Replica) -> int:
+        """Returns by how much batch work must shrink on a replica.
+
+        It yields once fewer slots are free than online work may need next.
+        """
+        held = replica.total(self._clock.now_ms())
+        return min(replica.batch(), held - replica.slots)
+
+    async def _wait(self, waiter: _Waiter) -> None:
+        while not waiter.ready.is_set():
+            with trio.move_on_after(_POLL_MS / 1000):
+                await waiter.ready.wait()
+            if not waiter.ready.is_set():
+                self.serve_waiting()
+
+    def _take(self, replica: load.Replica, work: load.Work) -> Slot:
+        replica.own[work.value] += 1
+        self.on_change()
+        return Slot(replica, work)
+
+    def _choose(self, demand: Demand) -> load.Replica | None:
+        now_ms = self._clock.now_ms()
+        usable = [
+            r
+            for r in self.fleet.of_service(demand.service)
+            if not r.listing.leaving and r.listing.id not in demand.exclude
+        ]
+        sound = [r for r in usable if r.paused_until_ms <= now_ms]
+        # Suspicion alone must not take the last replicas out of use.
+        return self._least_busy(sound or usable, demand, now_ms)
+
+    def _least_busy(
+        self, replicas: list[load.Replica], demand: Demand, now_ms: float
+    ) -> load.Replica | None:
+        open_ = [r for r in replicas if _has_room(r, demand, now_ms)]
+        if not open_:
+            return None
+        return min(open_, key=lambda r: self._load_order(r, now_ms))
+
+    def _load_order(
+        self, replica: load.Replica, now_ms: float
+    ) -> tuple[float, bool, float]:
+        busy = replica.total(now_ms) / replica.slots
+        return busy, replica.listing.zone != self._zone, self._rng.random()
+
+
+def _has_room(replica: load.Replica, demand: Demand, now_ms: float) -> bool:
+    total = replica.total(now_ms)
+    if demand.work is load.Work.ONLINE:
+        # Batch items yield, so only online work counts against it.
+        if total < replica.slots:
+            return True
+        return (
+            replica.online() < replica.slots
+            and total < replica.slots + _OVERSHOOT
+        )
+    if demand.urgent:
+        limit = int(replica.slots * _URGENT_SHARE)
+        return replica.batch() < limit and total <= replica.slots
+    return total + _RESERVE < replica.slots
+
+
+def _order(demand: Demand, now_ms: float) -> tuple[bool, int, float]:
+    due_ms = demand.arrived_ms + demand.objective_ms - _FIRST_EVENT_MS
+    return now_ms > due_ms, demand.rank, demand.arrived_ms
--- /dev/null
+++ b/lacewingwood/routing/load.py
@@ -0,0 +1,198 @@
+"""How busy each replica is, from this gateway's work and its peers' reports."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from lacewingwood.routing import directory
+
+# A peer that has not reported for this long no longer runs what it reported.
+_REPORT_TTL_MS = 2_000.0
+# A replica's own figures say what others run there for about this long.
+_OWN_FIGURES_TTL_MS = 300.0
+# A replica that failed is passed over for this long, doubled each time.
+_PAUSE_MS = 500.0
+_MAX_PAUSE_MS = 8_000.0
+_MAX_DOUBLINGS = 4
+# A replica that is full by its own word is passed over for this long.
+_FULL_PAUSE_MS = 60.0
+
+
+class Work(enum.Enum):
+    """What occupies a replica's slot."""
+
+    ONLINE = 0
+    BATCH = 1
+
+
+Counts = tuple[int, int]
+_NONE: Counts = (0, 0)
+
+
+@dataclasses.dataclass(slots=True)
+class Replica:
+    """One replica and what is known of its load.
+
+    Attributes:
+        listing: Its entry on the platform's list.
+        own: Requests of this gateway that it holds: online, batch.
+        others: The same of all other gateways, by their reports.
+        foreign: Requests of others by the replica's own figures.
+        foreign_ms: When it gave these figures.
+        failures: Failures in a row.
+        paused_until_ms: Used before this time only if no other can be.
+    """
+
+    listing: directory.Listing
+    own: list[int] = dataclasses.field(default_factory=lambda: [0, 0])
+    others: list[int] = dataclasses.field(default_factory=lambda: [0, 0])
+    foreign: int = 0
+    foreign_ms: float = float("-inf")
+    failures: int = 0
+    paused_until_ms: float = 0.0
+
+    @property
+    def slots(self) -> int:
+        """Requests that it runs at once."""
+        return self.listing.slots
+
+    def online(self) -> int:
+        """Returns the online requests that it holds."""
+        return self.own[0] + self.others[0]
+
+    def batch(self) -> int:
+        """Returns the batch items that it holds."""
+        return self.own[1] + self.others[1]
+
+    def total(self, now_ms: float) -> int:
+        """Returns the requests that it holds, by the fuller account."""
+        others = self.others[0] + self.others[1]
+        if now_ms - self.foreign_ms < _OWN_FIGURES_TTL_MS:
+            others = max(others, self.foreign)
+        return self.own[0] + self.own[1] + others
+
+    def note_figures(self, held: int, now_ms: float) -> None:
+        """Takes over the number of requests that the replica says it holds."""
+        self.foreign = max(0, held - self.own[0] - self.own[1])
+        self.foreign_ms = now_ms
+
+    def note_success(self) -> None:
+        """Notes that it answered well."""
+        self.failures = 0
+        self.paused_until_ms = 0.0
+
+    def note_failure(self, now_ms: float) -> None:
+        """Notes that it failed a request."""
+        doublings = min(self.failures, _MAX_DOUBLINGS)
+        pause_ms = min(_PAUSE_MS * 2**doublings, _MAX_PAUSE_MS)
+        self.failures += 1
+        self.paused_until_ms = now_ms + pause_ms
+
+    def note_full(self, now_ms: float) -> None:
+        """Notes that it refused a request because it is full."""
+        self.paused_until_ms = max(
+            self.paused_until_ms, now_ms + _FULL_PAUSE_MS
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _Report:
+    at_ms: float
+    counts: Mapping[str, Counts]
+
+
+class Fleet:
+    """All replicas with their load.
+
+    Attributes:
+        directory: Where the listings come from.
+    """
+
+    __slots__ = ("_by_service", "_replicas", "_reports", "directory")
+
+    def __init__(self) -> None:
+        self.directory = directory.Directory()
+        self._replicas: dict[str, Replica] = {}
+        self._by_service: dict[str, list[Replica]] = {}
+        self._reports: dict[str, _Report] = {}
+
+    def refresh(self) -> None:
+        """Takes over the directory's present content."""
+        listed = {x.id: x for x in self.directory.replicas()}
+        for replica_id in [i for i in self._replicas if i not in listed]:
+            del self._replicas[replica_id]
+        for replica_id, listing in listed.items():
+            replica = self._replicas.get(replica_id)
+            if replica is None or _restarted(replica.listing, listing):
+                replica = self._replicas[replica_id] = Replica(listing)
+                self._recount(replica)
+            replica.listing = listing
+        self._by_service = {}
+        for replica in self._replicas.values():
+            service = replica.listing.service
+            self._by_service.setdefault(service, []).append(replica)
+
+    def get(self, replica_id: str) -> Replica | None:
+        """Returns a replica, or None if it is not listed."""
+        return self._replicas.get(replica_id)
+
+    def of_service(self, service: str) -> list[Replica]:
+        """Returns all replicas of a service, leaving ones included."""
+        return self._by_service.get(service, [])
+
+    def all(self) -> Iterable[Replica]:
+        """Returns all replicas."""
+        return self._replicas.values()
+
+    def own_counts(self) -> dict[str, Counts]:
+        """Returns what this gateway runs, for its peers."""
+        return {
+            replica_id: (replica.own[0], replica.own[1])
+            for replica_id, replica in self._replicas.items()
+            if replica.own[0] or replica.own[1]
+        }
+
+    def note_report(
+        self, node: str, counts: Mapping[str, Counts], now_ms: float
+    ) -> None:
+        """Takes over what a peer runs."""
+        old = self._reports.get(node)
+        self._reports[node] = _Report(now_ms, counts)
+        self._apply(old.counts if old else {}, counts)
+
+    def expire(self, now_ms: float) -> None:
+        """Forgets reports of peers that have been silent for long."""
+        limit_ms = now_ms - _REPORT_TTL_MS
+        for node in [n for n, r in self._reports.items() if r.at_ms < limit_ms]:
+            self._apply(self._reports.pop(node).counts, {})
+
+    def forget(self, node: str) -> None:
+        """Forgets the report of a peer that has stopped."""
+        report = self._reports.pop(node, None)
+        if report is not None:
+            self._apply(report.counts, {})
+
+    def _apply(
+        self, old: Mapping[str, Counts], new: Mapping[str, Counts]
+    ) -> None:
+        for replica_id in {*old, *new}:
+            replica = self._replicas.get(replica_id)
+            if replica is None:
+                continue
+            before, after = (
+                old.get(replica_id, _NONE),
+                new.get(replica_id, _NONE),
+            )
+            replica.others[0] += after[0] - before[0]
+            replica.others[1] += after[1] - before[1]
+
+    def _recount(self, replica: Replica) -> None:
+        for report in self._reports.values():
+            counts = report.counts.get(replica.listing.id, _NONE)
+            replica.others[0] += counts[0]
+            replica.others[1] += counts[1]
+
+
+def _restarted(old: directory.Listing, new: directory.Listing) -> bool:
+    return old.started_ms != new.started_ms or old.address != new.address
--- a/lacewingwood/settings.py
+++ b/lacewingwood/settings.py
@@ -157,3 +157,50 @@
 @dataclasses.dataclass(slots=True, kw_only=True)
 class WorkerSettings(NodeSettings):
     """Settings of a worker process."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class GatewaySettings:
+    """Settings of a gateway process; a platform's adapter fills them in.
+
+    Attributes:
+        host: Identity of this host.
+        zone: Availability zone.
+        region: Region.
+        bind: Listener for callers, IP:PORT.
+        ready_bind: Listener for the balancer's readiness checks.
+        peer_bind: Listener for other gateways.
+        admin_bind: Listener for health, metrics and dumps.
+        seeds: Peer listeners that may answer when the store does not.
+        store_address: The platform's store, IP:PORT.
+        partitions_per_topic: Partitions of each topic in the store.
+        max_record_bytes: Largest record that the store takes.
+        max_append_bytes: Most bytes of one append.
+        member_ttl_min_ms: Shortest time to live of a group's member.
+        heartbeat_ms: Interval at which replicas renew their entries.
+        contact_ms: Time after a disturbance until a host counts as calm.
+        leave_ms: Time within which a leaving replica gets no more work.
+        grace_ms: Time between SIGTERM and SIGKILL.
+        job_status_ms: How long a job stays readable after its submission.
+        quota_window_ms: Window over which rates are checked.
+    """
+
+    host: str
+    zone: str
+    region: str = ""
+    bind: str = "127.0.0.1:0"
+    ready_bind: str = "127.0.0.1:0"
+    peer_bind: str = "127.0.0.1:0"
+    admin_bind: str = "127.0.0.1:0"
+    seeds: list[str] = dataclasses.field(default_factory=list)
+    store_address: str = ""
+    partitions_per_topic: int = 8
+    max_record_bytes: int = 262_144
+    max_append_bytes: int = 2_097_152
+    member_ttl_min_ms: int = 1_000
+    heartbeat_ms: float = 1_200.0
+    contact_ms: float = 3_000.0
+    leave_ms: float = 2_000.0
+    grace_ms: float = 8_000.0
+    job_status_ms: float = 120_000.0
+    quota_window_ms: float = 5_000.0
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -91,6 +91,9 @@
             return False
         if self._h11.their_state is not h11.DONE:
             return False
+        if self._h11.trailing_data[0]:
+            # What follows a complete response belongs to no request.
+            return False
         self._h11.start_next_cycle()
         self.idle_since_s = trio.current_time()
         return True
@@ -257,26 +260,35 @@
 class Pool:
     """Connections to one upstream, at most `limit` at once."""
 
-    __slots__ = ("_host", "_idle", "_port", "_slots")
+    __slots__ = ("_connect_timeout_s", "_host", "_idle", "_port", "_slots")
 
-    def __init__(self, address: str, limit: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        limit: int,
+        connect_timeout_s: float = _CONNECT_TIMEOUT_S,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
+        self._connect_timeout_s = connect_timeout_s
         self._slots = trio.Semaphore(limit)
         self._idle: collections.deque[Connection] = collections.deque()
 
     @contextlib.asynccontextmanager
-    async def exchange(self) -> AsyncIterator[Exchange]:
+    async def exchange(self, fresh: bool = False) -> AsyncIterator[Exchange]:
         """Gives an exchange on a connection of its own.
 
         The connection is used again only if the exchange came to its end.
 
+        Args:
+            fresh: True for a connection that carried nothing before.
+
         Raises:
             ConnectError: No connection could be made.
         """
         async with self._slots:
-            connection = await self._take()
+            connection = await (self._connect() if fresh else self._take())
             exchange = Exchange(connection)
             try:
                 yield exchange
@@ -303,9 +315,12 @@
             if connection.usable():
                 return connection
             await connection.close()
+        return await self._connect()
+
+    async def _connect(self) -> Connection:
         try:
             stream = await _BACKEND.connect_tcp(
-                self._host, self._port, timeout=_CONNECT_TIMEOUT_S
+                self._host, self._port, timeout=self._connect_timeout_s
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise errors.ConnectError(
@@ -317,18 +332,22 @@
 class Pools:
     """A pool for each upstream address."""
 
-    __slots__ = ("_limit", "_pools")
+    __slots__ = ("_connect_timeout_s", "_limit", "_pools")
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self, limit: int, connect_timeout_s: float = _CONNECT_TIMEOUT_S
+    ) -> None:
         """Makes pools of at most `limit` connections each."""
         self._limit = limit
+        self._connect_timeout_s = connect_timeout_s
         self._pools: dict[str, Pool] = {}
 
     def pool(self, address: str) -> Pool:
         """Returns the pool for an address, made on first use."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = Pool(address, self._limit)
+            pool = Pool(address, self._limit, self._connect_timeout_s)
+            self._pools[address] = pool
         return pool
 
     async def forget(self, address: str) -> None:
