Hand items over between owners; keep epochs unique; admit within tolerances

Change: epochs are taken from the partition's own record, one above the last; an owner that stops or is superseded passes its items' events on; buckets use half of the tolerances, and a new process takes its peers' levels; urgent items take free slots but no longer those of online requests; items yield by patience.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -134,19 +134,31 @@
         """
         service = self._pick_service(call.route)
         progress = _Progress()
+        failure: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_caller, call, nursery.cancel_scope)
-            remaining_ms = call.deadline_ms - self._clock.now_ms()
-            with trio.move_on_after(max(0.0, remaining_ms) / 1000) as limit:
-                await self._run_attempts(call, service, progress)
-            if limit.cancelled_caught:
-                progress.reason = "timeout"
-                self._give_up(call, progress, 504)
+            try:
+                await self._run_in_time(call, service, progress)
+            except (errors.CallerError, AbortError) as exc:
+                # Raised outside: a nursery would wrap it in a group.
+                failure = exc
             progress.done = True
             nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         if not progress.done:
             raise http.DisconnectedError
 
+    async def _run_in_time(
+        self, call: Call, service: str, progress: _Progress
+    ) -> None:
+        remaining_ms = call.deadline_ms - self._clock.now_ms()
+        with trio.move_on_after(max(0.0, remaining_ms) / 1000) as limit:
+            await self._run_attempts(call, service, progress)
+        if limit.cancelled_caught:
+            progress.reason = "timeout"
+            self._give_up(call, progress, 504)
+
     async def _watch_caller(self, call: Call, scope: trio.CancelScope) -> None:
         await call.req.wait_disconnect()
         scope.cancel()
--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -177,7 +177,7 @@
             reason="rate",
             rate=customer.rate,
             burst=customer.burst,
-            level=round(level, 2) if level is not None else None,
+            tokens=round(level, 2) if level is not None else None,
             share=round(self._limits.share, 3),
             version=self._published.version,
         )
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -16,6 +16,11 @@
 from lacewingwood.log import errors as log_errors
 from lacewingwood.log import follow
 from lacewingwood.log import keyed
+from lacewingwood.peers import messages
+from lacewingwood.upstreams import event_stream
+
+# Epochs that one member may use during one generation of the group.
+EPOCHS_PER_GENERATION = 1 << 16
 
 _PRODUCER = "owner"
 # A read that waits longer would notice a silent connection too late.
@@ -26,6 +31,8 @@
 # Most bytes of one append; a longer one would hold up the others.
 _APPEND_BYTES = 512 << 10
 _SWEEP_MS = 5_000.0
+# An earlier owner's progress may come before the partition was read.
+_ADOPT_WAIT_MS = 400.0
 
 _log = structlog.get_logger()
 
@@ -47,7 +54,7 @@
         self,
         index: int,
         partition: keyed.Partition,
-        epoch: int,
+        least_epoch: int,
         log: keyed.KeyedLog,
         scheduler: schedulers.Scheduler,
         clock: clocks.Clock,
@@ -61,7 +68,7 @@
         Args:
             index: Number of the partition among all.
             partition: The partition.
-            epoch: Greater than that of all earlier owners.
+            least_epoch: Greater than those of owners on other hosts.
             log: Where the records are.
             scheduler: Runs the items.
             clock: Source of time.
@@ -70,7 +77,8 @@
             keep_ms: How long a job stays readable after its submission.
         """
         self.index = index
-        self.epoch = epoch
+        self.epoch = least_epoch
+        self._least_epoch = least_epoch
         self.lost = trio.Event()
         self.loaded = trio.Event()
         self._partition = partition
@@ -82,7 +90,7 @@
         self._keep_ms = keep_ms
         self._table = tables.Table()
         self._tasks: dict[tuple[str, int], running.ItemTask] = {}
-        self._fence = keyed.Fence(_PRODUCER, epoch)
+        self._fence = keyed.Fence(_PRODUCER, least_epoch)
         self._outbox: collections.deque[tuple[str, records.Result]]
         self._outbox = collections.deque()
         self._has_work = trio.Event()
@@ -91,7 +99,7 @@
         self._follower = follow.Follower(
             log,
             partition,
-            self._load,
+            self._apply_all,
             self._apply_all,
             clock,
             metrics,
@@ -100,7 +108,10 @@
         )
 
     async def run(self) -> None:
-        """Owns the partition until cancelled or fenced."""
+        """Owns the partition until cancelled or fenced.
+
+        Items run on until `give_up_progress` is called.
+        """
         try:
             await self._claim()
             async with trio.open_nursery() as nursery:
@@ -112,9 +123,6 @@
         finally:
             self.lost.set()
             self._notify()
-            for task in self._tasks.values():
-                self._scheduler.remove(task)
-            self._tasks.clear()
 
     async def read(
         self, key: str, start: int, wait_ms: float
@@ -171,6 +179,56 @@
             raise errors.UnsureError(exc.message) from exc
         _log.info("job ended", job=key, epoch=self.epoch)
 
+    async def adopt(self, progress: messages.JobProgress) -> None:
+        """Goes on from what an earlier owner reached with an item.
+
+        Raises:
+            errors.UnsureError: The partition is not read yet.
+        """
+        with trio.move_on_after(_ADOPT_WAIT_MS / 1000):
+            await self.loaded.wait()
+        if not self.loaded.is_set():
+            raise errors.UnsureError("the partition is being read")
+        key = records.job_key(progress.customer, progress.job_id)
+        task = self._tasks.get((key, progress.item))
+        if task is None or not task.behind(progress):
+            return
+        self._scheduler.remove(task)
+        if progress.completed is not None:
+            output = b"\n".join(progress.output)
+            result = records.Result(progress.item, progress.completed, output)
+            self._note_result(task, result)
+            return
+        following = running.ItemTask(task.job, task.index, task.body)
+        following.events = event_stream.Splitter(progress.last_event)
+        following.output = list(progress.output)
+        following.failures = progress.failures
+        self._tasks[key, task.index] = following
+        self._scheduler.add(following, self._note_result)
+
+    def give_up_progress(self) -> list[messages.JobProgress]:
+        """Stops all items; returns what the next owner can go on from."""
+        progress = [
+            _progress(key, result.item, None, [result.output], 0, result)
+            for key, result in self._outbox
+        ]
+        self._outbox.clear()
+        for (key, index), task in self._tasks.items():
+            self._scheduler.remove(task)
+            if task.events.last_id is not None or task.failures:
+                progress.append(
+                    _progress(
+                        key,
+                        index,
+                        task.events.last_id,
+                        task.output,
+                        task.failures,
+                        None,
+                    )
+                )
+        self._tasks.clear()
+        return progress
+
     def knows(self, key: str) -> bool:
         """Returns whether a job is known to exist."""
         return self._table.get(key) is not None
@@ -196,31 +254,54 @@
             raise errors.UnsureError("the partition has a new owner")
 
     async def _claim(self) -> None:
-        """Shuts out all earlier owners; waits until the log has said so."""
+        """Shuts out all earlier owners, then reads all that they wrote."""
         while True:
             try:
-                await self._log.append(self._partition, [], self._fence)
+                snapshot = await self._log.snapshot(self._partition)
+                self._set_epoch(snapshot.records)
+                claim = records.claim(self.epoch)
+                await self._log.append(self._partition, [claim], self._fence)
+                self._fence.sequence += 1
+                break
             except keyed.FencedError:
-                self._note_lost("claim")
-                raise
+                # An owner of this host's earlier process; its record is in
+                # the next snapshot.
+                self._metrics.add("claims_fenced")
             except log_errors.LogError as exc:
                 self._metrics.add("claims_failed", code=exc.code)
-                await self._clock.sleep_ms(_RETRY_MS)
-                continue
-            self._fence.sequence += 1
-            return
+            await self._clock.sleep_ms(_RETRY_MS)
+        self._table.load(snapshot.records)
+        self._follower.position = snapshot.next_offset
+        await self._read_rest()
+
+    def _set_epoch(self, snapshot: list[keyed.Record]) -> None:
+        """Takes an epoch that no earlier owner of the partition had.
+
+        The group gives a partition to one member in each generation, and each
+        generation has its own range; within it the epochs are those of the
+        processes that ran on this host one after another.
+        """
+        last = max((records.claimed_epoch(r) for r in snapshot), default=-1)
+        self.epoch = max(self._least_epoch, last + 1)
+        self._fence = keyed.Fence(_PRODUCER, self.epoch)
 
-    def _load(self, snapshot: list[keyed.Record]) -> None:
-        self._table.load(snapshot)
+    async def _read_rest(self) -> None:
+        """Reads what was written between the snapshot and the claim."""
+        while True:
+            try:
+                await self._follower.step(0)
+                break
+            except log_errors.LogError as exc:
+                self._metrics.add("claims_failed", code=exc.code)
+                await self._clock.sleep_ms(_RETRY_MS)
+        self.loaded.set()
         entries = self._table.entries()
         for entry in entries:
             self._sync_tasks(entry)
-        self.loaded.set()
         _log.info(
             "partition loaded",
             partition=self.index,
             epoch=self.epoch,
-            records=len(snapshot),
             jobs=len(list(entries)),
             items=len(self._tasks),
         )
@@ -232,7 +313,7 @@
             match change:
                 case records.JobChange(key, job) if job is not None:
                     entry = self._table.get(key)
-                    if entry is not None:
+                    if entry is not None and self.loaded.is_set():
                         self._sync_tasks(entry)
                 case records.EndChange(key):
                     self._drop_tasks(key)
@@ -366,6 +447,21 @@
                     await self._try_append(_removal(entry))
 
 
+def _progress(
+    key: str,
+    index: int,
+    last_event: int | None,
+    output: list[bytes],
+    failures: int,
+    result: records.Result | None,
+) -> messages.JobProgress:
+    customer, _, job_id = key.partition("/")
+    completed = result.completed if result is not None else None
+    return messages.JobProgress(
+        customer, job_id, index, last_event, output, failures, completed
+    )
+
+
 class _Pending:
     """An append that is being tried."""
 
--- a/lacewingwood/jobs/ownership.py
+++ b/lacewingwood/jobs/ownership.py
@@ -1,5 +1,6 @@
 """Which partitions this gateway owns, as the log's group decides."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import structlog
@@ -10,6 +11,7 @@
 from lacewingwood.jobs import owner as owners
 from lacewingwood.log import errors as log_errors
 from lacewingwood.log import keyed
+from lacewingwood.peers import messages
 
 _GROUP = "job-owners"
 # A member that is silent for this long loses its partitions: longer than a
@@ -19,7 +21,14 @@
 _RENEWALS = 3
 _LEAVE_TIMEOUT_S = 1.0
 
+# How often a new owner is looked for while this one still runs its items, and
+# for how long.
+_RETIRE_POLL_MS = 50.0
+_RETIRE_MS = 3_000.0
+
 MakeOwner = Callable[[int, keyed.Partition, int], owners.Owner]
+FindOwner = Callable[[int], tuple[str, int] | None]
+HandOver = Callable[[str, messages.JobProgress], Awaitable[None]]
 
 _log = structlog.get_logger()
 
@@ -29,8 +38,10 @@
 
     __slots__ = (
         "_clock",
+        "_find_owner",
         "_generation",
         "_groups",
+        "_hand_over",
         "_make_owner",
         "_member",
         "_metrics",
@@ -49,6 +60,8 @@
         member: str,
         partitions: list[keyed.Partition],
         make_owner: MakeOwner,
+        find_owner: FindOwner,
+        hand_over: HandOver,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         least_ttl_ms: int = 0,
@@ -57,6 +70,8 @@
         self._member = member
         self._partitions = {p: n for n, p in enumerate(partitions)}
         self._make_owner = make_owner
+        self._find_owner = find_owner
+        self._hand_over = hand_over
         self._clock = clock
         self._metrics = metrics
         self._ttl_ms = max(_TTL_MS, least_ttl_ms)
@@ -89,18 +104,31 @@
             self._nursery = nursery
             while not self._stopping:
                 await self._renew()
+                self._retire_superseded()
                 await self._clock.sleep_ms(self._ttl_ms / _RENEWALS)
 
     async def stop(self) -> None:
         """Gives all partitions up, so that others take them over at once."""
         self._stopping = True
-        for index in list(self._owners):
-            self._stop_owner(index, "shutdown")
         with trio.move_on_after(_LEAVE_TIMEOUT_S):
             try:
                 await self._groups.leave(_GROUP, self._member)
             except log_errors.LogError as exc:
                 _log.warning("group not left", code=exc.code)
+        async with trio.open_nursery() as nursery:
+            for index in list(self._owners):
+                nursery.start_soon(self._retire, *self._take(index))
+
+    def _retire_superseded(self) -> None:
+        """Retires owners whose successor a peer has reported.
+
+        While the log can't be reached, this is how an owner hears of it.
+        """
+        assert self._nursery is not None
+        for index, owner in list(self._owners.items()):
+            found = self._find_owner(index)
+            if found is not None and found[1] > owner.epoch:
+                self._nursery.start_soon(self._retire, *self._take(index))
 
     async def _renew(self) -> None:
         sent_ms = self._clock.now_ms()
@@ -131,20 +159,21 @@
         self._update(held)
 
     def _update(self, held: dict[int, keyed.Partition]) -> None:
+        assert self._nursery is not None
         for index in [i for i in self._owners if i not in held]:
-            self._stop_owner(index, "reassigned")
+            self._nursery.start_soon(self._retire, *self._take(index))
         for index, partition in held.items():
             present = self._owners.get(index)
             if present is not None and present.lost.is_set():
-                if present.epoch >= self._generation:
+                if present.epoch >= self._first_epoch():
                     continue
-                self._stop_owner(index, "fenced")
+                self._nursery.start_soon(self._retire, *self._take(index))
                 present = None
             if present is None:
                 self._start_owner(index, partition)
 
     def _start_owner(self, index: int, partition: keyed.Partition) -> None:
-        owner = self._make_owner(index, partition, self._generation)
+        owner = self._make_owner(index, partition, self._first_epoch())
         self._owners[index] = owner
         scope = self._scopes[index] = trio.CancelScope()
         assert self._nursery is not None
@@ -160,12 +189,35 @@
             except keyed.FencedError:
                 self._metrics.add("owners_fenced")
 
-    def _stop_owner(self, index: int, reason: str) -> None:
-        owner = self._owners.pop(index)
-        self._scopes.pop(index).cancel()
+    def _first_epoch(self) -> int:
+        return self._generation * owners.EPOCHS_PER_GENERATION
+
+    def _take(self, index: int) -> tuple[owners.Owner, trio.CancelScope]:
+        return self._owners.pop(index), self._scopes.pop(index)
+
+    async def _retire(
+        self, owner: owners.Owner, scope: trio.CancelScope
+    ) -> None:
+        """Runs a partition's items on until its new owner can go on."""
+        index = owner.index
+        limit_ms = self._clock.now_ms() + _RETIRE_MS
+        found = self._find_owner(index)
+        while found is None or found[1] <= owner.epoch:
+            if self._clock.now_ms() > limit_ms:
+                break
+            await self._clock.sleep_ms(_RETIRE_POLL_MS)
+            found = self._find_owner(index)
+        progress = owner.give_up_progress()
+        scope.cancel()
+        known = found is not None and found[1] > owner.epoch
         _log.info(
-            "owner stopped",
+            "owner retired",
             partition=index,
             epoch=owner.epoch,
-            reason=reason,
+            items=len(progress),
+            successor=found[0] if found and known else None,
         )
+        if found is not None and known:
+            async with trio.open_nursery() as nursery:
+                for part in progress:
+                    nursery.start_soon(self._hand_over, found[0], part)
--- a/lacewingwood/jobs/records.py
+++ b/lacewingwood/jobs/records.py
@@ -108,6 +108,9 @@
 
 Change = JobChange | BodyChange | ResultChange | EndChange
 
+_CLAIM_KEY = "o/"
+
+_epoch_decoder = msgspec.msgpack.Decoder(int)
 _encode = msgspec.msgpack.Encoder().encode
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _body_decoder = msgspec.msgpack.Decoder(bytes)
@@ -156,6 +159,21 @@
     return keyed.Record(f"e/{key}", b"1")
 
 
+def claim(epoch: int) -> keyed.Record:
+    """Returns the record with which an owner takes a partition."""
+    return keyed.Record(_CLAIM_KEY, _encode(epoch))
+
+
+def claimed_epoch(record: keyed.Record) -> int:
+    """Returns the epoch of a claim, -1 for another record."""
+    if record.key != _CLAIM_KEY or record.value is None:
+        return -1
+    try:
+        return _epoch_decoder.decode(record.value)
+    except msgspec.MsgspecError:
+        return -1
+
+
 def decode(record: keyed.Record) -> Change | None:
     """Reads a record; None if it is not one of a job.
 
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -11,6 +11,7 @@
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import records
+from lacewingwood.peers import messages
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
@@ -83,6 +84,12 @@
         """The item."""
         return self.job.items[self.index]
 
+    def behind(self, other: messages.JobProgress) -> bool:
+        """Returns whether another run of the item has come further."""
+        if other.completed is not None or other.failures > self.failures:
+            return True
+        return (other.last_event or 0) > (self.events.last_id or 0)
+
     def result(self, completed: bool) -> records.Result:
         """Returns its outcome."""
         output = b"\n".join(self.output) if completed else b""
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -1,6 +1,7 @@
 """Decides which items run when, in what online requests leave."""
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -17,8 +18,8 @@
 # Interval at which slots are looked for and items yield; peers' reports come
 # about as often.
 _TICK_MS = 25.0
-# An item whose deadline is nearer than its run and this time takes slots from
-# online requests; above it, it waits for idle ones.
+# An item whose deadline is nearer than its run and this time takes the slots,
+# too, that others leave free for the next online request.
 _URGENT_SLACK_MS = 2_500.0
 # An item that will be late by more than this gains nothing from urgency.
 _HOPELESS_SLACK_MS = -1_000.0
@@ -47,6 +48,7 @@
 
     __slots__ = (
         "_clock",
+        "_contenders",
         "_dispatcher",
         "_entries",
         "_events",
@@ -64,6 +66,7 @@
         dispatcher: dispatchers.Dispatcher,
         runner: running.ItemRunner,
         find_route: FindRoute,
+        contenders: Callable[[], int],
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
         metrics: metrics_lib.Registry,
@@ -71,6 +74,7 @@
         self._dispatcher = dispatcher
         self._runner = runner
         self._find_route = find_route
+        self._contenders = contenders
         self._clock = clock
         self._wall_ms = wall_ms
         self._metrics = metrics
@@ -127,9 +131,14 @@
         if not waiting:
             return
         waiting.sort(key=lambda entry: self._order(entry.task))
+        # Gateways that look at the same time see the same free slots, and
+        # take them all unless each leaves most of them to the others.
+        chance = 1 / (1 + self._contenders())
         full: set[tuple[str, bool]] = set()
         for entry in waiting:
-            if entry.task.not_before_ms <= now_ms:
+            if entry.task.not_before_ms > now_ms:
+                continue
+            if random.random() < chance:
                 self._start(entry, now_ms, full)
 
     def _order(self, task: running.ItemTask) -> tuple[bool, int]:
@@ -151,8 +160,7 @@
         entry.route_missing_ms = None
         weights = [target.weight for target in route.targets]
         service = random.choices(route.targets, weights)[0].service
-        slack_ms = self.slack_ms(task)
-        urgent = _HOPELESS_SLACK_MS < slack_ms < _URGENT_SLACK_MS
+        urgent = self._urgent(task)
         if (service, urgent) in full:
             return
         demand = dispatchers.Demand(
@@ -211,20 +219,31 @@
         for replica in self._dispatcher.fleet.all():
             if not replica.own[load.Work.BATCH.value]:
                 continue
-            excess = self._dispatcher.excess(replica)
-            if replica.listing.leaving or excess <= 0:
+            if replica.listing.leaving:
                 continue
-            # Other gateways see the same excess; each takes its part.
-            share = replica.own[load.Work.BATCH.value] / replica.batch()
-            wanted = excess * share
-            count = int(wanted) + (random.random() < wanted % 1)
-            for task in self._most_patient(replica, count):
-                task.yielded = True
-                if task.scope is not None:
-                    task.scope.cancel()
+            yielded = self._yield_some(replica, urgent=False)
+            self._yield_some(replica, urgent=True, already=yielded)
+
+    def _yield_some(
+        self, replica: load.Replica, urgent: bool, already: int = 0
+    ) -> int:
+        """Stops items of one urgency on a replica; returns how many."""
+        excess = self._dispatcher.excess(replica, urgent) - already
+        if excess <= 0:
+            return 0
+        # Other gateways see the same excess; each takes its part.
+        share = replica.own[load.Work.BATCH.value] / replica.batch()
+        wanted = excess * share
+        count = int(wanted) + (random.random() < wanted % 1)
+        stopped = self._most_patient(replica, urgent, count)
+        for task in stopped:
+            task.yielded = True
+            if task.scope is not None:
+                task.scope.cancel()
+        return len(stopped)
 
     def _most_patient(
-        self, replica: load.Replica, count: int
+        self, replica: load.Replica, urgent: bool, count: int
     ) -> list[running.ItemTask]:
         """Returns the running items on a replica that can best wait."""
         candidates = [
@@ -233,11 +252,15 @@
             if task.slot is not None
             and task.slot.replica is replica
             and not task.yielded
+            and self._urgent(task) == urgent
         ]
-        free = [
-            task
-            for task in candidates
-            if not _HOPELESS_SLACK_MS < self.slack_ms(task) < _URGENT_SLACK_MS
-        ]
-        free.sort(key=self.slack_ms, reverse=True)
-        return free[:count]
+        candidates.sort(key=self._patience, reverse=True)
+        return candidates[:count]
+
+    def _urgent(self, task: running.ItemTask) -> bool:
+        return _HOPELESS_SLACK_MS < self.slack_ms(task) < _URGENT_SLACK_MS
+
+    def _patience(self, task: running.ItemTask) -> float:
+        """Returns how well an item can wait; late ones can best."""
+        slack_ms = self.slack_ms(task)
+        return slack_ms if slack_ms > _HOPELESS_SLACK_MS else math.inf
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -26,7 +26,7 @@
 # Longest time to try; after it the caller tries another gateway.
 _SUBMIT_MS = 2_500.0
 
-FindOwner = Callable[[int], str | None]
+FindOwner = Callable[[int], tuple[str, int] | None]
 
 _log = structlog.get_logger()
 
@@ -80,7 +80,7 @@
             partitions_: All partitions, in the order of all gateways.
             ownership: What is owned here.
             network: Carries calls to owners elsewhere.
-            find_owner: Returns the peer address of a partition's owner.
+            find_owner: Returns address and epoch of a partition's owner.
             clock: Source of time.
             metrics: Where events are counted.
             max_record_bytes: Largest record that the log takes.
@@ -98,6 +98,7 @@
         network.handle(messages.JobRead, self._handle_read)
         network.handle(messages.JobItemRead, self._handle_item)
         network.handle(messages.JobEnd, self._handle_end)
+        network.handle(messages.JobProgress, self._handle_progress)
 
     async def submit(self, submission: records.Submission) -> None:
         """Accepts a job; returns once all of it is on the log.
@@ -243,10 +244,10 @@
         owner = self._ownership.owner(index)
         if owner is not None and not owner.lost.is_set():
             return owner, ""
-        address = self._find_owner(index)
-        if address is None:
+        found = self._find_owner(index)
+        if found is None:
             raise errors.UnsureError("the job's partition has no owner now")
-        return None, address
+        return None, found[0]
 
     async def _ask(
         self, address: str, request: messages.Message, wait_ms: float
@@ -304,3 +305,10 @@
         owner = self._own(request.customer, request.job_id)
         await owner.end(records.job_key(request.customer, request.job_id))
         return messages.Ack()
+
+    async def _handle_progress(
+        self, progress: messages.JobProgress
+    ) -> messages.Ack:
+        owner = self._own(progress.customer, progress.job_id)
+        await owner.adopt(progress)
+        return messages.Ack()
--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -10,6 +10,9 @@
 import dataclasses
 from collections.abc import Mapping
 
+# Share of the tolerances that is used: the rest is for what peers admit
+# before their reports come.
+_TOLERANCE_SHARE = 0.5
 # Reports come late: what peers admitted meanwhile may overdraw the bucket by
 # at most this many seconds of the rate.
 _MAX_DEBT_S = 2.0
@@ -36,13 +39,39 @@
 
 
 class SharedLimits:
-    """Admits requests within each customer's rate and burst."""
+    """Admits requests within each customer's rate and burst.
 
-    __slots__ = ("_buckets", "_reported", "share")
+    Attributes:
+        levels_known: True once a peer's levels were taken over.
+        share: Share of the rate that belongs to gateways that are heard, this
+            one included.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_burst_tolerance",
+        "_rate_tolerance",
+        "_reported",
+        "levels_known",
+        "share",
+    )
+
+    def __init__(
+        self, rate_tolerance: float = 0.0, burst_tolerance: float = 0.0
+    ) -> None:
+        """Makes limits without customers.
+
+        No count over many gateways is exact. The tolerances say by how much a
+        customer may exceed its agreement; half of them keeps requests that
+        are inside it from being refused.
 
-    def __init__(self) -> None:
-        # Share of the rate that belongs to gateways that are heard, this one
-        # included.
+        Args:
+            rate_tolerance: Share of rate and burst that may be exceeded.
+            burst_tolerance: Requests that may come on top of that.
+        """
+        self._rate_tolerance = rate_tolerance * _TOLERANCE_SHARE
+        self._burst_tolerance = burst_tolerance * _TOLERANCE_SHARE
+        self.levels_known = False
         self.share = 1.0
         self._buckets: dict[str, _Bucket] = {}
         self._reported: dict[str, dict[str, int]] = {}
@@ -65,15 +94,19 @@
     ) -> None:
         """Takes over all customers' rates and bursts.
 
-        A customer's bucket starts empty: what was admitted before this
+        A customer's bucket starts nearly empty: what was admitted before this
         process started, or heard of the customer, is not known.
         """
+        factor = 1 + self._rate_tolerance
         for customer in [c for c in self._buckets if c not in rates]:
             del self._buckets[customer]
-        for customer, (rate, burst) in rates.items():
+        for customer, (agreed_rate, agreed_burst) in rates.items():
+            rate = agreed_rate * factor
+            burst = agreed_burst * factor + self._burst_tolerance
             bucket = self._buckets.get(customer)
             if bucket is None:
-                bucket = _Bucket(rate, burst, 0.0, now_ms)
+                first = self._burst_tolerance * _TOLERANCE_SHARE
+                bucket = _Bucket(rate, burst, first, now_ms)
                 self._buckets[customer] = bucket
             self._refill(bucket, now_ms)
             bucket.rate, bucket.burst = rate, burst
@@ -87,6 +120,21 @@
         """Returns what was admitted here, by customer, for the peers."""
         return {name: b.admitted for name, b in self._buckets.items()}
 
+    def levels(self) -> dict[str, float]:
+        """Returns the tokens of all customers, for new processes."""
+        return {name: b.level for name, b in self._buckets.items()}
+
+    def take_levels(self, levels: Mapping[str, float], now_ms: float) -> None:
+        """Starts from a peer's levels; only the first ones count."""
+        if self.levels_known:
+            return
+        self.levels_known = True
+        for customer, level in levels.items():
+            bucket = self._buckets.get(customer)
+            if bucket is not None:
+                self._refill(bucket, now_ms)
+                bucket.level = min(bucket.burst, max(bucket.level, level))
+
     def note_report(
         self, node: str, admitted: Mapping[str, int], now_ms: float
     ) -> None:
--- a/lacewingwood/log/follow.py
+++ b/lacewingwood/log/follow.py
@@ -22,7 +22,7 @@
 
     Attributes:
         ready: Set once a snapshot was taken over.
-        contact_ms: When the log answered last.
+        contact_ms: When the log answered last, or this was made.
         position: Offset of the next record to read.
     """
 
@@ -67,7 +67,7 @@
             pause_ms: Pause after each read; bounds the calls a second.
         """
         self.ready = trio.Event()
-        self.contact_ms = float("-inf")
+        self.contact_ms = clock.now_ms()
         self.position = -1
         self._log = log
         self._partition = partition
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -393,6 +393,7 @@
         running: For each replica its online requests and batch items.
         admitted: Requests admitted since its start, by customer.
         owned: Job partitions that it owns, with their epochs.
+        waiting: Batch items that wait for a slot.
         leaving: True if it stops.
     """
 
@@ -403,6 +404,7 @@
     running: dict[str, tuple[int, int]]
     admitted: dict[str, int]
     owned: dict[int, int]
+    waiting: int = 0
     leaving: bool = False
 
 
@@ -416,10 +418,12 @@
     Attributes:
         document: The operator's document as it was read, empty if none.
         replicas: Entries of replicas as they were read, by id.
+        levels: Tokens in customers' buckets.
     """
 
     document: bytes
     replicas: dict[str, bytes]
+    levels: dict[str, float]
 
 
 class JobRead(Message, tag="job_read"):
@@ -473,6 +477,28 @@
     body: bytes
 
 
+class JobProgress(Message, tag="job_progress"):
+    """Hands an item's progress to its partition's next owner.
+
+    Attributes:
+        customer: Whose job it is.
+        job_id: The job.
+        item: Index of the item.
+        last_event: Id of the last event that came, None before the first.
+        output: Data of the events so far.
+        failures: Answers that counted as failed attempts.
+        completed: The outcome, None if the item has to run on.
+    """
+
+    customer: str
+    job_id: str
+    item: int
+    last_event: int | None
+    output: list[bytes]
+    failures: int
+    completed: bool | None
+
+
 class JobEnd(Message, tag="job_end"):
     """Asks the owner of a job to end it; answered with `Ack`."""
 
@@ -514,4 +540,5 @@
     | JobItemRead
     | JobItemBody
     | JobEnd
+    | JobProgress
 )
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -144,15 +144,23 @@
         )
         return heard / (heard + silent)
 
-    def owner_address(self, partition: int) -> str | None:
-        """Returns the peer that owns a partition with the greatest epoch."""
-        best, best_epoch = None, -1
+    def owner_at(self, partition: int) -> tuple[str, int] | None:
+        """Returns address and epoch of the peer that owns a partition.
+
+        Of several that believe so, the one with the greatest epoch.
+        """
+        best: tuple[str, int] | None = None
         for peer in self.heard():
             epoch = peer.report.owned.get(partition) if peer.report else None
-            if epoch is not None and epoch > best_epoch:
-                best, best_epoch = peer.address, epoch
+            if epoch is not None and (best is None or epoch > best[1]):
+                best = peer.address, epoch
         return best
 
+    def contenders(self) -> int:
+        """Returns how many peers have batch items that wait for a slot."""
+        reports = [peer.report for peer in self.heard()]
+        return sum(1 for r in reports if r is not None and r.waiting)
+
     def addresses(self) -> list[str]:
         """Returns peers to ask, those heard lately first."""
         heard = [peer.address for peer in self.heard()]
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -34,7 +34,8 @@
     drain_ms: float = 2000.0
     grace_s: float = 8.0
     config_apply_ms: float = 2000.0
-    quota_window_s: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
     status_s: float = 120.0
     cancel_ms: float = 3000.0
     settle_ms: float = 1000.0
@@ -108,5 +109,6 @@
         leave_ms=bounds.drain_ms,
         grace_ms=bounds.grace_s * 1000,
         job_status_ms=bounds.status_s * 1000,
-        quota_window_ms=bounds.quota_window_s * 1000,
+        rate_tolerance=bounds.quota_overage,
+        burst_tolerance=bounds.quota_slack,
     )
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -73,6 +73,7 @@
         self._clock = clock_lib.MonotonicClock()
         self._metrics = metrics_lib.Registry()
         self._shutdown = trio.Event()
+        self._left = trio.Event()
         self._writer = logs.configure_bounded(node=cfg.host, zone=cfg.zone)
         self._store = store_lib.Store(cfg.store_address, self._metrics)
         self._network = network_lib.Network(
@@ -82,7 +83,9 @@
             documents.decode_configuration, self._clock
         )
         self._fleet = load.Fleet()
-        self._limits = shared.SharedLimits()
+        self._limits = shared.SharedLimits(
+            cfg.rate_tolerance, cfg.burst_tolerance
+        )
         self._dispatcher = dispatchers.Dispatcher(
             self._fleet, cfg.zone, self._clock, self._metrics
         )
@@ -101,6 +104,7 @@
                 self._dispatcher, replicas, self._clock, self._metrics
             ),
             self._find_route,
+            self._presence.contenders,
             self._clock,
             _wall_ms,
             self._metrics,
@@ -108,9 +112,11 @@
         partitions = job_service.partitions(cfg.partitions_per_topic)
         self._ownership = ownerships.Ownership(
             self._store,
-            f"{cfg.host}-{self._started_ms}",
+            cfg.host,
             partitions,
             self._make_owner,
+            self._presence.owner_at,
+            self._hand_over,
             self._clock,
             self._metrics,
             cfg.member_ttl_min_ms,
@@ -120,7 +126,7 @@
             partitions,
             self._ownership,
             self._network,
-            self._presence.owner_address,
+            self._presence.owner_at,
             self._clock,
             self._metrics,
             max_record_bytes=cfg.max_record_bytes,
@@ -161,6 +167,8 @@
             nursery.start_soon(self._follow_peers)
             nursery.start_soon(self._leave)
             await self._serve()
+            with trio.move_on_after(_LEAVE_MS / 1000):
+                await self._left.wait()
             await self._network.close(drain_ms=0)
             nursery.cancel_scope.cancel()
         _log.info("stopped")
@@ -192,6 +200,7 @@
         await self._shutdown.wait()
         await self._ownership.stop()
         await self._presence.leave()
+        self._left.set()
 
     async def _watch_signals(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -238,7 +247,7 @@
             await self._clock.sleep_ms(_UPKEEP_MS)
 
     async def _follow_peers(self) -> None:
-        """Takes the configuration from peers that know a newer one."""
+        """Takes from peers what this process does not know, or not yet."""
         while True:
             await self._clock.sleep_ms(_FETCH_PAUSE_MS)
             for address in self._addresses_ahead():
@@ -247,7 +256,7 @@
 
     def _addresses_ahead(self) -> list[str]:
         version = self._published.version
-        if not version:
+        if not version or not self._limits.levels_known:
             return self._presence.addresses()
         return [
             peer.address
@@ -271,15 +280,19 @@
                 for replica_id, value in answer.replicas.items()
             ]
             self._replica_list.apply(entries)
-        return bool(answer.document) and self._published.take(
-            answer.document, "peer"
-        )
+        if answer.document:
+            self._published.take(answer.document, "peer")
+        if self._published.current is not None and answer.levels:
+            self._limits.take_levels(answer.levels, self._clock.now_ms())
+        return True
 
     async def _handle_fetch(
         self, request: messages.FetchConfiguration
     ) -> messages.ConfigurationCopy:
         return messages.ConfigurationCopy(
-            self._published.document, self._replica_list.entries
+            self._published.document,
+            self._replica_list.entries,
+            self._limits.levels(),
         )
 
     def _make_followers(self) -> list[follow.Follower]:
@@ -351,6 +364,15 @@
             keep_ms=self._cfg.job_status_ms,
         )
 
+    async def _hand_over(
+        self, address: str, progress: messages.JobProgress
+    ) -> None:
+        try:
+            await self._network.call(address, progress, _PEER_TIMEOUT_MS)
+        except peer_errors.PeerError as exc:
+            # The new owner runs the item from its start.
+            self._metrics.add("hand_overs_failed", code=exc.code)
+
     def _take_documents(self, page: list[keyed.Record]) -> None:
         for record in page:
             if record.key == documents.CONFIGURATION_KEY and record.value:
@@ -378,6 +400,7 @@
             running=self._fleet.own_counts(),
             admitted=self._limits.admitted(),
             owned=self._ownership.epochs(),
+            waiting=self._scheduler.counts[0],
         )
 
     def _find_route(self, host: str, path: str) -> configuration.Route | None:
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -19,9 +19,7 @@
 _OVERSHOOT = 1
 # Slots that batch work leaves free on each replica for online requests that
 # arrive before a batch item could yield.
-_RESERVE = 2
-# Most of a replica's slots that urgent batch work may take from online work.
-_URGENT_SHARE = 0.5
+_RESERVE = 0
 # Requests that can no longer meet their objective wait behind those that can;
 # a first event takes about this long after the request was sent.
 _FIRST_EVENT_MS = 80.0
@@ -42,7 +40,7 @@
         objective_ms: When its first event is due, counted from `arrived_ms`.
         deadline_ms: When its caller no longer waits.
         exclude: Replicas that must not be used.
-        urgent: True for batch work that must not wait for idle slots.
+        urgent: True for batch work that may take the last free slots.
     """
 
     service: str
@@ -162,13 +160,15 @@
                 self._waiting.remove(waiter)
                 waiter.ready.set()
 
-    def excess(self, replica: load.Replica) -> int:
+    def excess(self, replica: load.Replica, urgent: bool) -> int:
         """Returns by how much batch work must shrink on a replica.
 
-        It yields once fewer slots are free than online work may need next.
+        Items that are not urgent leave a slot free for the next online
+        request, which then need not wait for one to yield.
         """
+        reserve = 0 if urgent else _RESERVE
         held = replica.total(self._clock.now_ms())
-        return min(replica.batch(), held - replica.slots)
+        return min(replica.batch(), held + reserve - replica.slots)
 
     async def _wait(self, waiter: _Waiter) -> None:
         while not waiter.ready.is_set():
@@ -218,10 +218,8 @@
             replica.online() < replica.slots
             and total < replica.slots + _OVERSHOOT
         )
-    if demand.urgent:
-        limit = int(replica.slots * _URGENT_SHARE)
-        return replica.batch() < limit and total <= replica.slots
-    return total + _RESERVE < replica.slots
+    reserve = 0 if demand.urgent else _RESERVE
+    return total + reserve < replica.slots
 
 
 def _order(demand: Demand, now_ms: float) -> tuple[bool, int, float]:
--- a/lacewingwood/settings.py
+++ b/lacewingwood/settings.py
@@ -182,7 +182,8 @@
         leave_ms: Time within which a leaving replica gets no more work.
         grace_ms: Time between SIGTERM and SIGKILL.
         job_status_ms: How long a job stays readable after its submission.
-        quota_window_ms: Window over which rates are checked.
+        rate_tolerance: Share by which a customer's rate may be exceeded.
+        burst_tolerance: Requests by which its burst may be exceeded.
     """
 
     host: str
@@ -203,4 +204,5 @@
     leave_ms: float = 2_000.0
     grace_ms: float = 8_000.0
     job_status_ms: float = 120_000.0
-    quota_window_ms: float = 5_000.0
+    rate_tolerance: float = 0.0
+    burst_tolerance: float = 0.0
