--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -229,6 +229,14 @@
         self._tasks.clear()
         return progress
 
+    async def remove_old_jobs(self) -> None:
+        """Removes the records of jobs that need not be readable any more."""
+        limit_ms = self._wall_ms() - self._keep_ms
+        for entry in list(self._table.entries()):
+            job = entry.job
+            if job and job.submitted_ms < limit_ms and not entry.open:
+                await self._try_append(_removal(entry))
+
     def knows(self, key: str) -> bool:
         """Returns whether a job is known to exist."""
         return self._table.get(key) is not None
@@ -436,15 +444,10 @@
         self._changed = trio.Event()
 
     async def _sweep(self) -> None:
-        """Removes the records of jobs that need not be readable any more."""
         await self.loaded.wait()
         while True:
             await self._clock.sleep_ms(_SWEEP_MS)
-            limit_ms = self._wall_ms() - self._keep_ms
-            for entry in list(self._table.entries()):
-                job = entry.job
-                if job and job.submitted_ms < limit_ms and not entry.open:
-                    await self._try_append(_removal(entry))
+            await self.remove_old_jobs()
 
 
 def _progress(
--- a/lacewingwood/logs.py
+++ b/lacewingwood/logs.py
@@ -80,7 +80,7 @@
                 written = 0
             except OSError:
                 # Nobody reads any more.
-                self.dropped += len(self._waiting)
+                self.dropped += chunk.count(b"\n") + len(self._waiting)
                 self._waiting.clear()
                 return
             if written < len(chunk):
--- /dev/null
+++ b/tests/callers/test_forwarding.py
@@ -0,0 +1,344 @@
+"""Tests of passing requests to replicas and resuming their streams."""
+
+import contextlib
+import math
+from collections.abc import AsyncIterator
+
+import pytest
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import configuration
+from lacewingwood import errors as base_errors
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import errors
+from lacewingwood.callers import forwarding
+from lacewingwood.callers import http
+from lacewingwood.routing import directory
+from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import runs
+from tests.routing import test_dispatcher
+
+SEAL = [(b"seal", b"1")]
+
+
+def stream(first: int, last: int) -> list[bytes]:
+    """Returns events as a replica sends them."""
+    return [b"id: %d\ndata: p%d\n\n" % (n, n) for n in range(first, last + 1)]
+
+
+class Break(Exception):
+    """Marks where a scripted run breaks off."""
+
+
+class Script:
+    """What a replica answers to one request.
+
+    Attributes:
+        chunks: Pieces of the body; a number pauses for so many ms.
+        status: HTTP status.
+        refused: True if it says that it did not run the request.
+        error: Raised in place of an answer.
+    """
+
+    def __init__(
+        self,
+        chunks: list[bytes | float | type[Break]] | None = None,
+        status: int = 200,
+        refused: bool = False,
+        error: upstream_errors.UpstreamError | None = None,
+    ) -> None:
+        self.chunks = list(chunks or [])
+        self.status = status
+        self.refused = refused
+        self.error = error
+
+
+class _Run:
+    """A scripted run."""
+
+    misdirected = False
+    closes = False
+    held = -1
+    length = None
+
+    def __init__(self, script: Script) -> None:
+        self._chunks = list(script.chunks)
+        self.status = script.status
+        self.headers = list(SEAL)
+        self.refused = script.refused
+
+    async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
+        """Returns the next piece."""
+        await trio.lowlevel.checkpoint()
+        while self._chunks:
+            chunk = self._chunks.pop(0)
+            if chunk is Break:
+                raise upstream_errors.BrokenError("cut")
+            if isinstance(chunk, bytes):
+                return chunk
+            with trio.move_on_after(limit_ms / 1000) as limit:
+                await trio.sleep(chunk / 1000)
+            if limit.cancelled_caught:
+                raise upstream_errors.TimeoutError(
+                    "silent", base_errors.Ran.MAY_HAVE_RUN
+                )
+        return b""
+
+
+class FakeReplicas:
+    """Answers requests by scripts, one after another.
+
+    Attributes:
+        sent: Replica and the event to resume after, for each request.
+        closed: Runs that have ended.
+    """
+
+    def __init__(self, *scripts: Script) -> None:
+        self._scripts = list(scripts)
+        self.sent: list[tuple[str, int | None]] = []
+        self.closed = 0
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        replica: directory.Listing,
+        work: runs.Work,
+        remaining_ms: float,
+        resume_after: int | None = None,
+        head_limit_ms: float = math.inf,
+        fresh: bool = False,
+    ) -> AsyncIterator[_Run]:
+        """Gives the next scripted run."""
+        self.sent.append((replica.id, resume_after))
+        script = self._scripts.pop(0)
+        try:
+            await trio.lowlevel.checkpoint()
+            if script.error is not None:
+                raise script.error
+            yield _Run(script)
+        finally:
+            self.closed += 1
+
+
+class Caller:
+    """A caller over ASGI, and the answer it got.
+
+    Attributes:
+        status: Status of the answer, 0 before.
+        body: Body so far.
+        complete: True once the answer has ended.
+        leave: Set to make the caller go away.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = b""
+        self.complete = False
+        self.leave = trio.Event()
+        scope = {"method": "POST", "path": "/p/1", "headers": []}
+        self.req = http.Request(scope, self._receive, self._send, "id-1")
+        self.req.body_read.set()
+
+    async def _receive(self) -> dict[str, object]:
+        await self.leave.wait()
+        return {"type": "http.disconnect"}
+
+    async def _send(self, message: dict[str, object]) -> None:
+        if message["type"] == "http.response.start":
+            self.status = message["status"]  # type: ignore[assignment]
+            self.headers = message["headers"]  # type: ignore[assignment]
+        else:
+            self.body += message["body"]  # type: ignore[operator]
+            self.complete = not message["more_body"]
+
+
+def make_call(caller: Caller, **fields: object) -> forwarding.Call:
+    """Returns a call on a route whose streams may be resumed."""
+    values: dict[str, object] = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/p/",
+        "kind": configuration.RouteKind.STREAM,
+        "targets": (configuration.Target("s", 1),),
+        "objective_ms": 300.0,
+        "gap_objective_ms": 50.0,
+        "max_attempts": 2,
+        "resumable": True,
+    }
+    values.update(fields)
+    now_ms = clocks.MonotonicClock().now_ms()
+    return forwarding.Call(
+        req=caller.req,
+        route=configuration.Route(**values),  # type: ignore[arg-type]
+        work=runs.Work("id-1", "POST", b"/p/1", [], b"body", "kaje"),
+        arrived_ms=now_ms,
+        deadline_ms=now_ms + 500,
+        rank=0,
+        resume_after=None,
+    )
+
+
+def make_forwarder(replicas: FakeReplicas) -> forwarding.Forwarder:
+    """Returns a forwarder over two replicas of two slots."""
+    clock = clocks.MonotonicClock()
+    return forwarding.Forwarder(
+        test_dispatcher.make(clock=clock),
+        replicas,
+        clock,
+        metrics_lib.Registry(),
+    )
+
+
+async def test_stream_passes_unchanged() -> None:
+    """Guards against bytes that are not the replica's."""
+    caller = Caller()
+    replicas = FakeReplicas(Script(stream(1, 4)))
+    await make_forwarder(replicas).run(make_call(caller))
+    assert caller.status == 200
+    assert caller.body == b"".join(stream(1, 4))
+    assert caller.complete
+    assert (b"seal", b"1") in caller.headers
+
+
+async def test_broken_stream_goes_on_elsewhere() -> None:
+    """Guards against a stream that is lost with its replica."""
+    caller = Caller()
+    first = Script([*stream(1, 2), b"id: 3\nda", Break])
+    replicas = FakeReplicas(first, Script(stream(3, 4)))
+    await make_forwarder(replicas).run(make_call(caller))
+    assert caller.body == b"".join(stream(1, 4))
+    assert caller.complete
+    (first_replica, _), (second_replica, resumed) = replicas.sent
+    assert first_replica != second_replica
+    assert resumed == 2
+
+
+async def test_silent_stream_goes_on_elsewhere_within_the_pause() -> None:
+    """Guards against a caller that waits for a replica that is cut off."""
+    caller = Caller()
+    first = Script([*stream(1, 1), 400.0, *stream(2, 4)])
+    replicas = FakeReplicas(first, Script(stream(2, 4)))
+    started = trio.current_time()
+    await make_forwarder(replicas).run(make_call(caller))
+    assert caller.body == b"".join(stream(1, 4))
+    assert trio.current_time() - started < 0.2
+
+
+async def test_stream_that_may_not_be_resumed_is_cut_visibly() -> None:
+    """Guards against a cut stream that looks complete, and a second run."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([*stream(1, 2), Break]))
+    call = make_call(caller, resumable=False, max_attempts=1)
+    with pytest.raises(forwarding.AbortError):
+        await make_forwarder(replicas).run(call)
+    assert not caller.complete
+    assert len(replicas.sent) == 1
+
+
+async def test_run_that_may_have_begun_is_not_called_not_run() -> None:
+    """Guards against 503 for a request that ran and may not run again."""
+    caller = Caller()
+    replicas = FakeReplicas(Script(error=upstream_errors.BrokenError("reset")))
+    call = make_call(caller, resumable=False)
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(call)
+    assert caught.value.status == 502
+    assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+    assert len(replicas.sent) == 1
+
+
+async def test_refused_run_is_tried_elsewhere_without_an_attempt() -> None:
+    """Guards against a request given up because a replica is full."""
+    caller = Caller()
+    replicas = FakeReplicas(
+        Script(status=503, refused=True), Script(stream(1, 2))
+    )
+    call = make_call(caller, resumable=False, max_attempts=1)
+    await make_forwarder(replicas).run(call)
+    assert caller.body == b"".join(stream(1, 2))
+
+
+async def test_request_that_no_replica_takes_is_refused_as_not_run() -> None:
+    """Guards against 500 or 502 for a request that was never run.
+
+    The refusal came out of a nursery as a group and was answered 500.
+    """
+    caller = Caller()
+    refusal = upstream_errors.ConnectError("refused")
+    replicas = FakeReplicas(Script(error=refusal), Script(error=refusal))
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(make_call(caller))
+    assert caught.value.status == 503
+    assert caught.value.retry_after_ms is not None
+
+
+async def test_attempts_are_bounded() -> None:
+    """Guards against a request that breaks one replica after another."""
+    caller = Caller()
+    broken = [Script(error=upstream_errors.BrokenError("x")) for _ in range(5)]
+    replicas = FakeReplicas(*broken)
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(make_call(caller))
+    assert caught.value.status == 502
+    assert len(replicas.sent) == 2
+
+
+async def test_replicas_own_failure_is_passed_on() -> None:
+    """Guards against a failure that is changed on its way."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([b"sorry"], status=500))
+    call = make_call(caller, max_attempts=1)
+    await make_forwarder(replicas).run(call)
+    assert (caller.status, caller.body) == (500, b"sorry")
+
+
+async def test_replicas_503_that_ran_is_no_promise() -> None:
+    """Guards against a promise that the request has not run."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([b"x"], status=503))
+    call = make_call(caller, max_attempts=1)
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(call)
+    assert caught.value.status == 502
+
+
+async def test_caller_that_leaves_ends_the_run() -> None:
+    """Guards against replicas that work for nobody."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([*stream(1, 1), 5_000.0]))
+    call = make_call(caller, gap_objective_ms=0.0)
+    with trio.fail_after(1):
+        async with trio.open_nursery() as nursery:
+
+            async def leave() -> None:
+                await trio.sleep(0.02)
+                caller.leave.set()
+
+            nursery.start_soon(leave)
+            with pytest.raises(http.DisconnectedError):
+                await make_forwarder(replicas).run(call)
+    assert replicas.closed == 1
+
+
+async def test_answer_ends_at_the_routes_time() -> None:
+    """Guards against a request that is held past its route's time."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([5_000.0]))
+    call = make_call(caller, resumable=False)
+    call.deadline_ms = call.arrived_ms + 50
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(call)
+    assert caught.value.status == 504
+
+
+async def test_whole_answer_is_checked_before_it_is_passed_on() -> None:
+    """Guards against half a body that looks like a whole one."""
+    caller = Caller()
+    replicas = FakeReplicas(
+        Script([b"hal", Break]), Script([b"whole", b" body"])
+    )
+    call = make_call(caller, kind=configuration.RouteKind.IDEMPOTENT)
+    await make_forwarder(replicas).run(call)
+    assert caller.body == b"whole body"
--- /dev/null
+++ b/tests/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lacewingwood.jobs."""
--- /dev/null
+++ b/tests/jobs/test_table.py
@@ -0,0 +1,95 @@
+"""Tests of the jobs of one partition."""
+
+import random
+
+from lacewingwood.jobs import records
+from lacewingwood.jobs import table as tables
+from lacewingwood.log import keyed
+from tests.jobs import fakes
+
+KEY = "kaje/job"
+
+
+def _result(item: int, output: bytes = b"out") -> records.Result:
+    return records.Result(item, True, output)
+
+
+def test_job_exists_only_with_its_specification() -> None:
+    """Guards against running a job whose submission was cut short."""
+    table = tables.Table()
+    for record in fakes.submission_records(fakes.make_job())[:-1]:
+        table.apply(record)
+    assert table.get(KEY) is None
+
+
+def test_snapshot_in_any_order_gives_the_same_positions() -> None:
+    """Guards against positions that depend on the order of keys."""
+    written = fakes.submission_records(fakes.make_job(items=12))
+    for position, item in enumerate(reversed(range(12))):
+        written += records.listing(KEY, position, _result(item))
+    for seed in range(20):
+        shuffled = written.copy()
+        random.Random(seed).shuffle(shuffled)
+        table = tables.Table()
+        table.load(shuffled)
+        entry = table.get(KEY)
+        assert entry is not None
+        assert [r.item for r in entry.results] == list(reversed(range(12)))
+        assert not entry.bodies
+
+
+def test_position_keeps_its_first_result() -> None:
+    """Guards against a result that changes after it was read."""
+    table = tables.Table()
+    table.load(fakes.submission_records(fakes.make_job()))
+    table.apply(records.listing(KEY, 0, _result(1, b"first"))[0])
+    table.apply(records.listing(KEY, 0, _result(2, b"second"))[0])
+    entry = table.get(KEY)
+    assert entry is not None
+    assert entry.results == [_result(1, b"first")]
+
+
+def test_resubmission_changes_nothing() -> None:
+    """Guards against a resent job that moves its deadline or revives items."""
+    table = tables.Table()
+    table.load(fakes.submission_records(fakes.make_job(submitted_ms=5)))
+    for record in records.listing(KEY, 0, _result(0)):
+        table.apply(record)
+    for record in fakes.submission_records(fakes.make_job(submitted_ms=9)):
+        table.apply(record)
+    entry = table.get(KEY)
+    assert entry is not None
+    assert entry.job is not None
+    assert entry.job.submitted_ms == 5
+    assert entry.unlisted() == [1, 2]
+    assert 0 not in entry.bodies
+
+
+def test_end_survives_a_resubmission() -> None:
+    """Guards against items of an ended job that run again."""
+    table = tables.Table()
+    table.apply(records.end(KEY))
+    table.load(fakes.submission_records(fakes.make_job()))
+    entry = table.get(KEY)
+    assert entry is not None
+    assert not entry.open
+
+
+def test_malformed_records_are_passed_over() -> None:
+    """Guards against a crash on bytes from another writer."""
+    table = tables.Table()
+    for key in ("j/a/b", "r/a/b/x", "b/a/b/1", "zzz", "r/", ""):
+        table.apply(keyed.Record(key, b"\xff\xfe"))
+    assert not list(table.entries())
+
+
+def test_empty_body_is_kept() -> None:
+    """Guards against an item without a body that can never run."""
+    submission = fakes.make_job(items=1)
+    table = tables.Table()
+    table.load(
+        records.submission(KEY, submission.job, [b""]),
+    )
+    entry = table.get(KEY)
+    assert entry is not None
+    assert entry.bodies == {0: b""}
--- /dev/null
+++ b/tests/limits/test_shared.py
@@ -0,0 +1,123 @@
+"""Tests of rates counted over all gateways."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from lacewingwood.limits import shared
+
+RATE, BURST = 10.0, 10.0
+
+
+def _make(now_ms: float = 0.0, **tolerances: float) -> shared.SharedLimits:
+    limits = shared.SharedLimits(**tolerances)
+    limits.configure({"c": (RATE, BURST)}, now_ms)
+    return limits
+
+
+def _drain(limits: shared.SharedLimits, now_ms: float) -> int:
+    count = 0
+    while limits.admit("c", now_ms) is None:
+        count += 1
+    return count
+
+
+def test_burst_and_rate_are_admitted() -> None:
+    """Guards against refusals inside the rate."""
+    limits = _make()
+    assert _drain(limits, 60_000) == 10
+    assert _drain(limits, 61_000) == 10
+    assert limits.admit("c", 61_000) is not None
+    assert limits.admit("c", 61_101) is None
+
+
+def test_customer_without_a_rate_is_not_limited() -> None:
+    """Guards against a limit that nobody agreed on."""
+    limits = shared.SharedLimits()
+    limits.configure({"c": (0, 0)}, 0)
+    assert all(limits.admit("c", 0) is None for _ in range(1000))
+
+
+def test_peers_admissions_count() -> None:
+    """Guards against a rate for each gateway in place of one for all."""
+    limits = _make()
+    limits.note_report("peer", {"c": 100}, 60_000)
+    limits.note_report("peer", {"c": 107}, 60_000)
+    assert _drain(limits, 60_000) == 3
+
+
+def test_restarted_peer_counts_from_zero() -> None:
+    """Guards against counts of an earlier process taken off again."""
+    limits = _make()
+    limits.note_report("peer", {"c": 100}, 60_000)
+    limits.note_report("peer", {"c": 0}, 60_000)
+    limits.note_report("peer", {"c": 2}, 60_000)
+    assert _drain(limits, 60_000) == 8
+
+
+def test_silent_peers_keep_their_share() -> None:
+    """Guards against parts of a split fleet that each admit the whole rate."""
+    limits = _make()
+    _drain(limits, 60_000)
+    limits.share = 0.5
+    assert _drain(limits, 62_000) == 10
+
+
+def test_new_process_takes_its_peers_levels_once() -> None:
+    """Guards against refusals after a restart, and against two bursts."""
+    limits = _make(now_ms=0)
+    limits.take_levels({"c": 6.0}, 0)
+    limits.take_levels({"c": 10.0}, 0)
+    assert _drain(limits, 0) == 6
+
+
+def test_tolerances_are_used_by_half() -> None:
+    """Guards against refusals that the agreement's tolerance allows."""
+    limits = _make(rate_tolerance=0.1, burst_tolerance=20)
+    assert _drain(limits, 60_000) == int(BURST * 1.05 + 10)
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(
+    seed=st.integers(0, 10_000),
+    gateways=st.integers(1, 6),
+    lag_ms=st.sampled_from([25.0, 100.0]),
+    pressure=st.floats(0.5, 8.0),
+)
+def test_no_window_sees_more_than_the_agreement(
+    seed: int, gateways: int, lag_ms: float, pressure: float
+) -> None:
+    """Guards against more than rate and burst over all gateways together.
+
+    Reports come late by `lag_ms`; what arrives meanwhile is covered by the
+    tolerances of the settings.
+    """
+    rng = random.Random(seed)
+    fleet = [
+        _make(rate_tolerance=0.1, burst_tolerance=20) for _ in range(gateways)
+    ]
+    admitted: list[float] = []
+    in_flight: list[tuple[float, int, dict[str, int]]] = []
+    now_ms, next_report_ms = 30_000.0, 30_000.0
+    while now_ms < 45_000:
+        now_ms += rng.expovariate(pressure * RATE / 1000)
+        while next_report_ms < now_ms:
+            for n, limits in enumerate(fleet):
+                in_flight.append(
+                    (next_report_ms + lag_ms, n, limits.admitted())
+                )
+            next_report_ms += lag_ms
+        arrived = [m for m in in_flight if m[0] <= now_ms]
+        in_flight = [m for m in in_flight if m[0] > now_ms]
+        for at_ms, sender, counts in arrived:
+            for n, limits in enumerate(fleet):
+                if n != sender:
+                    limits.note_report(str(sender), counts, at_ms)
+        if rng.choice(fleet).admit("c", now_ms) is None:
+            admitted.append(now_ms)
+    window_ms = 5_000.0
+    limit = (RATE * window_ms / 1000 + BURST) * 1.1 + 20
+    for start, first in enumerate(admitted):
+        inside = [t for t in admitted[start:] if t <= first + window_ms]
+        assert len(inside) <= limit
--- /dev/null
+++ b/tests/log/test_follow.py
@@ -0,0 +1,59 @@
+"""Tests of following a partition."""
+
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import follow
+from lacewingwood.log import keyed
+from tests.jobs import fakes
+
+
+def _make(
+    log: fakes.MemoryLog, seen: dict[str, bytes | None]
+) -> follow.Follower:
+    def take(page: list[keyed.Record]) -> None:
+        seen.update({record.key: record.value for record in page})
+
+    return follow.Follower(
+        log,
+        fakes.PARTITION,
+        take,
+        take,
+        clocks.MonotonicClock(),
+        metrics_lib.Registry(),
+        wait_ms=20,
+        pause_ms=1,
+    )
+
+
+async def _append(log: fakes.MemoryLog, key: str, value: bytes) -> None:
+    await log.append(fakes.PARTITION, [keyed.Record(key, value)])
+
+
+async def test_records_are_followed_through_outages_and_lost_history() -> None:
+    """Guards against a change that is missed, and a process that ends.
+
+    The first contact with a log that was out of reach since the start ended
+    the process (kalitanggul-serve trouble-2).
+    """
+    log, seen = fakes.MemoryLog(), {}
+    log.down = True
+    follower = _make(log, seen)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(0.15)
+        log.down = False
+        with trio.fail_after(2):
+            await follower.ready.wait()
+        await _append(log, "a", b"1")
+        log.down = True
+        await trio.sleep(0.05)
+        log.down = False
+        await _append(log, "b", b"2")
+        log.core.forget_history()
+        await _append(log, "c", b"3")
+        with trio.fail_after(2):
+            while seen != {"a": b"1", "b": b"2", "c": b"3"}:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,111 @@
+"""Tests of the operator's document and the replicas' entries."""
+
+import contextlib
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies as st
+
+from lacewingwood import configuration
+from lacewingwood.platform import documents
+
+_ROUTE = {
+    "name": "r-1",
+    "host": "Nony24.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 5000,
+    "target_latency_ms": 300,
+    "priority": 0,
+    "traffic_split": [
+        {"service": "x", "weight": 90},
+        {"service": "y", "weight": 0},
+    ],
+    "max_attempts": 2,
+    "resumable": True,
+    "gap_aim_ms": 200,
+}
+_ENTRY = {
+    "service": "x",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "seq": 4,
+    "born": 17,
+}
+
+
+def _encode(value: object) -> bytes:
+    return msgspec.json.encode(value)
+
+
+def test_document_becomes_routes_and_customers() -> None:
+    """Guards against a field of the wire that is taken for another one."""
+    decoded = documents.decode_configuration(
+        _encode(
+            {
+                "version": 7,
+                "routes": [_ROUTE, {**_ROUTE, "kind": "unheard"}],
+                "tenants": [
+                    {
+                        "name": "kaje80",
+                        "api_keys": ["k1", "k2"],
+                        "priority": 1,
+                        "rate_per_s": 24,
+                        "burst": 30,
+                    }
+                ],
+                "limits": {"max_body_bytes": 99},
+            }
+        )
+    )
+    assert decoded.version == 7
+    assert decoded.max_body_bytes == 99
+    (route,) = decoded.routes
+    assert route.host == "nony24.example"
+    assert route.targets == (configuration.Target("x", 90),)
+    assert route.objective_ms == 300
+    assert route.gap_objective_ms == 200
+    assert route.repeatable
+    customer = decoded.customer_of("k2")
+    assert customer is not None
+    assert (customer.rate, customer.burst, customer.priority) == (24, 30, 1)
+
+
+def test_entry_becomes_a_listing() -> None:
+    """Guards against a leaving replica that is taken for a ready one."""
+    listing = documents.decode_replica("i-1", _encode(_ENTRY))
+    assert (listing.slots, listing.leaving) == (8, False)
+    draining = {**_ENTRY, "state": "draining"}
+    assert documents.decode_replica("i-1", _encode(draining)).leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"address": "nowhere"},
+        {"address": "h:x"},
+        {"slots": "many"},
+        {"service": None},
+        {"born": "yesterday"},
+    ],
+)
+def test_foreign_entries_are_rejected(change: dict[str, object]) -> None:
+    """Guards against an entry of another writer that is put to use."""
+    with pytest.raises(documents.DocumentError):
+        documents.decode_replica("i-1", _encode({**_ENTRY, **change}))
+
+
+@hypothesis.given(st.binary(max_size=60))
+def test_any_bytes_give_a_document_error_at_most(data: bytes) -> None:
+    """Guards against a crash on bytes that can't be read."""
+    for decode in (
+        documents.decode_configuration,
+        lambda d: documents.decode_replica("i", d),
+    ):
+        with contextlib.suppress(documents.DocumentError):
+            decode(data)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,57 @@
+"""Tests of the platform's settings file."""
+
+import pathlib
+
+import pytest
+
+from lacewingwood.platform import settings
+
+_FILE = """
+node = "front-a-1"
+ip = "10.1.0.21"
+zone = "a"
+port_range = [7360, 7375]
+seeds = ["10.1.0.21:8683"]
+unheard = { of = 1 }
+[listen]
+front = "10.1.0.21:8689"
+ready = "10.1.0.21:8687"
+control = "10.1.0.21:8683"
+[bounds]
+grace_s = 8
+quota_overage = 0.1
+quota_slack = 20
+[platform_settings]
+address = "10.200.1.7:8688"
+parts = 4
+"""
+
+
+def test_file_becomes_settings(tmp_path: pathlib.Path) -> None:
+    """Guards against a value that is read in another unit."""
+    path = tmp_path / "local.toml"
+    path.write_text(_FILE, encoding="utf-8")
+    cfg = settings.load(str(path))
+    assert cfg.host == "front-a-1"
+    assert cfg.peer_bind == "10.1.0.21:8683"
+    assert cfg.grace_ms == 8_000
+    assert cfg.rate_tolerance == 0.1
+    assert cfg.partitions_per_topic == 4
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "node = 1", "not toml", _FILE.replace("parts = 4", "parts='x'")],
+)
+def test_bad_file_is_a_clear_error(tmp_path: pathlib.Path, text: str) -> None:
+    """Guards against a process that runs on settings it did not read."""
+    path = tmp_path / "local.toml"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(settings.SettingsError, match=r"local\.toml"):
+        settings.load(str(path))
+
+
+def test_missing_file_is_a_clear_error() -> None:
+    """Guards against a traceback in place of a message."""
+    with pytest.raises(settings.SettingsError):
+        settings.load("/nonexistent/local.toml")
--- /dev/null
+++ b/tests/routing/test_dispatcher.py
@@ -0,0 +1,193 @@
+"""Tests of the distribution of replicas' slots."""
+
+import random
+
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+
+ONLINE, BATCH = load.Work.ONLINE, load.Work.BATCH
+
+
+def make(
+    replicas: int = 2, slots: int = 2, clock: clocks.Clock | None = None
+) -> dispatchers.Dispatcher:
+    """Returns a dispatcher over replicas r0, r1, and so on."""
+    fleet = load.Fleet()
+    for n in range(replicas):
+        fleet.directory.put(
+            directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", "z", slots)
+        )
+    fleet.refresh()
+    return dispatchers.Dispatcher(
+        fleet,
+        "z",
+        clock or clocks.ManualClock(),
+        metrics_lib.Registry(),
+        random.Random(1),
+    )
+
+
+def _demand(work: load.Work = ONLINE, **fields: object) -> dispatchers.Demand:
+    return dispatchers.Demand(service="s", work=work, **fields)  # type: ignore[arg-type]
+
+
+def test_requests_spread_over_replicas() -> None:
+    """Guards against a queue at one replica while another is idle."""
+    dispatcher = make()
+    taken = [dispatcher.try_acquire(_demand()) for _ in range(4)]
+    names = sorted(slot.replica.listing.id for slot in taken if slot)
+    assert names == ["r0", "r0", "r1", "r1"]
+
+
+def test_full_replicas_take_no_more() -> None:
+    """Guards against queues in the replicas, which know no priorities."""
+    dispatcher = make()
+    for _ in range(4):
+        assert dispatcher.try_acquire(_demand())
+    assert dispatcher.try_acquire(_demand()) is None
+    assert dispatcher.try_acquire(_demand(BATCH)) is None
+
+
+def test_peers_reports_count() -> None:
+    """Guards against gateways that all choose the same replica."""
+    dispatcher = make()
+    dispatcher.fleet.note_report("peer", {"r0": (2, 0)}, 0)
+    slot = dispatcher.try_acquire(_demand())
+    assert slot is not None
+    assert slot.replica.listing.id == "r1"
+    dispatcher.fleet.expire(60_000)
+    replica = dispatcher.fleet.get("r0")
+    assert replica is not None
+    assert replica.online() == 0
+
+
+def test_online_request_goes_ahead_of_batch_items() -> None:
+    """Guards against a request that waits behind batch work."""
+    dispatcher = make(replicas=1)
+    while dispatcher.try_acquire(_demand(BATCH)):
+        pass
+    replica = dispatcher.fleet.get("r0")
+    assert replica is not None
+    assert dispatcher.excess(replica, urgent=True) <= 0
+    slot = dispatcher.try_acquire(_demand())
+    assert slot is not None
+    assert dispatcher.excess(replica, urgent=True) == 1
+
+
+def test_leaving_replica_gets_nothing() -> None:
+    """Guards against new work for a replica that is about to stop."""
+    dispatcher = make(replicas=1)
+    dispatcher.fleet.directory.put(
+        directory.Listing("r0", "s", "10.0.0.0:80", "z", 2, leaving=True)
+    )
+    dispatcher.fleet.refresh()
+    assert dispatcher.try_acquire(_demand()) is None
+    assert not dispatcher.known("s")
+
+
+def test_last_replica_is_used_in_spite_of_failures() -> None:
+    """Guards against a fleet given up on suspicion."""
+    dispatcher = make(replicas=1)
+    replica = dispatcher.fleet.get("r0")
+    assert replica is not None
+    replica.note_failure(0)
+    assert dispatcher.try_acquire(_demand()) is not None
+
+
+def test_failed_replica_is_passed_over_for_a_while() -> None:
+    """Guards against requests that meet one broken replica after another."""
+    clock = clocks.ManualClock()
+    dispatcher = make(clock=clock)
+    replica = dispatcher.fleet.get("r0")
+    assert replica is not None
+    replica.note_failure(0)
+    slot = dispatcher.try_acquire(_demand())
+    assert slot is not None
+    assert slot.replica.listing.id == "r1"
+    clock.advance(1_000)
+    slot = dispatcher.try_acquire(_demand())
+    assert slot is not None
+    assert slot.replica.listing.id == "r0"
+
+
+def test_restarted_replica_starts_without_load() -> None:
+    """Guards against counts that a replica's earlier start left behind."""
+    dispatcher = make(replicas=1)
+    assert dispatcher.try_acquire(_demand())
+    dispatcher.fleet.directory.put(
+        directory.Listing("r0", "s", "10.0.0.0:80", "z", 2, started_ms=99)
+    )
+    dispatcher.fleet.refresh()
+    replica = dispatcher.fleet.get("r0")
+    assert replica is not None
+    assert replica.total(0) == 0
+
+
+async def test_waiting_request_gets_the_next_free_slot() -> None:
+    """Guards against a request that waits while a slot is free."""
+    dispatcher = make(replicas=1, slots=1, clock=clocks.MonotonicClock())
+    first = dispatcher.try_acquire(_demand())
+    assert first is not None
+    got: list[dispatchers.Slot | None] = []
+
+    async def wait() -> None:
+        got.append(await dispatcher.acquire(_demand()))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait)
+        await trio.sleep(0.01)
+        assert not got
+        dispatcher.release(first)
+    assert got[0] is not None
+
+
+async def test_request_that_can_be_in_time_goes_first() -> None:
+    """Guards against late requests that make others late, too."""
+    clock = clocks.MonotonicClock()
+    dispatcher = make(replicas=1, slots=1, clock=clock)
+    first = dispatcher.try_acquire(_demand())
+    assert first is not None
+    order: list[str] = []
+    now_ms = clock.now_ms()
+
+    async def wait(name: str, demand: dispatchers.Demand) -> None:
+        slot = await dispatcher.acquire(demand)
+        order.append(name)
+        assert slot is not None
+        dispatcher.release(slot)
+
+    late = _demand(arrived_ms=now_ms - 900, objective_ms=300)
+    fresh = _demand(arrived_ms=now_ms, objective_ms=300)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait, "late", late)
+        await trio.sleep(0.005)
+        nursery.start_soon(wait, "fresh", fresh)
+        await trio.sleep(0.005)
+        dispatcher.release(first)
+    assert order == ["fresh", "late"]
+
+
+async def test_acquire_ends_at_the_deadline() -> None:
+    """Guards against a request that is held past its time."""
+    clock = clocks.MonotonicClock()
+    dispatcher = make(replicas=1, slots=1, clock=clock)
+    assert dispatcher.try_acquire(_demand())
+    deadline_ms = clock.now_ms() + 30
+    assert await dispatcher.acquire(_demand(deadline_ms=deadline_ms)) is None
+    assert dispatcher.waiting == 0
+
+
+async def test_cancelled_waiter_leaves_no_slot_taken() -> None:
+    """Guards against slots that are lost when callers leave."""
+    dispatcher = make(replicas=1, slots=1, clock=clocks.MonotonicClock())
+    first = dispatcher.try_acquire(_demand())
+    assert first is not None
+    with trio.move_on_after(0.02):
+        await dispatcher.acquire(_demand())
+    dispatcher.release(first)
+    assert dispatcher.try_acquire(_demand()) is not None
--- /dev/null
+++ b/tests/upstreams/test_event_stream.py
@@ -0,0 +1,56 @@
+"""Tests of the splitting of event streams."""
+
+import itertools
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from lacewingwood.upstreams import errors
+from lacewingwood.upstreams import event_stream
+
+
+def _stream(count: int, first: int = 1) -> bytes:
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (n, n)
+        for n in range(first, first + count)
+    )
+
+
+@hypothesis.given(cuts=st.lists(st.integers(0, 120), max_size=12))
+def test_any_cut_gives_the_same_events(cuts: list[int]) -> None:
+    """Guards against events that are lost at the edge of a packet."""
+    data = _stream(5)
+    edges = [0, *sorted(c for c in cuts if c < len(data)), len(data)]
+    splitter = event_stream.Splitter()
+    out = b""
+    for start, end in itertools.pairwise(edges):
+        out += splitter.feed(data[start:end])
+    assert out == data
+    assert splitter.last_id == 5
+    assert splitter.between_events
+
+
+def test_cut_event_is_not_passed_on() -> None:
+    """Guards against half an event that a resumed run then repeats."""
+    splitter = event_stream.Splitter()
+    out = splitter.feed(_stream(2)[:-3])
+    assert out == _stream(1)
+    assert not splitter.between_events
+    splitter.restart()
+    assert splitter.feed(_stream(1, first=2)) == _stream(1, first=2)
+
+
+def test_missing_event_is_noticed_and_nothing_of_its_chunk_counts() -> None:
+    """Guards against a text with a hole, and against events counted twice."""
+    splitter = event_stream.Splitter()
+    splitter.feed(_stream(2))
+    with pytest.raises(errors.BadAnswerError):
+        splitter.feed(_stream(1, first=3) + _stream(1, first=5))
+    assert splitter.last_id == 2
+
+
+def test_data_of_events_in_order() -> None:
+    """Guards against a result with other text than the stream's."""
+    data = b"weight-versions: 3\nid: 1\ndata: a b\n\nid: 2\ndata: \n\n"
+    assert event_stream.data_lines(data) == [b"a b", b""]
