Report within zones in large fleets; test a fleet of gateways as processes

Cause: every gateway reported to every other; at 76 machines that is 5,700 pairs and, at their rate of change, more messages than their processors carry.

Change: beyond 16 gateways reports stay within the zone; two gateways of each zone send digests of it to one of each other zone, which passes them on. Counts of a peer are told apart by its start, since digests overtake each other. devtools/fleet.py starts a store, replicas and gateways on loopback for tests.

--- /dev/null
+++ b/devtools/fleet.py
@@ -0,0 +1,276 @@
+"""A fleet of gateways on loopback: store, replicas and gateways."""
+
+import contextlib
+import dataclasses
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+from devtools import deployment
+
+KEY = "secret-kaje"
+HOST = "h.example"
+SERVICE = "sabeel-lm"
+_READY_S = 20.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that nobody listens on."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> tuple[int, bytes]:
+    """Makes an HTTP call; status 0 if no whole answer came."""
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        conn.request(method, path, body, headers or {})
+        response = conn.getresponse()
+        return response.status, response.read()
+    except (OSError, http.client.HTTPException):
+        return 0, b""
+    finally:
+        conn.close()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Shape:
+    """What a fleet consists of.
+
+    Attributes:
+        gateways: Number of gateways.
+        replicas: Number of replicas.
+        events: Events of each stream.
+        step_ms: Time between events.
+        rate: Requests a second of the customer.
+    """
+
+    gateways: int = 3
+    replicas: int = 3
+    events: int = 8
+    step_ms: float = 10.0
+    rate: float = 0.0
+
+
+class Gateway:
+    """One gateway process; it can be killed and started again."""
+
+    def __init__(
+        self, name: str, zone: str, store: str, log_dir: pathlib.Path
+    ) -> None:
+        self.name = name
+        front, ready, control, first = free_ports(4)
+        self.address = f"127.0.0.1:{front}"
+        self.ready_address = f"127.0.0.1:{ready}"
+        self.peer_address = f"127.0.0.1:{control}"
+        self.admin_address = f"127.0.0.1:{first}"
+        self.log_path = log_dir / f"{name}.log"
+        self._settings = log_dir / f"{name}.toml"
+        self._settings.write_text(
+            f'node = "{name}"\nip = "127.0.0.1"\nzone = "{zone}"\n'
+            f"port_range = [{first - 1}, {first}]\nheartbeat_ms = 500\n"
+            f'[listen]\nfront = "{self.address}"\n'
+            f'ready = "{self.ready_address}"\n'
+            f'control = "{self.peer_address}"\n'
+            "[bounds]\ngrace_s = 8\nquota_overage = 0.1\nquota_slack = 20\n"
+            f'[platform_settings]\naddress = "{store}"\n',
+            encoding="utf-8",
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Starts the process."""
+        command = [sys.executable, "-m", "lacewingwood", "gateway"]
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [*command, "--config", str(self._settings)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def ready(self) -> bool:
+        """Returns whether it wants new connections."""
+        status, _ = call(self.ready_address, "GET", "/-/ready", timeout_s=1)
+        return status == 200
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self.process is not None and self.running:
+            self.process.send_signal(number)
+
+    def wait(self, timeout_s: float = 15.0) -> int:
+        """Waits for the end of the process; returns its exit code."""
+        assert self.process is not None
+        return self.process.wait(timeout_s)
+
+
+class Fleet:
+    """A running fleet; `configure` publishes its configuration."""
+
+    def __init__(self, shape: Shape, log_dir: pathlib.Path) -> None:
+        self.shape = shape
+        self.gateways: list[Gateway] = []
+        self.replicas: list[deployment.Process] = []
+        self.store: deployment.Process
+        self._log_dir = log_dir
+        self._version = 0
+        self._children: list[deployment.Process] = []
+
+    @property
+    def store_address(self) -> str:
+        """Address of the store."""
+        return str(self.store.info["address"])
+
+    def start(self) -> None:
+        """Starts everything and waits until all gateways are ready."""
+        self.store = self._standin("store", "keyed-store")
+        self.configure()
+        for _ in range(self.shape.replicas):
+            self.add_replica()
+        for n in range(self.shape.gateways):
+            self.add_gateway(f"gateway-{n}", f"zone-{n % 2}")
+        self.wait_ready()
+
+    def add_replica(self) -> deployment.Process:
+        """Starts one more replica."""
+        name = f"replica-{len(self.replicas)}"
+        replica = self._standin(
+            name,
+            "stream-replica",
+            *("--store", self.store_address),
+            *("--service", SERVICE),
+            *("--events", str(self.shape.events)),
+            *("--step-ms", str(self.shape.step_ms)),
+        )
+        self.replicas.append(replica)
+        return replica
+
+    def add_gateway(self, name: str, zone: str, store: str = "") -> Gateway:
+        """Starts one more gateway, which may have a way to the store."""
+        store = store or self.store_address
+        gateway = Gateway(name, zone, store, self._log_dir)
+        gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def wait_ready(self) -> None:
+        """Waits until all gateways that run are ready."""
+        limit = time.monotonic() + _READY_S
+        for gateway in self.gateways:
+            while gateway.running and not gateway.ready():
+                if time.monotonic() > limit:
+                    raise deployment.DeploymentError(
+                        f"{gateway.name} did not get ready"
+                    )
+                time.sleep(0.05)
+
+    def configure(self, keys: tuple[str, ...] = (KEY,), **route: Any) -> int:
+        """Publishes a configuration; returns its version."""
+        self._version += 1
+        common = {
+            "host": HOST,
+            "service": SERVICE,
+            "timeout_ms": 5_000,
+            "target_latency_ms": 300,
+            "priority": 0,
+            "max_attempts": 2,
+            "gap_aim_ms": 200,
+        }
+        stream = {**common, "kind": "streaming", "resumable": True, **route}
+        once = {**stream, "resumable": False, "max_attempts": 1}
+        batch = {
+            **common,
+            "kind": "batch",
+            "max_attempts": 3,
+            "result_deadline_ms": 18_000,
+            "retention_s": 60,
+        }
+        document = {
+            "version": self._version,
+            "routes": [
+                {"name": "s", "path_prefix": "/s/", **stream},
+                {"name": "o", "path_prefix": "/o/", **once},
+                {"name": "b", "path_prefix": "/b/", **batch},
+            ],
+            "tenants": [
+                {
+                    "name": "kaje",
+                    "api_keys": list(keys),
+                    "rate_per_s": self.shape.rate,
+                    "burst": self.shape.rate,
+                }
+            ],
+        }
+        body = json.dumps(document).encode()
+        path = "/put?topic=keyed.op&key=config"
+        call(self.store_address, "POST", path, body)
+        return self._version
+
+    def set_faults(self, process: deployment.Process, **faults: Any) -> None:
+        """Makes a stand-in show faults; without any, it shows none."""
+        body = json.dumps(faults).encode()
+        call(str(process.info["address"]), "POST", "/faults", body)
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Returns all runs of all replicas that can be asked."""
+        found: list[dict[str, Any]] = []
+        for replica in self.replicas:
+            if replica.running:
+                address = str(replica.info["address"])
+                status, body = call(address, "GET", "/runs")
+                found += json.loads(body) if status == 200 else []
+        return found
+
+    def stop(self) -> None:
+        """Ends all processes that this fleet started."""
+        for gateway in self.gateways:
+            if gateway.process is not None and gateway.running:
+                gateway.process.send_signal(signal.SIGCONT)
+                gateway.process.kill()
+                gateway.process.wait()
+        for child in self._children:
+            child.signal(signal.SIGCONT)
+            child.signal(signal.SIGKILL)
+            child.wait()
+
+    def _standin(self, name: str, *args: str) -> deployment.Process:
+        command = [*args, "--bind", "127.0.0.1:0"]
+        child = deployment.Process(name, "standins", command, self._log_dir)
+        self._children.append(child)
+        child.wait_ready()
+        return child
+
+
+@contextlib.contextmanager
+def running(shape: Shape, log_dir: pathlib.Path) -> Iterator[Fleet]:
+    """Runs a fleet for the duration of a `with` block."""
+    fleet = Fleet(shape, log_dir)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.stop()
--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -74,7 +74,7 @@
         self.levels_known = False
         self.share = 1.0
         self._buckets: dict[str, _Bucket] = {}
-        self._reported: dict[str, dict[str, int]] = {}
+        self._reported: dict[str, tuple[int, dict[str, int]]] = {}
 
     def admit(self, customer: str, now_ms: float) -> float | None:
         """Admits a request, or returns the time after which to try again."""
@@ -136,16 +136,31 @@
                 bucket.level = min(bucket.burst, max(bucket.level, level))
 
     def note_report(
-        self, node: str, admitted: Mapping[str, int], now_ms: float
+        self,
+        node: str,
+        started_ms: int,
+        admitted: Mapping[str, int],
+        now_ms: float,
     ) -> None:
-        """Takes over what a peer has admitted since its start."""
-        known = self._reported.get(node)
-        self._reported[node] = dict(admitted)
-        if known is None:
-            # What it admitted before is no longer to be counted.
-            return
+        """Takes over what a peer has admitted since its start.
+
+        Args:
+            node: The peer.
+            started_ms: Tells its process from those before.
+            admitted: Counts since then; reports may overtake each other.
+            now_ms: Present time.
+        """
+        # What a peer admitted before its first report is not counted here;
+        # one that has started anew counts from zero.
+        restarted = node in self._reported
+        at_ms, known = self._reported.get(node, (0, {}))
+        if started_ms != at_ms:
+            known = dict.fromkeys(known, 0) if restarted else {}
+            self._reported[node] = started_ms, known
         for customer, count in admitted.items():
-            new = count - known.get(customer, 0)
+            before = known.get(customer, count)
+            known[customer] = max(count, before)
+            new = count - before
             bucket = self._buckets.get(customer)
             if new > 0 and bucket is not None:
                 self._refill(bucket, now_ms)
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -408,6 +408,42 @@
     leaving: bool = False
 
 
+class HostCounts(msgspec.Struct, array_like=True):
+    """What other zones must know of one gateway.
+
+    Attributes:
+        host: The gateway's host.
+        started_ms: Unix time of its start.
+        version: Version of its configuration.
+        admitted: Customers' counts that changed lately.
+        owned: Job partitions that it owns, with their epochs.
+    """
+
+    host: str
+    started_ms: int
+    version: int
+    admitted: dict[str, int]
+    owned: dict[int, int]
+
+
+class ZoneDigest(Message, tag="zone_digest"):
+    """What one zone's gateways tell the others, passed on within a zone.
+
+    Attributes:
+        zone: The zone that it is about.
+        sent_ms: Unix time at its sender; older ones are passed over.
+        hosts: The zone's gateways that were heard lately.
+        running: For each replica the zone's online requests and batch items.
+        passed_on: True if it was received by another gateway of this zone.
+    """
+
+    zone: str
+    sent_ms: int
+    hosts: list[HostCounts]
+    running: dict[str, tuple[int, int]]
+    passed_on: bool = False
+
+
 class FetchConfiguration(Message, tag="fetch_configuration"):
     """Asks a gateway for the configuration and replicas that it knows."""
 
@@ -533,6 +569,7 @@
     | RoomOffer
     | StopItems
     | GatewayReport
+    | ZoneDigest
     | FetchConfiguration
     | ConfigurationCopy
     | JobRead
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -1,6 +1,13 @@
-"""Which gateways there are, and what they tell each other."""
+"""Which gateways there are, and what they tell each other.
+
+Gateways of a small fleet report to all others. In a larger one they report
+to those of their zone, and two of each zone send digests of it to the other
+zones, where their receivers pass them on.
+"""
 
 import dataclasses
+import random
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -24,8 +31,17 @@
 _READ_PAUSE_MS = 1_000.0
 _READ_WAIT_MS = 1_000.0
 _RETRY_MS = 500.0
-# Reports follow changes after this pause, which bounds their number.
+# Reports follow changes after this pause, which bounds their number; with many
+# receivers it is longer, so that a gateway sends some 400 a second at most.
 _REPORT_PAUSE_MS = 25.0
+_REPORT_PAUSE_PER_PEER_MS = 2.5
+# Gateways up to which all report to all.
+_MESH_LIMIT = 16
+# Gateways of a zone that send digests, and how often.
+_DIGEST_SENDERS = 2
+_DIGEST_PAUSE_MS = 150.0
+# A count that changed is repeated for this long, since digests can be lost.
+_DIGEST_REPEAT_MS = 2_000.0
 # A gateway without changes reports this often.
 _QUIET_REPORT_MS = 400.0
 # A peer that has not reported for this long is taken to be cut off or dead.
@@ -50,18 +66,26 @@
     Attributes:
         host: Its host.
         address: Its peer listener.
+        zone: Its zone, empty while only reports are known.
         started_ms: Unix time of its start.
         entry_ms: When its entry was last seen to change.
         report_ms: When its last report came.
         report: Its last report, None before the first.
+        owned: Job partitions that it owns, with their epochs.
+        version: Version of its configuration.
+        changed: When each of its customers' counts was last seen to change.
     """
 
     host: str
     address: str
+    zone: str = ""
     started_ms: int = 0
     entry_ms: float = float("-inf")
     report_ms: float = float("-inf")
     report: messages.GatewayReport | None = None
+    owned: dict[int, int] = dataclasses.field(default_factory=dict)
+    version: int = 0
+    changed: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Presence:
@@ -69,6 +93,7 @@
 
     Attributes:
         on_report: Called with each report of a peer.
+        on_digest: Called with each digest of another zone.
         on_silent: Called with the host of a peer that has gone silent.
     """
 
@@ -101,6 +126,8 @@
         """
         self.on_report: Callable[[messages.GatewayReport], None]
         self.on_report = lambda report: None
+        self.on_digest: Callable[[messages.ZoneDigest], None]
+        self.on_digest = lambda digest: None
         self.on_silent: Callable[[str], None] = lambda host: None
         self._host = host
         self._zone = zone
@@ -115,7 +142,11 @@
         self._peers: dict[str, Peer] = {}
         self._changed = trio.Event()
         self._leaving = False
+        self._digests: dict[str, int] = {}
+        self._own_changed: dict[str, float] = {}
+        self._own_admitted: dict[str, int] = {}
         network.handle(messages.GatewayReport, self._handle_report)
+        network.handle(messages.ZoneDigest, self._handle_digest)
         self._follower = follow.Follower(
             log,
             GATEWAYS,
@@ -151,7 +182,7 @@
         """
         best: tuple[str, int] | None = None
         for peer in self.heard():
-            epoch = peer.report.owned.get(partition) if peer.report else None
+            epoch = peer.owned.get(partition)
             if epoch is not None and (best is None or epoch > best[1]):
                 best = peer.address, epoch
         return best
@@ -177,6 +208,7 @@
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._renew_entry)
             nursery.start_soon(self._report)
+            nursery.start_soon(self._send_digests)
             nursery.start_soon(self._watch_silence)
 
     async def leave(self) -> None:
@@ -224,30 +256,112 @@
             peer = self._peers[host] = Peer(host, entry.address)
             self._changed.set()
         peer.address = entry.address
-        peer.started_ms = entry.started_ms
+        peer.zone = entry.zone
+        peer.started_ms = max(peer.started_ms, entry.started_ms)
         peer.entry_ms = self._clock.now_ms()
 
     async def _report(self) -> None:
         while True:
             self._changed = trio.Event()
-            self._send_report()
-            await self._clock.sleep_ms(_REPORT_PAUSE_MS)
-            with trio.move_on_after(
-                (_QUIET_REPORT_MS - _REPORT_PAUSE_MS) / 1000
-            ):
+            receivers = self._send_report()
+            pause_ms = max(
+                _REPORT_PAUSE_MS, receivers * _REPORT_PAUSE_PER_PEER_MS
+            )
+            await self._clock.sleep_ms(pause_ms)
+            with trio.move_on_after((_QUIET_REPORT_MS - pause_ms) / 1000):
                 await self._changed.wait()
 
-    def _send_report(self) -> None:
+    def _send_report(self) -> int:
+        """Sends this gateway's report; returns the number of receivers."""
         report = self._make_report()
         report.leaving = self._leaving
+        targets = {peer.address for peer in self._near()} or set(self._seeds)
+        for address in targets:
+            self._network.send(address, report)
+        now_ms = self._clock.now_ms()
+        for customer, count in report.admitted.items():
+            if self._own_admitted.get(customer) != count:
+                self._own_changed[customer] = now_ms
+        self._own_admitted = report.admitted
+        return len(targets)
+
+    def _present(self) -> list[Peer]:
+        """Returns the peers that should be there."""
         limit_ms = self._clock.now_ms() - _ENTRY_TTL_MS
-        targets = {
-            peer.address
+        return [
+            peer
             for peer in self._peers.values()
             if max(peer.entry_ms, peer.report_ms) >= limit_ms
-        }
-        for address in targets or self._seeds:
-            self._network.send(address, report)
+        ]
+
+    def _near(self) -> list[Peer]:
+        """Returns the peers that reports are exchanged with."""
+        present = self._present()
+        if len(present) < _MESH_LIMIT:
+            return present
+        return [peer for peer in present if peer.zone in ("", self._zone)]
+
+    async def _send_digests(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_DIGEST_PAUSE_MS)
+            if self._sends_digests():
+                self._send_digest()
+
+    def _sends_digests(self) -> bool:
+        """Returns whether this gateway speaks for its zone."""
+        if len(self._present()) < _MESH_LIMIT or self._leaving:
+            return False
+        near = [p.host for p in self.heard() if p.zone in ("", self._zone)]
+        return self._host in sorted([*near, self._host])[:_DIGEST_SENDERS]
+
+    def _send_digest(self) -> None:
+        digest = self._make_digest()
+        zones: dict[str, list[Peer]] = {}
+        for peer in self._present():
+            if peer.zone not in ("", self._zone):
+                zones.setdefault(peer.zone, []).append(peer)
+        for peers in zones.values():
+            self._network.send(random.choice(peers).address, digest)
+
+    def _make_digest(self) -> messages.ZoneDigest:
+        own = self._make_report()
+        limit_ms = self._clock.now_ms() - _DIGEST_REPEAT_MS
+        hosts = [_counts(own, self._own_changed, limit_ms)]
+        running = {key: list(held) for key, held in own.running.items()}
+        for peer in self.heard():
+            if peer.report is None or peer.zone not in ("", self._zone):
+                continue
+            hosts.append(_counts(peer.report, peer.changed, limit_ms))
+            for key, (online, batch) in peer.report.running.items():
+                held = running.setdefault(key, [0, 0])
+                held[0] += online
+                held[1] += batch
+        return messages.ZoneDigest(
+            self._zone,
+            time.time_ns() // 1_000_000,
+            hosts,
+            {key: (held[0], held[1]) for key, held in running.items()},
+        )
+
+    async def _handle_digest(self, digest: messages.ZoneDigest) -> None:
+        if digest.zone == self._zone:
+            return
+        if not digest.passed_on:
+            digest.passed_on = True
+            for peer in self._near():
+                self._network.send(peer.address, digest)
+        if self._digests.get(digest.zone, 0) >= digest.sent_ms:
+            return
+        self._digests[digest.zone] = digest.sent_ms
+        now_ms = self._clock.now_ms()
+        for counts in digest.hosts:
+            known = self._peers.get(counts.host)
+            if known is None or counts.started_ms < known.started_ms:
+                continue
+            known.started_ms = counts.started_ms
+            known.owned, known.version = counts.owned, counts.version
+            known.report_ms = now_ms
+        self.on_digest(digest)
 
     async def _handle_report(self, report: messages.GatewayReport) -> None:
         if report.host == self._host:
@@ -260,13 +374,20 @@
             return
         if self._is_silent(peer):
             _log.info("peer heard", peer=report.host, address=report.address)
+        now_ms = self._clock.now_ms()
+        before = peer.report.admitted if peer.report else {}
+        for customer, count in report.admitted.items():
+            if before.get(customer) != count:
+                peer.changed[customer] = now_ms
         peer.address = report.address
         peer.started_ms = report.started_ms
         peer.report = report
-        peer.report_ms = self._clock.now_ms()
+        peer.owned, peer.version = report.owned, report.version
+        peer.report_ms = now_ms
         if report.leaving:
             peer.entry_ms = peer.report_ms = float("-inf")
             peer.report = None
+            peer.owned = {}
             self.on_silent(peer.host)
             _log.info("peer left", peer=report.host)
             return
@@ -290,3 +411,20 @@
                             "peer lost", peer=peer.host, age_ms=round(age_ms)
                         )
                         self.on_silent(peer.host)
+
+
+def _counts(
+    report: messages.GatewayReport, changed: dict[str, float], limit_ms: float
+) -> messages.HostCounts:
+    """Returns the part of a report that other zones need."""
+    return messages.HostCounts(
+        report.host,
+        report.started_ms,
+        report.version,
+        {
+            customer: count
+            for customer, count in report.admitted.items()
+            if changed.get(customer, 0.0) >= limit_ms
+        },
+        report.owned,
+    )
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -261,7 +261,7 @@
         return [
             peer.address
             for peer in self._presence.heard()
-            if peer.report and peer.report.version > version
+            if peer.version > version
         ]
 
     async def _fetch_from(self, address: str) -> bool:
@@ -346,6 +346,7 @@
             self._started_ms,
         )
         presence.on_report = self._take_report
+        presence.on_digest = self._take_digest
         presence.on_silent = self._fleet.forget
         return presence
 
@@ -389,7 +390,17 @@
     def _take_report(self, report: messages.GatewayReport) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.note_report(report.host, report.running, now_ms)
-        self._limits.note_report(report.host, report.admitted, now_ms)
+        self._limits.note_report(
+            report.host, report.started_ms, report.admitted, now_ms
+        )
+
+    def _take_digest(self, digest: messages.ZoneDigest) -> None:
+        now_ms = self._clock.now_ms()
+        self._fleet.note_report(f"zone {digest.zone}", digest.running, now_ms)
+        for counts in digest.hosts:
+            self._limits.note_report(
+                counts.host, counts.started_ms, counts.admitted, now_ms
+            )
 
     def _report(self) -> messages.GatewayReport:
         return messages.GatewayReport(
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,9 +10,11 @@
 from standins import batching
 from standins import engine as engine_module
 from standins import hostlist as hostlist_module
+from standins import keyed_store as keyed_store_module
 from standins import log as log_module
 from standins import plain as plain_module
 from standins import server
+from standins import stream_replica as stream_replica_module
 from standins import weights as weights_module
 
 _BIND = "127.0.0.1:0"
@@ -100,13 +102,44 @@
     _run(lambda: hostlist_module.HostList(lag_ms), bind)
 
 
-def _run(make: Callable[[], server.StandIn], bind: str) -> None:
+@app.command
+def keyed_store(*, bind: str = _BIND, parts: int = 8) -> None:
+    """Starts the platform's store of keyed topics."""
+    _run(lambda: keyed_store_module.Store(parts), bind)
+
+
+@app.command
+def stream_replica(
+    *,
+    store: str,
+    bind: str = _BIND,
+    service: str = "sabeel-lm",
+    slots: int = 8,
+    step_ms: float = 10,
+    events: int = 8,
+    zone: str = "a",
+) -> None:
+    """Starts a replica that streams events and lists itself in the store."""
+    settings = stream_replica_module.Settings(
+        service, slots, step_ms, events, zone=zone
+    )
+    replica = stream_replica_module.StreamReplica(settings)
+    _run(lambda: replica, bind, store)
+
+
+def _run(
+    make: Callable[[], server.StandIn], bind: str, store: str = ""
+) -> None:
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             started = make()
             if isinstance(started, engine_module.Engine):
                 nursery.start_soon(started.run)
             address = await nursery.start(server.serve, started.handle, bind)
+            if isinstance(started, stream_replica_module.StreamReplica):
+                nursery.start_soon(
+                    stream_replica_module.register, started, address, store
+                )
             ready = {"ready": True, "address": address}
             sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
             sys.stdout.flush()
--- /dev/null
+++ b/standins/stream_replica.py
@@ -0,0 +1,220 @@
+"""Stand-in for a replica that streams events in the platform's form."""
+
+import dataclasses
+import secrets
+import time
+
+import httpcore
+import msgspec
+import trio
+
+from standins import server
+
+_SEAL = "response-seal"
+_HEARTBEAT_S = 0.5
+
+
+class Faults(msgspec.Struct):
+    """Faults to show, as set by `POST /faults`; replaces the earlier ones.
+
+    Attributes:
+        break_after: Break the connection after so many events, -1 for never.
+        count: How many runs show the fault.
+        fail: Answer 500 in place of a stream.
+        mute: Send nothing any more.
+        reject: Answer 422: the request can never be done.
+    """
+
+    break_after: int = -1
+    count: int = 0
+    fail: bool = False
+    mute: bool = False
+    reject: bool = False
+
+
+class Run(msgspec.Struct):
+    """One run, for tests to look at.
+
+    Attributes:
+        request_id: The request.
+        customer: Customer that it ran for.
+        first: First event.
+        last: Last event that was sent.
+        ended: True if the stream was sent to its end.
+        key_seen: True if the caller's key was passed on.
+        at: Unix time of the start.
+    """
+
+    request_id: str
+    customer: str
+    first: int
+    last: int
+    ended: bool
+    key_seen: bool
+    at: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settings:
+    """How the replica works.
+
+    Attributes:
+        service: Its service.
+        slots: Requests that it runs at once.
+        step_ms: Time between events.
+        events: Events of each stream.
+        queue: Requests that may wait.
+        zone: Its zone.
+    """
+
+    service: str = "sabeel-lm"
+    slots: int = 8
+    step_ms: float = 10
+    events: int = 8
+    queue: int = 24
+    zone: str = "a"
+
+
+class StreamReplica:
+    """A replica; `handle` answers requests, `beat` gives its entry.
+
+    Attributes:
+        id: Identity of this start.
+        runs: All runs so far.
+        draining: True once it was told to leave.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.id = "i-" + secrets.token_hex(4)
+        self.settings = settings
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.draining = False
+        self._slots = trio.Semaphore(settings.slots)
+        self._waiting = 0
+        self._sequence = 0
+        self._born = time.time_ns() // 1_000_000
+
+    def beat(self, address: str) -> bytes:
+        """Returns its entry on the list of replicas."""
+        self._sequence += 1
+        entry = {
+            "service": self.settings.service,
+            "address": address,
+            "zone": self.settings.zone,
+            "version": "v1",
+            "slots": self.settings.slots,
+            "state": "draining" if self.draining else "ready",
+            "cold_remaining_ms": 0,
+            "seq": self._sequence,
+            "born": self._born,
+        }
+        return msgspec.json.encode(entry)
+
+    async def handle(self, request: server.Request) -> None:
+        """Answers one request."""
+        body = await request.body()
+        match request.path:
+            case "/faults":
+                self.faults = msgspec.json.decode(body, type=Faults)
+                await request.answer_json(200, {})
+            case "/drain":
+                self.draining = True
+                await request.answer_json(200, {})
+            case "/runs":
+                await request.answer_json(200, self.runs)
+            case _:
+                await self._serve(request)
+
+    def _load(self) -> str:
+        running = self.settings.slots - self._slots.value
+        return f"{running},{self._waiting},{self.settings.slots}"
+
+    async def _serve(self, request: server.Request) -> None:
+        headers = request.headers
+        echo = {"request-id": headers.get("request-id", "")}
+        expected = headers.get("expected-instance", self.id)
+        if expected != self.id:
+            await request.answer(421, headers={**echo, "not-executed": "1"})
+            return
+        if self._waiting >= self.settings.queue:
+            await request.answer(503, headers={**echo, "not-executed": "1"})
+            return
+        self._waiting += 1
+        gone = trio.CancelScope()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_watch, request, gone)
+            with gone:
+                await self._wait_and_run(request, echo)
+            nursery.cancel_scope.cancel()
+
+    async def _wait_and_run(
+        self, request: server.Request, echo: dict[str, str]
+    ) -> None:
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            await self._run(request, echo)
+        finally:
+            self._slots.release()
+
+    async def _run(self, request: server.Request, echo: dict[str, str]) -> None:
+        faults, headers = self.faults, request.headers
+        faulty = faults.count > 0
+        if faulty:
+            faults.count -= 1
+        first = int(headers.get("last-event-id", "0")) + 1
+        run = Run(
+            echo["request-id"],
+            headers.get("tenant-id", ""),
+            first,
+            first - 1,
+            False,
+            "authorization" in headers,
+            time.time(),
+        )
+        self.runs.append(run)
+        answer = {**echo, _SEAL: f"seal.{self.id}", "server-load": self._load()}
+        if faulty and (faults.fail or faults.reject):
+            await request.answer(422 if faults.reject else 500, b"", "", answer)
+            return
+        await trio.sleep(self.settings.step_ms / 1000)
+        await request.start(
+            200, {**answer, "content-type": "text/event-stream"}
+        )
+        for number in range(first, self.settings.events + 1):
+            sent = number - first
+            if faulty and sent == faults.break_after:
+                await request.send(b"id: %d\nda" % number)
+                await request.abort()
+                return
+            if faulty and faults.mute and sent == 1:
+                await trio.sleep_forever()
+            text = f"{echo['request-id']} {number}".encode()
+            await request.send(b"id: %d\ndata: %s\n\n" % (number, text))
+            run.last = number
+            await trio.sleep(self.settings.step_ms / 1000)
+        run.ended = True
+        await request.send(b"", more=False)
+
+
+async def _watch(request: server.Request, gone: trio.CancelScope) -> None:
+    await request.disconnected()
+    gone.cancel()
+
+
+async def register(
+    replica: StreamReplica, address: str, store_address: str
+) -> None:
+    """Keeps the replica's entry in the store up to date until cancelled."""
+    url = f"http://{store_address}/put?topic=keyed.servers&key={replica.id}"
+    async with httpcore.AsyncConnectionPool() as pool:
+        while True:
+            try:
+                body = replica.beat(address)
+                await pool.request("POST", url, content=body)
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                pass
+            await trio.sleep(_HEARTBEAT_S)
