--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -221,7 +221,9 @@
                         key,
                         index,
                         task.events.last_id,
-                        task.output,
+                        # The run may take what it has read already before
+                        # its cancellation reaches it.
+                        list(task.output),
                         task.failures,
                         None,
                     )
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -257,6 +257,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_progress_is_as_of_the_moment_it_is_taken() -> None:
+    """Guards against events that stand twice in a result.
+
+    Seed: hunt on sabeel-serve, trouble-2 --seed 613533121962 (ORDER): a run
+    that was just cancelled took what it had read already, after its progress
+    had been taken but before it was sent.
+    """
+    log, scheduler = fakes.MemoryLog(), fakes.FakeScheduler()
+    owner = make_owner(log, scheduler)
+    async with trio.open_nursery() as nursery:
+        await start(nursery, owner)
+        await submit(log, items=1)
+        await until(lambda: len(scheduler.tasks) == 1)
+        (task,) = scheduler.tasks
+        task.events.feed(b"id: 1\ndata: a\n\n")
+        task.output.append(b"a")
+        (progress,) = owner.give_up_progress()
+        task.events.feed(b"id: 2\ndata: b\n\n")
+        task.output.append(b"b")
+        assert progress.last_event == 1
+        assert progress.output == [b"a"]
+        nursery.cancel_scope.cancel()
+
+
 async def test_finished_jobs_are_removed_after_their_time() -> None:
     """Guards against a store that fills up with jobs nobody reads."""
     log, scheduler = fakes.MemoryLog(), fakes.FakeScheduler()
