Take turns at free slots and finish begun items first

Change: gateways with waiting items take free slots in turns of 50 ms by the time of day; items that are begun go before others; of those that can wait the ones furthest from their end yield, and a replica is left alone for 60 ms after a yield.

--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -18,6 +18,11 @@
 # Interval at which slots are looked for and items yield; peers' reports come
 # about as often.
 _TICK_MS = 25.0
+# Gateways with waiting items take free slots in turns of this length: time for
+# one to take them and for the others to hear of it.
+_TURN_MS = 50
+# After some items were told to yield, the counts are out of date for this long.
+_YIELD_PAUSE_MS = 60.0
 # An item whose deadline is nearer than its run and this time takes the slots,
 # too, that others leave free for the next online request.
 _URGENT_SLACK_MS = 2_500.0
@@ -59,6 +64,7 @@
         "_runner",
         "_wake",
         "_wall_ms",
+        "_yielded_ms",
     )
 
     def __init__(
@@ -66,7 +72,7 @@
         dispatcher: dispatchers.Dispatcher,
         runner: running.ItemRunner,
         find_route: FindRoute,
-        contenders: Callable[[], int],
+        contenders: Callable[[], tuple[int, int]],
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
         metrics: metrics_lib.Registry,
@@ -83,6 +89,7 @@
         self._wake = trio.Event()
         # Moving averages over completed items: duration and events.
         self._run_ms = _FIRST_RUN_MS
+        self._yielded_ms: dict[str, float] = {}
         self._events = 0.0
 
     @property
@@ -130,20 +137,34 @@
         ]
         if not waiting:
             return
+        if not self._has_turn():
+            return
         waiting.sort(key=lambda entry: self._order(entry.task))
-        # Gateways that look at the same time see the same free slots, and
-        # take them all unless each leaves most of them to the others.
-        chance = 1 / (1 + self._contenders())
         full: set[tuple[str, bool]] = set()
         for entry in waiting:
-            if entry.task.not_before_ms > now_ms:
-                continue
-            if random.random() < chance:
+            if entry.task.not_before_ms <= now_ms:
                 self._start(entry, now_ms, full)
 
-    def _order(self, task: running.ItemTask) -> tuple[bool, int]:
-        # Items that are late anyway gain less than those that can be in time.
-        return self.slack_ms(task) < _HOPELESS_SLACK_MS, task.job.due_ms
+    def _has_turn(self) -> bool:
+        """Returns whether this gateway may take free slots now.
+
+        All gateways see the same free slots and would all take them; so they
+        take turns, by the time of day. Clocks that differ cost collisions.
+        """
+        position, count = self._contenders()
+        return self._wall_ms() // _TURN_MS % count == position
+
+    def _order(self, task: running.ItemTask) -> tuple[bool, bool, float]:
+        """Returns the order of starts.
+
+        Items that are late anyway gain less than those that can be in time;
+        and while there is too little room, items that are begun are finished
+        first, else all of them come too late.
+        """
+        hopeless = self.slack_ms(task) < _HOPELESS_SLACK_MS
+        if task.events.last_id is None:
+            return hopeless, True, task.job.due_ms
+        return hopeless, False, self._remaining_ms(task)
 
     def _start(
         self, entry: _Entry, now_ms: float, full: set[tuple[str, bool]]
@@ -219,7 +240,7 @@
         for replica in self._dispatcher.fleet.all():
             if not replica.own[load.Work.BATCH.value]:
                 continue
-            if replica.listing.leaving:
+            if replica.listing.leaving or self._yielded_lately(replica):
                 continue
             yielded = self._yield_some(replica, urgent=False)
             self._yield_some(replica, urgent=True, already=yielded)
@@ -240,8 +261,14 @@
             task.yielded = True
             if task.scope is not None:
                 task.scope.cancel()
+        if stopped:
+            self._yielded_ms[replica.listing.id] = self._clock.now_ms()
         return len(stopped)
 
+    def _yielded_lately(self, replica: load.Replica) -> bool:
+        last_ms = self._yielded_ms.get(replica.listing.id, -math.inf)
+        return self._clock.now_ms() - last_ms < _YIELD_PAUSE_MS
+
     def _most_patient(
         self, replica: load.Replica, urgent: bool, count: int
     ) -> list[running.ItemTask]:
@@ -260,7 +287,10 @@
     def _urgent(self, task: running.ItemTask) -> bool:
         return _HOPELESS_SLACK_MS < self.slack_ms(task) < _URGENT_SLACK_MS
 
-    def _patience(self, task: running.ItemTask) -> float:
-        """Returns how well an item can wait; late ones can best."""
-        slack_ms = self.slack_ms(task)
-        return slack_ms if slack_ms > _HOPELESS_SLACK_MS else math.inf
+    def _patience(self, task: running.ItemTask) -> tuple[bool, float]:
+        """Returns how well an item can wait.
+
+        Late ones can best, then those that are furthest from their end.
+        """
+        hopeless = self.slack_ms(task) < _HOPELESS_SLACK_MS
+        return hopeless, self._remaining_ms(task)
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -187,10 +187,17 @@
                 best = peer.address, epoch
         return best
 
-    def contenders(self) -> int:
-        """Returns how many peers have batch items that wait for a slot."""
-        reports = [peer.report for peer in self.heard()]
-        return sum(1 for r in reports if r is not None and r.waiting)
+    def contenders(self) -> tuple[int, int]:
+        """Returns this gateway's place among those with waiting batch items.
+
+        That is its position in their order and their number.
+        """
+        hosts = [
+            peer.host
+            for peer in self.heard()
+            if peer.report is not None and peer.report.waiting
+        ]
+        return sum(host < self._host for host in hosts), len(hosts) + 1
 
     def addresses(self) -> list[str]:
         """Returns peers to ask, those heard lately first."""
