Cut idle work and messages in large fleets; draw two replicas if counts lag

A profile of a gateway among 19 shows wake-ups and peers' messages: a scheduler tick of 25 ms without items, a log flush of 50 ms without lines, reports after each change to 18 peers.

Change: the scheduler sleeps without items; reports within zones come each 250 ms and digests each 500 ms, or each 80 ms while a customer is at its limit; with counts that old, a request takes the less busy of two random replicas.

--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -116,7 +116,8 @@
                 self._yield_slots()
                 self._fill()
                 self._wake = trio.Event()
-                with trio.move_on_after(_TICK_MS / 1000):
+                tick_s = _TICK_MS / 1000 if self._entries else math.inf
+                with trio.move_on_after(tick_s):
                     await self._wake.wait()
 
     def slack_ms(self, task: running.ItemTask) -> float:
--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -17,6 +17,8 @@
 # at most this many seconds of the rate.
 _MAX_DEBT_S = 2.0
 _MIN_RETRY_MS = 100.0
+# A customer with tokens for less than this time is at its limit.
+_CONTENDED_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,6 +113,14 @@
             self._refill(bucket, now_ms)
             bucket.rate, bucket.burst = rate, burst
 
+    def contended(self) -> bool:
+        """Returns whether a customer that sends here is at its limit."""
+        return any(
+            b.admitted and b.level < b.rate * _CONTENDED_S
+            for b in self._buckets.values()
+            if b.rate > 0
+        )
+
     def level(self, customer: str) -> float | None:
         """Returns a customer's tokens, None if it sent nothing yet."""
         bucket = self._buckets.get(customer)
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -31,19 +31,22 @@
 _READ_PAUSE_MS = 1_000.0
 _READ_WAIT_MS = 1_000.0
 _RETRY_MS = 500.0
-# Reports follow changes after this pause, which bounds their number; with many
-# receivers it is longer, so that a gateway sends some 400 a second at most.
+# Reports follow changes after this pause, which bounds their number; within the
+# zones of a large fleet it is longer, since 20 peers each send and receive.
 _REPORT_PAUSE_MS = 25.0
-_REPORT_PAUSE_PER_PEER_MS = 2.5
+_ZONE_REPORT_PAUSE_MS = 250.0
 # Gateways up to which all report to all.
 _MESH_LIMIT = 16
 # Gateways of a zone that send digests, and how often.
 _DIGEST_SENDERS = 2
-_DIGEST_PAUSE_MS = 150.0
+_DIGEST_PAUSE_MS = 500.0
+# Pause of reports and digests while a customer is at its limit: what others
+# admit meanwhile is more than it agreed to.
+_URGENT_PAUSE_MS = 80.0
 # A count that changed is repeated for this long, since digests can be lost.
 _DIGEST_REPEAT_MS = 2_000.0
 # A gateway without changes reports this often.
-_QUIET_REPORT_MS = 400.0
+_QUIET_REPORT_MS = 500.0
 # A peer that has not reported for this long is taken to be cut off or dead.
 _SILENCE_MS = 1_500.0
 
@@ -95,6 +98,7 @@
         on_report: Called with each report of a peer.
         on_digest: Called with each digest of another zone.
         on_silent: Called with the host of a peer that has gone silent.
+        is_urgent: Returns whether counts must be told at once.
     """
 
     def __init__(
@@ -128,6 +132,7 @@
         self.on_report = lambda report: None
         self.on_digest: Callable[[messages.ZoneDigest], None]
         self.on_digest = lambda digest: None
+        self.is_urgent: Callable[[], bool] = lambda: False
         self.on_silent: Callable[[str], None] = lambda host: None
         self._host = host
         self._zone = zone
@@ -158,6 +163,11 @@
             pause_ms=_READ_PAUSE_MS,
         )
 
+    @property
+    def zoned(self) -> bool:
+        """True if reports stay within the zone since the fleet is large."""
+        return len(self._peers) >= _MESH_LIMIT
+
     def heard(self) -> list[Peer]:
         """Returns the peers that have reported lately."""
         limit_ms = self._clock.now_ms() - _SILENCE_MS
@@ -270,16 +280,18 @@
     async def _report(self) -> None:
         while True:
             self._changed = trio.Event()
-            receivers = self._send_report()
-            pause_ms = max(
-                _REPORT_PAUSE_MS, receivers * _REPORT_PAUSE_PER_PEER_MS
-            )
+            self._send_report()
+            pause_ms = _REPORT_PAUSE_MS
+            if self.zoned:
+                pause_ms = self._pause_ms(_ZONE_REPORT_PAUSE_MS)
             await self._clock.sleep_ms(pause_ms)
             with trio.move_on_after((_QUIET_REPORT_MS - pause_ms) / 1000):
                 await self._changed.wait()
 
-    def _send_report(self) -> int:
-        """Sends this gateway's report; returns the number of receivers."""
+    def _pause_ms(self, usual_ms: float) -> float:
+        return _URGENT_PAUSE_MS if self.is_urgent() else usual_ms
+
+    def _send_report(self) -> None:
         report = self._make_report()
         report.leaving = self._leaving
         targets = {peer.address for peer in self._near()} or set(self._seeds)
@@ -290,7 +302,6 @@
             if self._own_admitted.get(customer) != count:
                 self._own_changed[customer] = now_ms
         self._own_admitted = report.admitted
-        return len(targets)
 
     def _present(self) -> list[Peer]:
         """Returns the peers that should be there."""
@@ -304,19 +315,19 @@
     def _near(self) -> list[Peer]:
         """Returns the peers that reports are exchanged with."""
         present = self._present()
-        if len(present) < _MESH_LIMIT:
+        if not self.zoned:
             return present
         return [peer for peer in present if peer.zone in ("", self._zone)]
 
     async def _send_digests(self) -> None:
         while True:
-            await self._clock.sleep_ms(_DIGEST_PAUSE_MS)
+            await self._clock.sleep_ms(self._pause_ms(_DIGEST_PAUSE_MS))
             if self._sends_digests():
                 self._send_digest()
 
     def _sends_digests(self) -> bool:
         """Returns whether this gateway speaks for its zone."""
-        if len(self._present()) < _MESH_LIMIT or self._leaving:
+        if not self.zoned or self._leaving:
             return False
         near = [p.host for p in self.heard() if p.zone in ("", self._zone)]
         return self._host in sorted([*near, self._host])[:_DIGEST_SENDERS]
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -45,8 +45,8 @@
 _CONFIGURATION_PAUSE_MS = 50.0
 _REPLICAS_WAIT_MS = 500.0
 _REPLICAS_PAUSE_MS = 300.0
-_UPKEEP_MS = 100.0
-_FLUSH_MS = 50.0
+_UPKEEP_MS = 250.0
+_FLUSH_MS = 200.0
 _PEER_TIMEOUT_MS = 500.0
 _FETCH_PAUSE_MS = 400.0
 # The balancer notices after two missed checks, one a second; new connections
@@ -144,6 +144,7 @@
         )
         self._app = ingress.Ingress(gateway, jobs, self._clock, self._metrics)
         self._dispatcher.on_change = self._presence.note_change
+        self._dispatcher.counts_lag = lambda: self._presence.zoned
         self._published.on_change = self._take_configuration
         self._network.handle(messages.FetchConfiguration, self._handle_fetch)
         self._add_gauges()
@@ -348,6 +349,7 @@
         presence.on_report = self._take_report
         presence.on_digest = self._take_digest
         presence.on_silent = self._fleet.forget
+        presence.is_urgent = self._limits.contended
         return presence
 
     def _make_owner(
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -23,6 +24,9 @@
 # Requests that can no longer meet their objective wait behind those that can;
 # a first event takes about this long after the request was sent.
 _FIRST_EVENT_MS = 80.0
+# Replicas to choose from if counts lag: two random ones even out nearly as well
+# as the least busy of all, without a rush to it.
+_DRAWN = 2
 # Waiting requests look again at this interval: peers' reports and pauses that
 # end free slots without an event here.
 _POLL_MS = 20.0
@@ -75,6 +79,7 @@
     Attributes:
         fleet: The replicas and their load.
         on_change: Called when this gateway's counts have changed.
+        counts_lag: Returns whether peers' counts are old by some requests.
     """
 
     __slots__ = (
@@ -83,6 +88,7 @@
         "_rng",
         "_waiting",
         "_zone",
+        "counts_lag",
         "fleet",
         "on_change",
     )
@@ -97,6 +103,7 @@
     ) -> None:
         self.fleet = fleet
         self.on_change = lambda: None
+        self.counts_lag: Callable[[], bool] = lambda: False
         self._zone = zone
         self._clock = clock
         self._metrics = metrics
@@ -199,8 +206,19 @@
         open_ = [r for r in replicas if _has_room(r, demand, now_ms)]
         if not open_:
             return None
+        if self.counts_lag():
+            open_ = self._draw(open_)
         return min(open_, key=lambda r: self._load_order(r, now_ms))
 
+    def _draw(self, replicas: list[load.Replica]) -> list[load.Replica]:
+        """Returns a few random replicas, of this zone if it has any.
+
+        Gateways whose counts are old would all choose the same replica.
+        """
+        near = [r for r in replicas if r.listing.zone == self._zone]
+        near = near or replicas
+        return self._rng.sample(near, min(_DRAWN, len(near)))
+
     def _load_order(
         self, replica: load.Replica, now_ms: float
     ) -> tuple[float, bool, float]:
