Accept jobs through a peer when only this gateway can't reach the store

A job's end at a gateway that knew no owner was refused and never written.

Change: reports say when the store answered last; a submission or an end that this gateway can't append is appended by a peer that can; a gateway that hears nobody refuses at once; an end without a known owner goes to the log.

--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -1,6 +1,7 @@
 """Callers' operations on jobs, at whichever gateway they arrive."""
 
-from collections.abc import Callable
+import random
+from typing import Protocol
 
 import structlog
 
@@ -26,7 +27,23 @@
 # Longest time to try; after it the caller tries another gateway.
 _SUBMIT_MS = 2_500.0
 
-FindOwner = Callable[[int], tuple[str, int] | None]
+# A gateway that alone can't reach the log refuses after this time, so that the
+# caller finds another one within the objective.
+_ALONE_MS = 100.0
+
+
+class Peers(Protocol):
+    """What is known of the other gateways."""
+
+    def owner_at(self, partition: int) -> tuple[str, int] | None:
+        """Returns address and epoch of a partition's owner."""
+
+    def log_reachers(self) -> list[str]:
+        """Returns addresses of gateways that the log answered lately."""
+
+    def isolated(self) -> bool:
+        """Returns whether none of the other gateways is heard."""
+
 
 _log = structlog.get_logger()
 
@@ -50,7 +67,6 @@
 
     __slots__ = (
         "_clock",
-        "_find_owner",
         "_log",
         "_max_append_bytes",
         "_max_record_bytes",
@@ -58,6 +74,7 @@
         "_network",
         "_ownership",
         "_partitions",
+        "_peers",
     )
 
     def __init__(
@@ -66,7 +83,7 @@
         partitions_: list[keyed.Partition],
         ownership: ownerships.Ownership,
         network: network_lib.Network,
-        find_owner: FindOwner,
+        peers: Peers,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         *,
@@ -80,7 +97,7 @@
             partitions_: All partitions, in the order of all gateways.
             ownership: What is owned here.
             network: Carries calls to owners elsewhere.
-            find_owner: Returns address and epoch of a partition's owner.
+            peers: The other gateways.
             clock: Source of time.
             metrics: Where events are counted.
             max_record_bytes: Largest record that the log takes.
@@ -90,7 +107,7 @@
         self._partitions = partitions_
         self._ownership = ownership
         self._network = network
-        self._find_owner = find_owner
+        self._peers = peers
         self._clock = clock
         self._metrics = metrics
         self._max_record_bytes = max_record_bytes
@@ -98,6 +115,7 @@
         network.handle(messages.JobRead, self._handle_read)
         network.handle(messages.JobItemRead, self._handle_item)
         network.handle(messages.JobEnd, self._handle_end)
+        network.handle(messages.JobAppend, self._handle_append)
         network.handle(messages.JobProgress, self._handle_progress)
 
     async def submit(self, submission: records.Submission) -> None:
@@ -119,7 +137,7 @@
         for call in calls:
             # Only the last call makes the job exist.
             last = call is calls[-1]
-            await self._append(self._partitions[index], call, started_ms, last)
+            await self._append(index, call, started_ms, last)
         _log.info(
             "job accepted",
             request_id=job.id,
@@ -174,8 +192,8 @@
             errors.UnsureError: It could not be ended now.
         """
         key = records.job_key(customer, job_id)
-        owner, address = self._locate(customer, job_id)
         try:
+            owner, address = self._locate(customer, job_id)
             if owner is not None:
                 await owner.end(key)
             else:
@@ -189,6 +207,10 @@
         try:
             await self._log.append(self._partitions[index], [records.end(key)])
         except log_errors.LogError as exc:
+            reachers = self._peers.log_reachers()
+            call = [records.end(key)]
+            if reachers and await self._append_at_peer(index, call, reachers):
+                return
             raise errors.UnsureError(exc.message) from exc
 
     def _split(
@@ -210,7 +232,7 @@
 
     async def _append(
         self,
-        partition: keyed.Partition,
+        index: int,
         call: list[keyed.Record],
         started_ms: float,
         last: bool,
@@ -219,22 +241,53 @@
         unclear = False
         while True:
             try:
-                await self._log.append(partition, call)
+                await self._log.append(self._partitions[index], call)
                 return
             except keyed.FullError as exc:
                 raise errors.NotAcceptedError(exc.message) from exc
             except log_errors.UnavailableError as exc:
                 self._metrics.add("submit_appends_failed", code=exc.code)
                 unclear = unclear or (last and exc.may_have_taken_effect)
-                if self._clock.now_ms() - started_ms > _SUBMIT_MS:
-                    kind = (
-                        errors.UnclearError
-                        if unclear
-                        else errors.NotAcceptedError
-                    )
-                    raise kind(exc.message) from exc
+                detail = exc.message
+            if reachers := self._peers.log_reachers():
+                # The peer's append may take effect without an answer, too.
+                unclear = unclear or last
+                if await self._append_at_peer(index, call, reachers):
+                    return
+            if self._clock.now_ms() - started_ms > self._patience_ms():
+                raise _submission_error(unclear, detail)
             await self._clock.sleep_ms(_RETRY_MS)
 
+    def _patience_ms(self) -> float:
+        return _ALONE_MS if self._peers.isolated() else _SUBMIT_MS
+
+    async def _append_at_peer(
+        self, index: int, call: list[keyed.Record], reachers: list[str]
+    ) -> bool:
+        """Has records appended by a peer that reaches the log."""
+        request = messages.JobAppend(
+            index,
+            [record.key for record in call],
+            [record.value or b"" for record in call],
+        )
+        address = random.choice(reachers)
+        try:
+            await self._network.call(address, request, _PEER_TIMEOUT_MS)
+        except peer_errors.PeerError as exc:
+            self._metrics.add("peer_appends_failed", code=exc.code)
+            return False
+        _log.info("appended by a peer", partition=index, peer=address)
+        return True
+
+    async def _handle_append(self, request: messages.JobAppend) -> messages.Ack:
+        batch = [
+            keyed.Record(key, value or None)
+            for key, value in zip(request.keys, request.values, strict=True)
+        ]
+        partition = self._partitions[request.partition]
+        await self._log.append(partition, batch)
+        return messages.Ack()
+
     def _locate(
         self, customer: str, job_id: str
     ) -> tuple[owners.Owner | None, str]:
@@ -244,7 +297,7 @@
         owner = self._ownership.owner(index)
         if owner is not None and not owner.lost.is_set():
             return owner, ""
-        found = self._find_owner(index)
+        found = self._peers.owner_at(index)
         if found is None:
             raise errors.UnsureError("the job's partition has no owner now")
         return None, found[0]
@@ -312,3 +365,9 @@
         owner = self._own(progress.customer, progress.job_id)
         await owner.adopt(progress)
         return messages.Ack()
+
+
+def _submission_error(unclear: bool, detail: str) -> errors.JobError:
+    if unclear:
+        return errors.UnclearError(detail)
+    return errors.NotAcceptedError(detail)
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -393,6 +393,7 @@
         running: For each replica its online requests and batch items.
         admitted: Requests admitted since its start, by customer.
         owned: Job partitions that it owns, with their epochs.
+        log_age_ms: Time since the log answered this gateway.
         waiting: Batch items that wait for a slot.
         leaving: True if it stops.
     """
@@ -404,6 +405,7 @@
     running: dict[str, tuple[int, int]]
     admitted: dict[str, int]
     owned: dict[int, int]
+    log_age_ms: float = 0.0
     waiting: int = 0
     leaving: bool = False
 
@@ -535,6 +537,22 @@
     completed: bool | None
 
 
+class JobAppend(Message, tag="job_append"):
+    """Asks a gateway that reaches the log to append records for this one.
+
+    Answered with `Ack` once they are on the log.
+
+    Attributes:
+        partition: Number of the partition.
+        keys: Keys of the records.
+        values: Their values.
+    """
+
+    partition: int
+    keys: list[str]
+    values: list[bytes]
+
+
 class JobEnd(Message, tag="job_end"):
     """Asks the owner of a job to end it; answered with `Ack`."""
 
@@ -577,5 +595,6 @@
     | JobItemRead
     | JobItemBody
     | JobEnd
+    | JobAppend
     | JobProgress
 )
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -45,6 +45,8 @@
 _URGENT_PAUSE_MS = 80.0
 # A count that changed is repeated for this long, since digests can be lost.
 _DIGEST_REPEAT_MS = 2_000.0
+# A log that answered this long ago is reached; reads wait up to a second.
+_LOG_FRESH_MS = 1_600.0
 # A gateway without changes reports this often.
 _QUIET_REPORT_MS = 500.0
 # A peer that has not reported for this long is taken to be cut off or dead.
@@ -197,6 +199,19 @@
                 best = peer.address, epoch
         return best
 
+    def log_reachers(self) -> list[str]:
+        """Returns addresses of peers that the log answered lately."""
+        return [
+            peer.address
+            for peer in self.heard()
+            if peer.report is not None
+            and peer.report.log_age_ms < _LOG_FRESH_MS
+        ]
+
+    def isolated(self) -> bool:
+        """Returns whether other gateways should be there but none is heard."""
+        return bool(self._present()) and not self.heard()
+
     def contenders(self) -> tuple[int, int]:
         """Returns this gateway's place among those with waiting batch items.
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -126,7 +126,7 @@
             partitions,
             self._ownership,
             self._network,
-            self._presence.owner_at,
+            self._presence,
             self._clock,
             self._metrics,
             max_record_bytes=cfg.max_record_bytes,
@@ -413,9 +413,14 @@
             running=self._fleet.own_counts(),
             admitted=self._limits.admitted(),
             owned=self._ownership.epochs(),
+            log_age_ms=self._log_age_ms(),
             waiting=self._scheduler.counts[0],
         )
 
+    def _log_age_ms(self) -> float:
+        contact_ms = max(f.contact_ms for f in self._followers)
+        return self._clock.now_ms() - contact_ms
+
     def _find_route(self, host: str, path: str) -> configuration.Route | None:
         current = self._published.current
         return current.find_route(host, path) if current else None
