Explain a request from the logs; add a randomized fault soak

Cause: on-call had lines of many gateways and no way to put them in order; and no test played overlapping faults against real processes.

Change: `lacewingwood explain` orders a request's lines and adds what each gateway believed; docs/OPERATIONS.md walks three kinds of failures, which tests make and explain. soak/ plays a fleet behind loopback proxies with signals, cut and silent connections, store and replica faults and changes of configuration, and checks answers, runs, positions and jobs.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup test format demo up binary bench capacity clean
+.PHONY: setup test format demo up binary bench capacity soak clean
 
 VENV := .venv
 PY := $(VENV)/bin/python
@@ -37,5 +37,9 @@
 capacity: $(STAMP)
 	$(PY) -m bench.capacity
 
+SEED ?= 1
+soak: $(STAMP)
+	$(PY) -m soak --seed $(SEED)
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info
--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -8,6 +8,7 @@
 import lacewingwood
 from lacewingwood import errors
 from lacewingwood import settings
+from lacewingwood.cli import explain
 from lacewingwood.cli import operator
 
 _EXIT_FAILURE = 1
@@ -33,6 +34,7 @@
     app.command(_group)
 app.command(operator.status)
 app.command(operator.dump)
+app.command(explain.explain)
 
 
 @app.command(config=_ROLE_CONFIG)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of a fleet of gateways under injected faults."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,140 @@
+"""Draws and applies faults: signals, connections, store and replicas."""
+
+import dataclasses
+import random
+import signal
+
+import trio
+
+from devtools import fleet as fleets
+from soak import proxy as proxies
+
+_MODES = (
+    proxies.Mode.DELAY,
+    proxies.Mode.RESET,
+    proxies.Mode.REFUSE,
+    proxies.Mode.SILENT,
+    proxies.Mode.ONE_WAY,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Applies faults to a fleet, several at a time, and ends all of them.
+
+    Attributes:
+        fleet: The fleet.
+        ways: Each gateway's way to the store.
+        rng: Decides what happens when.
+        log: What was done, for the report.
+        stopping: Gateways that were told to stop; their callers may be cut
+            once their time is over.
+    """
+
+    fleet: fleets.Fleet
+    ways: list[proxies.Proxy]
+    rng: random.Random
+    log: list[str] = dataclasses.field(default_factory=list)
+
+    async def play(self, duration_s: float) -> None:
+        """Applies faults for a time; all have ended when it returns."""
+        until = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                await trio.sleep(self.rng.uniform(0.2, 1.2))
+                nursery.start_soon(self._apply_one)
+
+    async def _apply_one(self) -> None:
+        kind = self.rng.choice(
+            (
+                self._kill,
+                self._stop,
+                self._pause,
+                self._cut,
+                self._disturb_store,
+                self._forget,
+                self._deal,
+                self._break_replica,
+                self._configure,
+            )
+        )
+        self.log.append(kind.__name__.strip("_"))
+        await kind()
+
+    async def _kill(self) -> None:
+        gateway = self.rng.choice(self.fleet.gateways)
+        gateway.signal(signal.SIGKILL)
+        await self._restart(gateway, self.rng.uniform(0.1, 1.0))
+
+    async def _stop(self) -> None:
+        gateway = self.rng.choice(self.fleet.gateways)
+        gateway.signal(signal.SIGTERM)
+        await self._restart(gateway, 0.1)
+
+    async def _restart(self, gateway: fleets.Gateway, after_s: float) -> None:
+        while gateway.running:
+            await trio.sleep(0.05)
+        await trio.sleep(after_s)
+        if not gateway.running:
+            gateway.start()
+
+    async def _pause(self) -> None:
+        gateway = self.rng.choice(self.fleet.gateways)
+        gateway.signal(signal.SIGSTOP)
+        try:
+            await trio.sleep(self.rng.uniform(0.3, 4.0))
+        finally:
+            gateway.signal(signal.SIGCONT)
+
+    async def _cut(self) -> None:
+        way = self.rng.choice(self.ways)
+        way.set_mode(self.rng.choice(_MODES))
+        try:
+            await trio.sleep(self.rng.uniform(0.3, 4.0))
+        finally:
+            way.set_mode(proxies.Mode.PASS)
+
+    async def _disturb_store(self) -> None:
+        fault = self.rng.choice(
+            (
+                {"down": True},
+                {"delay_ms": 240},
+                {"lose_appends": 5, "late_ms": 700},
+                {"lose_appends": 5},
+            )
+        )
+        await self._post(self.fleet.store, **fault)
+        await trio.sleep(self.rng.uniform(0.5, 3.0))
+        await self._post(self.fleet.store)
+
+    async def _forget(self) -> None:
+        await self._call_store("/forget")
+
+    async def _deal(self) -> None:
+        await self._call_store("/deal")
+
+    async def _break_replica(self) -> None:
+        replica = self.rng.choice(self.fleet.replicas)
+        count = self.rng.randint(1, 6)
+        fault = self.rng.choice(
+            (
+                {"break_after": self.rng.randint(0, 6), "count": count},
+                {"fail": True, "count": 1},
+                {"mute": True, "count": 2},
+            )
+        )
+        await self._post(replica, **fault)
+
+    async def _configure(self) -> None:
+        for _ in range(self.rng.randint(1, 3)):
+            await trio.to_thread.run_sync(self.fleet.configure)
+            await trio.sleep(0.2)
+
+    async def _post(self, process, **fault) -> None:  # type: ignore[no-untyped-def]
+        await trio.to_thread.run_sync(
+            lambda: self.fleet.set_faults(process, **fault)
+        )
+
+    async def _call_store(self, path: str) -> None:
+        address = self.fleet.store_address
+        await trio.to_thread.run_sync(fleets.call, address, "POST", path)
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,54 @@
+"""Tests of the explanation of a request from logs."""
+
+import json
+import pathlib
+
+import pytest
+
+from lacewingwood.cli import explain
+
+
+def _entry(second: int, node: str, event: str, **fields: object) -> str:
+    entry = {
+        **fields,
+        "event": event,
+        "node": node,
+        "timestamp": f"2026-01-01T00:00:{second:02}.000000Z",
+    }
+    return json.dumps(entry) + "\n"
+
+
+def test_lines_of_many_nodes_come_in_order_with_beliefs(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an explanation that lacks what a node believed."""
+    a, b = tmp_path / "a.log", tmp_path / "b.log"
+    a.write_text(
+        "  1.0 a "
+        + _entry(1, "a", "configuration applied", version=3)
+        + _entry(2, "a", "log lost", topic="op")
+        + "not json {\n"
+        + _entry(4, "a", "request refused", request_id="r", reason="rate"),
+        encoding="utf-8",
+    )
+    b.write_text(
+        _entry(3, "b", "served", request_id="other")
+        + _entry(5, "b", "job ended", job="kaje/r"),
+        encoding="utf-8",
+    )
+    explain.explain("r", b, a)
+    first, second = capsys.readouterr().out.splitlines()
+    assert "a: request refused reason=rate" in first
+    assert "configuration applied 3" in first
+    assert "log op lost" in first
+    assert "b: job ended" in second
+
+
+def test_unknown_request_is_said(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an empty answer that looks like a success."""
+    path = tmp_path / "a.log"
+    path.write_text("", encoding="utf-8")
+    explain.explain("r", path)
+    assert capsys.readouterr().out == "no line mentions r\n"
--- a/tests/integration/test_gateways.py
+++ b/tests/integration/test_gateways.py
@@ -4,6 +4,8 @@
 import json
 import pathlib
 import signal
+import subprocess
+import sys
 import time
 from collections.abc import Iterator
 
@@ -209,3 +211,65 @@
         assert time.monotonic() < limit
         time.sleep(0.2)
     assert len(_wait_results(fleet.gateways[0], "j-5", 4)) == 4
+
+
+def _explain(fleet: fleets.Fleet, request_id: str, wanted: str) -> str:
+    """Returns what the operators' command says, once it says `wanted`."""
+    files = [str(gateway.log_path) for gateway in fleet.gateways]
+    command = [sys.executable, "-m", "lacewingwood", "explain", request_id]
+    limit = time.monotonic() + 3
+    while True:
+        output = subprocess.run(
+            [*command, *files], capture_output=True, text=True, check=True
+        ).stdout
+        if wanted in output or time.monotonic() > limit:
+            return output
+        time.sleep(0.2)
+
+
+def test_refused_request_is_explained(fleet: fleets.Fleet) -> None:
+    """Guards against a refusal for the rate that nobody can explain."""
+    fleet.shape.rate = 1.0
+    fleet.configure()
+    time.sleep(1.5)
+    statuses: dict[str, int] = {}
+    for n in range(60):
+        statuses[f"r-8-{n}"] = _stream(fleet.gateways[0], f"r-8-{n}")[0]
+        if statuses[f"r-8-{n}"] == 429:
+            break
+    fleet.shape.rate = 0.0
+    fleet.configure()
+    time.sleep(1.5)
+    refused = next(name for name, s in statuses.items() if s == 429)
+    output = _explain(fleet, refused, "reason=rate")
+    assert "request refused" in output
+    for field in ("customer=kaje", "reason=rate", "tokens=", "share="):
+        assert field in output
+
+
+def test_broken_stream_is_explained(fleet: fleets.Fleet) -> None:
+    """Guards against a cut stream that nobody can explain."""
+    for replica in fleet.replicas:
+        fleet.set_faults(replica, break_after=3, count=1)
+    assert _stream(fleet.gateways[0], "r-9", "/o/x") == (0, b"")
+    for replica in fleet.replicas:
+        fleet.set_faults(replica)
+    output = _explain(fleet, "r-9", "request given up")
+    assert "attempt failed" in output
+    assert "code=upstream_broken" in output
+    assert "ran=may_have_run" in output
+    assert "started=True" in output
+
+
+def test_item_given_up_is_explained(fleet: fleets.Fleet) -> None:
+    """Guards against a batch item whose end nobody can explain."""
+    for replica in fleet.replicas:
+        fleet.set_faults(replica, reject=True, count=1)
+    assert _submit(fleet.gateways[0], "j-9", items=1) == 202
+    _wait_results(fleet.gateways[0], "j-9", 1)
+    for replica in fleet.replicas:
+        fleet.set_faults(replica)
+    output = _explain(fleet, "j-9-0", "outcome=given up")
+    assert "outcome=given up" in output
+    assert "replica=i-" in output
+    assert "job accepted" in _explain(fleet, "j-9", "job accepted")
