Try a peer beside the store for a submission that takes too long

Change: a submission goes to a peer at once if the store has not answered here lately, else after 100 ms beside the own attempt; either is the same bytes. A gateway that hears none of the others it knew refuses at once, also after their entries have lapsed.

--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 import structlog
+import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
@@ -27,6 +28,8 @@
 # Longest time to try; after it the caller tries another gateway.
 _SUBMIT_MS = 2_500.0
 
+# An append that has no answer after this time is tried through a peer as well.
+_HEDGE_MS = 100.0
 # A gateway that alone can't reach the log refuses after this time, so that the
 # caller finds another one within the objective.
 _ALONE_MS = 100.0
@@ -41,6 +44,9 @@
     def log_reachers(self) -> list[str]:
         """Returns addresses of gateways that the log answered lately."""
 
+    def log_lost(self) -> bool:
+        """Returns whether the log has not answered this gateway lately."""
+
     def isolated(self) -> bool:
         """Returns whether none of the other gateways is heard."""
 
@@ -204,13 +210,10 @@
             _log.info("end goes to the log", request_id=job_id, code=exc.code)
         # The owner reads it there, whichever gateway that will be.
         index = records.partition_index(key, len(self._partitions))
+        call = [records.end(key)]
         try:
-            await self._log.append(self._partitions[index], [records.end(key)])
-        except log_errors.LogError as exc:
-            reachers = self._peers.log_reachers()
-            call = [records.end(key)]
-            if reachers and await self._append_at_peer(index, call, reachers):
-                return
+            await self._append(index, call, self._clock.now_ms(), last=True)
+        except (errors.NotAcceptedError, errors.UnclearError) as exc:
             raise errors.UnsureError(exc.message) from exc
 
     def _split(
@@ -240,31 +243,51 @@
         """Appends until it is certain; repeating changes nothing."""
         unclear = False
         while True:
-            try:
-                await self._log.append(self._partitions[index], call)
+            attempt = _Attempt()
+            async with trio.open_nursery() as nursery:
+                scope = nursery.cancel_scope
+                nursery.start_soon(self._append_here, index, call, attempt)
+                nursery.start_soon(self._append_at_peer, index, call, attempt)
+                await attempt.done_or_failed(scope)
+            if attempt.done:
                 return
-            except keyed.FullError as exc:
-                raise errors.NotAcceptedError(exc.message) from exc
-            except log_errors.UnavailableError as exc:
-                self._metrics.add("submit_appends_failed", code=exc.code)
-                unclear = unclear or (last and exc.may_have_taken_effect)
-                detail = exc.message
-            if reachers := self._peers.log_reachers():
-                # The peer's append may take effect without an answer, too.
-                unclear = unclear or last
-                if await self._append_at_peer(index, call, reachers):
-                    return
+            unclear = unclear or (last and attempt.unclear)
+            if attempt.full:
+                raise _submission_error(unclear, attempt.detail)
             if self._clock.now_ms() - started_ms > self._patience_ms():
-                raise _submission_error(unclear, detail)
+                raise _submission_error(unclear, attempt.detail)
             await self._clock.sleep_ms(_RETRY_MS)
 
     def _patience_ms(self) -> float:
         return _ALONE_MS if self._peers.isolated() else _SUBMIT_MS
 
+    async def _append_here(
+        self, index: int, call: list[keyed.Record], attempt: "_Attempt"
+    ) -> None:
+        try:
+            await self._log.append(self._partitions[index], call)
+        except keyed.FullError as exc:
+            attempt.full = True
+            attempt.fail(exc.message, False)
+        except log_errors.UnavailableError as exc:
+            self._metrics.add("submit_appends_failed", code=exc.code)
+            attempt.fail(exc.message, exc.may_have_taken_effect)
+        else:
+            attempt.succeed()
+
     async def _append_at_peer(
-        self, index: int, call: list[keyed.Record], reachers: list[str]
-    ) -> bool:
-        """Has records appended by a peer that reaches the log."""
+        self, index: int, call: list[keyed.Record], attempt: "_Attempt"
+    ) -> None:
+        """Has records appended by a peer that reaches the log.
+
+        At once if this gateway is known not to reach it, else after a while.
+        """
+        if not self._peers.log_lost():
+            await attempt.wait_failure(_HEDGE_MS)
+        reachers = self._peers.log_reachers()
+        if not reachers:
+            attempt.fail(attempt.detail, False)
+            return
         request = messages.JobAppend(
             index,
             [record.key for record in call],
@@ -275,9 +298,11 @@
             await self._network.call(address, request, _PEER_TIMEOUT_MS)
         except peer_errors.PeerError as exc:
             self._metrics.add("peer_appends_failed", code=exc.code)
-            return False
+            # Its own append may have taken effect without an answer.
+            attempt.fail(exc.message, True)
+            return
         _log.info("appended by a peer", partition=index, peer=address)
-        return True
+        attempt.succeed()
 
     async def _handle_append(self, request: messages.JobAppend) -> messages.Ack:
         batch = [
@@ -367,6 +392,45 @@
         return messages.Ack()
 
 
+class _Attempt:
+    """Two ways of one append, of which one has to succeed."""
+
+    __slots__ = ("_changed", "_failures", "detail", "done", "full", "unclear")
+
+    def __init__(self) -> None:
+        self.done = self.full = self.unclear = False
+        self.detail = "no answer"
+        self._failures = 0
+        self._changed = trio.Event()
+
+    def succeed(self) -> None:
+        """Notes that the records are on the log."""
+        self.done = True
+        self._notify()
+
+    def fail(self, detail: str, unclear: bool) -> None:
+        """Notes that one way has failed."""
+        self.detail, self.unclear = detail, self.unclear or unclear
+        self._failures += 1
+        self._notify()
+
+    async def wait_failure(self, limit_ms: float) -> None:
+        """Waits until the other way has failed, at most so long."""
+        with trio.move_on_after(limit_ms / 1000):
+            while not self._failures:
+                await self._changed.wait()
+
+    async def done_or_failed(self, scope: trio.CancelScope) -> None:
+        """Waits until one way has succeeded or both have failed."""
+        while not self.done and self._failures < 2:
+            await self._changed.wait()
+        scope.cancel()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
 def _submission_error(unclear: bool, detail: str) -> errors.JobError:
     if unclear:
         return errors.UnclearError(detail)
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -208,9 +208,13 @@
             and peer.report.log_age_ms < _LOG_FRESH_MS
         ]
 
+    def log_lost(self) -> bool:
+        """Returns whether the log has not answered this gateway lately."""
+        return self._make_report().log_age_ms >= _LOG_FRESH_MS
+
     def isolated(self) -> bool:
-        """Returns whether other gateways should be there but none is heard."""
-        return bool(self._present()) and not self.heard()
+        """Returns whether other gateways are known but none is heard."""
+        return bool(self._peers) and not self.heard()
 
     def contenders(self) -> tuple[int, int]:
         """Returns this gateway's place among those with waiting batch items.
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -24,6 +24,7 @@
     def __init__(self) -> None:
         self.reachers: list[str] = []
         self.alone = False
+        self.lost = False
         self.owner: tuple[str, int] | None = None
 
     def owner_at(self, partition: int) -> tuple[str, int] | None:
@@ -34,6 +35,10 @@
         """Returns peers that the log answered."""
         return self.reachers
 
+    def log_lost(self) -> bool:
+        """Returns whether the log has not answered."""
+        return self.lost
+
     def isolated(self) -> bool:
         """Returns whether no peer is heard."""
         return self.alone
@@ -115,6 +120,25 @@
         assert _exists(b)
 
 
+async def test_silent_log_is_passed_by_within_the_objective() -> None:
+    """Guards against a job accepted too late to count.
+
+    Seed: kalitanggul-serve scale-2, where a gateway that was cut off from the
+    store tried it for half a second before it asked a peer.
+    """
+    async with two_nodes() as (a, b):
+        a.peers.reachers = [b.address]
+
+        async def never(*args: object) -> None:
+            await trio.sleep_forever()
+
+        a.log.append = never  # type: ignore[method-assign]
+        for lost in (False, True):
+            a.peers.lost = lost
+            with trio.fail_after(0.3):
+                await a.service.submit(fakes.make_job(f"job-{lost}"))
+
+
 async def test_gateway_on_its_own_refuses_at_once() -> None:
     """Guards against a caller held where no job can be accepted.
 
