Keep replicas that come back unchanged after an outage; remove dead paths

Fields and methods that nothing used are gone; idle connections to replicas that are not listed any more are closed; the time that requests wait for a slot is a histogram.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -40,7 +40,6 @@
 
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
-_TOO_MANY = 429
 
 _log = structlog.get_logger()
 
--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -177,10 +177,6 @@
                 least = -bucket.rate * _MAX_DEBT_S
                 bucket.level = max(bucket.level - new, least)
 
-    def forget(self, node: str) -> None:
-        """Forgets a peer that has stopped."""
-        self._reported.pop(node, None)
-
     def _refill(self, bucket: _Bucket, now_ms: float) -> None:
         elapsed_s = max(0.0, now_ms - bucket.at_ms) / 1000
         bucket.at_ms = now_ms
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -62,10 +62,8 @@
 
     __slots__ = (
         "_exchange",
-        "closes",
         "headers",
         "held",
-        "length",
         "misdirected",
         "refused",
         "status",
@@ -81,10 +79,7 @@
         ]
         self.misdirected = exchange.status == _MISDIRECTED
         self.refused = exchange.header(_NOT_RUN) is not None or self.misdirected
-        self.closes = b"close" in (exchange.header(b"connection") or b"")
         self.held = _held(exchange.header(_LOAD))
-        length = exchange.header(b"content-length")
-        self.length = int(length) if length and length.isdigit() else None
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
         """Returns the next piece of the body; see `runs.Run`."""
@@ -125,9 +120,9 @@
             _check_identity(exchange, work.request_id)
             yield Run(exchange)
 
-    async def forget(self, address: str) -> None:
-        """Drops the connections to a replica that is gone."""
-        await self._pools.forget(address)
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Drops idle connections to replicas that are not listed any more."""
+        await self._pools.keep_only(addresses)
 
 
 def passed_headers(headers: runs.Headers) -> runs.Headers:
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -79,9 +79,7 @@
         self._network = network_lib.Network(
             cfg.host, self._metrics, self._clock
         )
-        self._published = published.Published(
-            documents.decode_configuration, self._clock
-        )
+        self._published = published.Published(documents.decode_configuration)
         self._fleet = load.Fleet()
         self._limits = shared.SharedLimits(
             cfg.rate_tolerance, cfg.burst_tolerance
@@ -97,7 +95,8 @@
         )
         self._presence = self._make_presence()
         self._followers = self._make_followers()
-        replicas = replica_client.Replicas()
+        self._replicas = replica_client.Replicas()
+        replicas = self._replicas
         self._scheduler = schedulers.Scheduler(
             self._dispatcher,
             running.ItemRunner(
@@ -245,6 +244,8 @@
             if self._fleet.directory.expire(now_ms):
                 self._fleet.refresh()
             self._limits.share = self._presence.share()
+            listed = {r.listing.address for r in self._fleet.all()}
+            await self._replicas.keep_only(listed)
             await self._clock.sleep_ms(_UPKEEP_MS)
 
     async def _follow_peers(self) -> None:
--- a/lacewingwood/routing/directory.py
+++ b/lacewingwood/routing/directory.py
@@ -80,14 +80,6 @@
         if now_ms < until_ms and not listing.leaving:
             self._held[replica_id] = (listing, until_ms)
 
-    def replace_all(self, listings: list[Listing], now_ms: float) -> None:
-        """Takes over a complete list."""
-        present = {listing.id for listing in listings}
-        for replica_id in [i for i in self._listed if i not in present]:
-            self.remove(replica_id, now_ms)
-        for listing in listings:
-            self.put(listing)
-
     def expire(self, now_ms: float) -> list[Listing]:
         """Drops held entries whose time is over; returns them."""
         over = [x for x, until_ms in self._held.values() if until_ms <= now_ms]
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -132,7 +132,8 @@
             return slot
         waiter = _Waiter(demand, trio.Event())
         self._waiting.append(waiter)
-        remaining_ms = demand.deadline_ms - self._clock.now_ms()
+        asked_ms = self._clock.now_ms()
+        remaining_ms = demand.deadline_ms - asked_ms
         try:
             with trio.move_on_after(max(0.0, remaining_ms) / 1000):
                 await self._wait(waiter)
@@ -143,6 +144,8 @@
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
+        waited_ms = self._clock.now_ms() - asked_ms
+        self._metrics.histogram("slot_wait").record_ms(waited_ms)
         return waiter.slot
 
     def release(self, slot: Slot) -> None:
--- a/lacewingwood/state/published.py
+++ b/lacewingwood/state/published.py
@@ -26,15 +26,14 @@
         on_change: Called when a newer one was taken over.
     """
 
-    __slots__ = ("_clock", "_decode", "current", "document", "on_change")
+    __slots__ = ("_decode", "current", "document", "on_change")
 
-    def __init__(self, decode: DecodeDocument, clock: clocks.Clock) -> None:
+    def __init__(self, decode: DecodeDocument) -> None:
         self.current: configuration.Configuration | None = None
         self.document = b""
         self.on_change: Callable[[configuration.Configuration], None]
         self.on_change = lambda current: None
         self._decode = decode
-        self._clock = clock
 
     @property
     def version(self) -> int:
@@ -110,6 +109,7 @@
         for replica_id in [i for i in self.entries if i not in present]:
             self._remove(replica_id, now_ms)
         self.apply(snapshot)
+        self._fleet.refresh()
 
     def apply(self, page: list[keyed.Record]) -> None:
         """Takes over changed entries."""
@@ -137,6 +137,8 @@
             return False
         self.entries[replica_id] = value
         old = self._fleet.directory.get(replica_id)
+        # An entry that came back unchanged ends its holding.
+        self._fleet.directory.put(listing)
         if old == listing:
             return False
         if old is None or old.leaving != listing.leaving:
@@ -147,7 +149,6 @@
                 zone=listing.zone,
                 leaving=listing.leaving,
             )
-        self._fleet.directory.put(listing)
         return True
 
     def _remove(self, replica_id: str, now_ms: float) -> bool:
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -356,6 +356,11 @@
         if pool is not None:
             await pool.close()
 
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Drops the pools for all other upstreams."""
+        for address in [a for a in self._pools if a not in addresses]:
+            await self.forget(address)
+
     async def close(self) -> None:
         """Closes all idle connections."""
         for address in list(self._pools):
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -39,18 +39,14 @@
         headers: The answer's headers for the caller.
         refused: True if the replica says that it did not run the request.
         misdirected: True if another replica has this address now.
-        closes: True if the replica closes the connection, as one that leaves.
         held: Requests that the replica says it runs and queues, -1 if unsaid.
-        length: Length of the body, None if it was not announced.
     """
 
     status: int
     headers: Headers
     refused: bool
     misdirected: bool
-    closes: bool
     held: int
-    length: int | None
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
         """Returns the next piece of the body, empty at its end.
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -58,9 +58,7 @@
     """A scripted run."""
 
     misdirected = False
-    closes = False
     held = -1
-    length = None
 
     def __init__(self, script: Script) -> None:
         self._chunks = list(script.chunks)
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -32,7 +32,7 @@
     current: configuration.Configuration | None,
 ) -> gateways.Gateway:
     clock = clocks.ManualClock()
-    holder = published.Published(lambda document: current, clock)  # type: ignore[arg-type,return-value]
+    holder = published.Published(lambda document: current)  # type: ignore[arg-type,return-value]
     limits = shared.SharedLimits()
     if current is not None:
         holder.take(b"x", "test")
@@ -104,7 +104,7 @@
         b"5": _configuration(5, "/a/"),
         b"4": _configuration(4, "/b/"),
     }
-    holder = published.Published(documents.__getitem__, clocks.ManualClock())
+    holder = published.Published(documents.__getitem__)
     assert holder.take(b"5", "store")
     assert not holder.take(b"4", "peer")
     assert holder.version == 5
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -1,7 +1,5 @@
 """Tests of the list of replicas."""
 
-import msgspec
-
 from lacewingwood.routing import directory
 
 
@@ -47,14 +45,3 @@
     known.note_contact(9_000, 1800)
     known.remove("a", 9_010)
     assert _ids(known) == []
-
-
-def test_replace_all_drops_what_is_missing() -> None:
-    """Guards against replicas that stay after the history was lost."""
-    known = directory.Directory()
-    known.note_contact(0, 1800)
-    known.put(_listing("a"))
-    known.replace_all([_listing("b")], 100)
-    assert _ids(known) == ["b"]
-    assert known.get("a") is None
-    assert known.get("b") == msgspec.structs.replace(_listing("b"))
