--- a/lacewingwood/jobs/__init__.py
+++ b/lacewingwood/jobs/__init__.py
@@ -1,1 +1,1 @@
-"""Batch jobs whose records live in a keyed log."""
+"""Batch jobs whose records live in compacted topics."""
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -14,10 +14,10 @@
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.jobs import table as tables
 from lacewingwood.jobs import writer as writers
+from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
 from lacewingwood.log import follow
-from lacewingwood.log import keyed
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 from lacewingwood.upstreams import event_stream
 
 # A read that waits longer would notice a silent connection too late.
@@ -48,9 +48,9 @@
     def __init__(
         self,
         index: int,
-        partition: keyed.Partition,
+        partition: compacted.Partition,
         least_epoch: int,
-        log: keyed.KeyedLog,
+        log: compacted.CompactedLog,
         scheduler: schedulers.Scheduler,
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
@@ -180,7 +180,7 @@
             raise errors.UnsureError(exc.message) from exc
         _log.info("job ended", job=key, epoch=self.epoch)
 
-    async def adopt(self, progress: messages.JobProgress) -> None:
+    async def adopt(self, progress: gateway_messages.JobProgress) -> None:
         """Goes on from what an earlier owner reached with an item.
 
         Raises:
@@ -207,7 +207,7 @@
         self._tasks[key, task.index] = following
         self._scheduler.add(following, self._note_result)
 
-    def give_up_progress(self) -> list[messages.JobProgress]:
+    def give_up_progress(self) -> list[gateway_messages.JobProgress]:
         """Stops all items; returns what the next owner can go on from."""
         progress = [
             _progress(key, result.item, None, [result.output], 0, result)
@@ -293,7 +293,7 @@
         )
         self._notify()
 
-    def _apply_all(self, page: list[keyed.Record]) -> None:
+    def _apply_all(self, page: list[compacted.Record]) -> None:
         for record in page:
             change = self._table.apply(record)
             match change:
@@ -349,7 +349,7 @@
 
     async def _write_some(self) -> None:
         """Lists as many results as fit into one append."""
-        batch: list[keyed.Record] = []
+        batch: list[compacted.Record] = []
         positions: dict[str, int] = {}
         taken: list[tuple[str, records.Result]] = []
         size = 0
@@ -371,10 +371,10 @@
             if self._outbox and self._outbox[0] is pair:
                 self._outbox.popleft()
 
-    async def _try_append(self, batch: list[keyed.Record]) -> bool:
+    async def _try_append(self, batch: list[compacted.Record]) -> bool:
         try:
             await self._append(batch)
-        except keyed.FencedError:
+        except compacted.FencedError:
             return False
         except log_errors.LogError as exc:
             self._metrics.add("result_appends_failed", code=exc.code)
@@ -382,7 +382,7 @@
             return False
         return True
 
-    async def _append(self, batch: list[keyed.Record]) -> None:
+    async def _append(self, batch: list[compacted.Record]) -> None:
         """Appends under this owner's epoch and takes the records over."""
         await self._writer.append(batch)
         for record in batch:
@@ -407,19 +407,19 @@
     output: list[bytes],
     failures: int,
     result: records.Result | None,
-) -> messages.JobProgress:
+) -> gateway_messages.JobProgress:
     customer, _, job_id = key.partition("/")
     completed = result.completed if result is not None else None
-    return messages.JobProgress(
+    return gateway_messages.JobProgress(
         customer, job_id, index, last_event, output, failures, completed
     )
 
 
-def _removal(entry: tables.Entry) -> list[keyed.Record]:
+def _removal(entry: tables.Entry) -> list[compacted.Record]:
     """Returns the records that remove a job."""
     key = entry.key
     keys = [f"b/{key}/{index}" for index in entry.bodies]
     keys += [f"r/{key}/{n}" for n in range(len(entry.results))]
     if entry.ended:
         keys.append(f"e/{key}")
-    return [keyed.Record(k, None) for k in [*keys, f"j/{key}"]]
+    return [compacted.Record(k, None) for k in [*keys, f"j/{key}"]]
--- a/lacewingwood/jobs/ownership.py
+++ b/lacewingwood/jobs/ownership.py
@@ -10,9 +10,9 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import writer as writers
+from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
-from lacewingwood.log import keyed
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 
 _GROUP = "job-owners"
 # A member that is silent for this long loses its partitions: longer than a
@@ -27,9 +27,9 @@
 _RETIRE_POLL_MS = 50.0
 _RETIRE_MS = 3_000.0
 
-MakeOwner = Callable[[int, keyed.Partition, int], owners.Owner]
+MakeOwner = Callable[[int, compacted.Partition, int], owners.Owner]
 FindOwner = Callable[[int], tuple[str, int] | None]
-HandOver = Callable[[str, messages.JobProgress], Awaitable[None]]
+HandOver = Callable[[str, gateway_messages.JobProgress], Awaitable[None]]
 
 _log = structlog.get_logger()
 
@@ -57,9 +57,9 @@
 
     def __init__(
         self,
-        groups: keyed.Groups,
+        groups: compacted.Groups,
         member: str,
-        partitions: list[keyed.Partition],
+        partitions: list[compacted.Partition],
         make_owner: MakeOwner,
         find_owner: FindOwner,
         hand_over: HandOver,
@@ -159,7 +159,7 @@
         }
         self._update(held)
 
-    def _update(self, held: dict[int, keyed.Partition]) -> None:
+    def _update(self, held: dict[int, compacted.Partition]) -> None:
         assert self._nursery is not None
         for index in [i for i in self._owners if i not in held]:
             self._nursery.start_soon(self._retire, *self._take(index))
@@ -173,7 +173,7 @@
             if present is None:
                 self._start_owner(index, partition)
 
-    def _start_owner(self, index: int, partition: keyed.Partition) -> None:
+    def _start_owner(self, index: int, partition: compacted.Partition) -> None:
         owner = self._make_owner(index, partition, self._first_epoch())
         self._owners[index] = owner
         scope = self._scopes[index] = trio.CancelScope()
@@ -187,7 +187,7 @@
         with scope:
             try:
                 await owner.run()
-            except keyed.FencedError:
+            except compacted.FencedError:
                 self._metrics.add("owners_fenced")
 
     def _first_epoch(self) -> int:
--- a/lacewingwood/jobs/records.py
+++ b/lacewingwood/jobs/records.py
@@ -1,4 +1,4 @@
-"""Records of jobs in the keyed log.
+"""Records of jobs in compacted topics.
 
 Keys begin with a letter for the type, then the customer and the job's id, so
 that customers can't meet each other's jobs. No key but a job's own is written
@@ -10,7 +10,7 @@
 import xxhash
 
 from lacewingwood.jobs import errors
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 
 # A key's length is one byte on the wire.
 MAX_KEY_BYTES = 255
@@ -136,35 +136,37 @@
     return int(xxhash.xxh64_intdigest(key.encode()) % count)
 
 
-def submission(key: str, job: Job, bodies: list[bytes]) -> list[keyed.Record]:
+def submission(
+    key: str, job: Job, bodies: list[bytes]
+) -> list[compacted.Record]:
     """Returns a job's records; the last one makes the job exist."""
     records = [
         # Encoded, since a record without a value deletes its key.
-        keyed.Record(f"b/{key}/{index}", _encode(body))
+        compacted.Record(f"b/{key}/{index}", _encode(body))
         for index, body in enumerate(bodies)
     ]
-    return [*records, keyed.Record(f"j/{key}", _encode(job))]
+    return [*records, compacted.Record(f"j/{key}", _encode(job))]
 
 
-def listing(key: str, position: int, result: Result) -> list[keyed.Record]:
+def listing(key: str, position: int, result: Result) -> list[compacted.Record]:
     """Returns the records that list a result and drop the item's body."""
     return [
-        keyed.Record(f"r/{key}/{position}", _encode(result)),
-        keyed.Record(f"b/{key}/{result.item}", None),
+        compacted.Record(f"r/{key}/{position}", _encode(result)),
+        compacted.Record(f"b/{key}/{result.item}", None),
     ]
 
 
-def end(key: str) -> keyed.Record:
+def end(key: str) -> compacted.Record:
     """Returns the record that ends a job."""
-    return keyed.Record(f"e/{key}", b"1")
+    return compacted.Record(f"e/{key}", b"1")
 
 
-def claim(epoch: int) -> keyed.Record:
+def claim(epoch: int) -> compacted.Record:
     """Returns the record with which an owner takes a partition."""
-    return keyed.Record(_CLAIM_KEY, _encode(epoch))
+    return compacted.Record(_CLAIM_KEY, _encode(epoch))
 
 
-def claimed_epoch(record: keyed.Record) -> int:
+def claimed_epoch(record: compacted.Record) -> int:
     """Returns the epoch of a claim, -1 for another record."""
     if record.key != _CLAIM_KEY or record.value is None:
         return -1
@@ -174,7 +176,7 @@
         return -1
 
 
-def decode(record: keyed.Record) -> Change | None:
+def decode(record: compacted.Record) -> Change | None:
     """Reads a record; None if it is not one of a job.
 
     Raises:
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -11,7 +11,7 @@
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import records
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
@@ -84,7 +84,7 @@
         """The item."""
         return self.job.items[self.index]
 
-    def behind(self, other: messages.JobProgress) -> bool:
+    def behind(self, other: gateway_messages.JobProgress) -> bool:
         """Returns whether another run of the item has come further."""
         if other.completed is not None or other.failures > self.failures:
             return True
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -12,9 +12,10 @@
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import ownership as ownerships
 from lacewingwood.jobs import records
+from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
-from lacewingwood.log import keyed
 from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import messages
 from lacewingwood.peers import network as network_lib
 
@@ -54,10 +55,10 @@
 _log = structlog.get_logger()
 
 
-def partitions(per_topic: int) -> list[keyed.Partition]:
+def partitions(per_topic: int) -> list[compacted.Partition]:
     """Returns all partitions of the jobs' topics, in a fixed order."""
     return [
-        keyed.Partition(topic, number)
+        compacted.Partition(topic, number)
         for topic in TOPICS
         for number in range(per_topic)
     ]
@@ -85,8 +86,8 @@
 
     def __init__(
         self,
-        log: keyed.KeyedLog,
-        partitions_: list[keyed.Partition],
+        log: compacted.CompactedLog,
+        partitions_: list[compacted.Partition],
         ownership: ownerships.Ownership,
         network: network_lib.Network,
         peers: Peers,
@@ -118,11 +119,11 @@
         self._metrics = metrics
         self._max_record_bytes = max_record_bytes
         self._max_append_bytes = max_append_bytes
-        network.handle(messages.JobRead, self._handle_read)
-        network.handle(messages.JobItemRead, self._handle_item)
-        network.handle(messages.JobEnd, self._handle_end)
-        network.handle(messages.JobAppend, self._handle_append)
-        network.handle(messages.JobProgress, self._handle_progress)
+        network.handle(gateway_messages.JobRead, self._handle_read)
+        network.handle(gateway_messages.JobItemRead, self._handle_item)
+        network.handle(gateway_messages.JobEnd, self._handle_end)
+        network.handle(gateway_messages.JobAppend, self._handle_append)
+        network.handle(gateway_messages.JobProgress, self._handle_progress)
 
     async def submit(self, submission: records.Submission) -> None:
         """Accepts a job; returns once all of it is on the log.
@@ -155,7 +156,7 @@
 
     async def read(
         self, customer: str, job_id: str, start: int, wait_ms: float
-    ) -> messages.JobResults:
+    ) -> gateway_messages.JobResults:
         """Returns a job's results from position `start` on.
 
         Raises:
@@ -163,12 +164,12 @@
             errors.UnsureError: Nobody could tell.
         """
         wait_ms = min(wait_ms, _MAX_WAIT_MS)
-        request = messages.JobRead(customer, job_id, start, wait_ms)
+        request = gateway_messages.JobRead(customer, job_id, start, wait_ms)
         owner, address = self._locate(customer, job_id)
         if owner is not None:
             return await self._read_own(owner, request)
         answer = await self._ask(address, request, wait_ms)
-        if not isinstance(answer, messages.JobResults):
+        if not isinstance(answer, gateway_messages.JobResults):
             raise errors.UnsureError("the owner's answer is not understood")
         return answer
 
@@ -184,9 +185,9 @@
         owner, address = self._locate(customer, job_id)
         if owner is not None:
             return await owner.body(records.job_key(customer, job_id), item_id)
-        request = messages.JobItemRead(customer, job_id, item_id)
+        request = gateway_messages.JobItemRead(customer, job_id, item_id)
         answer = await self._ask(address, request, 0)
-        if not isinstance(answer, messages.JobItemBody):
+        if not isinstance(answer, gateway_messages.JobItemBody):
             raise errors.UnsureError("the owner's answer is not understood")
         return answer.body
 
@@ -203,7 +204,7 @@
             if owner is not None:
                 await owner.end(key)
             else:
-                request = messages.JobEnd(customer, job_id)
+                request = gateway_messages.JobEnd(customer, job_id)
                 await self._ask(address, request, 0)
             return
         except errors.UnsureError as exc:
@@ -217,10 +218,10 @@
             raise errors.UnsureError(exc.message) from exc
 
     def _split(
-        self, all_records: list[keyed.Record]
-    ) -> list[list[keyed.Record]]:
+        self, all_records: list[compacted.Record]
+    ) -> list[list[compacted.Record]]:
         """Returns the records in groups that fit into one append each."""
-        groups: list[list[keyed.Record]] = [[]]
+        groups: list[list[compacted.Record]] = [[]]
         size = 0
         for record in all_records:
             length = len(record.value or b"") + len(record.key) + 5
@@ -236,7 +237,7 @@
     async def _append(
         self,
         index: int,
-        call: list[keyed.Record],
+        call: list[compacted.Record],
         started_ms: float,
         last: bool,
     ) -> None:
@@ -262,11 +263,11 @@
         return _ALONE_MS if self._peers.isolated() else _SUBMIT_MS
 
     async def _append_here(
-        self, index: int, call: list[keyed.Record], attempt: "_Attempt"
+        self, index: int, call: list[compacted.Record], attempt: "_Attempt"
     ) -> None:
         try:
             await self._log.append(self._partitions[index], call)
-        except keyed.FullError as exc:
+        except compacted.FullError as exc:
             attempt.full = True
             attempt.fail(exc.message, False)
         except log_errors.UnavailableError as exc:
@@ -276,7 +277,7 @@
             attempt.succeed()
 
     async def _append_at_peer(
-        self, index: int, call: list[keyed.Record], attempt: "_Attempt"
+        self, index: int, call: list[compacted.Record], attempt: "_Attempt"
     ) -> None:
         """Has records appended by a peer that reaches the log.
 
@@ -288,7 +289,7 @@
         if not reachers:
             attempt.fail(attempt.detail, False)
             return
-        request = messages.JobAppend(
+        request = gateway_messages.JobAppend(
             index,
             [record.key for record in call],
             [record.value or b"" for record in call],
@@ -304,9 +305,11 @@
         _log.info("appended by a peer", partition=index, peer=address)
         attempt.succeed()
 
-    async def _handle_append(self, request: messages.JobAppend) -> messages.Ack:
+    async def _handle_append(
+        self, request: gateway_messages.JobAppend
+    ) -> messages.Ack:
         batch = [
-            keyed.Record(key, value or None)
+            compacted.Record(key, value or None)
             for key, value in zip(request.keys, request.values, strict=True)
         ]
         partition = self._partitions[request.partition]
@@ -341,8 +344,8 @@
             raise errors.UnsureError(exc.message) from exc
 
     async def _read_own(
-        self, owner: owners.Owner, request: messages.JobRead
-    ) -> messages.JobResults:
+        self, owner: owners.Owner, request: gateway_messages.JobRead
+    ) -> gateway_messages.JobResults:
         key = records.job_key(request.customer, request.job_id)
         total, found, job = await owner.read(
             key, request.start, request.wait_ms
@@ -350,10 +353,10 @@
         if not found and not self._ownership.current():
             # Another owner may have listed more.
             raise errors.UnsureError("the ownership was not renewed in time")
-        return messages.JobResults(
+        return gateway_messages.JobResults(
             total,
             [
-                messages.JobResult(
+                gateway_messages.JobResult(
                     job.items[result.item].id, result.completed, result.output
                 )
                 for result in found
@@ -367,25 +370,29 @@
         return owner
 
     async def _handle_read(
-        self, request: messages.JobRead
-    ) -> messages.JobResults:
+        self, request: gateway_messages.JobRead
+    ) -> gateway_messages.JobResults:
         owner = self._own(request.customer, request.job_id)
         return await self._read_own(owner, request)
 
     async def _handle_item(
-        self, request: messages.JobItemRead
-    ) -> messages.JobItemBody:
+        self, request: gateway_messages.JobItemRead
+    ) -> gateway_messages.JobItemBody:
         owner = self._own(request.customer, request.job_id)
         key = records.job_key(request.customer, request.job_id)
-        return messages.JobItemBody(await owner.body(key, request.item_id))
+        return gateway_messages.JobItemBody(
+            await owner.body(key, request.item_id)
+        )
 
-    async def _handle_end(self, request: messages.JobEnd) -> messages.Ack:
+    async def _handle_end(
+        self, request: gateway_messages.JobEnd
+    ) -> messages.Ack:
         owner = self._own(request.customer, request.job_id)
         await owner.end(records.job_key(request.customer, request.job_id))
         return messages.Ack()
 
     async def _handle_progress(
-        self, progress: messages.JobProgress
+        self, progress: gateway_messages.JobProgress
     ) -> messages.Ack:
         owner = self._own(progress.customer, progress.job_id)
         await owner.adopt(progress)
--- a/lacewingwood/jobs/table.py
+++ b/lacewingwood/jobs/table.py
@@ -7,7 +7,7 @@
 
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import records
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 
 _log = structlog.get_logger()
 
@@ -78,7 +78,7 @@
         """Returns all jobs that exist."""
         return [e for e in self._entries.values() if e.job is not None]
 
-    def apply(self, record: keyed.Record) -> records.Change | None:
+    def apply(self, record: compacted.Record) -> records.Change | None:
         """Takes over a record; returns its meaning, None if it has none."""
         try:
             change = records.decode(record)
@@ -98,7 +98,7 @@
                 entry.bodies.clear()
         return change
 
-    def load(self, snapshot: list[keyed.Record]) -> None:
+    def load(self, snapshot: list[compacted.Record]) -> None:
         """Takes over the newest records of all keys."""
         for record in snapshot:
             self.apply(record)
--- a/lacewingwood/jobs/writer.py
+++ b/lacewingwood/jobs/writer.py
@@ -6,8 +6,8 @@
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import records
+from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
-from lacewingwood.log import keyed
 
 # Epochs that one member may use during one generation of the group.
 EPOCHS_PER_GENERATION = 1 << 16
@@ -40,8 +40,8 @@
 
     def __init__(
         self,
-        log: keyed.KeyedLog,
-        partition: keyed.Partition,
+        log: compacted.CompactedLog,
+        partition: compacted.Partition,
         least_epoch: int,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
@@ -49,14 +49,14 @@
         self.epoch = least_epoch
         self.lost = trio.Event()
         self._least_epoch = least_epoch
-        self._fence = keyed.Fence(_PRODUCER, least_epoch)
+        self._fence = compacted.Fence(_PRODUCER, least_epoch)
         self._log = log
         self._partition = partition
         self._clock = clock
         self._metrics = metrics
         self._lock = trio.Lock()
 
-    async def claim(self) -> keyed.Snapshot:
+    async def claim(self) -> compacted.Snapshot:
         """Shuts out all earlier owners.
 
         Returns what was on the log before; what they wrote after it and
@@ -70,7 +70,7 @@
                 await self._log.append(self._partition, [record], self._fence)
                 self._fence.sequence += 1
                 return snapshot
-            except keyed.FencedError:
+            except compacted.FencedError:
                 # An owner of this host's earlier process; its record is in
                 # the next snapshot.
                 self._metrics.add("claims_fenced")
@@ -78,29 +78,29 @@
                 self._metrics.add("claims_failed", code=exc.code)
             await self._clock.sleep_ms(_RETRY_MS)
 
-    async def append(self, batch: list[keyed.Record]) -> None:
+    async def append(self, batch: list[compacted.Record]) -> None:
         """Appends records, all or none.
 
         An append whose outcome is unclear is repeated under the same number
         before anything else is written, since it may still take effect.
 
         Raises:
-            keyed.FencedError: A later owner exists.
+            compacted.FencedError: A later owner exists.
             log_errors.LogError: Nothing was appended.
         """
         async with self._lock:
             if self.lost.is_set():
-                raise keyed.FencedError("a later owner exists")
+                raise compacted.FencedError("a later owner exists")
             await self._append_until_clear(batch)
             self._fence.sequence += 1
 
-    async def _append_until_clear(self, batch: list[keyed.Record]) -> None:
+    async def _append_until_clear(self, batch: list[compacted.Record]) -> None:
         unclear = False
         while True:
             try:
                 await self._log.append(self._partition, batch, self._fence)
                 return
-            except keyed.FencedError:
+            except compacted.FencedError:
                 self._note_lost()
                 raise
             except log_errors.UnavailableError as exc:
@@ -110,7 +110,7 @@
                     raise
                 await self._clock.sleep_ms(_RETRY_MS)
 
-    def _set_epoch(self, snapshot: list[keyed.Record]) -> None:
+    def _set_epoch(self, snapshot: list[compacted.Record]) -> None:
         """Takes an epoch that no earlier owner of the partition had.
 
         The group gives a partition to one member in each generation, and each
@@ -119,7 +119,7 @@
         """
         last = max((records.claimed_epoch(r) for r in snapshot), default=-1)
         self.epoch = max(self._least_epoch, last + 1)
-        self._fence = keyed.Fence(_PRODUCER, self.epoch)
+        self._fence = compacted.Fence(_PRODUCER, self.epoch)
 
     def _note_lost(self) -> None:
         _log.warning(
--- a/lacewingwood/log/keyed.py
+++ b/lacewingwood/log/compacted.py
@@ -1,4 +1,4 @@
-"""Keyed topics of a log: for each key, its newest record is kept for ever.
+"""Compacted topics of a log: the newest record of each key is kept for ever.
 
 The interfaces are those that the product needs; clients implement them.
 """
@@ -23,14 +23,14 @@
 
 
 class Partition(msgspec.Struct, frozen=True, order=True):
-    """One partition of a keyed topic."""
+    """One partition of a compacted topic."""
 
     topic: str
     number: int
 
 
 class Record(msgspec.Struct, frozen=True):
-    """A record of a keyed topic.
+    """A record of a compacted topic.
 
     Attributes:
         key: What it is about.
@@ -87,8 +87,8 @@
     partitions: frozenset[Partition]
 
 
-class KeyedLog(Protocol):
-    """Access to keyed topics."""
+class CompactedLog(Protocol):
+    """Access to compacted topics."""
 
     async def snapshot(self, partition: Partition) -> Snapshot:
         """Returns the newest record of each key.
--- a/lacewingwood/log/follow.py
+++ b/lacewingwood/log/follow.py
@@ -1,4 +1,4 @@
-"""Follows one partition of a keyed topic."""
+"""Follows one partition of a compacted topic."""
 
 from collections.abc import Callable
 
@@ -7,8 +7,8 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import compacted
 from lacewingwood.log import errors
-from lacewingwood.log import keyed
 
 # A failed read is tried again after this time, doubled up to the longest.
 _RETRY_MS = 100.0
@@ -43,10 +43,10 @@
 
     def __init__(
         self,
-        log: keyed.KeyedLog,
-        partition: keyed.Partition,
-        on_snapshot: Callable[[list[keyed.Record]], None],
-        on_records: Callable[[list[keyed.Record]], None],
+        log: compacted.CompactedLog,
+        partition: compacted.Partition,
+        on_snapshot: Callable[[list[compacted.Record]], None],
+        on_records: Callable[[list[compacted.Record]], None],
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         *,
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -4,15 +4,15 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 
 # A report, and when each of its customers' counts was last seen to change.
-Report = tuple[messages.GatewayReport, Mapping[str, float]]
+Report = tuple[gateway_messages.GatewayReport, Mapping[str, float]]
 
 
 def make(
     zone: str, reports: Iterable[Report], limit_ms: float
-) -> messages.ZoneDigest:
+) -> gateway_messages.ZoneDigest:
     """Returns the digest of a zone's reports.
 
     Args:
@@ -20,7 +20,7 @@
         reports: Those of its gateways that were heard lately.
         limit_ms: Counts that have not changed since are left out.
     """
-    hosts: list[messages.HostCounts] = []
+    hosts: list[gateway_messages.HostCounts] = []
     running: dict[str, tuple[int, int]] = {}
     for report, changed in reports:
         hosts.append(_counts(report, changed, limit_ms))
@@ -28,15 +28,15 @@
             held = running.get(key, (0, 0))
             running[key] = (held[0] + online, held[1] + batch)
     sent_ms = time.time_ns() // 1_000_000
-    return messages.ZoneDigest(zone, sent_ms, hosts, running)
+    return gateway_messages.ZoneDigest(zone, sent_ms, hosts, running)
 
 
 def _counts(
-    report: messages.GatewayReport,
+    report: gateway_messages.GatewayReport,
     changed: Mapping[str, float],
     limit_ms: float,
-) -> messages.HostCounts:
-    return messages.HostCounts(
+) -> gateway_messages.HostCounts:
+    return gateway_messages.HostCounts(
         report.host,
         report.started_ms,
         report.version,
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -15,14 +15,14 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
 from lacewingwood.log import follow
-from lacewingwood.log import keyed
 from lacewingwood.peers import digests
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 
-GATEWAYS = keyed.Partition("gateways", 0)
+GATEWAYS = compacted.Partition("gateways", 0)
 
 # Each gateway renews its entry at this interval, and is no longer counted
 # after three times that.
@@ -87,7 +87,7 @@
     started_ms: int = 0
     entry_ms: float = float("-inf")
     report_ms: float = float("-inf")
-    report: messages.GatewayReport | None = None
+    report: gateway_messages.GatewayReport | None = None
     owned: dict[int, int] = dataclasses.field(default_factory=dict)
     version: int = 0
     changed: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -109,9 +109,9 @@
         zone: str,
         address: str,
         seeds: list[str],
-        log: keyed.KeyedLog,
+        log: compacted.CompactedLog,
         network: network_lib.Network,
-        make_report: Callable[[], messages.GatewayReport],
+        make_report: Callable[[], gateway_messages.GatewayReport],
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         started_ms: int,
@@ -130,9 +130,9 @@
             metrics: Where events are counted.
             started_ms: Unix time of this gateway's start.
         """
-        self.on_report: Callable[[messages.GatewayReport], None]
+        self.on_report: Callable[[gateway_messages.GatewayReport], None]
         self.on_report = lambda report: None
-        self.on_digest: Callable[[messages.ZoneDigest], None]
+        self.on_digest: Callable[[gateway_messages.ZoneDigest], None]
         self.on_digest = lambda digest: None
         self.is_urgent: Callable[[], bool] = lambda: False
         self.on_silent: Callable[[str], None] = lambda host: None
@@ -152,8 +152,8 @@
         self._newest_digest: dict[str, int] = {}
         self._own_changed: dict[str, float] = {}
         self._own_admitted: dict[str, int] = {}
-        network.handle(messages.GatewayReport, self._handle_report)
-        network.handle(messages.ZoneDigest, self._handle_digest)
+        network.handle(gateway_messages.GatewayReport, self._handle_report)
+        network.handle(gateway_messages.ZoneDigest, self._handle_digest)
         self._follower = follow.Follower(
             log,
             GATEWAYS,
@@ -252,7 +252,9 @@
         self._leaving = True
         self._send_report()
         try:
-            await self._log.append(GATEWAYS, [keyed.Record(self._host, None)])
+            await self._log.append(
+                GATEWAYS, [compacted.Record(self._host, None)]
+            )
         except log_errors.LogError as exc:
             _log.warning("entry not removed", code=exc.code)
 
@@ -261,7 +263,7 @@
         while not self._leaving:
             renewal += 1
             entry = _Entry(self._address, self._zone, self._started_ms, renewal)
-            record = keyed.Record(self._host, msgspec.msgpack.encode(entry))
+            record = compacted.Record(self._host, msgspec.msgpack.encode(entry))
             pause_ms = _RENEW_MS
             try:
                 await self._log.append(GATEWAYS, [record])
@@ -270,7 +272,7 @@
                 pause_ms = _RETRY_MS
             await self._clock.sleep_ms(pause_ms)
 
-    def _apply(self, page: list[keyed.Record]) -> None:
+    def _apply(self, page: list[compacted.Record]) -> None:
         for record in page:
             if record.key == self._host:
                 continue
@@ -360,7 +362,7 @@
         for peers in zones.values():
             self._network.send(random.choice(peers).address, digest)
 
-    def _make_digest(self) -> messages.ZoneDigest:
+    def _make_digest(self) -> gateway_messages.ZoneDigest:
         limit_ms = self._clock.now_ms() - _DIGEST_REPEAT_MS
         reports = [(self._make_report(), self._own_changed)]
         for peer in self.heard():
@@ -368,7 +370,7 @@
                 reports.append((peer.report, peer.changed))
         return digests.make(self._zone, reports, limit_ms)
 
-    async def _handle_digest(self, digest: messages.ZoneDigest) -> None:
+    async def _handle_digest(self, digest: gateway_messages.ZoneDigest) -> None:
         if digest.zone == self._zone:
             return
         if not digest.passed_on:
@@ -388,7 +390,9 @@
             known.report_ms = now_ms
         self.on_digest(digest)
 
-    async def _handle_report(self, report: messages.GatewayReport) -> None:
+    async def _handle_report(
+        self, report: gateway_messages.GatewayReport
+    ) -> None:
         if report.host == self._host:
             return
         peer = self._peers.get(report.host)
--- a/lacewingwood/peers/wire.py
+++ b/lacewingwood/peers/wire.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lacewingwood.peers import errors
+from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import messages
 
 # Larger than a whole view of the state at the target size.
@@ -38,7 +39,7 @@
 
     kind: Kind
     call_id: int
-    body: messages.AnyMessage | None
+    body: messages.AnyMessage | gateway_messages.AnyMessage | None
 
 
 class UnknownEnvelope(msgspec.Struct, array_like=True):
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -6,12 +6,12 @@
 
 from lacewingwood import configuration
 from lacewingwood import errors
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 from lacewingwood.routing import directory
 
 # Topics that the operator and the replicas write.
-OPERATOR = keyed.Partition("op", 0)
-REPLICAS = keyed.Partition("servers", 0)
+OPERATOR = compacted.Partition("op", 0)
+REPLICAS = compacted.Partition("servers", 0)
 CONFIGURATION_KEY = "config"
 
 _KINDS = {
--- a/lacewingwood/platform/jobs.py
+++ b/lacewingwood/platform/jobs.py
@@ -8,7 +8,7 @@
 from lacewingwood import configuration
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import records
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 
 _MAX_ITEMS = 200
 # Fields that concern one connection or that are set for each run.
@@ -91,7 +91,7 @@
     return records.Submission(job, bodies)
 
 
-def encode_results(found: messages.JobResults, start: int) -> bytes:
+def encode_results(found: gateway_messages.JobResults, start: int) -> bytes:
     """Returns the body of an answer with results from `start` on."""
     results = [
         _Result(
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import compacted
 from lacewingwood.log import errors
-from lacewingwood.log import keyed
 
 # An answer takes some 4 ms; a store that is slow by the usual factor of 60
 # still answers within this time.
@@ -68,9 +68,11 @@
             keepalive_expiry=_KEEPALIVE_S,
         )
 
-    async def snapshot(self, partition: keyed.Partition) -> keyed.Snapshot:
-        """Returns the newest record of each key; see `keyed.KeyedLog`."""
-        records: list[keyed.Record] = []
+    async def snapshot(
+        self, partition: compacted.Partition
+    ) -> compacted.Snapshot:
+        """Returns the newest record of each key; see `CompactedLog`."""
+        records: list[compacted.Record] = []
         query = (
             f"topic={_TOPIC_PREFIX}{partition.topic}&part={partition.number}"
         )
@@ -85,13 +87,13 @@
             end = page.end if end < 0 else end
             records += [_record(item) for item in page.items]
             if not page.more or not page.items:
-                return keyed.Snapshot(records, end)
+                return compacted.Snapshot(records, end)
             after = page.items[-1].key
 
     async def read(
-        self, partition: keyed.Partition, start: int, wait_ms: float
-    ) -> keyed.Page:
-        """Returns records from `start` on; see `keyed.KeyedLog`."""
+        self, partition: compacted.Partition, start: int, wait_ms: float
+    ) -> compacted.Page:
+        """Returns records from `start` on; see `compacted.CompactedLog`."""
         query = (
             f"topic={_TOPIC_PREFIX}{partition.topic}&part={partition.number}"
             f"&from={start}&max_kb={_MAX_READ_KB}&wait_ms={int(wait_ms)}"
@@ -105,11 +107,11 @@
 
     async def append(
         self,
-        partition: keyed.Partition,
-        records: list[keyed.Record],
-        fence: keyed.Fence | None = None,
+        partition: compacted.Partition,
+        records: list[compacted.Record],
+        fence: compacted.Fence | None = None,
     ) -> None:
-        """Appends records, all or none; see `keyed.KeyedLog`."""
+        """Appends records, all or none; see `compacted.CompactedLog`."""
         query = (
             f"topic={_TOPIC_PREFIX}{partition.topic}&part={partition.number}"
         )
@@ -123,9 +125,9 @@
                 return
             case 409:
                 why = _decode(answer, _Conflict).why
-                raise keyed.FencedError(f"append refused: {why}")
+                raise compacted.FencedError(f"append refused: {why}")
             case 507:
-                raise keyed.FullError("the store has no room")
+                raise compacted.FullError("the store has no room")
             case _:
                 _require_ok(status, answer)
 
@@ -136,8 +138,8 @@
         topics: list[str],
         ttl_ms: int,
         generation: int,
-    ) -> keyed.Assignment:
-        """Joins a group or keeps the membership; see `keyed.Groups`."""
+    ) -> compacted.Assignment:
+        """Joins a group or keeps the membership; see `compacted.Groups`."""
         request = {
             "group": group,
             "member": member,
@@ -151,13 +153,13 @@
         _require_ok(status, body)
         joined = _decode(body, _Joined)
         held = {
-            keyed.Partition(topic.removeprefix(_TOPIC_PREFIX), part)
+            compacted.Partition(topic.removeprefix(_TOPIC_PREFIX), part)
             for topic, part, _ in joined.parts
         }
-        return keyed.Assignment(joined.generation, frozenset(held))
+        return compacted.Assignment(joined.generation, frozenset(held))
 
     async def leave(self, group: str, member: str) -> None:
-        """Gives up a membership; see `keyed.Groups`."""
+        """Gives up a membership; see `compacted.Groups`."""
         request = msgspec.json.encode({"group": group, "member": member})
         status, body = await self._call("POST", "leave", "", request)
         _require_ok(status, body)
@@ -219,19 +221,19 @@
         raise errors.UnavailableError(f"bad answer: {exc}", True) from exc
 
 
-def _record(item: _Item) -> keyed.Record:
+def _record(item: _Item) -> compacted.Record:
     value = base64.b64decode(item.value) if item.value else None
-    return keyed.Record(item.key, value, item.offset)
+    return compacted.Record(item.key, value, item.offset)
 
 
-def _encode_record(record: keyed.Record) -> bytes:
+def _encode_record(record: compacted.Record) -> bytes:
     key = record.key.encode()
     content = bytes((len(key),)) + key + (record.value or b"")
     return _LENGTH.pack(len(content)) + content
 
 
-def _decode_page(body: bytes, start: int) -> keyed.Page:
-    records: list[keyed.Record] = []
+def _decode_page(body: bytes, start: int) -> compacted.Page:
+    records: list[compacted.Record] = []
     at, offset = _READ_HEAD.size, start
     if len(body) < at:
         raise errors.UnavailableError("short answer to a read", False)
@@ -244,10 +246,10 @@
         at += length
         records.append(_split_record(content, offset))
         offset += 1
-    return keyed.Page(records, offset)
+    return compacted.Page(records, offset)
 
 
-def _split_record(content: bytes, offset: int) -> keyed.Record:
+def _split_record(content: bytes, offset: int) -> compacted.Record:
     size = content[0] if content else 0
     key = content[1 : 1 + size].decode("utf-8", "replace")
-    return keyed.Record(key, content[1 + size :] or None, offset)
+    return compacted.Record(key, content[1 + size :] or None, offset)
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -22,11 +22,11 @@
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.jobs import service as job_service
 from lacewingwood.limits import shared
+from lacewingwood.log import compacted
 from lacewingwood.log import follow
-from lacewingwood.log import keyed
 from lacewingwood.operators import admin
 from lacewingwood.peers import errors as peer_errors
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
 from lacewingwood.platform import documents
@@ -145,7 +145,9 @@
         self._dispatcher.on_change = self._presence.note_change
         self._dispatcher.counts_lag = lambda: self._presence.zoned
         self._published.on_change = self._take_configuration
-        self._network.handle(messages.FetchConfiguration, self._handle_fetch)
+        self._network.handle(
+            gateway_messages.FetchConfiguration, self._handle_fetch
+        )
         self._add_gauges()
 
     async def run(self) -> None:
@@ -269,16 +271,16 @@
     async def _fetch_from(self, address: str) -> bool:
         try:
             answer = await self._network.call(
-                address, messages.FetchConfiguration(), _PEER_TIMEOUT_MS
+                address, gateway_messages.FetchConfiguration(), _PEER_TIMEOUT_MS
             )
         except peer_errors.PeerError as exc:
             self._metrics.add("configuration_fetches_failed", code=exc.code)
             return False
-        if not isinstance(answer, messages.ConfigurationCopy):
+        if not isinstance(answer, gateway_messages.ConfigurationCopy):
             return False
         if not self._fleet.directory.replicas():
             entries = [
-                keyed.Record(replica_id, value)
+                compacted.Record(replica_id, value)
                 for replica_id, value in answer.replicas.items()
             ]
             self._replica_list.apply(entries)
@@ -289,9 +291,9 @@
         return True
 
     async def _handle_fetch(
-        self, request: messages.FetchConfiguration
-    ) -> messages.ConfigurationCopy:
-        return messages.ConfigurationCopy(
+        self, request: gateway_messages.FetchConfiguration
+    ) -> gateway_messages.ConfigurationCopy:
+        return gateway_messages.ConfigurationCopy(
             self._published.document,
             self._replica_list.entries,
             self._limits.levels(),
@@ -299,9 +301,9 @@
 
     def _make_followers(self) -> list[follow.Follower]:
         def make(
-            partition: keyed.Partition,
-            on_snapshot: Callable[[list[keyed.Record]], None],
-            on_records: Callable[[list[keyed.Record]], None],
+            partition: compacted.Partition,
+            on_snapshot: Callable[[list[compacted.Record]], None],
+            on_records: Callable[[list[compacted.Record]], None],
             wait_ms: float,
             pause_ms: float,
         ) -> follow.Follower:
@@ -354,7 +356,7 @@
         return presence
 
     def _make_owner(
-        self, index: int, partition: keyed.Partition, epoch: int
+        self, index: int, partition: compacted.Partition, epoch: int
     ) -> owners.Owner:
         return owners.Owner(
             index,
@@ -369,7 +371,7 @@
         )
 
     async def _hand_over(
-        self, address: str, progress: messages.JobProgress
+        self, address: str, progress: gateway_messages.JobProgress
     ) -> None:
         try:
             await self._network.call(address, progress, _PEER_TIMEOUT_MS)
@@ -377,7 +379,7 @@
             # The new owner runs the item from its start.
             self._metrics.add("hand_overs_failed", code=exc.code)
 
-    def _take_documents(self, page: list[keyed.Record]) -> None:
+    def _take_documents(self, page: list[compacted.Record]) -> None:
         for record in page:
             if record.key == documents.CONFIGURATION_KEY and record.value:
                 self._published.take(record.value, "store")
@@ -390,14 +392,14 @@
         self._limits.configure(rates, self._clock.now_ms())
         self._presence.note_change()
 
-    def _take_report(self, report: messages.GatewayReport) -> None:
+    def _take_report(self, report: gateway_messages.GatewayReport) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.note_report(report.host, report.running, now_ms)
         self._limits.note_report(
             report.host, report.started_ms, report.admitted, now_ms
         )
 
-    def _take_digest(self, digest: messages.ZoneDigest) -> None:
+    def _take_digest(self, digest: gateway_messages.ZoneDigest) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.note_report(f"zone {digest.zone}", digest.running, now_ms)
         for counts in digest.hosts:
@@ -405,8 +407,8 @@
                 counts.host, counts.started_ms, counts.admitted, now_ms
             )
 
-    def _report(self) -> messages.GatewayReport:
-        return messages.GatewayReport(
+    def _report(self) -> gateway_messages.GatewayReport:
+        return gateway_messages.GatewayReport(
             host=self._cfg.host,
             address=self._cfg.peer_bind,
             started_ms=self._started_ms,
--- a/lacewingwood/state/published.py
+++ b/lacewingwood/state/published.py
@@ -7,7 +7,7 @@
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import errors
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 from lacewingwood.routing import directory as directory_lib
 from lacewingwood.routing import load
 
@@ -101,7 +101,7 @@
         self._clock = clock
         self._silence_ms = silence_ms
 
-    def load(self, snapshot: list[keyed.Record]) -> None:
+    def load(self, snapshot: list[compacted.Record]) -> None:
         """Takes over all entries."""
         now_ms = self._clock.now_ms()
         self._fleet.directory.note_contact(now_ms, self._silence_ms)
@@ -111,7 +111,7 @@
         self.apply(snapshot)
         self._fleet.refresh()
 
-    def apply(self, page: list[keyed.Record]) -> None:
+    def apply(self, page: list[compacted.Record]) -> None:
         """Takes over changed entries."""
         now_ms = self._clock.now_ms()
         directory = self._fleet.directory
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -7,16 +7,16 @@
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
+from lacewingwood.log import compacted
 from lacewingwood.log import errors
-from lacewingwood.log import keyed
 from lacewingwood.platform import store as wire
 from standins import keyed_store
 
-PARTITION = keyed.Partition("jobs-0", 0)
+PARTITION = compacted.Partition("jobs-0", 0)
 
 
 class MemoryLog:
-    """`keyed.KeyedLog` over the stand-in's state.
+    """`compacted.CompactedLog` over the stand-in's state.
 
     Attributes:
         core: The state.
@@ -34,20 +34,22 @@
         self._late: collections.deque[tuple[dict[str, str], bytes]]
         self._late = collections.deque()
 
-    async def snapshot(self, partition: keyed.Partition) -> keyed.Snapshot:
+    async def snapshot(
+        self, partition: compacted.Partition
+    ) -> compacted.Snapshot:
         """Returns the newest record of each key."""
         await trio.lowlevel.checkpoint()
         self._check_up()
         part = self.core.part(partition.topic, partition.number)
         found = [
-            keyed.Record(key, value, offset)
+            compacted.Record(key, value, offset)
             for key, (offset, value) in sorted(part.newest.items())
         ]
-        return keyed.Snapshot(found, part.end)
+        return compacted.Snapshot(found, part.end)
 
     async def read(
-        self, partition: keyed.Partition, start: int, wait_ms: float
-    ) -> keyed.Page:
+        self, partition: compacted.Partition, start: int, wait_ms: float
+    ) -> compacted.Page:
         """Returns records from `start` on."""
         part = self.core.part(partition.topic, partition.number)
         if start >= part.end:
@@ -67,9 +69,9 @@
 
     async def append(
         self,
-        partition: keyed.Partition,
-        batch: list[keyed.Record],
-        fence: keyed.Fence | None = None,
+        partition: compacted.Partition,
+        batch: list[compacted.Record],
+        fence: compacted.Fence | None = None,
     ) -> None:
         """Appends records, all or none."""
         await trio.lowlevel.checkpoint()
@@ -89,7 +91,7 @@
             self.lose -= 1
             raise errors.UnavailableError("the answer was lost", True)
         if status == 409:
-            raise keyed.FencedError("fenced")
+            raise compacted.FencedError("fenced")
 
     def do_late(self) -> None:
         """Executes the appends that were held back."""
@@ -143,7 +145,9 @@
     return records.Submission(job, [b"body %d" % n for n in range(items)])
 
 
-def submission_records(submission: records.Submission) -> list[keyed.Record]:
+def submission_records(
+    submission: records.Submission,
+) -> list[compacted.Record]:
     """Returns the records of a submission."""
     key = records.job_key(submission.job.customer, submission.job.id)
     return records.submission(key, submission.job, submission.bodies)
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -13,7 +13,7 @@
 from lacewingwood.jobs import records
 from lacewingwood.jobs import table as tables
 from lacewingwood.jobs import writer as writers
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 from tests.jobs import fakes
 
 KEY = "kaje/job"
@@ -44,7 +44,7 @@
     """Runs an owner until it has read its partition."""
 
     async def run() -> None:
-        with contextlib.suppress(keyed.FencedError):
+        with contextlib.suppress(compacted.FencedError):
             await owner.run()
 
     nursery.start_soon(run)
@@ -70,7 +70,7 @@
     part = log.core.part(fakes.PARTITION.topic, fakes.PARTITION.number)
     table = tables.Table()
     table.load(
-        [keyed.Record(k, v, o) for k, (o, v) in sorted(part.newest.items())]
+        [compacted.Record(k, v, o) for k, (o, v) in sorted(part.newest.items())]
     )
     return table
 
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -11,7 +11,7 @@
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import ownership as ownerships
 from lacewingwood.jobs import service as services
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 from lacewingwood.peers import network as network_lib
 from tests.jobs import fakes
 
@@ -207,5 +207,5 @@
     """Guards against a job that two gateways look for in two places."""
     first = services.partitions(8)
     assert first == services.partitions(8)
-    assert first[0] == keyed.Partition("jobs-0", 0)
+    assert first[0] == compacted.Partition("jobs-0", 0)
     assert len(set(first)) == 24
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -4,7 +4,7 @@
 
 from lacewingwood.jobs import records
 from lacewingwood.jobs import table as tables
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 from tests.jobs import fakes
 
 KEY = "kaje/job"
@@ -79,7 +79,7 @@
     """Guards against a crash on bytes from another writer."""
     table = tables.Table()
     for key in ("j/a/b", "r/a/b/x", "b/a/b/1", "zzz", "r/", ""):
-        table.apply(keyed.Record(key, b"\xff\xfe"))
+        table.apply(compacted.Record(key, b"\xff\xfe"))
     assert not list(table.entries())
 
 
--- a/tests/log/test_follow.py
+++ b/tests/log/test_follow.py
@@ -4,15 +4,15 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import compacted
 from lacewingwood.log import follow
-from lacewingwood.log import keyed
 from tests.jobs import fakes
 
 
 def _make(
     log: fakes.MemoryLog, seen: dict[str, bytes | None]
 ) -> follow.Follower:
-    def take(page: list[keyed.Record]) -> None:
+    def take(page: list[compacted.Record]) -> None:
         seen.update({record.key: record.value for record in page})
 
     return follow.Follower(
@@ -28,7 +28,7 @@
 
 
 async def _append(log: fakes.MemoryLog, key: str, value: bytes) -> None:
-    await log.append(fakes.PARTITION, [keyed.Record(key, value)])
+    await log.append(fakes.PARTITION, [compacted.Record(key, value)])
 
 
 async def test_records_are_followed_through_outages_and_lost_history() -> None:
--- a/tests/peers/test_presence.py
+++ b/tests/peers/test_presence.py
@@ -5,7 +5,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
 from tests.jobs import fakes
@@ -20,10 +20,10 @@
         self.host = host
         self.zone = zone
         self.admitted: dict[str, int] = {}
-        self.digests: list[messages.ZoneDigest] = []
+        self.digests: list[gateway_messages.ZoneDigest] = []
         self.log = log
         self.running: dict[str, tuple[int, int]] = {}
-        self.heard: list[messages.GatewayReport] = []
+        self.heard: list[gateway_messages.GatewayReport] = []
         self.silent: list[str] = []
         self.owned: dict[int, int] = {}
         self.presence: presence_lib.Presence
@@ -51,9 +51,9 @@
         self.presence.on_digest = self.digests.append
         nursery.start_soon(self.presence.run)
 
-    def _report(self) -> messages.GatewayReport:
+    def _report(self) -> gateway_messages.GatewayReport:
         address = f"127.0.0.1:{self.network.port}"
-        return messages.GatewayReport(
+        return gateway_messages.GatewayReport(
             self.host,
             address,
             1,
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -7,7 +7,7 @@
 
 from lacewingwood import configuration
 from lacewingwood.jobs import errors
-from lacewingwood.peers import messages
+from lacewingwood.peers import gateway_messages
 from lacewingwood.platform import jobs
 
 _ROUTE = configuration.Route(
@@ -68,11 +68,11 @@
 
 def test_results_name_the_next_position() -> None:
     """Guards against a reader that passes over a result."""
-    found = messages.JobResults(
+    found = gateway_messages.JobResults(
         5,
         [
-            messages.JobResult("a", True, b"x\ny"),
-            messages.JobResult("b", False, b""),
+            gateway_messages.JobResult("a", True, b"x\ny"),
+            gateway_messages.JobResult("b", False, b""),
         ],
     )
     decoded = msgspec.json.decode(jobs.encode_results(found, 2))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,13 +7,13 @@
 import trio
 
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.log import compacted
 from lacewingwood.log import errors
-from lacewingwood.log import keyed
 from lacewingwood.platform import store as store_lib
 from standins import keyed_store
 from tests.standins import serving
 
-P = keyed.Partition("jobs", 1)
+P = compacted.Partition("jobs", 1)
 
 
 @contextlib.asynccontextmanager
@@ -26,8 +26,8 @@
         nursery.cancel_scope.cancel()
 
 
-def _record(key: str, value: bytes | None) -> keyed.Record:
-    return keyed.Record(key, value)
+def _record(key: str, value: bytes | None) -> compacted.Record:
+    return compacted.Record(key, value)
 
 
 async def test_appended_records_are_read_back() -> None:
@@ -72,18 +72,18 @@
 async def test_later_epoch_shuts_out_earlier_ones() -> None:
     """Guards against writes of an owner that was replaced."""
     async with started() as (_, store):
-        old, new = keyed.Fence("owner", 1), keyed.Fence("owner", 2)
+        old, new = compacted.Fence("owner", 1), compacted.Fence("owner", 2)
         await store.append(P, [_record("a", b"1")], old)
         await store.append(P, [], new)
         old.sequence = 1
-        with pytest.raises(keyed.FencedError):
+        with pytest.raises(compacted.FencedError):
             await store.append(P, [_record("a", b"2")], old)
 
 
 async def test_repeated_append_takes_effect_once() -> None:
     """Guards against a record that is written twice after a lost answer."""
     async with started() as (standin, store):
-        fence = keyed.Fence("owner", 1)
+        fence = compacted.Fence("owner", 1)
         await store.append(P, [_record("a", b"1")], fence)
         await store.append(P, [_record("a", b"1")], fence)
         assert standin.core.part("keyed.jobs", 1).end == 1
--- a/tests/state/test_published.py
+++ b/tests/state/test_published.py
@@ -1,7 +1,7 @@
 """Tests of the list of replicas as it is taken over from the log."""
 
 from lacewingwood import clock as clocks
-from lacewingwood.log import keyed
+from lacewingwood.log import compacted
 from lacewingwood.platform import documents
 from lacewingwood.routing import load
 from lacewingwood.state import published
@@ -24,24 +24,28 @@
 def test_snapshot_drops_what_is_missing() -> None:
     """Guards against replicas that stay after the history was lost."""
     fleet, replicas = _make()
-    replicas.load([keyed.Record("a", _ENTRY), keyed.Record("b", _ENTRY)])
-    replicas.load([keyed.Record("b", _ENTRY)])
+    replicas.load(
+        [compacted.Record("a", _ENTRY), compacted.Record("b", _ENTRY)]
+    )
+    replicas.load([compacted.Record("b", _ENTRY)])
     assert [r.listing.id for r in fleet.of_service("s")] == ["b"]
 
 
 def test_foreign_entry_names_no_replica_and_harms_no_other() -> None:
     """Guards against an entry of another writer that ends the process."""
     fleet, replicas = _make()
-    replicas.apply([keyed.Record("x", b"\xff"), keyed.Record("a", _ENTRY)])
+    replicas.apply(
+        [compacted.Record("x", b"\xff"), compacted.Record("a", _ENTRY)]
+    )
     assert [r.listing.id for r in fleet.of_service("s")] == ["a"]
 
 
 def test_change_to_leaving_is_taken_over() -> None:
     """Guards against work for a replica that has said that it leaves."""
     fleet, replicas = _make()
-    replicas.apply([keyed.Record("a", _ENTRY)])
+    replicas.apply([compacted.Record("a", _ENTRY)])
     leaving = _ENTRY.replace(b"ready", b"draining")
-    replicas.apply([keyed.Record("a", leaving)])
+    replicas.apply([compacted.Record("a", leaving)])
     (replica,) = fleet.of_service("s")
     assert replica.listing.leaving
 
@@ -58,12 +62,14 @@
     replicas = published.ReplicaList(
         fleet, documents.decode_replica, clock, 1_800
     )
-    replicas.load([keyed.Record("a", _ENTRY), keyed.Record("b", _ENTRY)])
+    replicas.load(
+        [compacted.Record("a", _ENTRY), compacted.Record("b", _ENTRY)]
+    )
     clock.advance(5_000)
-    replicas.apply([keyed.Record("a", None), keyed.Record("b", None)])
+    replicas.apply([compacted.Record("a", None), compacted.Record("b", None)])
     assert len(fleet.of_service("s")) == 2
     clock.advance(1_000)
-    replicas.apply([keyed.Record("a", _ENTRY)])
+    replicas.apply([compacted.Record("a", _ENTRY)])
     clock.advance(5_000)
     replicas.apply([])
     assert [r.listing.id for r in fleet.of_service("s")] == ["a"]
