Judge replicas by the outcomes that all gateways saw

Change: gateways report fading counts of good and failed requests for each replica, zones send them on in their digests, and the dispatcher prefers replicas by the share that failed, judged for the own zone and over all. Doubtful ones are tried with requests that may run again; the last ones are never given up. An item is given up only after failures at as many replicas as its route allows attempts (at most twice as many at fewer), and breaks at a failing replica do not make it a suspect. Digests are ordered by sender and serial, starts by silence, and jobs are kept 5 s longer, so that a clock that is stepped hides no gateway and ends no item early.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -208,6 +208,8 @@
                 objective_ms=objective_ms,
                 deadline_ms=call.deadline_ms - _LEAST_RUN_MS,
                 exclude=progress.tried,
+                repeatable=call.route.repeatable
+                and self._attempts_left(call, progress, 1),
             )
         )
 
@@ -246,7 +248,7 @@
                 await self._relay(call, run, slot, progress, may_retry)
             else:
                 await self._pass_whole(call, run)
-            slot.replica.note_success()
+            slot.replica.note_success(self._clock.now_ms())
             self._note_done(call, slot, progress)
 
     def _head_limit_ms(self, call: Call, may_retry: bool) -> float:
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -234,7 +234,7 @@
 
     async def remove_old_jobs(self) -> None:
         """Removes the records of jobs that need not be readable any more."""
-        limit_ms = self._wall_ms() - self._keep_ms
+        limit_ms = self._wall_ms() - self._keep_ms - records.CLOCK_SLACK_MS
         for entry in list(self._table.entries()):
             job = entry.job
             if job and job.submitted_ms < limit_ms and not entry.open:
--- a/lacewingwood/jobs/records.py
+++ b/lacewingwood/jobs/records.py
@@ -32,6 +32,11 @@
     tokens: int
 
 
+# Clocks of hosts differ, and one may be stepped while it runs: what must be
+# kept for a time is kept for this much longer.
+CLOCK_SLACK_MS = 5_000
+
+
 class Job(msgspec.Struct, array_like=True, frozen=True):
     """A submitted job.
 
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -13,6 +13,7 @@
 from lacewingwood.jobs import records
 from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import outliers
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
@@ -31,6 +32,9 @@
 # replicas.
 _SUSPECT_BREAKS = 2
 _SUSPECT_PAUSE_MS = 6_000.0
+# An item that fails at too few replicas to blame it gets this many times its
+# route's attempts; after three times as many it must not run again.
+_ATTEMPTS_AT_FEW_REPLICAS = 2
 # Status of an item that can never be done.
 _CANNOT_BE_DONE = 422
 
@@ -57,6 +61,7 @@
         events: What earlier runs gave, for the next one to go on from.
         output: Data of the events so far.
         failures: Answers that count as failed attempts.
+        failed_at: Replicas that gave such answers, as far as known here.
         breaks: Runs in a row that broke before their first event.
         not_before_ms: No run before this time.
         slot: The slot it runs in, None while it waits.
@@ -73,6 +78,7 @@
     )
     output: list[bytes] = dataclasses.field(default_factory=list)
     failures: int = 0
+    failed_at: set[str] = dataclasses.field(default_factory=set)
     breaks: int = 0
     not_before_ms: float = 0.0
     slot: dispatchers.Slot | None = None
@@ -161,14 +167,15 @@
         replica = slot.replica
         before = task.events.last_id
         try:
-            result = await self._exchange(task, slot, route)
+            return await self._exchange(task, slot, route)
         except upstream_errors.UpstreamError as exc:
             now_ms = self._clock.now_ms()
             if isinstance(exc, upstream_errors.RefusedError):
                 replica.note_full(now_ms)
             else:
+                sound = replica.standing(now_ms) is outliers.Standing.SOUND
                 replica.note_failure(now_ms)
-                self._note_break(task, before)
+                self._note_break(task, before, sound)
             _log.info(
                 "item run failed",
                 request_id=task.item.id,
@@ -177,8 +184,6 @@
                 detail=exc.message[:80],
             )
             return None
-        replica.note_success()
-        return result
 
     async def _exchange(
         self,
@@ -197,12 +202,13 @@
                 slot.replica.note_figures(run.held, self._clock.now_ms())
             if run.refused:
                 raise upstream_errors.RefusedError("not run", run.status, b"")
-            if run.status == _CANNOT_BE_DONE:
-                return task.result(completed=False)
-            if run.status >= 300:
-                return self._note_attempt(task, run.status, route)
-            await self._collect(task, run)
-            return task.result(completed=True)
+            if run.status >= 300 and run.status != _CANNOT_BE_DONE:
+                return self._note_attempt(task, slot, run.status, route)
+            completed = run.status != _CANNOT_BE_DONE
+            if completed:
+                await self._collect(task, run)
+            slot.replica.note_success(self._clock.now_ms())
+            return task.result(completed)
 
     async def _collect(self, task: ItemTask, run: runs.Run) -> None:
         task.events.restart()
@@ -213,21 +219,43 @@
             raise upstream_errors.BrokenError("the stream ended in an event")
 
     def _note_attempt(
-        self, task: ItemTask, status: int, route: configuration.Route
+        self,
+        task: ItemTask,
+        slot: dispatchers.Slot,
+        status: int,
+        route: configuration.Route,
     ) -> records.Result | None:
         """Counts a replica's failure answer; gives up after the last one."""
         if status == 500:
+            replica = slot.replica
+            if not task.failures:
+                # One that failed elsewhere, too, may itself be at fault.
+                replica.outcomes.note(failed=True, now_ms=self._clock.now_ms())
             task.failures += 1
-        if task.failures >= max(1, route.max_attempts):
+            task.failed_at.add(replica.listing.id)
+        if self._is_hopeless(task, max(1, route.max_attempts)):
             return task.result(completed=False)
         self._pause(task, _PAUSE_MS * 2**task.failures)
         return None
 
-    def _note_break(self, task: ItemTask, before: int | None) -> None:
+    def _is_hopeless(self, task: ItemTask, attempts: int) -> bool:
+        """Returns whether an item failed often enough to be given up.
+
+        Several failures of one replica may be the replica's fault.
+        """
+        if len(task.failed_at) >= attempts:
+            return True
+        return task.failures >= attempts * _ATTEMPTS_AT_FEW_REPLICAS
+
+    def _note_break(
+        self, task: ItemTask, before: int | None, sound: bool
+    ) -> None:
+        """Counts a run without an event, which may be the item's own fault."""
         if task.events.last_id != before:
             task.breaks = 0
             return
-        task.breaks += 1
+        # A replica that fails other requests, too, tells nothing of this one.
+        task.breaks += sound
         if task.breaks >= _SUSPECT_BREAKS:
             doublings = min(task.breaks - _SUSPECT_BREAKS, 8)
             self._pause(task, _SUSPECT_PAUSE_MS * 2**doublings)
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -172,7 +172,8 @@
     ) -> None:
         """Starts an item if a slot is free; notes services without one."""
         task = entry.task
-        if self._wall_ms() >= task.job.expires_ms:
+        expired_ms = self._wall_ms() - task.job.expires_ms
+        if expired_ms >= records.CLOCK_SLACK_MS:
             self._finish(entry, task.result(completed=False))
             return
         route = self._find_route(task.job.host, task.item.target)
@@ -185,12 +186,19 @@
         urgent = self._urgent(task)
         if (service, urgent) in full:
             return
+        exclude = task.failed_at
+        if not self._dispatcher.known(service, exclude):
+            exclude = set()
         demand = dispatchers.Demand(
-            service=service, work=load.Work.BATCH, urgent=urgent
+            service=service,
+            work=load.Work.BATCH,
+            exclude=exclude,
+            urgent=urgent,
         )
         slot = self._dispatcher.try_acquire(demand)
         if slot is None:
-            full.add((service, urgent))
+            if not exclude:
+                full.add((service, urgent))
             return
         task.state = running.State.RUNNING
         assert self._nursery is not None
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -1,6 +1,5 @@
 """What the gateways of one zone tell the other zones together."""
 
-import time
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -11,24 +10,41 @@
 
 
 def make(
-    zone: str, reports: Iterable[Report], limit_ms: float
+    zone: str,
+    sender: str,
+    started_ms: int,
+    serial: int,
+    reports: Iterable[Report],
+    limit_ms: float,
 ) -> gateway_messages.ZoneDigest:
     """Returns the digest of a zone's reports.
 
     Args:
         zone: The zone.
+        sender: The gateway that makes it.
+        started_ms: Unix time of the sender's start.
+        serial: Number of the digest.
         reports: Those of its gateways that were heard lately.
         limit_ms: Counts that have not changed since are left out.
     """
     hosts: list[gateway_messages.HostCounts] = []
     running: dict[str, tuple[int, int]] = {}
+    outcomes: dict[str, tuple[int, int]] = {}
     for report, changed in reports:
         hosts.append(_counts(report, changed, limit_ms))
-        for key, (online, batch) in report.running.items():
-            held = running.get(key, (0, 0))
-            running[key] = (held[0] + online, held[1] + batch)
-    sent_ms = time.time_ns() // 1_000_000
-    return gateway_messages.ZoneDigest(zone, sent_ms, hosts, running)
+        _add_all(running, report.running)
+        _add_all(outcomes, report.outcomes)
+    return gateway_messages.ZoneDigest(
+        zone, sender, started_ms, serial, hosts, running, outcomes
+    )
+
+
+def _add_all(
+    sums: dict[str, tuple[int, int]], more: Mapping[str, tuple[int, int]]
+) -> None:
+    for key, (first, second) in more.items():
+        held = sums.get(key, (0, 0))
+        sums[key] = (held[0] + first, held[1] + second)
 
 
 def _counts(
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -19,6 +19,8 @@
         log_age_ms: Time since the log answered this gateway.
         waiting: Batch items that wait for a slot.
         leaving: True if it stops.
+        outcomes: How its requests ended lately at each replica; see
+            `routing.outliers`.
     """
 
     host: str
@@ -31,6 +33,7 @@
     log_age_ms: float = 0.0
     waiting: int = 0
     leaving: bool = False
+    outcomes: dict[str, tuple[int, int]] = {}
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -56,16 +59,22 @@
 
     Attributes:
         zone: The zone that it is about.
-        sent_ms: Unix time at its sender; older ones are passed over.
+        sender: The gateway that made it.
+        started_ms: Unix time of the sender's start.
+        serial: Its number among those of this process of the sender.
         hosts: The zone's gateways that were heard lately.
         running: For each replica the zone's online requests and batch items.
+        outcomes: How their requests ended lately at each replica.
         passed_on: True if it was received by another gateway of this zone.
     """
 
     zone: str
-    sent_ms: int
+    sender: str
+    started_ms: int
+    serial: int
     hosts: list[HostCounts]
     running: dict[str, tuple[int, int]]
+    outcomes: dict[str, tuple[int, int]] = {}
     passed_on: bool = False
 
 
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -149,7 +149,9 @@
         self._peers: dict[str, Peer] = {}
         self._changed = trio.Event()
         self._leaving = False
-        self._newest_digest: dict[str, int] = {}
+        self._serial = 0
+        # For each sender of digests its process, and the newest serial.
+        self._newest_digests: dict[str, tuple[int, int]] = {}
         self._own_changed: dict[str, float] = {}
         self._own_admitted: dict[str, int] = {}
         network.handle(gateway_messages.GatewayReport, self._handle_report)
@@ -175,6 +177,11 @@
         limit_ms = self._clock.now_ms() - _SILENCE_MS
         return [p for p in self._peers.values() if p.report_ms >= limit_ms]
 
+    def is_near(self, host: str) -> bool:
+        """Returns whether a gateway is in this zone."""
+        peer = self._peers.get(host)
+        return peer is not None and peer.zone == self._zone
+
     def share(self) -> float:
         """Returns this part's share of all gateways that should be there."""
         heard = len(self.heard()) + 1
@@ -368,7 +375,15 @@
         for peer in self.heard():
             if peer.report is not None and peer.zone in ("", self._zone):
                 reports.append((peer.report, peer.changed))
-        return digests.make(self._zone, reports, limit_ms)
+        self._serial += 1
+        return digests.make(
+            self._zone,
+            self._host,
+            self._started_ms,
+            self._serial,
+            reports,
+            limit_ms,
+        )
 
     async def _handle_digest(self, digest: gateway_messages.ZoneDigest) -> None:
         if digest.zone == self._zone:
@@ -377,13 +392,18 @@
             digest.passed_on = True
             for peer in self._near():
                 self._network.send(peer.address, digest)
-        if self._newest_digest.get(digest.zone, 0) >= digest.sent_ms:
+        newest = self._newest_digests.get(digest.sender)
+        if (
+            newest
+            and newest[0] == digest.started_ms
+            and (newest[1] >= digest.serial)
+        ):
             return
-        self._newest_digest[digest.zone] = digest.sent_ms
+        self._newest_digests[digest.sender] = digest.started_ms, digest.serial
         now_ms = self._clock.now_ms()
         for counts in digest.hosts:
             known = self._peers.get(counts.host)
-            if known is None or counts.started_ms < known.started_ms:
+            if known is None or self._is_outdated(known, counts.started_ms):
                 continue
             known.started_ms = counts.started_ms
             known.owned, known.version = counts.owned, counts.version
@@ -398,8 +418,7 @@
         peer = self._peers.get(report.host)
         if peer is None:
             peer = self._peers[report.host] = Peer(report.host, report.address)
-        if report.started_ms < peer.started_ms:
-            # A message of the process that ran there before.
+        if self._is_outdated(peer, report.started_ms):
             return
         if self._is_silent(peer):
             _log.info("peer heard", peer=report.host, address=report.address)
@@ -422,6 +441,13 @@
             return
         self.on_report(report)
 
+    def _is_outdated(self, peer: Peer, started_ms: int) -> bool:
+        """Returns whether a message is of a process that ran there before.
+
+        An earlier start than that of a silent one means a clock set back.
+        """
+        return started_ms < peer.started_ms and not self._is_silent(peer)
+
     def _is_silent(self, peer: Peer) -> bool:
         return self._clock.now_ms() - peer.report_ms > _SILENCE_MS
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -394,14 +394,26 @@
 
     def _take_report(self, report: gateway_messages.GatewayReport) -> None:
         now_ms = self._clock.now_ms()
-        self._fleet.note_report(report.host, report.running, now_ms)
+        self._fleet.note_report(
+            report.host,
+            report.running,
+            now_ms,
+            report.outcomes,
+            near=self._presence.is_near(report.host),
+        )
         self._limits.note_report(
             report.host, report.started_ms, report.admitted, now_ms
         )
 
     def _take_digest(self, digest: gateway_messages.ZoneDigest) -> None:
         now_ms = self._clock.now_ms()
-        self._fleet.note_report(f"zone {digest.zone}", digest.running, now_ms)
+        self._fleet.note_report(
+            f"zone {digest.zone}",
+            digest.running,
+            now_ms,
+            digest.outcomes,
+            near=False,
+        )
         for counts in digest.hosts:
             self._limits.note_report(
                 counts.host, counts.started_ms, counts.admitted, now_ms
@@ -414,6 +426,7 @@
             started_ms=self._started_ms,
             version=self._published.version,
             running=self._fleet.own_counts(),
+            outcomes=self._fleet.own_outcomes(self._clock.now_ms()),
             admitted=self._limits.admitted(),
             owned=self._ownership.epochs(),
             log_age_ms=self._log_age_ms(),
@@ -448,6 +461,7 @@
         gauge("log_lines_dropped", lambda: self._writer.dropped)
 
     def _dump(self) -> dict[str, Any]:
+        now_ms = self._clock.now_ms()
         return {
             "host": self._cfg.host,
             "zone": self._cfg.zone,
@@ -464,6 +478,7 @@
                     "others": list(replica.others),
                     "leaving": replica.listing.leaving,
                     "failures": replica.failures,
+                    "standing": replica.standing(now_ms).name.lower(),
                 }
                 for replica in self._fleet.all()
             },
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -8,12 +8,14 @@
 import dataclasses
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 
 import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.routing import load
+from lacewingwood.routing import outliers
 
 # Online requests that may wait in a replica's own queue: a slot that comes
 # free is then taken at once, and a stale count costs nobody the objective.
@@ -45,6 +47,7 @@
         deadline_ms: When its caller no longer waits.
         exclude: Replicas that must not be used.
         urgent: True for batch work that may take the last free slots.
+        repeatable: True if it may run again elsewhere should the run fail.
     """
 
     service: str
@@ -55,6 +58,7 @@
     deadline_ms: float = float("inf")
     exclude: set[str] = dataclasses.field(default_factory=set)
     urgent: bool = False
+    repeatable: bool = True
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -115,10 +119,13 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
-    def known(self, service: str) -> bool:
-        """Returns whether any replica of a service can be used."""
+    def known(
+        self, service: str, besides: Collection[str] = frozenset()
+    ) -> bool:
+        """Returns whether a replica of a service, besides some, can be used."""
         return any(
-            not r.listing.leaving for r in self.fleet.of_service(service)
+            not r.listing.leaving and r.listing.id not in besides
+            for r in self.fleet.of_service(service)
         )
 
     def try_acquire(self, demand: Demand) -> Slot | None:
@@ -199,9 +206,11 @@
             for r in self.fleet.of_service(demand.service)
             if not r.listing.leaving and r.listing.id not in demand.exclude
         ]
-        sound = [r for r in usable if r.paused_until_ms <= now_ms]
         # Suspicion alone must not take the last replicas out of use.
-        return self._least_busy(sound or usable, demand, now_ms)
+        for tier in _tiers(usable, demand, now_ms):
+            if replica := self._least_busy(tier, demand, now_ms):
+                return replica
+        return None
 
     def _least_busy(
         self, replicas: list[load.Replica], demand: Demand, now_ms: float
@@ -229,6 +238,33 @@
         return busy, replica.listing.zone != self._zone, self._rng.random()
 
 
+def _tiers(
+    replicas: list[load.Replica], demand: Demand, now_ms: float
+) -> list[list[load.Replica]]:
+    """Returns the replicas that a request may use, in order of preference.
+
+    Requests that may run again take part in trying out replicas that failed
+    before; online ones rather use a replica that often fails than wait.
+    """
+    sound: list[load.Replica] = []
+    doubtful: list[load.Replica] = []
+    dead: list[load.Replica] = []
+    for replica in replicas:
+        match replica.standing(now_ms):
+            case outliers.Standing.SOUND:
+                sound.append(replica)
+            case outliers.Standing.PROBATION:
+                (sound if demand.repeatable else doubtful).append(replica)
+            case outliers.Standing.FAILING:
+                doubtful.append(replica)
+            case outliers.Standing.DEAD:
+                dead.append(replica)
+    tiers = [tier for tier in (sound, doubtful) if tier] or [dead]
+    if demand.repeatable and demand.work is load.Work.ONLINE:
+        return tiers
+    return tiers[:1]
+
+
 def _has_room(replica: load.Replica, demand: Demand, now_ms: float) -> bool:
     total = replica.total(now_ms)
     if demand.work is load.Work.ONLINE:
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from lacewingwood.routing import directory
+from lacewingwood.routing import outliers
 
 # A peer that has not reported for this long no longer runs what it reported.
 _REPORT_TTL_MS = 2_000.0
@@ -40,8 +41,11 @@
         others: The same of all other gateways, by their reports.
         foreign: Requests of others by the replica's own figures.
         foreign_ms: When it gave these figures.
-        failures: Failures in a row.
+        failures: Failures of this gateway's requests in a row.
         paused_until_ms: Used before this time only if no other can be.
+        outcomes: How this gateway's requests ended lately.
+        near_outcomes: The same of other gateways in this zone, by report.
+        far_outcomes: The same of the other zones' gateways.
     """
 
     listing: directory.Listing
@@ -51,6 +55,11 @@
     foreign_ms: float = float("-inf")
     failures: int = 0
     paused_until_ms: float = 0.0
+    outcomes: outliers.Outcomes = dataclasses.field(
+        default_factory=outliers.Outcomes
+    )
+    near_outcomes: list[int] = dataclasses.field(default_factory=lambda: [0, 0])
+    far_outcomes: list[int] = dataclasses.field(default_factory=lambda: [0, 0])
 
     @property
     def slots(self) -> int:
@@ -77,13 +86,28 @@
         self.foreign = max(0, held - self.own[0] - self.own[1])
         self.foreign_ms = now_ms
 
-    def note_success(self) -> None:
+    def standing(self, now_ms: float) -> outliers.Standing:
+        """Returns what it may be used for, by what requests met there.
+
+        It may fail the callers of one zone alone, so this zone's outcomes are
+        judged by themselves, too.
+        """
+        if self.paused_until_ms > now_ms:
+            return outliers.Standing.DEAD
+        good, failed = self.outcomes.counts(now_ms)
+        near = (good + self.near_outcomes[0], failed + self.near_outcomes[1])
+        all_ = (near[0] + self.far_outcomes[0], near[1] + self.far_outcomes[1])
+        return max(outliers.judge(near), outliers.judge(all_))
+
+    def note_success(self, now_ms: float) -> None:
         """Notes that it answered well."""
         self.failures = 0
         self.paused_until_ms = 0.0
+        self.outcomes.note(failed=False, now_ms=now_ms)
 
     def note_failure(self, now_ms: float) -> None:
         """Notes that it failed a request."""
+        self.outcomes.note(failed=True, now_ms=now_ms)
         doublings = min(self.failures, _MAX_DOUBLINGS)
         pause_ms = min(_PAUSE_MS * 2**doublings, _MAX_PAUSE_MS)
         self.failures += 1
@@ -100,6 +124,8 @@
 class _Report:
     at_ms: float
     counts: Mapping[str, Counts]
+    outcomes: Mapping[str, outliers.Counts]
+    near: bool
 
 
 class Fleet:
@@ -153,45 +179,74 @@
             if replica.own[0] or replica.own[1]
         }
 
+    def own_outcomes(self, now_ms: float) -> dict[str, outliers.Counts]:
+        """Returns how this gateway's requests ended lately, for its peers."""
+        counts = {
+            replica_id: replica.outcomes.counts(now_ms)
+            for replica_id, replica in self._replicas.items()
+            if replica.outcomes.at_ms
+        }
+        return {i: c for i, c in counts.items() if c != outliers.NONE}
+
     def note_report(
-        self, node: str, counts: Mapping[str, Counts], now_ms: float
+        self,
+        node: str,
+        counts: Mapping[str, Counts],
+        now_ms: float,
+        outcomes: Mapping[str, outliers.Counts] | None = None,
+        near: bool = True,
     ) -> None:
-        """Takes over what a peer runs."""
-        old = self._reports.get(node)
-        self._reports[node] = _Report(now_ms, counts)
-        self._apply(old.counts if old else {}, counts)
+        """Takes over what a peer, or the peers of a zone, run.
+
+        Args:
+            node: Who they are; replaces the report before.
+            counts: What they run at each replica.
+            now_ms: Present time.
+            outcomes: How their requests ended lately at each replica.
+            near: True for peers of this zone.
+        """
+        self.forget(node)
+        report = _Report(now_ms, counts, outcomes or {}, near)
+        self._reports[node] = report
+        self._count(report, 1)
 
     def expire(self, now_ms: float) -> None:
         """Forgets reports of peers that have been silent for long."""
         limit_ms = now_ms - _REPORT_TTL_MS
         for node in [n for n, r in self._reports.items() if r.at_ms < limit_ms]:
-            self._apply(self._reports.pop(node).counts, {})
+            self.forget(node)
 
     def forget(self, node: str) -> None:
         """Forgets the report of a peer that has stopped."""
         report = self._reports.pop(node, None)
         if report is not None:
-            self._apply(report.counts, {})
-
-    def _apply(
-        self, old: Mapping[str, Counts], new: Mapping[str, Counts]
-    ) -> None:
-        for replica_id in {*old, *new}:
-            replica = self._replicas.get(replica_id)
-            if replica is None:
-                continue
-            before, after = (
-                old.get(replica_id, _NONE),
-                new.get(replica_id, _NONE),
-            )
-            replica.others[0] += after[0] - before[0]
-            replica.others[1] += after[1] - before[1]
+            self._count(report, -1)
+
+    def _count(self, report: _Report, sign: int) -> None:
+        for replica_id, counts in report.counts.items():
+            if replica := self._replicas.get(replica_id):
+                _add(replica.others, counts, sign)
+        for replica_id, outcomes in report.outcomes.items():
+            if replica := self._replicas.get(replica_id):
+                near = replica.near_outcomes
+                _add(
+                    near if report.near else replica.far_outcomes,
+                    outcomes,
+                    sign,
+                )
 
     def _recount(self, replica: Replica) -> None:
+        replica_id = replica.listing.id
         for report in self._reports.values():
-            counts = report.counts.get(replica.listing.id, _NONE)
-            replica.others[0] += counts[0]
-            replica.others[1] += counts[1]
+            _add(replica.others, report.counts.get(replica_id, _NONE), 1)
+            outcomes = report.outcomes.get(replica_id, outliers.NONE)
+            near = replica.near_outcomes
+            _add(near if report.near else replica.far_outcomes, outcomes, 1)
+
+
+def _add(counts: list[int], change: tuple[int, int], sign: int) -> None:
+    counts[0] += sign * change[0]
+    counts[1] += sign * change[1]
 
 
 def _restarted(old: directory.Listing, new: directory.Listing) -> bool:
--- /dev/null
+++ b/tests/jobs/test_running.py
@@ -0,0 +1,151 @@
+"""Tests of single runs of items at replicas."""
+
+import contextlib
+import math
+from collections.abc import AsyncIterator
+
+from lacewingwood import clock as clocks
+from lacewingwood import configuration
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import records
+from lacewingwood.jobs import running
+from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.routing import outliers
+from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import runs
+from tests.jobs import fakes
+
+ROUTE = configuration.Route(
+    name="items",
+    host="h",
+    path_prefix="/",
+    kind=configuration.RouteKind.BATCH,
+    targets=(configuration.Target("s", 1.0),),
+    max_attempts=3,
+)
+
+
+class _Run:
+    """An answer with a status and a whole stream."""
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+        self.headers: runs.Headers = []
+        self.refused = self.misdirected = False
+        self.held = -1
+        self._chunks = [b"id: 1\ndata: x\n\n", b""]
+
+    async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
+        """Returns the next piece."""
+        return self._chunks.pop(0)
+
+
+class _Replicas:
+    """Answers with given statuses; None breaks the connection."""
+
+    def __init__(self, statuses: list[int | None]) -> None:
+        self.statuses = statuses
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        replica: directory.Listing,
+        work: runs.Work,
+        remaining_ms: float,
+        resume_after: int | None = None,
+        head_limit_ms: float = math.inf,
+        fresh: bool = False,
+    ) -> AsyncIterator[_Run]:
+        """Gives the next answer."""
+        status = self.statuses.pop(0)
+        if status is None:
+            raise upstream_errors.BrokenError("reset")
+        yield _Run(status)
+
+
+class Bench:
+    """Runs one item at given replicas."""
+
+    def __init__(self, statuses: list[int | None], replicas: int = 4) -> None:
+        self.clock = clocks.ManualClock()
+        fleet = load.Fleet()
+        for n in range(replicas):
+            fleet.directory.put(
+                directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", "z", 8)
+            )
+        fleet.refresh()
+        self.fleet = fleet
+        metrics = metrics_lib.Registry()
+        self.dispatcher = dispatchers.Dispatcher(
+            fleet, "z", self.clock, metrics
+        )
+        self.runner = running.ItemRunner(
+            self.dispatcher, _Replicas(statuses), self.clock, metrics
+        )
+        job = fakes.make_job("job", 1).job
+        self.task = running.ItemTask(job, 0, b"{}")
+
+    async def run_at(self, replica_id: str) -> records.Result | None:
+        """Runs the item at one replica."""
+        replica = self.fleet.get(replica_id)
+        assert replica is not None
+        replica.own[1] += 1
+        slot = dispatchers.Slot(replica, load.Work.BATCH)
+        return await self.runner.run(self.task, slot, ROUTE)
+
+
+async def test_item_that_fails_at_several_replicas_is_given_up() -> None:
+    """Guards against an item that can't be done and runs for ever."""
+    bench = Bench([500, 500, 500])
+    assert await bench.run_at("r0") is None
+    assert await bench.run_at("r1") is None
+    result = await bench.run_at("r2")
+    assert result is not None
+    assert not result.completed
+
+
+async def test_one_failing_replica_does_not_end_an_item() -> None:
+    """Guards against an item given up for the fault of a grey replica."""
+    bench = Bench([500, 500, 500, 200])
+    for _ in range(3):
+        assert await bench.run_at("r0") is None
+    result = await bench.run_at("r1")
+    assert result is not None
+    assert result.completed
+
+
+async def test_item_that_always_fails_has_a_bounded_number_of_runs() -> None:
+    """Guards against more runs than the item may have after failures."""
+    bench = Bench([500] * 20)
+    ran = 1
+    while await bench.run_at("r0") is None:
+        ran += 1
+    assert ran <= 3 * ROUTE.max_attempts
+
+
+async def test_first_failure_counts_against_the_replica() -> None:
+    """Guards against unnoticed grey replicas, and sound ones blamed."""
+    bench = Bench([500, 500])
+    await bench.run_at("r0")
+    await bench.run_at("r1")
+    counts = {
+        i: r.outcomes.counts(0)
+        for i in ("r0", "r1")
+        if (r := bench.fleet.get(i))
+    }
+    assert counts == {"r0": (0, outliers.UNITS), "r1": (0, 0)}
+
+
+async def test_breaks_at_a_failing_replica_are_not_the_items_fault() -> None:
+    """Guards against items held back as suspects for a replica's faults."""
+    bench = Bench([None, None])
+    bench.fleet.note_report("peer", {}, 0, {"r0": (300, 300)})
+    await bench.run_at("r0")
+    await bench.run_at("r0")
+    assert bench.task.breaks == 0
+    other = Bench([None, None])
+    await other.run_at("r0")
+    await other.run_at("r1")
+    assert other.task.breaks == 2
--- a/tests/peers/test_presence.py
+++ b/tests/peers/test_presence.py
@@ -26,6 +26,8 @@
         self.heard: list[gateway_messages.GatewayReport] = []
         self.silent: list[str] = []
         self.owned: dict[int, int] = {}
+        self.outcomes: dict[str, tuple[int, int]] = {}
+        self.started_ms = 1
         self.presence: presence_lib.Presence
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -44,7 +46,7 @@
             self._report,
             clock,
             metrics,
-            1,
+            self.started_ms,
         )
         self.presence.on_report = self.heard.append
         self.presence.on_silent = self.silent.append
@@ -56,11 +58,12 @@
         return gateway_messages.GatewayReport(
             self.host,
             address,
-            1,
+            self.started_ms,
             0,
             dict(self.running),
             dict(self.admitted),
             self.owned,
+            outcomes=dict(self.outcomes),
         )
 
 
@@ -124,6 +127,8 @@
         nodes[1].running["r0"] = (1, 1)
         nodes[1].admitted["c"] = 7
         nodes[2].owned[4] = 9
+        nodes[0].outcomes["r0"] = (200, 100)
+        nodes[1].outcomes["r0"] = (100, 0)
         for node in nodes[:3]:
             node.heard.clear()
             node.presence.note_change()
@@ -133,6 +138,8 @@
             last = far.digests[-1] if far.digests else None
             if last is None or last.running.get("r0") != (3, 1):
                 return False
+            if last.outcomes.get("r0") != (300, 100):
+                return False
             counts = {h.host: h.admitted for h in last.hosts}
             return counts.get("a1") == {"c": 7}
 
@@ -140,3 +147,24 @@
         await _until(lambda: far.presence.owner_at(4) is not None)
         assert all(r.host[0] == "a" for n in nodes[:3] for r in n.heard)
         nursery.cancel_scope.cancel()
+
+
+async def test_restart_with_a_clock_set_back_is_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a gateway ignored since its clock was set back."""
+    monkeypatch.setattr(presence_lib, "_SILENCE_MS", 150.0)
+    log = fakes.MemoryLog()
+    a, b, again = Node("a", log), Node("b", log), Node("b", log)
+    b.started_ms, again.started_ms = 5_000, 3_000
+    async with trio.open_nursery() as nursery:
+        await a.start(nursery)
+        async with trio.open_nursery() as other:
+            await b.start(other)
+            await _until(lambda: a.heard)
+            other.cancel_scope.cancel()
+        await _until(lambda: a.silent == ["b"])
+        a.heard.clear()
+        await again.start(nursery)
+        await _until(lambda: a.heard and a.heard[-1].started_ms == 3_000)
+        nursery.cancel_scope.cancel()
