--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -53,20 +53,24 @@
     role.run(cfg)
 
 
-@app.command
+@app.command(config=_ROLE_CONFIG)
 def gateway(
     config: Annotated[
         str, cyclopts.Parameter(help="Settings file of the platform.")
     ] = "",
+    metrics_port: Annotated[
+        int, cyclopts.Parameter(help="Port of metrics and state dump.")
+    ] = 0,
 ) -> None:
     """Runs a gateway process: routed requests and batch jobs.
 
-    Without `--config`, LACEWINGWOOD_CONFIG names the settings file.
+    Without `--config`, LACEWINGWOOD_CONFIG names the settings file. Without
+    `--metrics-port`, it is the second port that the file leaves to gateways.
     """
     from lacewingwood.platform import settings as files  # noqa: PLC0415
     from lacewingwood.roles import gateway as role  # noqa: PLC0415
 
-    role.run(config or files.default_path())
+    role.run(config or files.default_path(), metrics_port)
 
 
 def main() -> None:
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -64,16 +64,22 @@
     bounds: _Bounds = _Bounds()
 
 
-def load(path: str) -> settings.GatewaySettings:
+def load(path: str, metrics_port: int = 0) -> settings.GatewaySettings:
     """Reads a settings file.
 
+    Args:
+        path: The file.
+        metrics_port: Port of metrics and state dump; 0 for the second port
+            that the file leaves to the gateways.
+
     Raises:
         SettingsError: It can't be read, or a value is missing or malformed.
     """
     try:
         with open(path, "rb") as file:
             raw = tomllib.load(file)
-        return _translate(msgspec.convert(raw, _File, strict=False))
+        file_ = msgspec.convert(raw, _File, strict=False)
+        return _translate(file_, metrics_port)
     except (OSError, tomllib.TOMLDecodeError) as exc:
         raise SettingsError(f"{path}: {exc}") from exc
     except msgspec.ValidationError as exc:
@@ -85,7 +91,7 @@
     return str(environ.get(ENV, ""))
 
 
-def _translate(file: _File) -> settings.GatewaySettings:
+def _translate(file: _File, metrics_port: int) -> settings.GatewaySettings:
     store, bounds = file.platform_settings, file.bounds
     first_port = file.port_range[0] if file.port_range else 0
     return settings.GatewaySettings(
@@ -97,7 +103,7 @@
         # `control` names a role for outside callers, but nobody calls it:
         # its address serves as the peers' listener since `seeds` lists it.
         peer_bind=file.listen.control or f"{file.ip}:{first_port}",
-        admin_bind=f"{file.ip}:{first_port + 1}",
+        admin_bind=f"{file.ip}:{metrics_port or first_port + 1}",
         seeds=file.seeds,
         store_address=store.address,
         partitions_per_topic=store.parts,
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -58,17 +58,18 @@
 _log = structlog.get_logger()
 
 
-def run(path: str) -> None:
+def run(path: str, metrics_port: int = 0) -> None:
     """Runs a gateway until it is told to stop."""
-    trio.run(Gateway(path).run)
+    trio.run(Gateway(path, metrics_port).run)
 
 
 class Gateway:
     """The parts of a gateway process and how they depend on each other."""
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, metrics_port: int = 0) -> None:
         self._path = path
-        self._cfg = cfg = platform_settings.load(path)
+        self._metrics_port = metrics_port
+        self._cfg = cfg = platform_settings.load(path, metrics_port)
         self._started_ms = _wall_ms()
         self._clock = clock_lib.MonotonicClock()
         self._metrics = metrics_lib.Registry()
@@ -221,7 +222,7 @@
     def _reload(self) -> None:
         """Reads the settings again; addresses stay as they are."""
         try:
-            new = platform_settings.load(self._path)
+            new = platform_settings.load(self._path, self._metrics_port)
         except platform_settings.SettingsError as exc:
             _log.error("settings not reloaded", detail=exc.message)
             return
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,17 @@
     assert cfg.partitions_per_topic == 4
 
 
+def test_metrics_have_the_port_that_the_operator_names(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against metrics at a port that changes with every deployment."""
+    path = tmp_path / "local.toml"
+    path.write_text(_FILE, encoding="utf-8")
+    assert settings.load(str(path)).admin_bind == "10.1.0.21:7361"
+    named = settings.load(str(path), metrics_port=9464)
+    assert named.admin_bind == "10.1.0.21:9464"
+
+
 @pytest.mark.parametrize(
     "text",
     ["", "node = 1", "not toml", _FILE.replace("parts = 4", "parts='x'")],
