Disturb connections between gateways, clocks and limits in the soak

Cause: the soak disturbed only the ways to the store, no clock, and no customer was at its limit, so three promises could not fail there.

--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -16,9 +16,10 @@
 from devtools import deployment
 
 KEY = "secret-kaje"
+LIMITED = "neema"
+LIMITED_KEY = "secret-neema"
 HOST = "h.example"
 SERVICE = "sabeel-lm"
-_READY_S = 20.0
 
 
 def free_ports(count: int) -> list[int]:
@@ -60,7 +61,9 @@
         replicas: Number of replicas.
         events: Events of each stream.
         step_ms: Time between events.
-        rate: Requests a second of the customer.
+        rate: Requests a second of the customer, 0 for no limit.
+        limited_rate: The same, and the burst, of a second customer.
+        ready_s: Longest time until all gateways are ready.
     """
 
     gateways: int = 3
@@ -68,15 +71,24 @@
     events: int = 8
     step_ms: float = 10.0
     rate: float = 0.0
+    limited_rate: float = 10.0
+    ready_s: float = 20.0
 
 
 class Gateway:
-    """One gateway process; it can be killed and started again."""
+    """One gateway process; it can be killed and started again.
+
+    Attributes:
+        command: The program and its first arguments.
+        options: Options of each start.
+    """
 
     def __init__(
         self, name: str, zone: str, store: str, log_dir: pathlib.Path
     ) -> None:
         self.name = name
+        self.command = [sys.executable, "-m", "lacewingwood"]
+        self.options: list[str] = []
         front, ready, control, first = free_ports(4)
         self.address = f"127.0.0.1:{front}"
         self.ready_address = f"127.0.0.1:{ready}"
@@ -103,10 +115,10 @@
 
     def start(self) -> None:
         """Starts the process."""
-        command = [sys.executable, "-m", "lacewingwood", "gateway"]
+        command = [*self.command, "gateway", "--config", str(self._settings)]
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [*command, "--config", str(self._settings)],
+                [*command, *self.options],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
@@ -169,17 +181,28 @@
         self.replicas.append(replica)
         return replica
 
-    def add_gateway(self, name: str, zone: str, store: str = "") -> Gateway:
-        """Starts one more gateway, which may have a way to the store."""
+    def make_gateway(self, name: str, zone: str, store: str = "") -> Gateway:
+        """Adds a gateway that isn't started yet.
+
+        Args:
+            name: Its host.
+            zone: Its zone.
+            store: Where it reaches the store, if not directly.
+        """
         store = store or self.store_address
         gateway = Gateway(name, zone, store, self._log_dir)
-        gateway.start()
         self.gateways.append(gateway)
         return gateway
 
+    def add_gateway(self, name: str, zone: str) -> Gateway:
+        """Starts one more gateway."""
+        gateway = self.make_gateway(name, zone)
+        gateway.start()
+        return gateway
+
     def wait_ready(self) -> None:
         """Waits until all gateways that run are ready."""
-        limit = time.monotonic() + _READY_S
+        limit = time.monotonic() + self.shape.ready_s
         for gateway in self.gateways:
             while gateway.running and not gateway.ready():
                 if time.monotonic() > limit:
@@ -222,7 +245,13 @@
                     "api_keys": list(keys),
                     "rate_per_s": self.shape.rate,
                     "burst": self.shape.rate,
-                }
+                },
+                {
+                    "name": LIMITED,
+                    "api_keys": [LIMITED_KEY],
+                    "rate_per_s": self.shape.limited_rate,
+                    "burst": self.shape.limited_rate,
+                },
             ],
         }
         body = json.dumps(document).encode()
--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -61,16 +61,25 @@
     metrics_port: Annotated[
         int, cyclopts.Parameter(help="Port of metrics and state dump.")
     ] = 0,
+    peer_address: Annotated[
+        str,
+        cyclopts.Parameter(help="Where other gateways reach this one."),
+    ] = "",
 ) -> None:
     """Runs a gateway process: routed requests and batch jobs.
 
     Without `--config`, LACEWINGWOOD_CONFIG names the settings file. Without
     `--metrics-port`, it is the second port that the file leaves to gateways.
+    `--peer-address` is for a gateway that others reach through a proxy.
     """
     from lacewingwood.platform import settings as files  # noqa: PLC0415
     from lacewingwood.roles import gateway as role  # noqa: PLC0415
 
-    role.run(config or files.default_path(), metrics_port)
+    role.run(
+        lambda: files.load(
+            config or files.default_path(), metrics_port, peer_address
+        )
+    )
 
 
 def main() -> None:
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -64,13 +64,17 @@
     bounds: _Bounds = _Bounds()
 
 
-def load(path: str, metrics_port: int = 0) -> settings.GatewaySettings:
+def load(
+    path: str, metrics_port: int = 0, peer_address: str = ""
+) -> settings.GatewaySettings:
     """Reads a settings file.
 
     Args:
         path: The file.
         metrics_port: Port of metrics and state dump; 0 for the second port
             that the file leaves to the gateways.
+        peer_address: Where other gateways reach this one, empty for the
+            address that it listens at.
 
     Raises:
         SettingsError: It can't be read, or a value is missing or malformed.
@@ -79,7 +83,7 @@
         with open(path, "rb") as file:
             raw = tomllib.load(file)
         file_ = msgspec.convert(raw, _File, strict=False)
-        return _translate(file_, metrics_port)
+        return _translate(file_, metrics_port, peer_address)
     except (OSError, tomllib.TOMLDecodeError) as exc:
         raise SettingsError(f"{path}: {exc}") from exc
     except msgspec.ValidationError as exc:
@@ -91,18 +95,22 @@
     return str(environ.get(ENV, ""))
 
 
-def _translate(file: _File, metrics_port: int) -> settings.GatewaySettings:
+def _translate(
+    file: _File, metrics_port: int, peer_address: str
+) -> settings.GatewaySettings:
     store, bounds = file.platform_settings, file.bounds
     first_port = file.port_range[0] if file.port_range else 0
+    # `control` names a role for outside callers, but nobody calls it: its
+    # address serves as the peers' listener since `seeds` lists it.
+    peer_bind = file.listen.control or f"{file.ip}:{first_port}"
     return settings.GatewaySettings(
         host=file.node,
         zone=file.zone,
         region=file.region,
         bind=file.listen.front,
         ready_bind=file.listen.ready,
-        # `control` names a role for outside callers, but nobody calls it:
-        # its address serves as the peers' listener since `seeds` lists it.
-        peer_bind=file.listen.control or f"{file.ip}:{first_port}",
+        peer_bind=peer_bind,
+        peer_address=peer_address or peer_bind,
         admin_bind=f"{file.ip}:{metrics_port or first_port + 1}",
         seeds=file.seeds,
         store_address=store.address,
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -55,21 +55,22 @@
 # Time before SIGKILL that is kept for leaving.
 _LEAVE_MS = 700.0
 
+LoadSettings = Callable[[], settings.GatewaySettings]
+
 _log = structlog.get_logger()
 
 
-def run(path: str, metrics_port: int = 0) -> None:
+def run(load_settings: LoadSettings) -> None:
     """Runs a gateway until it is told to stop."""
-    trio.run(Gateway(path, metrics_port).run)
+    trio.run(Gateway(load_settings).run)
 
 
 class Gateway:
     """The parts of a gateway process and how they depend on each other."""
 
-    def __init__(self, path: str, metrics_port: int = 0) -> None:
-        self._path = path
-        self._metrics_port = metrics_port
-        self._cfg = cfg = platform_settings.load(path, metrics_port)
+    def __init__(self, load_settings: LoadSettings) -> None:
+        self._load_settings = load_settings
+        self._cfg = cfg = load_settings()
         self._started_ms = _wall_ms()
         self._clock = clock_lib.MonotonicClock()
         self._metrics = metrics_lib.Registry()
@@ -222,7 +223,7 @@
     def _reload(self) -> None:
         """Reads the settings again; addresses stay as they are."""
         try:
-            new = platform_settings.load(self._path, self._metrics_port)
+            new = self._load_settings()
         except platform_settings.SettingsError as exc:
             _log.error("settings not reloaded", detail=exc.message)
             return
@@ -341,7 +342,7 @@
         presence = presence_lib.Presence(
             cfg.host,
             cfg.zone,
-            cfg.peer_bind,
+            cfg.peer_address,
             cfg.seeds,
             self._store,
             self._network,
@@ -423,7 +424,7 @@
     def _report(self) -> gateway_messages.GatewayReport:
         return gateway_messages.GatewayReport(
             host=self._cfg.host,
-            address=self._cfg.peer_bind,
+            address=self._cfg.peer_address,
             started_ms=self._started_ms,
             version=self._published.version,
             running=self._fleet.own_counts(),
--- a/lacewingwood/settings.py
+++ b/lacewingwood/settings.py
@@ -170,6 +170,7 @@
         bind: Listener for callers, IP:PORT.
         ready_bind: Listener for the balancer's readiness checks.
         peer_bind: Listener for other gateways.
+        peer_address: Where other gateways reach this one.
         admin_bind: Listener for health, metrics and dumps.
         seeds: Peer listeners that may answer when the store does not.
         store_address: The platform's store, IP:PORT.
@@ -192,6 +193,7 @@
     bind: str = "127.0.0.1:0"
     ready_bind: str = "127.0.0.1:0"
     peer_bind: str = "127.0.0.1:0"
+    peer_address: str = "127.0.0.1:0"
     admin_bind: str = "127.0.0.1:0"
     seeds: list[str] = dataclasses.field(default_factory=list)
     store_address: str = ""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
 from devtools import fleet as fleets
 from soak import checks
 
+_KEYS = {"kaje": fleets.KEY, fleets.LIMITED: fleets.LIMITED_KEY}
 _HEADERS = {"Host": fleets.HOST, "Authorization": f"Bearer {fleets.KEY}"}
 _TIMEOUT_S = 6.0
 _JOB_PAUSE_S = 0.6
@@ -38,7 +39,7 @@
         self._events = events
         self._number = 0
 
-    async def send_streams(self) -> None:
+    async def send_streams(self, customer: str = "kaje") -> None:
         """Sends streams one after another until cancelled."""
         while True:
             gateway = self._rng.choice(self._fleet.gateways)
@@ -47,7 +48,9 @@
             path = self._rng.choice(("/s/x", "/s/x", "/o/x"))
             with trio.CancelScope(shield=True):
                 sent = await trio.to_thread.run_sync(
-                    functools.partial(_send_kept, gateway.address, path, names)
+                    functools.partial(
+                        _send_kept, gateway.address, path, names, customer
+                    )
                 )
             for request in sent:
                 self.sent.append(request)
@@ -132,14 +135,16 @@
     }
 
 
-def _send_kept(address: str, path: str, names: list[str]) -> list[checks.Sent]:
+def _send_kept(
+    address: str, path: str, names: list[str], customer: str
+) -> list[checks.Sent]:
     """Sends requests over one connection until it ends."""
     host, _, port = address.rpartition(":")
     conn = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
     sent = []
     try:
         for name in names:
-            sent.append(_send_one(conn, path, name))
+            sent.append(_send_one(conn, path, name, customer))
             if not sent[-1].whole:
                 break
     finally:
@@ -148,17 +153,26 @@
 
 
 def _send_one(
-    conn: http.client.HTTPConnection, path: str, name: str
+    conn: http.client.HTTPConnection, path: str, name: str, customer: str
 ) -> checks.Sent:
-    headers = {**_HEADERS, "Request-Id": name, "Deadline-Ms": "5000"}
+    headers = {
+        "Host": fleets.HOST,
+        "Authorization": f"Bearer {_KEYS[customer]}",
+        "Request-Id": name,
+        "Deadline-Ms": "5000",
+    }
     status, body = 0, b""
+
+    def seen(body: bytes, whole: bool) -> checks.Sent:
+        return checks.Sent(name, path, status, body, whole, customer)
+
     try:
         conn.request("POST", path, b"{}", headers)
         response = conn.getresponse()
         status = response.status
         body = response.read()
     except http.client.IncompleteRead as exc:
-        return checks.Sent(name, path, status, exc.partial, False)
+        return seen(exc.partial, False)
     except (TimeoutError, *_PARTIAL):
-        return checks.Sent(name, path, status, body, False)
-    return checks.Sent(name, path, status, body, True)
+        return seen(body, False)
+    return seen(body, True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """The promises that the soak checks, from what callers and replicas saw."""
 
+import bisect
 import collections
 import dataclasses
 from collections.abc import Iterable
@@ -90,6 +91,30 @@
     return broken
 
 
+def check_rate(
+    runs: Iterable[dict[str, Any]],
+    customer: str,
+    most: float,
+    window_s: float = 5.0,
+) -> list[str]:
+    """Checks that no window has more than so many requests of a customer."""
+    first: dict[str, float] = {}
+    for run in runs:
+        if run["customer"] == customer:
+            at = first.get(run["request_id"], run["at"])
+            first[run["request_id"]] = min(at, run["at"])
+    times = sorted(first.values())
+    counts = [
+        bisect.bisect(times, at + window_s) - n for n, at in enumerate(times)
+    ]
+    worst = max(counts, default=0)
+    if worst <= most:
+        return []
+    return [
+        f"QUOTA {customer}: {worst} in {window_s:.0f} s, at most {most:.0f}"
+    ]
+
+
 def check_read(
     job: JobSeen, start: int, results: list[dict[str, str]], events: int
 ) -> list[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws and applies faults: signals, connections, store and replicas."""
 
 import dataclasses
+import pathlib
 import random
 import signal
 
@@ -24,7 +25,8 @@
 
     Attributes:
         fleet: The fleet.
-        ways: Each gateway's way to the store.
+        ways: Each gateway's way to the store, and the others' ways to it.
+        clocks: Files with the offsets of the gateways' clocks.
         rng: Decides what happens when.
         log: What was done, for the report.
         stopping: Gateways that were told to stop; their callers may be cut
@@ -33,6 +35,7 @@
 
     fleet: fleets.Fleet
     ways: list[proxies.Proxy]
+    clocks: list[pathlib.Path]
     rng: random.Random
     log: list[str] = dataclasses.field(default_factory=list)
 
@@ -51,6 +54,8 @@
                 self._stop,
                 self._pause,
                 self._cut,
+                self._cut,
+                self._step_clock,
                 self._disturb_store,
                 self._forget,
                 self._deal,
@@ -94,6 +99,14 @@
         finally:
             way.set_mode(proxies.Mode.PASS)
 
+    async def _step_clock(self) -> None:
+        clock = self.rng.choice(self.clocks)
+        clock.write_text(str(self.rng.choice((-2_000, 2_000))))
+        try:
+            await trio.sleep(self.rng.uniform(0.3, 4.0))
+        finally:
+            clock.write_text("0")
+
     async def _disturb_store(self) -> None:
         fault = self.rng.choice(
             (
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -105,3 +105,12 @@
     refused = checks.JobSeen("j", ["a"])
     assert _names(checks.check_jobs([refused], [_run("a")])) == {"REFUSED"}
     assert not checks.check_jobs([refused], [])
+
+
+def test_more_than_the_agreed_rate_is_noticed() -> None:
+    """Guards against a check of rates that can't fail."""
+    runs = [_run(f"r{n}", at=n * 0.4) for n in range(20)]
+    again = [_run("r0", at=0.1)]
+    assert not checks.check_rate(runs + again, "kaje", 13)
+    assert _names(checks.check_rate(runs, "kaje", 12)) == {"QUOTA"}
+    assert not checks.check_rate(runs, "other", 0)
