Move what gateways take from each other out of the role

Change: state/peer_copy.py asks peers for configuration, replicas and levels and answers them; the role only wires it.

--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -37,6 +37,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.state import peer_copy
 from lacewingwood.state import published
 
 # A read waits this long for a change, and is sent again after this pause;
@@ -48,7 +49,6 @@
 _UPKEEP_MS = 250.0
 _FLUSH_MS = 200.0
 _PEER_TIMEOUT_MS = 500.0
-_FETCH_PAUSE_MS = 400.0
 # The balancer notices after two missed checks, one a second; new connections
 # come until then.
 _DRAIN_MS = 2_300.0
@@ -97,6 +97,16 @@
         )
         self._presence = self._make_presence()
         self._followers = self._make_followers()
+        self._peer_copy = peer_copy.PeerCopy(
+            self._published,
+            self._replica_list,
+            self._fleet,
+            self._limits,
+            self._presence,
+            self._network,
+            self._clock,
+            self._metrics,
+        )
         self._replicas = replica_client.Replicas()
         replicas = self._replicas
         self._scheduler = schedulers.Scheduler(
@@ -147,9 +157,6 @@
         self._dispatcher.on_change = self._presence.note_change
         self._dispatcher.counts_lag = lambda: self._presence.zoned
         self._published.on_change = self._take_configuration
-        self._network.handle(
-            gateway_messages.FetchConfiguration, self._handle_fetch
-        )
         self._add_gauges()
 
     async def run(self) -> None:
@@ -168,7 +175,7 @@
             nursery.start_soon(self._scheduler.run)
             nursery.start_soon(self._ownership.run)
             nursery.start_soon(self._do_upkeep)
-            nursery.start_soon(self._follow_peers)
+            nursery.start_soon(self._peer_copy.run)
             nursery.start_soon(self._leave)
             await self._serve()
             with trio.move_on_after(_LEAVE_MS / 1000):
@@ -252,55 +259,6 @@
             await self._replicas.keep_only(listed)
             await self._clock.sleep_ms(_UPKEEP_MS)
 
-    async def _follow_peers(self) -> None:
-        """Takes from peers what this process does not know, or not yet."""
-        while True:
-            await self._clock.sleep_ms(_FETCH_PAUSE_MS)
-            for address in self._addresses_ahead():
-                if await self._fetch_from(address):
-                    break
-
-    def _addresses_ahead(self) -> list[str]:
-        version = self._published.version
-        if not version or not self._limits.levels_known:
-            return self._presence.addresses()
-        return [
-            peer.address
-            for peer in self._presence.heard()
-            if peer.version > version
-        ]
-
-    async def _fetch_from(self, address: str) -> bool:
-        try:
-            answer = await self._network.call(
-                address, gateway_messages.FetchConfiguration(), _PEER_TIMEOUT_MS
-            )
-        except peer_errors.PeerError as exc:
-            self._metrics.add("configuration_fetches_failed", code=exc.code)
-            return False
-        if not isinstance(answer, gateway_messages.ConfigurationCopy):
-            return False
-        if not self._fleet.directory.replicas():
-            entries = [
-                compacted.Record(replica_id, value)
-                for replica_id, value in answer.replicas.items()
-            ]
-            self._replica_list.apply(entries)
-        if answer.document:
-            self._published.take(answer.document, "peer")
-        if self._published.current is not None and answer.levels:
-            self._limits.take_levels(answer.levels, self._clock.now_ms())
-        return True
-
-    async def _handle_fetch(
-        self, request: gateway_messages.FetchConfiguration
-    ) -> gateway_messages.ConfigurationCopy:
-        return gateway_messages.ConfigurationCopy(
-            self._published.document,
-            self._replica_list.entries,
-            self._limits.levels(),
-        )
-
     def _make_followers(self) -> list[follow.Follower]:
         def make(
             partition: compacted.Partition,
--- /dev/null
+++ b/lacewingwood/state/peer_copy.py
@@ -0,0 +1,105 @@
+"""Takes from other gateways what the log has not told this one yet."""
+
+from collections.abc import Iterable
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.limits import shared
+from lacewingwood.log import compacted
+from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import gateway_messages
+from lacewingwood.peers import network as network_lib
+from lacewingwood.peers import presence as presence_lib
+from lacewingwood.routing import load
+from lacewingwood.state import published as published_lib
+
+# A gateway that answers at all does so within some ms; the next one is asked
+# well within the time in which a configuration must be in force.
+_TIMEOUT_MS = 500.0
+_PAUSE_MS = 400.0
+
+
+class PeerCopy:
+    """Configuration, replicas and levels of limits, to and from peers."""
+
+    __slots__ = (
+        "_clock",
+        "_fleet",
+        "_limits",
+        "_metrics",
+        "_network",
+        "_presence",
+        "_published",
+        "_replicas",
+    )
+
+    def __init__(
+        self,
+        published: published_lib.Published,
+        replicas: published_lib.ReplicaList,
+        fleet: load.Fleet,
+        limits: shared.SharedLimits,
+        presence: presence_lib.Presence,
+        network: network_lib.Network,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Registry,
+    ) -> None:
+        self._published = published
+        self._replicas = replicas
+        self._fleet = fleet
+        self._limits = limits
+        self._presence = presence
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+        network.handle(gateway_messages.FetchConfiguration, self._answer)
+
+    async def run(self) -> None:
+        """Asks peers that know more, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_PAUSE_MS)
+            for address in self._addresses_ahead():
+                if await self._fetch_from(address):
+                    break
+
+    def _addresses_ahead(self) -> Iterable[str]:
+        version = self._published.version
+        if not version or not self._limits.levels_known:
+            return self._presence.addresses()
+        return [
+            peer.address
+            for peer in self._presence.heard()
+            if peer.version > version
+        ]
+
+    async def _fetch_from(self, address: str) -> bool:
+        try:
+            answer = await self._network.call(
+                address, gateway_messages.FetchConfiguration(), _TIMEOUT_MS
+            )
+        except peer_errors.PeerError as exc:
+            self._metrics.add("configuration_fetches_failed", code=exc.code)
+            return False
+        if not isinstance(answer, gateway_messages.ConfigurationCopy):
+            return False
+        if not self._fleet.directory.replicas():
+            self._replicas.apply(
+                [
+                    compacted.Record(replica_id, value)
+                    for replica_id, value in answer.replicas.items()
+                ]
+            )
+        if answer.document:
+            self._published.take(answer.document, "peer")
+        if self._published.current is not None and answer.levels:
+            self._limits.take_levels(answer.levels, self._clock.now_ms())
+        return True
+
+    async def _answer(
+        self, request: gateway_messages.FetchConfiguration
+    ) -> gateway_messages.ConfigurationCopy:
+        return gateway_messages.ConfigurationCopy(
+            self._published.document,
+            self._replicas.entries,
+            self._limits.levels(),
+        )
