--- a/lacewingwood/logs.py
+++ b/lacewingwood/logs.py
@@ -140,10 +140,15 @@
 def configure_bounded(**fields: Any) -> Writer:
     """Sets up bounded logs on standard output; the caller flushes them."""
     writer = Writer(sys.stdout.fileno())
-    _configure(lambda *args: _Logger(writer), fields)
+    configure_writer(writer, **fields)
     return writer
 
 
+def configure_writer(writer: Writer, **fields: Any) -> None:
+    """Makes all logs go through a writer."""
+    _configure(lambda *args: _Logger(writer), fields)
+
+
 def _configure(factory: Callable[..., Any], fields: dict[str, Any]) -> None:
     structlog.configure(
         processors=[
