Report through hubs in large zones

Cause: in a zone of 19 gateways each reported to 18 others up to 4 times a second and heard 76 reports and 24 digests a second: with 2 hubs passing on, 8 and 13 messages.

Change: peers/hubs.py chooses two hubs of the zone, the first by host that answer; a hub passes on what is new to it, digests go from hubs to hubs. peers/roster.py is what was known of other gateways in presence.

--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -8,8 +8,6 @@
 import lacewingwood
 from lacewingwood import errors
 from lacewingwood import settings
-from lacewingwood.cli import explain
-from lacewingwood.cli import operator
 
 _EXIT_FAILURE = 1
 _EXIT_USAGE = 2
@@ -24,17 +22,12 @@
 # take only the log's address from there: on a host whose environment is that
 # of an entry, a variable meant for it must not change what is published.
 _ROLE_CONFIG = cyclopts.config.Env(settings.ENV_PREFIX, command=False)
-for _group in (
-    operator.customer_app,
-    operator.key_app,
-    operator.route_app,
-    operator.model_app,
-    operator.config_app,
-):
-    app.command(_group)
-app.command(operator.status)
-app.command(operator.dump)
-app.command(explain.explain)
+# Imported on use: a role must not wait for the client's modules at its start.
+for _name in ("customer", "key", "route", "model", "config"):
+    app.command(f"lacewingwood.cli.operator:{_name}_app", name=_name)
+for _name in ("status", "dump"):
+    app.command(f"lacewingwood.cli.operator:{_name}", name=_name)
+app.command("lacewingwood.cli.explain:explain", name="explain")
 
 
 @app.command(config=_ROLE_CONFIG)
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -21,6 +21,7 @@
         leaving: True if it stops.
         outcomes: How its requests ended lately at each replica; see
             `routing.outliers`.
+        serial: Its number among the reports of this process.
     """
 
     host: str
@@ -34,6 +35,7 @@
     waiting: int = 0
     leaving: bool = False
     outcomes: dict[str, tuple[int, int]] = {}
+    serial: int = 0
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -55,7 +57,7 @@
 
 
 class ZoneDigest(messages.Message, tag="zone_digest"):
-    """What one zone's gateways tell the others, passed on within a zone.
+    """What one zone's gateways tell the others.
 
     Attributes:
         zone: The zone that it is about.
@@ -65,7 +67,6 @@
         hosts: The zone's gateways that were heard lately.
         running: For each replica the zone's online requests and batch items.
         outcomes: How their requests ended lately at each replica.
-        passed_on: True if it was received by another gateway of this zone.
     """
 
     zone: str
@@ -75,7 +76,20 @@
     hosts: list[HostCounts]
     running: dict[str, tuple[int, int]]
     outcomes: dict[str, tuple[int, int]] = {}
-    passed_on: bool = False
+
+
+class ZoneReports(messages.Message, tag="zone_reports"):
+    """What a hub passes on within its zone.
+
+    Attributes:
+        hub: The hub's host.
+        reports: Reports that are new to it, its own included.
+        digests: The same of other zones' digests.
+    """
+
+    hub: str
+    reports: list[GatewayReport]
+    digests: list[ZoneDigest]
 
 
 class FetchConfiguration(messages.Message, tag="fetch_configuration"):
@@ -195,6 +209,7 @@
 AnyMessage = (
     GatewayReport
     | ZoneDigest
+    | ZoneReports
     | FetchConfiguration
     | ConfigurationCopy
     | JobRead
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -1,11 +1,10 @@
-"""Which gateways there are, and what they tell each other.
+"""Tells gateways of each other, and carries their reports.
 
-Gateways of a small fleet report to all others. In a larger one they report
-to those of their zone, and two of each zone send digests of it to the other
-zones, where their receivers pass them on.
+Gateways of a small fleet report to all others. In a larger one they report to
+hubs of their zone, which pass reports on within the zone and send digests of
+it to hubs of the other zones.
 """
 
-import dataclasses
 import random
 from collections.abc import Callable
 
@@ -20,37 +19,36 @@
 from lacewingwood.log import follow
 from lacewingwood.peers import digests
 from lacewingwood.peers import gateway_messages
+from lacewingwood.peers import hubs as hubs_lib
 from lacewingwood.peers import network as network_lib
+from lacewingwood.peers import roster as roster_lib
 
 GATEWAYS = compacted.Partition("gateways", 0)
 
-# Each gateway renews its entry at this interval, and is no longer counted
-# after three times that.
+# Each gateway renews its entry at this interval; two renewals may be lost
+# before `roster.ENTRY_TTL_MS` is over.
 _RENEW_MS = 3_000.0
-_ENTRY_TTL_MS = 3 * _RENEW_MS
 _READ_PAUSE_MS = 1_000.0
 _READ_WAIT_MS = 1_000.0
 _RETRY_MS = 500.0
-# Reports follow changes after this pause, which bounds their number; within the
-# zones of a large fleet it is longer, since 20 peers each send and receive.
+# Reports follow changes after this pause, which bounds their number.
 _REPORT_PAUSE_MS = 25.0
-_ZONE_REPORT_PAUSE_MS = 250.0
+# The same to hubs, and how often these pass on; counts may lag that much, since
+# requests choose among replicas at random.
+_HUB_REPORT_PAUSE_MS = 250.0
+_HUB_PAUSE_MS = 150.0
 # Gateways up to which all report to all.
 _MESH_LIMIT = 16
-# Gateways of a zone that send digests, and how often.
-_DIGEST_SENDERS = 2
 _DIGEST_PAUSE_MS = 500.0
+# Hubs of another zone that a digest may go to.
+_DIGEST_TARGETS = 2
 # Pause of reports and digests while a customer is at its limit: what others
 # admit meanwhile is more than it agreed to.
 _URGENT_PAUSE_MS = 80.0
 # A count that changed is repeated for this long, since digests can be lost.
 _DIGEST_REPEAT_MS = 2_000.0
-# A log that answered this long ago is reached; reads wait up to a second.
-_LOG_FRESH_MS = 1_600.0
 # A gateway without changes reports this often.
 _QUIET_REPORT_MS = 500.0
-# A peer that has not reported for this long is taken to be cut off or dead.
-_SILENCE_MS = 1_500.0
 
 _log = structlog.get_logger()
 
@@ -64,49 +62,19 @@
     renewal: int
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """Another gateway.
-
-    Attributes:
-        host: Its host.
-        address: Its peer listener.
-        zone: Its zone, empty while only reports are known.
-        started_ms: Unix time of its start.
-        entry_ms: When its entry was last seen to change.
-        report_ms: When its last report came.
-        report: Its last report, None before the first.
-        owned: Job partitions that it owns, with their epochs.
-        version: Version of its configuration.
-        changed: When each of its customers' counts was last seen to change.
-    """
-
-    host: str
-    address: str
-    zone: str = ""
-    started_ms: int = 0
-    entry_ms: float = float("-inf")
-    report_ms: float = float("-inf")
-    report: gateway_messages.GatewayReport | None = None
-    owned: dict[int, int] = dataclasses.field(default_factory=dict)
-    version: int = 0
-    changed: dict[str, float] = dataclasses.field(default_factory=dict)
-
-
 class Presence:
-    """The gateways and their reports.
+    """Announces a gateway and exchanges reports.
 
     Attributes:
+        roster: The other gateways.
         on_report: Called with each report of a peer.
         on_digest: Called with each digest of another zone.
-        on_silent: Called with the host of a peer that has gone silent.
         is_urgent: Returns whether counts must be told at once.
     """
 
     def __init__(
         self,
-        host: str,
-        zone: str,
+        roster: roster_lib.Roster,
         address: str,
         seeds: list[str],
         log: compacted.CompactedLog,
@@ -119,10 +87,9 @@
         """Makes the presence of a gateway, which `run` announces.
 
         Args:
-            host: This gateway's host.
-            zone: Its zone.
-            address: Its peer listener.
-            seeds: Peer listeners to try while the log shows none.
+            roster: The other gateways.
+            address: Where it takes messages of other gateways.
+            seeds: Addresses to try while the log shows no gateways.
             log: Where gateways have their entries.
             network: Carries the reports.
             make_report: Returns this gateway's report.
@@ -135,9 +102,9 @@
         self.on_digest: Callable[[gateway_messages.ZoneDigest], None]
         self.on_digest = lambda digest: None
         self.is_urgent: Callable[[], bool] = lambda: False
-        self.on_silent: Callable[[str], None] = lambda host: None
-        self._host = host
-        self._zone = zone
+        self.roster = roster
+        self._host = roster.host
+        self._zone = roster.zone
         self._address = address
         self._seeds = [seed for seed in seeds if seed != address]
         self._log = log
@@ -146,15 +113,19 @@
         self._clock = clock
         self._metrics = metrics
         self._started_ms = started_ms
-        self._peers: dict[str, Peer] = {}
         self._changed = trio.Event()
         self._leaving = False
-        self._serial = 0
+        self._hubs = hubs_lib.Hubs()
+        self._report_serial = self._digest_serial = 0
         # For each sender of digests its process, and the newest serial.
         self._newest_digests: dict[str, tuple[int, int]] = {}
+        # What this gateway as a hub has not passed on yet.
+        self._new_reports: dict[str, gateway_messages.GatewayReport] = {}
+        self._new_digests: dict[str, gateway_messages.ZoneDigest] = {}
         self._own_changed: dict[str, float] = {}
         self._own_admitted: dict[str, int] = {}
         network.handle(gateway_messages.GatewayReport, self._handle_report)
+        network.handle(gateway_messages.ZoneReports, self._handle_reports)
         network.handle(gateway_messages.ZoneDigest, self._handle_digest)
         self._follower = follow.Follower(
             log,
@@ -169,77 +140,12 @@
 
     @property
     def zoned(self) -> bool:
-        """True if reports stay within the zone since the fleet is large."""
-        return len(self._peers) >= _MESH_LIMIT
-
-    def heard(self) -> list[Peer]:
-        """Returns the peers that have reported lately."""
-        limit_ms = self._clock.now_ms() - _SILENCE_MS
-        return [p for p in self._peers.values() if p.report_ms >= limit_ms]
-
-    def is_near(self, host: str) -> bool:
-        """Returns whether a gateway is in this zone."""
-        peer = self._peers.get(host)
-        return peer is not None and peer.zone == self._zone
-
-    def share(self) -> float:
-        """Returns this part's share of all gateways that should be there."""
-        heard = len(self.heard()) + 1
-        limit_ms = self._clock.now_ms() - _ENTRY_TTL_MS
-        silence_ms = self._clock.now_ms() - _SILENCE_MS
-        silent = sum(
-            1
-            for peer in self._peers.values()
-            if peer.report_ms < silence_ms and peer.entry_ms >= limit_ms
-        )
-        return heard / (heard + silent)
-
-    def owner_at(self, partition: int) -> tuple[str, int] | None:
-        """Returns address and epoch of the peer that owns a partition.
-
-        Of several that believe so, the one with the greatest epoch.
-        """
-        best: tuple[str, int] | None = None
-        for peer in self.heard():
-            epoch = peer.owned.get(partition)
-            if epoch is not None and (best is None or epoch > best[1]):
-                best = peer.address, epoch
-        return best
-
-    def log_reachers(self) -> list[str]:
-        """Returns addresses of peers that the log answered lately."""
-        return [
-            peer.address
-            for peer in self.heard()
-            if peer.report is not None
-            and peer.report.log_age_ms < _LOG_FRESH_MS
-        ]
-
-    def log_lost(self) -> bool:
-        """Returns whether the log has not answered this gateway lately."""
-        return self._make_report().log_age_ms >= _LOG_FRESH_MS
-
-    def isolated(self) -> bool:
-        """Returns whether other gateways are known but none is heard."""
-        return bool(self._peers) and not self.heard()
-
-    def contenders(self) -> tuple[int, int]:
-        """Returns this gateway's place among those with waiting batch items.
-
-        That is its position in their order and their number.
-        """
-        hosts = [
-            peer.host
-            for peer in self.heard()
-            if peer.report is not None and peer.report.waiting
-        ]
-        return sum(host < self._host for host in hosts), len(hosts) + 1
+        """True if reports go through hubs since the fleet is large."""
+        return len(self.roster) >= _MESH_LIMIT
 
     def addresses(self) -> list[str]:
         """Returns peers to ask, those heard lately first."""
-        heard = [peer.address for peer in self.heard()]
-        known = [peer.address for peer in self._peers.values()]
-        return list(dict.fromkeys([*heard, *known, *self._seeds]))
+        return list(dict.fromkeys([*self.roster.addresses(), *self._seeds]))
 
     def note_change(self) -> None:
         """Makes a report go out soon."""
@@ -251,13 +157,14 @@
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._renew_entry)
             nursery.start_soon(self._report)
+            nursery.start_soon(self._pass_on)
             nursery.start_soon(self._send_digests)
             nursery.start_soon(self._watch_silence)
 
     async def leave(self) -> None:
         """Tells all others that this gateway stops."""
         self._leaving = True
-        self._send_report()
+        self._send_report([peer.address for peer in self._near()])
         try:
             await self._log.append(
                 GATEWAYS, [compacted.Record(self._host, None)]
@@ -284,185 +191,169 @@
             if record.key == self._host:
                 continue
             if record.value is None:
-                peer = self._peers.get(record.key)
-                if peer is not None:
-                    peer.entry_ms = float("-inf")
+                self.roster.note_removal(record.key)
                 continue
             try:
                 entry = msgspec.msgpack.decode(record.value, type=_Entry)
             except msgspec.MsgspecError:
                 self._metrics.add("gateway_entries_malformed")
                 continue
-            self._note_entry(record.key, entry)
-
-    def _note_entry(self, host: str, entry: _Entry) -> None:
-        peer = self._peers.get(host)
-        if peer is None:
-            peer = self._peers[host] = Peer(host, entry.address)
-            self._changed.set()
-        peer.address = entry.address
-        peer.zone = entry.zone
-        peer.started_ms = max(peer.started_ms, entry.started_ms)
-        peer.entry_ms = self._clock.now_ms()
+            if self.roster.note_entry(
+                record.key, entry.address, entry.zone, entry.started_ms
+            ):
+                self._changed.set()
 
     async def _report(self) -> None:
         while True:
             self._changed = trio.Event()
-            self._send_report()
+            self._send_report(self._report_targets())
             pause_ms = _REPORT_PAUSE_MS
             if self.zoned:
-                pause_ms = self._pause_ms(_ZONE_REPORT_PAUSE_MS)
+                pause_ms = self._pause_ms(_HUB_REPORT_PAUSE_MS)
             await self._clock.sleep_ms(pause_ms)
             with trio.move_on_after((_QUIET_REPORT_MS - pause_ms) / 1000):
                 await self._changed.wait()
 
     def _pause_ms(self, usual_ms: float) -> float:
-        return _URGENT_PAUSE_MS if self.is_urgent() else usual_ms
+        return min(usual_ms, _URGENT_PAUSE_MS) if self.is_urgent() else usual_ms
+
+    def _report_targets(self) -> list[str]:
+        """Returns the addresses that this gateway reports to."""
+        near = self._near()
+        if self.zoned:
+            by_host = {peer.host: peer.address for peer in near}
+            chosen = self._hubs.choose(by_host, self._clock.now_ms())
+            return [by_host[host] for host in chosen]
+        return [peer.address for peer in near] or self._seeds
+
+    def _send_report(self, addresses: list[str]) -> None:
+        report = self._own_report()
+        for address in set(addresses):
+            self._network.send(address, report)
 
-    def _send_report(self) -> None:
+    def _own_report(self) -> gateway_messages.GatewayReport:
+        self._report_serial += 1
         report = self._make_report()
-        report.leaving = self._leaving
-        targets = {peer.address for peer in self._near()} or set(self._seeds)
-        for address in targets:
-            self._network.send(address, report)
+        report.serial, report.leaving = self._report_serial, self._leaving
         now_ms = self._clock.now_ms()
         for customer, count in report.admitted.items():
             if self._own_admitted.get(customer) != count:
                 self._own_changed[customer] = now_ms
         self._own_admitted = report.admitted
+        return report
 
-    def _present(self) -> list[Peer]:
-        """Returns the peers that should be there."""
-        limit_ms = self._clock.now_ms() - _ENTRY_TTL_MS
-        return [
-            peer
-            for peer in self._peers.values()
-            if max(peer.entry_ms, peer.report_ms) >= limit_ms
-        ]
-
-    def _near(self) -> list[Peer]:
+    def _near(self) -> list[roster_lib.Peer]:
         """Returns the peers that reports are exchanged with."""
-        present = self._present()
+        present = self.roster.present()
         if not self.zoned:
             return present
-        return [peer for peer in present if peer.zone in ("", self._zone)]
+        return [peer for peer in present if self.roster.near(peer)]
+
+    async def _pass_on(self) -> None:
+        """Passes reports and digests on while others take this for a hub."""
+        while True:
+            await self._clock.sleep_ms(self._pause_ms(_HUB_PAUSE_MS))
+            reports = list(self._new_reports.values())
+            news = list(self._new_digests.values())
+            self._new_reports.clear()
+            self._new_digests.clear()
+            subscribers = self._subscribers()
+            if not subscribers:
+                continue
+            message = gateway_messages.ZoneReports(
+                self._host, [self._own_report(), *reports], news
+            )
+            for address in subscribers:
+                self._network.send(address, message)
+
+    def _subscribers(self) -> list[str]:
+        """Returns the addresses of those that take this gateway for a hub."""
+        hosts = self._hubs.subscribers(self._clock.now_ms())
+        peers = [self.roster.get(host) for host in hosts]
+        return [peer.address for peer in peers if peer is not None]
 
     async def _send_digests(self) -> None:
         while True:
             await self._clock.sleep_ms(self._pause_ms(_DIGEST_PAUSE_MS))
-            if self._sends_digests():
+            if self.zoned and not self._leaving and self._subscribers():
                 self._send_digest()
 
-    def _sends_digests(self) -> bool:
-        """Returns whether this gateway speaks for its zone."""
-        if not self.zoned or self._leaving:
-            return False
-        near = [p.host for p in self.heard() if p.zone in ("", self._zone)]
-        return self._host in sorted([*near, self._host])[:_DIGEST_SENDERS]
-
     def _send_digest(self) -> None:
         digest = self._make_digest()
-        zones: dict[str, list[Peer]] = {}
-        for peer in self._present():
-            if peer.zone not in ("", self._zone):
+        zones: dict[str, list[roster_lib.Peer]] = {}
+        heard = {peer.host for peer in self.roster.heard()}
+        for peer in self.roster.present():
+            if not self.roster.near(peer):
                 zones.setdefault(peer.zone, []).append(peer)
         for peers in zones.values():
-            self._network.send(random.choice(peers).address, digest)
+            # Those that were heard first, then by host: likely hubs.
+            peers.sort(key=lambda peer: (peer.host not in heard, peer.host))
+            target = random.choice(peers[:_DIGEST_TARGETS])
+            self._network.send(target.address, digest)
 
     def _make_digest(self) -> gateway_messages.ZoneDigest:
         limit_ms = self._clock.now_ms() - _DIGEST_REPEAT_MS
-        reports = [(self._make_report(), self._own_changed)]
-        for peer in self.heard():
-            if peer.report is not None and peer.zone in ("", self._zone):
+        reports = [(self._own_report(), self._own_changed)]
+        for peer in self.roster.heard():
+            if peer.report is not None and self.roster.near(peer):
                 reports.append((peer.report, peer.changed))
-        self._serial += 1
+        self._digest_serial += 1
         return digests.make(
             self._zone,
             self._host,
             self._started_ms,
-            self._serial,
+            self._digest_serial,
             reports,
             limit_ms,
         )
 
-    async def _handle_digest(self, digest: gateway_messages.ZoneDigest) -> None:
-        if digest.zone == self._zone:
-            return
-        if not digest.passed_on:
-            digest.passed_on = True
-            for peer in self._near():
-                self._network.send(peer.address, digest)
-        newest = self._newest_digests.get(digest.sender)
-        if (
-            newest
-            and newest[0] == digest.started_ms
-            and (newest[1] >= digest.serial)
-        ):
-            return
-        self._newest_digests[digest.sender] = digest.started_ms, digest.serial
-        now_ms = self._clock.now_ms()
-        for counts in digest.hosts:
-            known = self._peers.get(counts.host)
-            if known is None or self._is_outdated(known, counts.started_ms):
-                continue
-            known.started_ms = counts.started_ms
-            known.owned, known.version = counts.owned, counts.version
-            known.report_ms = now_ms
-        self.on_digest(digest)
-
     async def _handle_report(
         self, report: gateway_messages.GatewayReport
     ) -> None:
-        if report.host == self._host:
-            return
-        peer = self._peers.get(report.host)
-        if peer is None:
-            peer = self._peers[report.host] = Peer(report.host, report.address)
-        if self._is_outdated(peer, report.started_ms):
-            return
-        if self._is_silent(peer):
-            _log.info("peer heard", peer=report.host, address=report.address)
-        now_ms = self._clock.now_ms()
-        before = peer.report.admitted if peer.report else {}
-        for customer, count in report.admitted.items():
-            if before.get(customer) != count:
-                peer.changed[customer] = now_ms
-        peer.address = report.address
-        peer.started_ms = report.started_ms
-        peer.report = report
-        peer.owned, peer.version = report.owned, report.version
-        peer.report_ms = now_ms
         if report.leaving:
-            peer.entry_ms = peer.report_ms = float("-inf")
-            peer.report = None
-            peer.owned = {}
-            self.on_silent(peer.host)
-            _log.info("peer left", peer=report.host)
-            return
-        self.on_report(report)
+            self._hubs.unsubscribe(report.host)
+        elif self.zoned:
+            self._hubs.subscribe(report.host, self._clock.now_ms())
+        self._take_report(report)
 
-    def _is_outdated(self, peer: Peer, started_ms: int) -> bool:
-        """Returns whether a message is of a process that ran there before.
+    async def _handle_reports(
+        self, message: gateway_messages.ZoneReports
+    ) -> None:
+        self._hubs.note_heard(message.hub, self._clock.now_ms())
+        for report in message.reports:
+            self._take_report(report)
+        for digest in message.digests:
+            self._take_digest(digest)
+
+    def _take_report(self, report: gateway_messages.GatewayReport) -> None:
+        if not self.roster.note_report(report):
+            return
+        self._new_reports[report.host] = report
+        if not report.leaving:
+            self.on_report(report)
 
-        An earlier start than that of a silent one means a clock set back.
-        """
-        return started_ms < peer.started_ms and not self._is_silent(peer)
+    async def _handle_digest(self, digest: gateway_messages.ZoneDigest) -> None:
+        """Takes a digest; a gateway that is no hub passes it on to hubs."""
+        if self._take_digest(digest) and not self._subscribers():
+            for address in self._report_targets():
+                self._network.send(address, digest)
 
-    def _is_silent(self, peer: Peer) -> bool:
-        return self._clock.now_ms() - peer.report_ms > _SILENCE_MS
+    def _take_digest(self, digest: gateway_messages.ZoneDigest) -> bool:
+        """Takes a digest over; returns False if it is none of news."""
+        newest = self._newest_digests.get(digest.sender)
+        if digest.zone == self._zone or (
+            newest is not None
+            and newest[0] == digest.started_ms
+            and newest[1] >= digest.serial
+        ):
+            return False
+        self._newest_digests[digest.sender] = digest.started_ms, digest.serial
+        self._new_digests[digest.zone] = digest
+        self.roster.note_counts(digest.hosts)
+        self.on_digest(digest)
+        return True
 
     async def _watch_silence(self) -> None:
-        silent: set[str] = set()
         while True:
-            await self._clock.sleep_ms(_SILENCE_MS / 3)
-            for peer in self._peers.values():
-                if not self._is_silent(peer):
-                    silent.discard(peer.host)
-                elif peer.host not in silent:
-                    silent.add(peer.host)
-                    if peer.report is not None:
-                        age_ms = self._clock.now_ms() - peer.report_ms
-                        _log.warning(
-                            "peer lost", peer=peer.host, age_ms=round(age_ms)
-                        )
-                        self.on_silent(peer.host)
+            await self._clock.sleep_ms(roster_lib.SILENCE_MS / 3)
+            self.roster.check_silence()
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -29,6 +29,7 @@
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
+from lacewingwood.peers import roster as roster_lib
 from lacewingwood.platform import documents
 from lacewingwood.platform import ingress
 from lacewingwood.platform import replicas as replica_client
@@ -95,6 +96,9 @@
             self._clock,
             directory.silence_of_outage_ms(cfg.heartbeat_ms),
         )
+        self._roster = roster_lib.Roster(
+            cfg.host, cfg.zone, self._clock, self._log_age_ms
+        )
         self._presence = self._make_presence()
         self._followers = self._make_followers()
         self._peer_copy = peer_copy.PeerCopy(
@@ -115,7 +119,7 @@
                 self._dispatcher, replicas, self._clock, self._metrics
             ),
             self._find_route,
-            self._presence.contenders,
+            self._roster.contenders,
             self._clock,
             _wall_ms,
             self._metrics,
@@ -126,7 +130,7 @@
             cfg.host,
             partitions,
             self._make_owner,
-            self._presence.owner_at,
+            self._roster.owner_at,
             self._hand_over,
             self._clock,
             self._metrics,
@@ -137,7 +141,7 @@
             partitions,
             self._ownership,
             self._network,
-            self._presence,
+            self._roster,
             self._clock,
             self._metrics,
             max_record_bytes=cfg.max_record_bytes,
@@ -254,7 +258,7 @@
             self._fleet.expire(now_ms)
             if self._fleet.directory.expire(now_ms):
                 self._fleet.refresh()
-            self._limits.share = self._presence.share()
+            self._limits.share = self._roster.share()
             listed = {r.listing.address for r in self._fleet.all()}
             await self._replicas.keep_only(listed)
             await self._clock.sleep_ms(_UPKEEP_MS)
@@ -298,8 +302,7 @@
     def _make_presence(self) -> presence_lib.Presence:
         cfg = self._cfg
         presence = presence_lib.Presence(
-            cfg.host,
-            cfg.zone,
+            self._roster,
             cfg.peer_address,
             cfg.seeds,
             self._store,
@@ -311,7 +314,7 @@
         )
         presence.on_report = self._take_report
         presence.on_digest = self._take_digest
-        presence.on_silent = self._fleet.forget
+        self._roster.on_silent = self._fleet.forget
         presence.is_urgent = self._limits.contended
         return presence
 
@@ -359,7 +362,7 @@
             report.running,
             now_ms,
             report.outcomes,
-            near=self._presence.is_near(report.host),
+            near=self._roster.is_near(report.host),
         )
         self._limits.note_report(
             report.host, report.started_ms, report.admitted, now_ms
@@ -416,7 +419,7 @@
         gauge("requests_waiting", lambda: self._dispatcher.waiting)
         gauge("items_waiting", lambda: self._scheduler.counts[0])
         gauge("items_running", lambda: self._scheduler.counts[1])
-        gauge("peers_heard", lambda: len(self._presence.heard()))
+        gauge("peers_heard", lambda: len(self._roster.heard()))
         gauge("configuration_version", lambda: self._published.version)
         gauge("log_lines_dropped", lambda: self._writer.dropped)
 
@@ -428,9 +431,7 @@
             "unready": self._unready(),
             "version": self._published.version,
             "share": self._limits.share,
-            "peers": {
-                peer.host: peer.address for peer in self._presence.heard()
-            },
+            "peers": {peer.host: peer.address for peer in self._roster.heard()},
             "owned": self._ownership.epochs(),
             "replicas": {
                 replica.listing.id: {
--- a/tests/peers/test_presence.py
+++ b/tests/peers/test_presence.py
@@ -8,6 +8,7 @@
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
+from lacewingwood.peers import roster as roster_lib
 from tests.jobs import fakes
 
 
@@ -36,9 +37,11 @@
         self.network = network_lib.Network(self.host, metrics, clock)
         await self.network.serve("127.0.0.1", 0)
         nursery.start_soon(self.network.run)
+        self.roster = roster_lib.Roster(
+            self.host, self.zone, clock, lambda: 0.0
+        )
         self.presence = presence_lib.Presence(
-            self.host,
-            self.zone,
+            self.roster,
             f"127.0.0.1:{self.network.port}",
             [],
             self.log,
@@ -49,7 +52,7 @@
             self.started_ms,
         )
         self.presence.on_report = self.heard.append
-        self.presence.on_silent = self.silent.append
+        self.roster.on_silent = self.silent.append
         self.presence.on_digest = self.digests.append
         nursery.start_soon(self.presence.run)
 
@@ -81,18 +84,18 @@
         await a.start(nursery)
         await b.start(nursery)
         await _until(lambda: a.heard and b.heard)
-        assert a.presence.share() == 1.0
+        assert a.roster.share() == 1.0
         a.running["r0"] = (2, 1)
         a.owned[4] = 7
         a.presence.note_change()
         await _until(lambda: b.heard[-1].running == {"r0": (2, 1)})
-        found = b.presence.owner_at(4)
+        found = b.roster.owner_at(4)
         assert found is not None
         assert found[1] == 7
         await a.presence.leave()
         await _until(lambda: b.silent == ["a"])
-        assert b.presence.owner_at(4) is None
-        assert b.presence.share() == 1.0
+        assert b.roster.owner_at(4) is None
+        assert b.roster.share() == 1.0
         nursery.cancel_scope.cancel()
 
 
@@ -107,7 +110,7 @@
             await _until(lambda: a.heard and b.heard)
             other.cancel_scope.cancel()
         await _until(lambda: a.silent == ["b"])
-        assert a.presence.share() == 0.5
+        assert a.roster.share() == 0.5
         nursery.cancel_scope.cancel()
 
 
@@ -121,7 +124,7 @@
     async with trio.open_nursery() as nursery:
         for node in nodes:
             await node.start(nursery)
-        await _until(lambda: all(len(n.presence.heard()) == 5 for n in nodes))
+        await _until(lambda: all(len(n.roster.heard()) == 5 for n in nodes))
         await trio.sleep(0.5)
         nodes[0].running["r0"] = (2, 0)
         nodes[1].running["r0"] = (1, 1)
@@ -144,7 +147,7 @@
             return counts.get("a1") == {"c": 7}
 
         await _until(told)
-        await _until(lambda: far.presence.owner_at(4) is not None)
+        await _until(lambda: far.roster.owner_at(4) is not None)
         assert all(r.host[0] == "a" for n in nodes[:3] for r in n.heard)
         nursery.cancel_scope.cancel()
 
@@ -153,7 +156,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a gateway ignored since its clock was set back."""
-    monkeypatch.setattr(presence_lib, "_SILENCE_MS", 150.0)
+    monkeypatch.setattr(roster_lib, "SILENCE_MS", 150.0)
     log = fakes.MemoryLog()
     a, b, again = Node("a", log), Node("b", log), Node("b", log)
     b.started_ms, again.started_ms = 5_000, 3_000
@@ -168,3 +171,59 @@
         await again.start(nursery)
         await _until(lambda: a.heard and a.heard[-1].started_ms == 3_000)
         nursery.cancel_scope.cancel()
+
+
+async def test_zone_goes_on_without_its_hubs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a zone that hears nothing when its hubs are gone."""
+    monkeypatch.setattr(presence_lib, "_MESH_LIMIT", 3)
+    log = fakes.MemoryLog()
+    nodes = [Node(f"a{n}", log, "a") for n in range(5)]
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as hubs:
+            for node in nodes:
+                await node.start(hubs if node.host < "a2" else nursery)
+            await _until(lambda: all(len(n.roster.heard()) == 4 for n in nodes))
+            hubs.cancel_scope.cancel()
+        rest = nodes[2:]
+        await _until(lambda: all(len(n.roster.heard()) == 2 for n in rest))
+        nodes[4].running["r0"] = (3, 0)
+        nodes[4].presence.note_change()
+        await _until(
+            lambda: any(r.running == {"r0": (3, 0)} for r in nodes[2].heard)
+        )
+        nursery.cancel_scope.cancel()
+
+
+async def test_messages_of_a_gateway_do_not_grow_with_its_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against reports from all to all in a large zone."""
+    monkeypatch.setattr(presence_lib, "_MESH_LIMIT", 3)
+    log = fakes.MemoryLog()
+    nodes = [Node(f"a{n}", log, "a") for n in range(8)]
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            await node.start(nursery)
+        await _until(lambda: all(len(n.roster.heard()) == 7 for n in nodes))
+        await trio.sleep(1)
+        sent: list[str] = []
+        last = nodes[-1]
+        send = last.network.send
+        monkeypatch.setattr(
+            last.network,
+            "send",
+            lambda address, message: (
+                sent.append(address)
+                or send(  # type: ignore[func-returns-value]
+                    address, message
+                )
+            ),
+        )
+        for _ in range(20):
+            last.presence.note_change()
+            await trio.sleep(0.05)
+        assert len(set(sent)) == 2
+        assert 2 <= len(sent) <= 12
+        nursery.cancel_scope.cancel()
