Wake idle gateways less often

Cause: an idle gateway woke some 100 times a second: timers of a hub that nobody reports to, a writer woken by each message that it had nothing to answer, logs and upkeep four and five times a second.

Change: hubs wait for their first subscriber; a connection's writer wakes only for protocol replies or queued messages; logs are flushed every 500 ms and upkeep runs every 400 ms.

--- a/lacewingwood/peers/connection.py
+++ b/lacewingwood/peers/connection.py
@@ -84,6 +84,8 @@
         self._deframer = wire.Deframer()
         self._stream_id: int | None = None
         self._outbox = bytearray()
+        # Frames of the protocol itself that wait to be written.
+        self._replies = b""
         self._wake = trio.Event()
         self._finishing = False
         self._finished = False
@@ -136,7 +138,9 @@
             self._liveness.received()
             for event in self._h2.receive_data(data):
                 self._take(event)
-            self._wake.set()
+            self._replies += self._h2.data_to_send()
+            if self._replies or self._outbox:
+                self._wake.set()
 
     def _take(self, event: h2.events.Event) -> None:
         match event:
@@ -185,7 +189,8 @@
         while not self._finished:
             self._wake = trio.Event()
             self._fill()
-            data = self._h2.data_to_send()
+            data = self._replies + self._h2.data_to_send()
+            self._replies = b""
             if data:
                 self._metrics.add("peer_bytes_sent", len(data))
                 await self._stream.send_all(data)
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -36,7 +36,7 @@
 # The same to hubs, and how often these pass on; counts may lag that much, since
 # requests choose among replicas at random.
 _HUB_REPORT_PAUSE_MS = 250.0
-_HUB_PAUSE_MS = 150.0
+_HUB_PAUSE_MS = 200.0
 # Gateways up to which all report to all.
 _MESH_LIMIT = 16
 _DIGEST_PAUSE_MS = 500.0
@@ -119,7 +119,9 @@
         self._report_serial = self._digest_serial = 0
         # For each sender of digests its process, and the newest serial.
         self._newest_digests: dict[str, tuple[int, int]] = {}
-        # What this gateway as a hub has not passed on yet.
+        # Set once others report to this gateway as a hub, and what it has not
+        # passed on to them yet.
+        self._subscribed = trio.Event()
         self._new_reports: dict[str, gateway_messages.GatewayReport] = {}
         self._new_digests: dict[str, gateway_messages.ZoneDigest] = {}
         self._own_changed: dict[str, float] = {}
@@ -157,8 +159,7 @@
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._renew_entry)
             nursery.start_soon(self._report)
-            nursery.start_soon(self._pass_on)
-            nursery.start_soon(self._send_digests)
+            nursery.start_soon(self._serve_as_hub)
             nursery.start_soon(self._watch_silence)
 
     async def leave(self) -> None:
@@ -249,22 +250,29 @@
             return present
         return [peer for peer in present if self.roster.near(peer)]
 
-    async def _pass_on(self) -> None:
-        """Passes reports and digests on while others take this for a hub."""
+    async def _serve_as_hub(self) -> None:
+        """Passes on what is new while others take this gateway for a hub."""
+        digest_ms = self._clock.now_ms()
         while True:
+            if not self._subscribers():
+                self._subscribed = trio.Event()
+                await self._subscribed.wait()
             await self._clock.sleep_ms(self._pause_ms(_HUB_PAUSE_MS))
-            reports = list(self._new_reports.values())
-            news = list(self._new_digests.values())
-            self._new_reports.clear()
-            self._new_digests.clear()
-            subscribers = self._subscribers()
-            if not subscribers:
-                continue
-            message = gateway_messages.ZoneReports(
-                self._host, [self._own_report(), *reports], news
-            )
-            for address in subscribers:
-                self._network.send(address, message)
+            self._pass_on()
+            now_ms = self._clock.now_ms()
+            if now_ms - digest_ms >= self._pause_ms(_DIGEST_PAUSE_MS):
+                digest_ms = now_ms
+                self._send_digest()
+
+    def _pass_on(self) -> None:
+        reports = [self._own_report(), *self._new_reports.values()]
+        message = gateway_messages.ZoneReports(
+            self._host, reports, list(self._new_digests.values())
+        )
+        self._new_reports.clear()
+        self._new_digests.clear()
+        for address in self._subscribers():
+            self._network.send(address, message)
 
     def _subscribers(self) -> list[str]:
         """Returns the addresses of those that take this gateway for a hub."""
@@ -272,12 +280,6 @@
         peers = [self.roster.get(host) for host in hosts]
         return [peer.address for peer in peers if peer is not None]
 
-    async def _send_digests(self) -> None:
-        while True:
-            await self._clock.sleep_ms(self._pause_ms(_DIGEST_PAUSE_MS))
-            if self.zoned and not self._leaving and self._subscribers():
-                self._send_digest()
-
     def _send_digest(self) -> None:
         digest = self._make_digest()
         zones: dict[str, list[roster_lib.Peer]] = {}
@@ -314,6 +316,7 @@
             self._hubs.unsubscribe(report.host)
         elif self.zoned:
             self._hubs.subscribe(report.host, self._clock.now_ms())
+            self._subscribed.set()
         self._take_report(report)
 
     async def _handle_reports(
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -47,8 +47,9 @@
 _CONFIGURATION_PAUSE_MS = 50.0
 _REPLICAS_WAIT_MS = 500.0
 _REPLICAS_PAUSE_MS = 300.0
-_UPKEEP_MS = 250.0
-_FLUSH_MS = 200.0
+# Each turn wakes an idle process, of which a deployment has hundreds.
+_UPKEEP_MS = 400.0
+_FLUSH_MS = 500.0
 _PEER_TIMEOUT_MS = 500.0
 # The balancer notices after two missed checks, one a second; new connections
 # come until then.
