Tell other gateways only what changed, and hear one hub and one digest

Change: a report holds the counts that changed in the last 2 s; the second hub is a standby that passes on at the digests' pace; of a zone's digests those of one sender are taken while it is heard.

--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -17,6 +17,9 @@
 # at most this many seconds of the rate.
 _MAX_DEBT_S = 2.0
 _MIN_RETRY_MS = 100.0
+# A count that changed is told for this long, since reports can be lost. Most
+# customers are quiet at most gateways, and need not be told again and again.
+_TELL_MS = 2_000.0
 # A customer with tokens for less than this time is at its limit.
 _CONTENDED_S = 0.5
 
@@ -31,6 +34,7 @@
         level: Tokens now; negative after late reports.
         at_ms: When `level` was brought up to date.
         admitted: Requests admitted here since the start of the process.
+        admitted_ms: When the last one was.
     """
 
     rate: float
@@ -38,6 +42,7 @@
     level: float
     at_ms: float
     admitted: int = 0
+    admitted_ms: float = float("-inf")
 
 
 class SharedLimits:
@@ -89,6 +94,7 @@
             return max(wait_ms, _MIN_RETRY_MS)
         bucket.level -= 1
         bucket.admitted += 1
+        bucket.admitted_ms = now_ms
         return None
 
     def configure(
@@ -126,9 +132,14 @@
         bucket = self._buckets.get(customer)
         return bucket.level if bucket else None
 
-    def admitted(self) -> dict[str, int]:
-        """Returns what was admitted here, by customer, for the peers."""
-        return {name: b.admitted for name, b in self._buckets.items()}
+    def admitted(self, now_ms: float) -> dict[str, int]:
+        """Returns customers' counts that changed lately, for the peers."""
+        limit_ms = now_ms - _TELL_MS
+        return {
+            name: bucket.admitted
+            for name, bucket in self._buckets.items()
+            if bucket.admitted_ms >= limit_ms
+        }
 
     def levels(self) -> dict[str, float]:
         """Returns the tokens of all customers, for new processes."""
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -5,17 +5,13 @@
 
 from lacewingwood.peers import gateway_messages
 
-# A report, and when each of its customers' counts was last seen to change.
-Report = tuple[gateway_messages.GatewayReport, Mapping[str, float]]
-
 
 def make(
     zone: str,
     sender: str,
     started_ms: int,
     serial: int,
-    reports: Iterable[Report],
-    limit_ms: float,
+    reports: Iterable[gateway_messages.GatewayReport],
 ) -> gateway_messages.ZoneDigest:
     """Returns the digest of a zone's reports.
 
@@ -25,13 +21,20 @@
         started_ms: Unix time of the sender's start.
         serial: Number of the digest.
         reports: Those of its gateways that were heard lately.
-        limit_ms: Counts that have not changed since are left out.
     """
     hosts: list[gateway_messages.HostCounts] = []
     running: dict[str, tuple[int, int]] = {}
     outcomes: dict[str, tuple[int, int]] = {}
-    for report, changed in reports:
-        hosts.append(_counts(report, changed, limit_ms))
+    for report in reports:
+        hosts.append(
+            gateway_messages.HostCounts(
+                report.host,
+                report.started_ms,
+                report.version,
+                report.admitted,
+                report.owned,
+            )
+        )
         _add_all(running, report.running)
         _add_all(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
@@ -45,21 +48,3 @@
     for key, (first, second) in more.items():
         held = sums.get(key, (0, 0))
         sums[key] = (held[0] + first, held[1] + second)
-
-
-def _counts(
-    report: gateway_messages.GatewayReport,
-    changed: Mapping[str, float],
-    limit_ms: float,
-) -> gateway_messages.HostCounts:
-    return gateway_messages.HostCounts(
-        report.host,
-        report.started_ms,
-        report.version,
-        {
-            customer: count
-            for customer, count in report.admitted.items()
-            if changed.get(customer, 0.0) >= limit_ms
-        },
-        report.owned,
-    )
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -14,7 +14,8 @@
         started_ms: Unix time of its start.
         version: Version of its configuration, 0 if it has none.
         running: For each replica its online requests and batch items.
-        admitted: Requests admitted since its start, by customer.
+        admitted: Requests admitted since its start, by customer, where that
+            changed lately.
         owned: Job partitions that it owns, with their epochs.
         log_age_ms: Time since the log answered this gateway.
         waiting: Batch items that wait for a slot.
@@ -22,6 +23,7 @@
         outcomes: How its requests ended lately at each replica; see
             `routing.outliers`.
         serial: Its number among the reports of this process.
+        standby: True to a hub that passes on only now and then.
     """
 
     host: str
@@ -36,6 +38,7 @@
     leaving: bool = False
     outcomes: dict[str, tuple[int, int]] = {}
     serial: int = 0
+    standby: bool = False
 
 
 class HostCounts(msgspec.Struct, array_like=True):
--- a/lacewingwood/peers/hubs.py
+++ b/lacewingwood/peers/hubs.py
@@ -1,9 +1,10 @@
 """Which gateways of a zone pass on what the zone's others report.
 
 In a large zone no gateway reports to all others. Each reports to two hubs,
-the first by host of those that answer; a hub is whoever is reported to, and
-answers with all that is new to it. Hubs report to each other in the same way,
-so what one knows reaches all.
+the first by host of those that answer; the second is a standby. A hub is
+whoever is reported to, and answers with all that is new to it, at longer
+intervals as a standby. Hubs report to each other in the same way, so what one
+knows reaches all.
 """
 
 import dataclasses
@@ -43,11 +44,11 @@
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self._hubs: dict[str, _Hub] = {}
-        self._subscribers: dict[str, float] = {}
+        self._subscribers: dict[str, tuple[float, bool]] = {}
         self._rng = rng or random.Random()
 
     def choose(self, hosts: Iterable[str], now_ms: float) -> list[str]:
-        """Returns the hubs to report to now.
+        """Returns the hubs to report to now, the standby last.
 
         Args:
             hosts: Gateways of this zone that should be there.
@@ -72,20 +73,34 @@
         hub.heard_ms = now_ms
         hub.avoid_until_ms = 0.0
 
-    def subscribe(self, host: str, now_ms: float) -> None:
-        """Notes that a gateway reports to this one."""
-        self._subscribers[host] = now_ms
+    def subscribe(
+        self, host: str, now_ms: float, standby: bool = False
+    ) -> None:
+        """Notes that a gateway reports to this one, if only as its standby."""
+        self._subscribers[host] = now_ms, standby
 
     def unsubscribe(self, host: str) -> None:
         """Notes that a gateway has stopped."""
         self._subscribers.pop(host, None)
 
-    def subscribers(self, now_ms: float) -> list[str]:
-        """Returns the gateways that take this one for a hub."""
+    def subscribers(
+        self, now_ms: float, standby: bool | None = None
+    ) -> list[str]:
+        """Returns the gateways that take this one for a hub.
+
+        Args:
+            now_ms: Present time.
+            standby: Whether as their standby; None for all.
+        """
         limit_ms = now_ms - _SUBSCRIPTION_MS
-        for host in [h for h, at in self._subscribers.items() if at < limit_ms]:
+        over = [h for h, (at, _) in self._subscribers.items() if at < limit_ms]
+        for host in over:
             del self._subscribers[host]
-        return list(self._subscribers)
+        return [
+            host
+            for host, (_, kind) in self._subscribers.items()
+            if standby is None or kind == standby
+        ]
 
     def _may_ask(self, host: str, now_ms: float) -> bool:
         hub = self._hubs.get(host)
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -5,6 +5,7 @@
 it to hubs of the other zones.
 """
 
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -45,8 +46,9 @@
 # Pause of reports and digests while a customer is at its limit: what others
 # admit meanwhile is more than it agreed to.
 _URGENT_PAUSE_MS = 80.0
-# A count that changed is repeated for this long, since digests can be lost.
-_DIGEST_REPEAT_MS = 2_000.0
+# Both hubs of a zone send digests; while one is heard this often, the others'
+# tell nothing new.
+_DIGEST_SENDER_MS = 1_200.0
 # A gateway without changes reports this often.
 _QUIET_REPORT_MS = 500.0
 
@@ -62,6 +64,28 @@
     renewal: int
 
 
+@dataclasses.dataclass(slots=True)
+class _News:
+    """What a hub has not passed on yet, by host and by zone."""
+
+    reports: dict[str, gateway_messages.GatewayReport] = dataclasses.field(
+        default_factory=dict
+    )
+    digests: dict[str, gateway_messages.ZoneDigest] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _DigestSeen:
+    """Which digest of a zone was taken over last, and when."""
+
+    sender: str
+    started_ms: int
+    serial: int
+    at_ms: float
+
+
 class Presence:
     """Announces a gateway and exchanges reports.
 
@@ -117,15 +141,12 @@
         self._leaving = False
         self._hubs = hubs_lib.Hubs()
         self._report_serial = self._digest_serial = 0
-        # For each sender of digests its process, and the newest serial.
-        self._newest_digests: dict[str, tuple[int, int]] = {}
+        # The newest digest of each other zone.
+        self._digests: dict[str, _DigestSeen] = {}
         # Set once others report to this gateway as a hub, and what it has not
         # passed on to them yet.
         self._subscribed = trio.Event()
-        self._new_reports: dict[str, gateway_messages.GatewayReport] = {}
-        self._new_digests: dict[str, gateway_messages.ZoneDigest] = {}
-        self._own_changed: dict[str, float] = {}
-        self._own_admitted: dict[str, int] = {}
+        self._news, self._standby_news = _News(), _News()
         network.handle(gateway_messages.GatewayReport, self._handle_report)
         network.handle(gateway_messages.ZoneReports, self._handle_reports)
         network.handle(gateway_messages.ZoneDigest, self._handle_digest)
@@ -207,7 +228,7 @@
     async def _report(self) -> None:
         while True:
             self._changed = trio.Event()
-            self._send_report(self._report_targets())
+            self._send_report(self._report_targets(), self.zoned)
             pause_ms = _REPORT_PAUSE_MS
             if self.zoned:
                 pause_ms = self._pause_ms(_HUB_REPORT_PAUSE_MS)
@@ -227,20 +248,17 @@
             return [by_host[host] for host in chosen]
         return [peer.address for peer in near] or self._seeds
 
-    def _send_report(self, addresses: list[str]) -> None:
+    def _send_report(self, addresses: list[str], one_hub: bool = False) -> None:
+        """Sends a report; with `one_hub`, all but the first are on standby."""
         report = self._own_report()
-        for address in set(addresses):
+        for n, address in enumerate(dict.fromkeys(addresses)):
+            report.standby = one_hub and n > 0
             self._network.send(address, report)
 
     def _own_report(self) -> gateway_messages.GatewayReport:
         self._report_serial += 1
         report = self._make_report()
         report.serial, report.leaving = self._report_serial, self._leaving
-        now_ms = self._clock.now_ms()
-        for customer, count in report.admitted.items():
-            if self._own_admitted.get(customer) != count:
-                self._own_changed[customer] = now_ms
-        self._own_admitted = report.admitted
         return report
 
     def _near(self) -> list[roster_lib.Peer]:
@@ -258,25 +276,27 @@
                 self._subscribed = trio.Event()
                 await self._subscribed.wait()
             await self._clock.sleep_ms(self._pause_ms(_HUB_PAUSE_MS))
-            self._pass_on()
+            self._pass_on(self._news, self._subscribers(standby=False))
             now_ms = self._clock.now_ms()
             if now_ms - digest_ms >= self._pause_ms(_DIGEST_PAUSE_MS):
                 digest_ms = now_ms
+                self._pass_on(self._standby_news, self._subscribers(True))
                 self._send_digest()
 
-    def _pass_on(self) -> None:
-        reports = [self._own_report(), *self._new_reports.values()]
+    def _pass_on(self, news: _News, addresses: list[str]) -> None:
         message = gateway_messages.ZoneReports(
-            self._host, reports, list(self._new_digests.values())
+            self._host,
+            [self._own_report(), *news.reports.values()],
+            list(news.digests.values()),
         )
-        self._new_reports.clear()
-        self._new_digests.clear()
-        for address in self._subscribers():
+        news.reports.clear()
+        news.digests.clear()
+        for address in addresses:
             self._network.send(address, message)
 
-    def _subscribers(self) -> list[str]:
+    def _subscribers(self, standby: bool | None = None) -> list[str]:
         """Returns the addresses of those that take this gateway for a hub."""
-        hosts = self._hubs.subscribers(self._clock.now_ms())
+        hosts = self._hubs.subscribers(self._clock.now_ms(), standby)
         peers = [self.roster.get(host) for host in hosts]
         return [peer.address for peer in peers if peer is not None]
 
@@ -294,11 +314,10 @@
             self._network.send(target.address, digest)
 
     def _make_digest(self) -> gateway_messages.ZoneDigest:
-        limit_ms = self._clock.now_ms() - _DIGEST_REPEAT_MS
-        reports = [(self._own_report(), self._own_changed)]
+        reports = [self._own_report()]
         for peer in self.roster.heard():
             if peer.report is not None and self.roster.near(peer):
-                reports.append((peer.report, peer.changed))
+                reports.append(peer.report)
         self._digest_serial += 1
         return digests.make(
             self._zone,
@@ -306,7 +325,6 @@
             self._started_ms,
             self._digest_serial,
             reports,
-            limit_ms,
         )
 
     async def _handle_report(
@@ -315,7 +333,8 @@
         if report.leaving:
             self._hubs.unsubscribe(report.host)
         elif self.zoned:
-            self._hubs.subscribe(report.host, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            self._hubs.subscribe(report.host, now_ms, report.standby)
             self._subscribed.set()
         self._take_report(report)
 
@@ -331,7 +350,8 @@
     def _take_report(self, report: gateway_messages.GatewayReport) -> None:
         if not self.roster.note_report(report):
             return
-        self._new_reports[report.host] = report
+        for news in (self._news, self._standby_news):
+            news.reports[report.host] = report
         if not report.leaving:
             self.on_report(report)
 
@@ -343,19 +363,30 @@
 
     def _take_digest(self, digest: gateway_messages.ZoneDigest) -> bool:
         """Takes a digest over; returns False if it is none of news."""
-        newest = self._newest_digests.get(digest.sender)
-        if digest.zone == self._zone or (
-            newest is not None
-            and newest[0] == digest.started_ms
-            and newest[1] >= digest.serial
-        ):
+        if digest.zone == self._zone or not self._is_news(digest):
             return False
-        self._newest_digests[digest.sender] = digest.started_ms, digest.serial
-        self._new_digests[digest.zone] = digest
+        self._digests[digest.zone] = _DigestSeen(
+            digest.sender,
+            digest.started_ms,
+            digest.serial,
+            self._clock.now_ms(),
+        )
+        for news in (self._news, self._standby_news):
+            news.digests[digest.zone] = digest
         self.roster.note_counts(digest.hosts)
         self.on_digest(digest)
         return True
 
+    def _is_news(self, digest: gateway_messages.ZoneDigest) -> bool:
+        seen = self._digests.get(digest.zone)
+        if seen is None:
+            return True
+        if seen.sender != digest.sender:
+            return self._clock.now_ms() - seen.at_ms > _DIGEST_SENDER_MS
+        if seen.started_ms != digest.started_ms:
+            return True
+        return digest.serial > seen.serial
+
     async def _watch_silence(self) -> None:
         while True:
             await self._clock.sleep_ms(roster_lib.SILENCE_MS / 3)
--- a/lacewingwood/peers/roster.py
+++ b/lacewingwood/peers/roster.py
@@ -34,7 +34,6 @@
         report: Its last report, None before the first.
         owned: Job partitions that it owns, with their epochs.
         version: Version of its configuration.
-        changed: When each of its customers' counts was last seen to change.
     """
 
     host: str
@@ -47,7 +46,6 @@
     report: gateway_messages.GatewayReport | None = None
     owned: dict[int, int] = dataclasses.field(default_factory=dict)
     version: int = 0
-    changed: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Roster:
@@ -202,16 +200,11 @@
             return False
         if self._is_silent(peer):
             _log.info("peer heard", peer=report.host, address=report.address)
-        now_ms = self._clock.now_ms()
-        before = peer.report.admitted if peer.report else {}
-        for customer, count in report.admitted.items():
-            if before.get(customer) != count:
-                peer.changed[customer] = now_ms
         peer.address = report.address
         peer.started_ms, peer.serial = report.started_ms, report.serial
         peer.report = report
         peer.owned, peer.version = report.owned, report.version
-        peer.report_ms = now_ms
+        peer.report_ms = self._clock.now_ms()
         if report.leaving:
             peer.entry_ms = peer.report_ms = float("-inf")
             peer.report = None
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -384,14 +384,15 @@
             )
 
     def _report(self) -> gateway_messages.GatewayReport:
+        now_ms = self._clock.now_ms()
         return gateway_messages.GatewayReport(
             host=self._cfg.host,
             address=self._cfg.peer_address,
             started_ms=self._started_ms,
             version=self._published.version,
             running=self._fleet.own_counts(),
-            outcomes=self._fleet.own_outcomes(self._clock.now_ms()),
-            admitted=self._limits.admitted(),
+            outcomes=self._fleet.own_outcomes(now_ms),
+            admitted=self._limits.admitted(now_ms),
             owned=self._ownership.epochs(),
             log_age_ms=self._log_age_ms(),
             waiting=self._scheduler.counts[0],
--- a/tests/limits/test_shared.py
+++ b/tests/limits/test_shared.py
@@ -114,7 +114,7 @@
         while next_report_ms < now_ms:
             for n, limits in enumerate(fleet):
                 in_flight.append(
-                    (next_report_ms + lag_ms, n, limits.admitted())
+                    (next_report_ms + lag_ms, n, limits.admitted(now_ms))
                 )
             next_report_ms += lag_ms
         arrived = [m for m in in_flight if m[0] <= now_ms]
