Let the test of resumed streams wait until both replicas broke one

Cause: the test sent six requests and expected two of three replicas to have broken one each; which replica a request gets is random, so some runs saw one break only (1 of 18 runs of the file, six at a time).

Change: it sends until both have broken a stream, at most 60, and checks each answer and the number of runs as before.

Conclusion: as strict, no longer by chance.

--- a/tests/integration/test_gateways.py
+++ b/tests/integration/test_gateways.py
@@ -104,13 +104,17 @@
     time.sleep(1.5)
     for replica in fleet.replicas[:2]:
         fleet.set_faults(replica, break_after=3, count=1)
-    wanted = [f"r-2-{n}" for n in range(6)]
-    answers = [_stream(fleet.gateways[0], name) for name in wanted]
+    # Which replica a request gets is random: go on until both have broken one.
+    sent = broken = 0
+    while broken < 2 and sent < 60:
+        name = f"r-2-{sent}"
+        sent += 1
+        assert _stream(fleet.gateways[0], name) == (200, _whole(name))
+        runs = [r for r in fleet.runs() if r["request_id"].startswith("r-2-")]
+        broken = len(runs) - sent
     for replica in fleet.replicas:
         fleet.set_faults(replica)
-    assert answers == [(200, _whole(name)) for name in wanted]
-    runs = [r for r in fleet.runs() if r["request_id"] in wanted]
-    assert len(runs) == 8
+    assert broken == 2
     assert {r["first"] for r in runs} >= {1, 4}
 
 
