Write the logs of entries and workers to standard output, bounded

Cause: entries and workers still logged to standard error, unbounded and blocking, unlike gateways.

Change: all roles log through logs.Writer; `ready` is a line of the log with the addresses, and devtools looks for it in the process's output.

Conclusion: one way of logging for all processes.

--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -5,7 +5,6 @@
 import json
 import os
 import pathlib
-import select
 import signal
 import subprocess
 import sys
@@ -16,6 +15,7 @@
 
 _READY_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 20.0
+_POLL_S = 0.02
 REGION = "delta-north"
 
 
@@ -35,8 +35,8 @@
         self._log = self._log_path.open("wb")
         self._popen = subprocess.Popen(
             [sys.executable, "-m", module, *args],
-            stdout=subprocess.PIPE,
-            stderr=self._log,
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
         )
 
@@ -52,16 +52,24 @@
 
     def wait_ready(self) -> None:
         """Waits for the line of JSON that says that the process is ready."""
-        stdout = self._popen.stdout
-        assert stdout is not None
         deadline = time.monotonic() + _READY_TIMEOUT_S
-        while not select.select([stdout], [], [], 0.1)[0]:
-            if not self.running or time.monotonic() > deadline:
+        while not (ready := self._find_ready()):
+            if not self.running:
+                raise DeploymentError(self._describe("ended before ready"))
+            if time.monotonic() > deadline:
                 raise DeploymentError(self._describe("did not get ready"))
-        line = stdout.readline()
-        if not line:
-            raise DeploymentError(self._describe("ended before it was ready"))
-        self.info = json.loads(line)
+            time.sleep(_POLL_S)
+        self.info = ready
+
+    def _find_ready(self) -> dict[str, Any]:
+        """Returns the line that says so, empty if there is none yet."""
+        for line in self._log_path.read_bytes().splitlines(keepends=True):
+            if b'"ready"' not in line or not line.endswith(b"\n"):
+                continue
+            fields: dict[str, Any] = json.loads(line)
+            if fields.get("ready") is True:
+                return fields
+        return {}
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
--- a/lacewingwood/logs.py
+++ b/lacewingwood/logs.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import structlog
+import trio
 
 # Lines a second that are written, and how many may come at once. A request
 # takes one or two lines; 4,200 requests a second over 390 gateways are 11 a
@@ -24,6 +25,9 @@
 _RESERVED_SHARE = 0.25
 # Lines that wait for the reader.
 _MAX_WAITING = 2_000
+# How often queued lines are written: each time wakes an idle process, of which
+# a deployment has hundreds.
+_FLUSH_S = 0.5
 # A pipe that can be written to takes at least this much at once (POSIX).
 _PIPE_BYTES = 4_096
 
@@ -132,24 +136,25 @@
     error = critical = exception = msg = warning
 
 
-def configure(**fields: Any) -> None:
-    """Sets up logs on standard error; `fields` appear on every line."""
-    _configure(structlog.PrintLoggerFactory(sys.stderr), fields)
-
-
 def configure_bounded(**fields: Any) -> Writer:
-    """Sets up bounded logs on standard output; the caller flushes them."""
+    """Sets up bounded logs on standard output; the caller flushes them.
+
+    `fields` appear on every line.
+    """
     writer = Writer(sys.stdout.fileno())
     configure_writer(writer, **fields)
     return writer
 
 
-def configure_writer(writer: Writer, **fields: Any) -> None:
-    """Makes all logs go through a writer."""
-    _configure(lambda *args: _Logger(writer), fields)
+async def flush_regularly(writer: Writer) -> None:
+    """Writes what is queued, until cancelled."""
+    while True:
+        writer.flush()
+        await trio.sleep(_FLUSH_S)
 
 
-def _configure(factory: Callable[..., Any], fields: dict[str, Any]) -> None:
+def configure_writer(writer: Writer, **fields: Any) -> None:
+    """Makes all logs go through a writer."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -161,7 +166,7 @@
             ),
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=factory,
+        logger_factory=lambda *args: _Logger(writer),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**fields)
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -49,7 +49,6 @@
 _REPLICAS_PAUSE_MS = 300.0
 # Each turn wakes an idle process, of which a deployment has hundreds.
 _UPKEEP_MS = 400.0
-_FLUSH_MS = 500.0
 _PEER_TIMEOUT_MS = 500.0
 # The balancer notices after two missed checks, one a second; new connections
 # come until then.
@@ -169,7 +168,7 @@
         cfg = self._cfg
         _log.info("starting", started_ms=self._started_ms)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._flush_logs)
+            nursery.start_soon(logs.flush_regularly, self._writer)
             await nursery.start(self._watch_signals)
             await self._network.serve(*settings.split_address(cfg.peer_bind))
             nursery.start_soon(self._network.run)
@@ -247,11 +246,6 @@
         self._cfg = new
         _log.info("settings reloaded", changed=changed)
 
-    async def _flush_logs(self) -> None:
-        while True:
-            self._writer.flush()
-            await self._clock.sleep_ms(_FLUSH_MS)
-
     async def _do_upkeep(self) -> None:
         """Forgets what is out of date, a few times a second."""
         while True:
--- a/lacewingwood/roles/node.py
+++ b/lacewingwood/roles/node.py
@@ -1,7 +1,6 @@
 """What the processes of all roles have in common."""
 
 import contextlib
-import json
 import os
 import secrets
 import signal
@@ -95,28 +94,33 @@
     @contextlib.asynccontextmanager
     async def running(self) -> Any:
         """Runs the common parts and yields the nursery for the others."""
-        logs.configure(node_id=self.node_id, role=self.role)
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            await self._start(nursery)
-            try:
-                yield nursery
-            finally:
-                nursery.cancel_scope.cancel()
+        self._writer = logs.configure_bounded(
+            node_id=self.node_id, role=self.role
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(logs.flush_regularly, self._writer)
+                await self._start(nursery)
+                try:
+                    yield nursery
+                finally:
+                    nursery.cancel_scope.cancel()
+        finally:
+            self._writer.flush()
 
     def announce(self, address: str = "") -> None:
         """Says on standard output that the process is ready, and where."""
         self._serving = True
-        ready = {
-            "ready": True,
-            "node_id": self.node_id,
-            "pid": os.getpid(),
-            "address": address,
-            "peer": self._peer_address(),
-            "admin": self.admin_address,
-        }
-        print(json.dumps(ready), flush=True)
-        _log.info("ready", address=address, admin=self.admin_address)
+        _log.info(
+            "ready",
+            ready=True,
+            pid=os.getpid(),
+            address=address,
+            peer=self._peer_address(),
+            admin=self.admin_address,
+        )
+        self._writer.flush()
 
     async def leave(
         self,
