Split appending from the operations on jobs

Change: jobs/appending.py appends records directly or through a peer; jobs/service.py keeps what callers ask for.

--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -8,6 +8,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import appending
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import ownership as ownerships
 from lacewingwood.jobs import service as services
@@ -156,7 +157,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against 503 for a job that runs later."""
-    monkeypatch.setattr(services, "_SUBMIT_MS", 50.0)
+    monkeypatch.setattr(appending, "_SUBMIT_MS", 50.0)
     async with two_nodes() as (a, _):
         a.log.late = 5
         with pytest.raises(errors.UnclearError):
@@ -168,7 +169,7 @@
     async with two_nodes() as (a, _):
         job = fakes.make_job(items=20)
         large = type(job)(job.job, [b"x" * 500] * 20)
-        calls = a.service._split(
+        calls = a.service._appender.split(
             fakes.submission_records(large),
         )
         assert len(calls) > 1
