Split a call's progress from forwarding; exclude replicas that answered 500

A replica that answered 5xx was not among those tried, so a second attempt could go there.

Change: callers/progress.py holds the call and how far it has come.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -1,6 +1,5 @@
 """Passes routed requests to replicas and their answers back to callers."""
 
-import dataclasses
 import math
 import random
 
@@ -13,6 +12,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
+from lacewingwood.callers import progress as progress_lib
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.upstreams import errors as upstream_errors
@@ -21,9 +21,6 @@
 
 Ran = base_errors.Ran
 
-# Replicas that refuse a request without running it cost little, but a request
-# that all refuse must get its answer.
-_MAX_REFUSALS = 6
 # Work that would reach a replica with less time than this is not sent.
 _LEAST_RUN_MS = 30.0
 # Share of the longest allowed pause after which a stream that may be resumed
@@ -48,52 +45,6 @@
     """Makes the server cut an answer that can't be completed."""
 
 
-@dataclasses.dataclass(slots=True)
-class Call:
-    """A caller's request that a route leads to.
-
-    Attributes:
-        req: The request and its answer.
-        route: The route it takes.
-        work: What a replica is asked to run.
-        arrived_ms: When its head was read.
-        deadline_ms: When its caller or its route no longer waits.
-        rank: Priority, 0 is the highest.
-        resume_after: Id of the last event that the caller has, or None.
-    """
-
-    req: http.Request
-    route: configuration.Route
-    work: runs.Work
-    arrived_ms: float
-    deadline_ms: float
-    rank: int
-    resume_after: int | None
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far a call has come.
-
-    Attributes:
-        attempts: Runs that may have begun.
-        refusals: Sends that the replica did not run.
-        ran: Whether the request can have had an effect.
-        tried: Replicas that must not be tried again.
-        events: Splits the stream, None if the answer is not a stream.
-        reason: Code of the last failure.
-        done: True once the caller has its whole answer.
-    """
-
-    attempts: int = 0
-    refusals: int = 0
-    ran: Ran = Ran.NOT_RUN
-    tried: set[str] = dataclasses.field(default_factory=set)
-    events: event_stream.Splitter | None = None
-    reason: str = "no_replica"
-    done: bool = False
-
-
 class _FailedAnswerError(Exception):
     """A replica's own failure, which another replica may avoid."""
 
@@ -123,7 +74,7 @@
         self._metrics = metrics
         self._rng = rng or random.Random()
 
-    async def run(self, call: Call) -> None:
+    async def run(self, call: progress_lib.Call) -> None:
         """Answers a call.
 
         Raises:
@@ -132,7 +83,7 @@
             http.DisconnectedError: The caller went away.
         """
         service = self._pick_service(call.route)
-        progress = _Progress()
+        progress = progress_lib.Progress(call)
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_caller, call, nursery.cancel_scope)
@@ -149,7 +100,10 @@
             raise http.DisconnectedError
 
     async def _run_in_time(
-        self, call: Call, service: str, progress: _Progress
+        self,
+        call: progress_lib.Call,
+        service: str,
+        progress: progress_lib.Progress,
     ) -> None:
         remaining_ms = call.deadline_ms - self._clock.now_ms()
         with trio.move_on_after(max(0.0, remaining_ms) / 1000) as limit:
@@ -158,7 +112,9 @@
             progress.reason = "timeout"
             self._give_up(call, progress, 504)
 
-    async def _watch_caller(self, call: Call, scope: trio.CancelScope) -> None:
+    async def _watch_caller(
+        self, call: progress_lib.Call, scope: trio.CancelScope
+    ) -> None:
         await call.req.wait_disconnect()
         scope.cancel()
 
@@ -169,7 +125,10 @@
         return self._rng.choices(route.targets, weights)[0].service
 
     async def _run_attempts(
-        self, call: Call, service: str, progress: _Progress
+        self,
+        call: progress_lib.Call,
+        service: str,
+        progress: progress_lib.Progress,
     ) -> None:
         while True:
             slot = await self._acquire(call, service, progress)
@@ -184,16 +143,20 @@
             except _FailedAnswerError as exc:
                 slot.replica.note_failure(self._clock.now_ms())
                 progress.reason = f"status_{exc.status}"
-                if not self._may_go_on(call, progress):
+                progress.tried.add(slot.replica.listing.id)
+                if not progress.may_go_on():
                     await self._pass_failure(call, exc, progress)
                     return
             finally:
                 self._dispatcher.release(slot)
-            if not self._may_go_on(call, progress):
+            if not progress.may_go_on():
                 self._give_up(call, progress, 502)
 
     async def _acquire(
-        self, call: Call, service: str, progress: _Progress
+        self,
+        call: progress_lib.Call,
+        service: str,
+        progress: progress_lib.Progress,
     ) -> dispatchers.Slot | None:
         if not self._dispatcher.known(service):
             progress.reason = "no_replica"
@@ -209,19 +172,22 @@
                 deadline_ms=call.deadline_ms - _LEAST_RUN_MS,
                 exclude=progress.tried,
                 repeatable=call.route.repeatable
-                and self._attempts_left(call, progress, 1),
+                and progress.attempts_left(begun=1),
             )
         )
 
     async def _attempt(
-        self, call: Call, slot: dispatchers.Slot, progress: _Progress
+        self,
+        call: progress_lib.Call,
+        slot: dispatchers.Slot,
+        progress: progress_lib.Progress,
     ) -> None:
         listing = slot.replica.listing
         sent_ms = self._clock.now_ms()
         repeatable = call.route.repeatable
         events = progress.events
         resume_after = events.last_id if events else call.resume_after
-        may_retry = repeatable and self._attempts_left(call, progress, 1)
+        may_retry = repeatable and progress.attempts_left(begun=1)
         opening = self._replicas.open(
             listing,
             call.work,
@@ -251,7 +217,7 @@
             slot.replica.note_success(self._clock.now_ms())
             self._note_done(call, slot, progress)
 
-    def _head_limit_ms(self, call: Call, may_retry: bool) -> float:
+    def _head_limit_ms(self, call: progress_lib.Call, may_retry: bool) -> float:
         if not may_retry:
             return math.inf
         objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
@@ -259,10 +225,10 @@
 
     async def _relay(
         self,
-        call: Call,
+        call: progress_lib.Call,
         run: runs.Run,
         slot: dispatchers.Slot,
-        progress: _Progress,
+        progress: progress_lib.Progress,
         may_retry: bool,
     ) -> None:
         """Passes a stream on, event by event."""
@@ -287,19 +253,22 @@
         await self._start(call, run)
         await call.req.end()
 
-    async def _start(self, call: Call, run: runs.Run) -> None:
+    async def _start(self, call: progress_lib.Call, run: runs.Run) -> None:
         if call.req.started:
             return
         waited_ms = self._clock.now_ms() - call.arrived_ms
         self._metrics.histogram("first_event").record_ms(waited_ms)
         await call.req.start(run.status, run.headers)
 
-    async def _pass_whole(self, call: Call, run: runs.Run) -> None:
+    async def _pass_whole(self, call: progress_lib.Call, run: runs.Run) -> None:
         body = await _read_all(run)
         await _respond(call, run.status, run.headers, body)
 
     async def _pass_failure(
-        self, call: Call, exc: _FailedAnswerError, progress: _Progress
+        self,
+        call: progress_lib.Call,
+        exc: _FailedAnswerError,
+        progress: progress_lib.Progress,
     ) -> None:
         """Passes a replica's own failure on, unless it would be untrue."""
         if exc.status == _UNAVAILABLE or call.req.started:
@@ -308,9 +277,9 @@
 
     def _note_refusal(
         self,
-        call: Call,
+        call: progress_lib.Call,
         slot: dispatchers.Slot,
-        progress: _Progress,
+        progress: progress_lib.Progress,
         run: runs.Run,
     ) -> None:
         """Notes that a replica did not run the request; raises."""
@@ -323,19 +292,13 @@
 
     def _note_failure(
         self,
-        call: Call,
+        call: progress_lib.Call,
         slot: dispatchers.Slot,
-        progress: _Progress,
+        progress: progress_lib.Progress,
         exc: upstream_errors.UpstreamError,
     ) -> None:
         replica = slot.replica
-        progress.reason = exc.code
-        progress.tried.add(replica.listing.id)
-        if exc.ran is Ran.NOT_RUN:
-            progress.refusals += 1
-        elif progress.ran is Ran.NOT_RUN or progress.attempts == 0:
-            progress.ran = Ran.MAY_HAVE_RUN
-            progress.attempts = max(1, progress.attempts)
+        progress.note_failure(replica.listing.id, exc)
         if not isinstance(exc, upstream_errors.RefusedError):
             replica.note_failure(self._clock.now_ms())
         self._metrics.add("attempt_failures", code=exc.code)
@@ -350,19 +313,12 @@
             failures=replica.failures,
         )
 
-    def _attempts_left(
-        self, call: Call, progress: _Progress, begun: int = 0
-    ) -> bool:
-        return progress.attempts + begun < call.route.max_attempts
-
-    def _may_go_on(self, call: Call, progress: _Progress) -> bool:
-        if progress.refusals >= _MAX_REFUSALS:
-            return False
-        if progress.ran is Ran.NOT_RUN:
-            return True
-        return call.route.repeatable and self._attempts_left(call, progress)
-
-    def _give_up(self, call: Call, progress: _Progress, status: int) -> None:
+    def _give_up(
+        self,
+        call: progress_lib.Call,
+        progress: progress_lib.Progress,
+        status: int,
+    ) -> None:
         """Ends a call that no replica answered; always raises."""
         now_ms = self._clock.now_ms()
         _log.info(
@@ -396,7 +352,10 @@
         )
 
     def _note_done(
-        self, call: Call, slot: dispatchers.Slot, progress: _Progress
+        self,
+        call: progress_lib.Call,
+        slot: dispatchers.Slot,
+        progress: progress_lib.Progress,
     ) -> None:
         now_ms = self._clock.now_ms()
         total_ms = now_ms - call.arrived_ms
@@ -426,7 +385,7 @@
 
 
 async def _respond(
-    call: Call, status: int, headers: runs.Headers, body: bytes
+    call: progress_lib.Call, status: int, headers: runs.Headers, body: bytes
 ) -> None:
     rest = [pair for pair in headers if pair[0] != b"content-length"]
     await call.req.respond(status, body, rest)
--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -9,6 +9,7 @@
 from lacewingwood.callers import errors
 from lacewingwood.callers import forwarding
 from lacewingwood.callers import http
+from lacewingwood.callers import progress
 from lacewingwood.limits import shared
 from lacewingwood.state import published
 from lacewingwood.upstreams import runs
@@ -136,7 +137,7 @@
             customer=customer.name if customer else "",
         )
         await self._forwarder.run(
-            forwarding.Call(
+            progress.Call(
                 req=req,
                 route=route,
                 work=work,
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -14,6 +14,7 @@
 from lacewingwood.callers import errors
 from lacewingwood.callers import forwarding
 from lacewingwood.callers import http
+from lacewingwood.callers import progress
 from lacewingwood.routing import directory
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
@@ -152,7 +153,7 @@
             self.complete = not message["more_body"]
 
 
-def make_call(caller: Caller, **fields: object) -> forwarding.Call:
+def make_call(caller: Caller, **fields: object) -> progress.Call:
     """Returns a call on a route whose streams may be resumed."""
     values: dict[str, object] = {
         "name": "r",
@@ -167,7 +168,7 @@
     }
     values.update(fields)
     now_ms = clocks.MonotonicClock().now_ms()
-    return forwarding.Call(
+    return progress.Call(
         req=caller.req,
         route=configuration.Route(**values),  # type: ignore[arg-type]
         work=runs.Work("id-1", "POST", b"/p/1", [], b"body", "kaje"),
