Test that a failed request goes to another replica

Change: a test with two replicas that both failed before; it fails without the exclusion in some of its eight rounds.

--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -293,6 +293,23 @@
     assert (caller.status, caller.body) == (500, b"sorry")
 
 
+async def test_failure_answer_is_not_asked_for_twice_at_one_replica() -> None:
+    """Guards against a second attempt at the replica that just failed."""
+    for _ in range(8):
+        caller = Caller()
+        replicas = FakeReplicas(
+            Script([b"sorry"], status=500),
+            Script([b"id: 1\ndata: x\n\n"]),
+        )
+        forwarder = make_forwarder(replicas)
+        for replica in forwarder._dispatcher.fleet.all():
+            for _ in range(4):
+                replica.note_failure(clocks.MonotonicClock().now_ms())
+        await forwarder.run(make_call(caller))
+        first, second = replicas.sent
+        assert first[0] != second[0]
+
+
 async def test_replicas_503_that_ran_is_no_promise() -> None:
     """Guards against a promise that the request has not run."""
     caller = Caller()
