Spread batch work over all zones and let it yield once a lag

Owners took only their own zone's replicas while counts lag, and after a yield they judged by the same old counts again 60 ms later. One zone was lost for others for 1.5 s since its digests went to a killed hub.

Change: while counts lag, batch work draws among all zones and online requests among two near replicas and one of any zone; a replica's items yield again after 600 ms; digests go to both likely hubs of a zone.

--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -21,8 +21,11 @@
 # Gateways with waiting items take free slots in turns of this length: time for
 # one to take them and for the others to hear of it.
 _TURN_MS = 50
-# After some items were told to yield, the counts are out of date for this long.
+# After some items were told to yield, the counts are out of date for this long;
+# the longer time is for counts that come through hubs and digests. Items told
+# to yield again meanwhile would leave slots free and have to be read again.
 _YIELD_PAUSE_MS = 60.0
+_LAGGING_YIELD_PAUSE_MS = 600.0
 # An item whose deadline is nearer than its run and this time takes the slots,
 # too, that others leave free for the next online request.
 _URGENT_SLACK_MS = 2_500.0
@@ -276,7 +279,9 @@
 
     def _yielded_lately(self, replica: load.Replica) -> bool:
         last_ms = self._yielded_ms.get(replica.listing.id, -math.inf)
-        return self._clock.now_ms() - last_ms < _YIELD_PAUSE_MS
+        lag = self._dispatcher.counts_lag()
+        pause_ms = _LAGGING_YIELD_PAUSE_MS if lag else _YIELD_PAUSE_MS
+        return self._clock.now_ms() - last_ms < pause_ms
 
     def _most_patient(
         self, replica: load.Replica, urgent: bool, count: int
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import random
 from collections.abc import Callable
 
 import msgspec
@@ -319,10 +318,11 @@
             if not self.roster.near(peer):
                 zones.setdefault(peer.zone, []).append(peer)
         for peers in zones.values():
-            # Those that were heard first, then by host: likely hubs.
+            # Those that were heard first, then by host: likely hubs. Two, since
+            # a dead one is heard until its silence has lasted.
             peers.sort(key=lambda peer: (peer.host not in heard, peer.host))
-            target = random.choice(peers[:_DIGEST_TARGETS])
-            self._network.send(target.address, digest)
+            for target in peers[:_DIGEST_TARGETS]:
+                self._network.send(target.address, digest)
 
     def _make_digest(self) -> gateway_messages.ZoneDigest:
         reports = [self._own_report()]
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -26,9 +26,11 @@
 # Requests that can no longer meet their objective wait behind those that can;
 # a first event takes about this long after the request was sent.
 _FIRST_EVENT_MS = 80.0
-# Replicas to choose from if counts lag: two random ones even out nearly as well
-# as the least busy of all, without a rush to it.
+# Replicas to choose from if counts lag: a few random ones even out nearly as
+# well as the least busy of all, without a rush to it. One more of all zones
+# for online requests evens out the zones.
 _DRAWN = 2
+_DRAWN_ANYWHERE = 1
 # Waiting requests look again at this interval: peers' reports and pauses that
 # end free slots without an event here.
 _POLL_MS = 20.0
@@ -219,17 +221,30 @@
         if not open_:
             return None
         if self.counts_lag():
-            open_ = self._draw(open_)
+            open_ = self._draw(open_, demand.work)
         return min(open_, key=lambda r: self._load_order(r, now_ms))
 
-    def _draw(self, replicas: list[load.Replica]) -> list[load.Replica]:
-        """Returns a few random replicas, of this zone if it has any.
+    def _draw(
+        self, replicas: list[load.Replica], work: load.Work
+    ) -> list[load.Replica]:
+        """Returns a few random replicas, for online requests mostly near ones.
 
         Gateways whose counts are old would all choose the same replica.
+        Batch work takes what is left in any zone: few gateways have it, and
+        their own zones may be the busiest.
         """
+        if work is load.Work.BATCH:
+            return self._sample(replicas, _DRAWN + _DRAWN_ANYWHERE)
         near = [r for r in replicas if r.listing.zone == self._zone]
-        near = near or replicas
-        return self._rng.sample(near, min(_DRAWN, len(near)))
+        return [
+            *self._sample(near or replicas, _DRAWN),
+            *self._sample(replicas, _DRAWN_ANYWHERE),
+        ]
+
+    def _sample(
+        self, replicas: list[load.Replica], count: int
+    ) -> list[load.Replica]:
+        return self._rng.sample(replicas, min(count, len(replicas)))
 
     def _load_order(
         self, replica: load.Replica, now_ms: float
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -272,3 +272,21 @@
     assert (replica.others, replica.near_outcomes) == ([1, 1], [100, 200])
     fleet.forget("a")
     assert (replica.others, replica.near_outcomes) == ([0, 0], [0, 0])
+
+
+def test_batch_work_takes_free_slots_of_all_zones() -> None:
+    """Guards against items that crowd the zones of the few owners."""
+    dispatcher = make(replicas=0)
+    for n in range(8):
+        zone = "z" if n < 2 else "y"
+        dispatcher.fleet.directory.put(
+            directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", zone, 2)
+        )
+    dispatcher.fleet.refresh()
+    dispatcher.counts_lag = lambda: True
+    taken = [dispatcher.try_acquire(_demand(BATCH)) for _ in range(8)]
+    zones = [slot.replica.listing.zone for slot in taken if slot]
+    assert len(zones) == 8
+    assert zones.count("y") >= 4
+    online = [dispatcher.try_acquire(_demand()) for _ in range(4)]
+    assert any(slot and slot.replica.listing.zone == "z" for slot in online)
