Show no belief in explain that the process has dropped

Cause: a partition's topic stayed lost in explain after its owner retired.

Change: owner retired says which topic and part it was, explain drops the belief, tells partitions of a topic apart, and shows replicas' standing.

--- a/lacewingwood/cli/explain.py
+++ b/lacewingwood/cli/explain.py
@@ -16,6 +16,8 @@
     "peer heard": "peer",
     "replica unlisted": "replica",
     "partitions assigned": "generation",
+    "replica standing": "replica",
+    "owner retired": "topic",
     "starting": "started_ms",
 }
 _HIDDEN = ("event", "timestamp", "node", "zone", "level", *_ID_FIELDS)
@@ -80,9 +82,14 @@
     value = str(entry.get(_BELIEFS[event], ""))
     match event:
         case "log lost":
-            believed[f"log {value}"] = "lost"
-        case "log regained":
-            believed.pop(f"log {value}", None)
+            believed[_log_name(value, entry)] = "lost"
+        case "log regained" | "owner retired":
+            # A partition is not followed any more once its owner has retired.
+            believed.pop(_log_name(value, entry), None)
+        case "replica standing" if entry.get("standing") == "sound":
+            believed.pop(f"replica {value}", None)
+        case "replica standing":
+            believed[f"replica {value}"] = str(entry.get("standing"))
         case "peer lost":
             believed[f"peer {value}"] = "lost"
         case "peer heard":
@@ -91,6 +98,10 @@
             believed[event] = value
 
 
+def _log_name(topic: str, entry: dict[str, Any]) -> str:
+    return f"log {topic}/{entry.get('part', 0)}"
+
+
 def _render(
     entry: dict[str, Any], node: str, event: str, believed: dict[str, str]
 ) -> str:
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -42,6 +42,7 @@
 
     Attributes:
         index: Number of the partition among all.
+        partition: The partition.
         loaded: Set once the partition was read.
     """
 
@@ -72,6 +73,7 @@
             keep_ms: How long a job stays readable after its submission.
         """
         self.index = index
+        self.partition = partition
         self.loaded = trio.Event()
         self._writer = writers.Writer(
             log, partition, least_epoch, clock, metrics
--- a/lacewingwood/jobs/ownership.py
+++ b/lacewingwood/jobs/ownership.py
@@ -214,6 +214,8 @@
         _log.info(
             "owner retired",
             partition=index,
+            topic=owner.partition.topic,
+            part=owner.partition.number,
             epoch=owner.epoch,
             items=len(progress),
             successor=found[0] if found and known else None,
