Resume streams whose replica ended, and use fresh connections last

A replica may also drop an idle connection and reset it with the next request, which cost the only attempt.

Change: after a break with no attempt left, a replica that takes no connection is taken to have ended, and the run is forgiven, once a request; the last attempt of any request goes out on a fresh connection.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -140,6 +140,7 @@
                 return
             except upstream_errors.UpstreamError as exc:
                 self._note_failure(call, slot, progress, exc)
+                await self._forgive_if_ended(slot, progress, exc)
             except _FailedAnswerError as exc:
                 slot.replica.note_failure(self._clock.now_ms())
                 progress.reason = f"status_{exc.status}"
@@ -194,7 +195,9 @@
             call.deadline_ms - sent_ms,
             resume_after,
             head_limit_ms=self._head_limit_ms(call, may_retry),
-            fresh=not repeatable,
+            # A kept connection may be reset by what is sent on it, and there
+            # is no attempt left to make up for that.
+            fresh=not may_retry,
         )
         async with opening as run:
             now_ms = self._clock.now_ms()
@@ -351,6 +354,27 @@
             ran=progress.ran,
         )
 
+    async def _forgive_if_ended(
+        self,
+        slot: dispatchers.Slot,
+        progress: progress_lib.Progress,
+        exc: upstream_errors.UpstreamError,
+    ) -> None:
+        """Makes the last attempt count as none if its replica has ended."""
+        if progress.may_go_on() or not progress.may_forgive():
+            return
+        if not isinstance(exc, upstream_errors.BrokenError):
+            return
+        listing = slot.replica.listing
+        if await self._replicas.ended(listing):
+            progress.forgive()
+            _log.info(
+                "attempt forgiven",
+                request_id=progress.call.work.request_id,
+                replica=listing.id,
+                attempts=progress.attempts,
+            )
+
     def _note_done(
         self,
         call: progress_lib.Call,
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -11,6 +11,9 @@
 
 Ran = base_errors.Ran
 
+# Runs that ended with their replica and so do not count as attempts. One only:
+# a request that crashes its replicas must not reach one after another.
+_MAX_FORGIVEN = 1
 # Replicas that refuse a request without running it cost little, but a request
 # that all refuse must get its answer.
 _MAX_REFUSALS = 6
@@ -51,6 +54,7 @@
         tried: Replicas that must not be tried again.
         events: Splits the stream, None if the answer is not a stream.
         reason: Code of the last failure.
+        forgiven: Runs that do not count since their replica ended.
         done: True once the caller has its whole answer.
     """
 
@@ -61,6 +65,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     events: event_stream.Splitter | None = None
     reason: str = "no_replica"
+    forgiven: int = 0
     done: bool = False
 
     def attempts_left(self, begun: int = 0) -> bool:
@@ -86,3 +91,13 @@
         elif self.ran is Ran.NOT_RUN or self.attempts == 0:
             self.ran = Ran.MAY_HAVE_RUN
             self.attempts = max(1, self.attempts)
+
+    def may_forgive(self) -> bool:
+        """Returns whether a run may count as none if its replica ended."""
+        repeatable = self.call.route.repeatable
+        return repeatable and self.forgiven < _MAX_FORGIVEN
+
+    def forgive(self) -> None:
+        """Takes the last run out of the account of attempts."""
+        self.forgiven += 1
+        self.attempts -= 1
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -120,6 +120,10 @@
             _check_identity(exchange, work.request_id)
             yield Run(exchange)
 
+    async def ended(self, replica: directory.Listing) -> bool:
+        """Returns whether a replica takes no connections any more."""
+        return not await self._pools.pool(replica.address).reachable()
+
     async def keep_only(self, addresses: set[str]) -> None:
         """Drops idle connections to replicas that are not listed any more."""
         await self._pools.keep_only(addresses)
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -295,6 +295,16 @@
             finally:
                 await self._give_back(connection, exchange.complete)
 
+    async def reachable(self) -> bool:
+        """Returns whether a connection can be made now."""
+        try:
+            connection = await self._connect()
+        except errors.ConnectError:
+            return False
+        # Nothing was sent on it, so it can serve the next request.
+        self._idle.append(connection)
+        return True
+
     async def close(self) -> None:
         """Closes the idle connections."""
         while self._idle:
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -85,3 +85,9 @@
         Raises:
             errors.UpstreamError: No answer came; `ran` tells the rest.
         """
+
+    async def ended(self, replica: directory.Listing) -> bool:
+        """Returns whether a replica takes no connections any more.
+
+        Its runs have then ended with it, or can't be reached by anybody.
+        """
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -89,12 +89,16 @@
     """Answers requests by scripts, one after another.
 
     Attributes:
+        fresh: Whether each request asked for a fresh connection.
+        gone: True if replicas take no connections.
         sent: Replica and the event to resume after, for each request.
         closed: Runs that have ended.
     """
 
     def __init__(self, *scripts: Script) -> None:
         self._scripts = list(scripts)
+        self.fresh: list[bool] = []
+        self.gone = False
         self.sent: list[tuple[str, int | None]] = []
         self.closed = 0
 
@@ -110,6 +114,7 @@
     ) -> AsyncIterator[_Run]:
         """Gives the next scripted run."""
         self.sent.append((replica.id, resume_after))
+        self.fresh.append(fresh)
         script = self._scripts.pop(0)
         try:
             await trio.lowlevel.checkpoint()
@@ -119,6 +124,11 @@
         finally:
             self.closed += 1
 
+    async def ended(self, replica: directory.Listing) -> bool:
+        """Returns whether replicas take no connections."""
+        await trio.lowlevel.checkpoint()
+        return self.gone
+
 
 class Caller:
     """A caller over ASGI, and the answer it got.
@@ -310,6 +320,55 @@
         assert first[0] != second[0]
 
 
+async def test_run_that_ended_with_its_replica_is_no_attempt() -> None:
+    """Guards against a stream given up though its one run can't go on."""
+    caller = Caller()
+    replicas = FakeReplicas(
+        Script([b"id: 1\ndata: x\n\n", Break]),
+        Script([b"id: 2\ndata: y\n\n"]),
+    )
+    replicas.gone = True
+    call = make_call(caller, max_attempts=1)
+    await make_forwarder(replicas).run(call)
+    assert caller.body == b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+    assert [after for _, after in replicas.sent] == [None, 1]
+
+
+@pytest.mark.parametrize(("gone", "resumable"), [(False, True), (True, False)])
+async def test_run_that_may_go_on_or_counts_is_an_attempt(
+    gone: bool, resumable: bool
+) -> None:
+    """Guards against runs beyond those that the route allows."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([b"id: 1\ndata: x\n\n", Break]), Script([]))
+    replicas.gone = gone
+    call = make_call(caller, max_attempts=1, resumable=resumable)
+    with pytest.raises(forwarding.AbortError):
+        await make_forwarder(replicas).run(call)
+    assert len(replicas.sent) == 1
+
+
+async def test_request_that_ends_replicas_reaches_few() -> None:
+    """Guards against a request that crashes one replica after another."""
+    caller = Caller()
+    broken = [Script(error=upstream_errors.BrokenError("x")) for _ in range(5)]
+    replicas = FakeReplicas(*broken)
+    replicas.gone = True
+    with pytest.raises(errors.CallerError):
+        await make_forwarder(replicas).run(make_call(caller, max_attempts=1))
+    assert len(replicas.sent) == 2
+
+
+async def test_last_attempt_uses_no_kept_connection() -> None:
+    """Guards against an attempt lost to a connection reset while idle."""
+    replicas = FakeReplicas(
+        Script(error=upstream_errors.BrokenError("x")),
+        Script([b"id: 1\ndata: x\n\n"]),
+    )
+    await make_forwarder(replicas).run(make_call(Caller()))
+    assert replicas.fresh == [False, True]
+
+
 async def test_replicas_503_that_ran_is_no_promise() -> None:
     """Guards against a promise that the request has not run."""
     caller = Caller()
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -64,6 +64,10 @@
             raise upstream_errors.BrokenError("reset")
         yield _Run(status)
 
+    async def ended(self, replica: directory.Listing) -> bool:
+        """Returns False."""
+        return False
+
 
 class Bench:
     """Runs one item at given replicas."""
