Leave busy replicas their time, and batch work some room while counts lag

Items still yielded 300 to 590 times a second: they started on replicas that had been full for half a second.

Change: the first event may take 3.5 objectives (1.5 before) if the request can run elsewhere; a time-out at a replica that holds more than its slots is not a failure of it; while counts lag, batch work leaves two slots of a replica free, one if it is urgent.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -26,9 +26,12 @@
 # Share of the longest allowed pause after which a stream that may be resumed
 # goes on at another replica; the rest of the pause is for the new run.
 _GAP_SHARE = 0.6
-# Longest wait for the head of an answer, in objectives, if the request may
-# run elsewhere.
-_HEAD_OBJECTIVES = 1.5
+# Longest wait for the first event, in objectives, if the request may run
+# elsewhere. An answer this late is late anyway; what counts is that a second
+# run begins before callers leave, after four objectives or two seconds. Busy
+# replicas need more than one objective, and cutting them off adds to their
+# work.
+_HEAD_OBJECTIVES = 3.5
 # Without an objective of its own a route has this one.
 _DEFAULT_OBJECTIVE_MS = 1_000.0
 # When to come back if no replica can be used.
@@ -302,8 +305,13 @@
     ) -> None:
         replica = slot.replica
         progress.note_failure(replica.listing.id, exc)
-        if not isinstance(exc, upstream_errors.RefusedError):
-            replica.note_failure(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        slow = isinstance(exc, upstream_errors.TimeoutError)
+        if slow and replica.total(now_ms) > replica.slots:
+            # Its own queue explains the time; others would be as full.
+            replica.note_full(now_ms)
+        elif not isinstance(exc, upstream_errors.RefusedError):
+            replica.note_failure(now_ms)
         self._metrics.add("attempt_failures", code=exc.code)
         _log.info(
             "attempt failed",
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -21,8 +21,11 @@
 # free is then taken at once, and a stale count costs nobody the objective.
 _OVERSHOOT = 1
 # Slots that batch work leaves free on each replica for online requests that
-# arrive before a batch item could yield.
+# arrive before a batch item could yield; more if counts lag by some requests,
+# or items start on replicas that are full and yield at once.
 _RESERVE = 0
+_LAGGING_RESERVE = 2
+_LAGGING_URGENT_RESERVE = 1
 # Requests that can no longer meet their objective wait behind those that can;
 # a first event takes about this long after the request was sent.
 _FIRST_EVENT_MS = 80.0
@@ -217,13 +220,22 @@
     def _least_busy(
         self, replicas: list[load.Replica], demand: Demand, now_ms: float
     ) -> load.Replica | None:
-        open_ = [r for r in replicas if _has_room(r, demand, now_ms)]
+        reserve = self._reserve(demand)
+        open_ = [r for r in replicas if _has_room(r, demand, reserve, now_ms)]
         if not open_:
             return None
         if self.counts_lag():
             open_ = self._draw(open_, demand.work)
         return min(open_, key=lambda r: self._load_order(r, now_ms))
 
+    def _reserve(self, demand: Demand) -> int:
+        """Returns the slots that batch work must leave free on a replica."""
+        if self.counts_lag():
+            return (
+                _LAGGING_URGENT_RESERVE if demand.urgent else _LAGGING_RESERVE
+            )
+        return 0 if demand.urgent else _RESERVE
+
     def _draw(
         self, replicas: list[load.Replica], work: load.Work
     ) -> list[load.Replica]:
@@ -280,7 +292,9 @@
     return tiers[:1]
 
 
-def _has_room(replica: load.Replica, demand: Demand, now_ms: float) -> bool:
+def _has_room(
+    replica: load.Replica, demand: Demand, reserve: int, now_ms: float
+) -> bool:
     total = replica.total(now_ms)
     if demand.work is load.Work.ONLINE:
         # Batch items yield, so only online work counts against it.
@@ -290,7 +304,6 @@
             replica.online() < replica.slots
             and total < replica.slots + _OVERSHOOT
         )
-    reserve = 0 if demand.urgent else _RESERVE
     return total + reserve < replica.slots
 
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -21,7 +21,6 @@
 ]:
     """Returns a scheduler with eight items that run on one replica."""
     dispatcher = test_dispatcher.make(replicas=1, slots=8, clock=clock)
-    dispatcher.counts_lag = lambda: lag
     metrics = metrics_lib.Registry()
     scheduler = schedulers.Scheduler(
         dispatcher,
@@ -42,6 +41,7 @@
         task.scope = trio.CancelScope()
         scheduler.add(task, lambda task, result: None)
         tasks.append(task)
+    dispatcher.counts_lag = lambda: lag
     return dispatcher, scheduler, tasks
 
 
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -280,7 +280,7 @@
     for n in range(8):
         zone = "z" if n < 2 else "y"
         dispatcher.fleet.directory.put(
-            directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", zone, 2)
+            directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", zone, 3)
         )
     dispatcher.fleet.refresh()
     dispatcher.counts_lag = lambda: True
@@ -288,5 +288,11 @@
     zones = [slot.replica.listing.zone for slot in taken if slot]
     assert len(zones) == 8
     assert zones.count("y") >= 4
+    # All replicas hold one item now; the last slots are left to online work.
+    assert dispatcher.try_acquire(_demand(BATCH)) is None
+    urgent = [
+        dispatcher.try_acquire(_demand(BATCH, urgent=True)) for _ in range(9)
+    ]
+    assert [slot is None for slot in urgent] == [False] * 8 + [True]
     online = [dispatcher.try_acquire(_demand()) for _ in range(4)]
     assert any(slot and slot.replica.listing.zone == "z" for slot in online)
