Let items yield only to what surely runs while counts lag

Change: while counts lag, a replica's fresh figures decide how much batch work must go, and without them only the online requests of others.

--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -189,7 +189,9 @@
         request, which then need not wait for one to yield.
         """
         reserve = 0 if urgent else _RESERVE
-        held = replica.total(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        lag = self.counts_lag()
+        held = replica.total_sure(now_ms) if lag else replica.total(now_ms)
         return min(replica.batch(), held + reserve - replica.slots)
 
     async def _wait(self, waiter: _Waiter) -> None:
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -83,10 +83,22 @@
     def total(self, now_ms: float) -> int:
         """Returns the requests that it holds, by the fuller account."""
         others = self.others[0] + self.others[1]
-        if now_ms - self.foreign_ms < _OWN_FIGURES_TTL_MS:
+        if self._has_figures(now_ms):
             others = max(others, self.foreign)
         return self.own[0] + self.own[1] + others
 
+    def total_sure(self, now_ms: float) -> int:
+        """Returns the requests that it surely holds if reports are old.
+
+        By its own figures, or without others' batch items: these come and go
+        faster than reports of them.
+        """
+        others = self.foreign if self._has_figures(now_ms) else self.others[0]
+        return self.own[0] + self.own[1] + others
+
+    def _has_figures(self, now_ms: float) -> bool:
+        return now_ms - self.foreign_ms < _OWN_FIGURES_TTL_MS
+
     def note_figures(self, held: int, now_ms: float) -> None:
         """Takes over the number of requests that the replica says it holds."""
         self.foreign = max(0, held - self.own[0] - self.own[1])
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -45,14 +45,16 @@
     return dispatcher, scheduler, tasks
 
 
-def _yielded_over(lag: bool, duration_ms: int) -> int:
-    """Returns how many items yield to three requests by an old report."""
+def _yielded_over(
+    lag: bool, duration_ms: int, others: tuple[int, int] = (3, 0)
+) -> int:
+    """Returns how many items yield to what an old report tells of others."""
     random.seed(1)
     clock = clocks.ManualClock()
     dispatcher, scheduler, tasks = _make(clock, lag)
     # The items that yield release their slots at once, but the replica's
     # other holders are known only by a report that does not change.
-    dispatcher.fleet.note_report("peer", {"r0": (3, 0)}, 0)
+    dispatcher.fleet.note_report("peer", {"r0": others}, 0)
     for _ in range(0, duration_ms, 25):
         clock.advance(25)
         scheduler._yield_slots()
@@ -68,3 +70,9 @@
     """Guards against items that start and yield many times a second."""
     assert _yielded_over(lag=True, duration_ms=500) == 3
     assert _yielded_over(lag=False, duration_ms=500) > 3
+
+
+def test_items_do_not_yield_to_old_counts_of_other_items() -> None:
+    """Guards against items counted where they no longer run."""
+    assert _yielded_over(lag=True, duration_ms=500, others=(0, 6)) == 0
+    assert _yielded_over(lag=False, duration_ms=500, others=(0, 6)) > 0
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -296,3 +296,20 @@
     assert [slot is None for slot in urgent] == [False] * 8 + [True]
     online = [dispatcher.try_acquire(_demand()) for _ in range(4)]
     assert any(slot and slot.replica.listing.zone == "z" for slot in online)
+
+
+def test_fresh_figures_of_a_replica_count_more_than_old_reports() -> None:
+    """Guards against items that yield on a replica with free slots."""
+    clock = clocks.ManualClock()
+    dispatcher = make(replicas=1, slots=8, clock=clock)
+    dispatcher.counts_lag = lambda: True
+    replica = dispatcher.fleet.get("r0")
+    assert replica is not None
+    for _ in range(4):
+        assert dispatcher.try_acquire(_demand(BATCH))
+    dispatcher.fleet.note_report("peer", {"r0": (6, 3)}, 0)
+    assert dispatcher.excess(replica, urgent=True) == 2
+    replica.note_figures(7, clock.now_ms())
+    assert dispatcher.excess(replica, urgent=True) == -1
+    replica.note_figures(11, clock.now_ms())
+    assert dispatcher.excess(replica, urgent=True) == 3
