Hear restarted gateways from their first report on

Cause: reports are ordered by a serial since. The entry of a restarted gateway on the log, or a digest, could come before its first report; the new start then stood beside the old serial, and its reports were passed over until they had counted beyond it. Found by reading.

Change: another start resets the serial. peers/test_roster.py holds the tests of reports that are out of order.

--- a/lacewingwood/peers/roster.py
+++ b/lacewingwood/peers/roster.py
@@ -47,6 +47,10 @@
     owned: dict[int, int] = dataclasses.field(default_factory=dict)
     version: int = 0
 
+    def note_start(self, started_ms: int) -> None:
+        """Notes another process, whose reports count from one again."""
+        self.started_ms, self.serial = started_ms, 0
+
 
 class Roster:
     """All other gateways.
@@ -180,7 +184,8 @@
             peer = self._peers[host] = Peer(host, address)
         peer.address = address
         peer.zone = zone
-        peer.started_ms = max(peer.started_ms, started_ms)
+        if started_ms > peer.started_ms:
+            peer.note_start(started_ms)
         peer.entry_ms = self._clock.now_ms()
         return new
 
@@ -220,7 +225,8 @@
             peer = self._peers.get(counts.host)
             if peer is None or self._is_outdated(peer, counts.started_ms):
                 continue
-            peer.started_ms = counts.started_ms
+            if counts.started_ms != peer.started_ms:
+                peer.note_start(counts.started_ms)
             peer.owned, peer.version = counts.owned, counts.version
             peer.report_ms = now_ms
 
--- /dev/null
+++ b/tests/peers/test_roster.py
@@ -0,0 +1,79 @@
+"""Tests of what is known of other gateways."""
+
+from lacewingwood import clock as clocks
+from lacewingwood.peers import gateway_messages
+from lacewingwood.peers import roster as roster_lib
+
+
+def _make() -> tuple[roster_lib.Roster, clocks.ManualClock]:
+    clock = clocks.ManualClock()
+    return roster_lib.Roster("self", "z", clock, lambda: 0.0), clock
+
+
+def _report(
+    started_ms: int, serial: int, **fields: object
+) -> gateway_messages.GatewayReport:
+    return gateway_messages.GatewayReport(
+        "a", "10.0.0.1:1", started_ms, 1, {}, {}, {}, serial=serial, **fields
+    )  # type: ignore[arg-type]
+
+
+def test_reports_that_were_overtaken_change_nothing() -> None:
+    """Guards against old counts that replace newer ones."""
+    roster, _ = _make()
+    assert roster.note_report(_report(1_000, 2))
+    assert not roster.note_report(_report(1_000, 2))
+    assert not roster.note_report(_report(1_000, 1))
+    assert roster.note_report(_report(1_000, 3))
+
+
+def test_reports_of_a_process_that_ran_before_change_nothing() -> None:
+    """Guards against counts of a process that has been replaced."""
+    roster, _ = _make()
+    assert roster.note_report(_report(2_000, 1))
+    assert not roster.note_report(_report(1_000, 9))
+
+
+def test_restarted_gateway_is_heard_after_its_entry() -> None:
+    """Guards against a restarted process whose first reports are passed over.
+
+    Its entry on the log may come before its first report.
+    """
+    roster, _ = _make()
+    assert roster.note_report(_report(1_000, 500))
+    roster.note_entry("a", "10.0.0.1:1", "z", 2_000)
+    assert roster.note_report(_report(2_000, 1))
+
+
+def test_restarted_gateway_is_heard_after_a_digest_names_it() -> None:
+    """Guards against the same for a process that a digest names first."""
+    roster, _ = _make()
+    roster.note_entry("a", "10.0.0.1:1", "z", 1_000)
+    assert roster.note_report(_report(1_000, 500))
+    roster.note_counts([gateway_messages.HostCounts("a", 2_000, 1, {}, {})])
+    assert roster.note_report(_report(2_000, 1))
+
+
+def test_gateway_that_left_is_not_heard() -> None:
+    """Guards against work sent to a gateway that has stopped."""
+    roster, _ = _make()
+    silent: list[str] = []
+    roster.on_silent = silent.append
+    roster.note_report(_report(1_000, 1))
+    assert [peer.host for peer in roster.heard()] == ["a"]
+    assert roster.note_report(_report(1_000, 2, leaving=True))
+    assert not roster.heard()
+    assert silent == ["a"]
+    assert not roster.note_report(_report(1_000, 1))
+
+
+def test_silent_gateway_keeps_its_share_until_its_entry_is_old() -> None:
+    """Guards against a split fleet that admits more than was agreed."""
+    roster, clock = _make()
+    roster.note_entry("a", "10.0.0.1:1", "z", 1_000)
+    roster.note_report(_report(1_000, 1))
+    assert roster.share() == 1.0
+    clock.advance(2_000)
+    assert roster.share() == 0.5
+    clock.advance(10_000)
+    assert roster.share() == 1.0
