Tell all entries when a replica is leaving

Cause: integration/test_engines::test_leaving_engine_gets_no_new_work failed once. The holder of a replica's lease sends its load only to entries that sent counts for it. An entry that has not used the replica learns of its leaving from its own poll of idle engines, every 5 s, while the test waits for 3 s. Besides, entries dropped the words of a new lease holder until its serial had passed that of the former, since Fleet.reset_holder_serial had no caller.

Change: while a replica is leaving, its holder sends the load to all entries. ReplicaWord carries the epoch of the lease, and a later holder's words replace those of the former; reset_holder_serial is removed.

Both new tests failed on the code before.

--- a/lacewingwood/batch/replica_runner.py
+++ b/lacewingwood/batch/replica_runner.py
@@ -13,6 +13,7 @@
 from lacewingwood.batch import results
 from lacewingwood.batch import schedule
 from lacewingwood.peers import messages
+from lacewingwood.state import records as state_records
 from lacewingwood.upstreams import errors as upstream_errors
 
 # Time limit of an item on the engine. Without it, an item that never completes
@@ -357,11 +358,23 @@
         self._last_load = load
         self._last_load_ms = now_ms
         self._serial += 1
-        message = messages.ReplicaWord(self._replica, *load, self._serial)
+        message = messages.ReplicaWord(
+            self._replica, *load, self._serial, self._epoch
+        )
+        for member in self._load_receivers():
+            self._deps.network.send(member.address, message)
+
+    def _load_receivers(self) -> list[state_records.Member]:
+        """Returns the entry processes to which the load is sent.
+
+        These are the ones that use the replica. While it is leaving, all of
+        them: one that has not used it yet would choose it for its next request.
+        """
         members = self._deps.follower.view.members
-        for name in cap.entry_ids():
-            if name in members:
-                self._deps.network.send(members[name].address, message)
+        if self._capacity.leaving:
+            return [m for m in members.values() if m.role == "entry"]
+        names = self._capacity.entry_ids()
+        return [members[name] for name in names if name in members]
 
     def _weight(self, customer: str) -> float:
         found = self._deps.follower.view.customers.get(customer)
--- a/lacewingwood/peers/messages.py
+++ b/lacewingwood/peers/messages.py
@@ -243,6 +243,7 @@
         waiting: Requests queued in the engine at its last load report.
         leaving: True if the replica must get no new work.
         serial: Increases with each message of this lease holder.
+        epoch: Fencing number of the lease; a later holder has a greater one.
     """
 
     replica: str
@@ -251,6 +252,7 @@
     waiting: int
     leaving: bool
     serial: int
+    epoch: int = 0
 
 
 class Ack(Message, tag="ack"):
--- a/lacewingwood/routing/replicas.py
+++ b/lacewingwood/routing/replicas.py
@@ -36,7 +36,8 @@
         others_in_flight: Requests in flight from other entries, by the last
             report of the worker that holds the replica's lease.
         batch: Batch items in flight, by that report.
-        holder_serial: Serial of that report, -1 before the first.
+        holder_serial: Epoch and serial of that report; a later holder has a
+            greater epoch.
         holder_report_ms: When that report arrived.
         versions: Model versions that are loaded; empty if not known.
         boot_id: Changes with each start of the engine.
@@ -60,7 +61,7 @@
     waiting: int = 0
     others_in_flight: int = 0
     batch: int = 0
-    holder_serial: int = -1
+    holder_serial: tuple[int, int] = (-1, -1)
     holder_report_ms: float = -_HOLDER_REPORT_TTL_MS
     versions: dict[str, str] = dataclasses.field(default_factory=dict)
     boot_id: str = ""
@@ -141,9 +142,12 @@
     ) -> None:
         """Applies a report of a replica's lease holder unless out of order."""
         replica = self._by_id.get(report.replica)
-        if replica is None or report.serial <= replica.holder_serial:
+        if replica is None:
+            return
+        serial = report.epoch, report.serial
+        if serial <= replica.holder_serial:
             return
-        replica.holder_serial = report.serial
+        replica.holder_serial = serial
         replica.holder_report_ms = now_ms
         replica.others_in_flight = max(0, report.online - replica.own_in_flight)
         replica.batch = report.batch
@@ -151,12 +155,6 @@
         if report.leaving:
             self.mark_leaving(replica.id)
 
-    def reset_holder_serial(self, replica_id: str) -> None:
-        """Accepts any serial next, as a new lease holder starts its own."""
-        replica = self._by_id.get(replica_id)
-        if replica is not None:
-            replica.holder_serial = -1
-
     def apply_load(
         self, replica_id: str, report: upstream_types.LoadReport
     ) -> None:
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -311,6 +311,7 @@
 
     slots: int = 4
     step_ms: float = 20.0
+    leaving: bool = False
     running: dict[str, trio.Event] = dataclasses.field(default_factory=dict)
     max_running: int = 0
     crashes: int = 0
@@ -337,7 +338,7 @@
             slots=engine.slots,
             kv_used=0.0,
             step_ms=engine.step_ms,
-            leaving=False,
+            leaving=engine.leaving,
             versions={},
             boot_id="1",
         )
--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import hypothesis
+import msgspec
 import pytest
 import trio
 from hypothesis import strategies as st
@@ -120,6 +121,36 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_all_entries_hear_that_a_replica_is_leaving(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against an entry's first request going to a leaving replica.
+
+    The entry has not used the replica, so the holder of its lease has no
+    counts of that entry.
+    """
+    async with running_cluster() as cluster:
+        entry = fakes.Deps(cluster.env, "entry-1")
+        member = cluster.env.control.members["entry-1"]
+        cluster.env.control.members["entry-1"] = msgspec.structs.replace(
+            member, role="entry"
+        )
+        words: list[messages.ReplicaWord] = []
+
+        async def note_word(word: messages.ReplicaWord) -> messages.Message:
+            words.append(word)
+            return messages.Ack()
+
+        entry.network.handle(messages.ReplicaWord, note_word)
+        cluster.start_worker("w1")
+        await trio.sleep(2)
+        assert not words
+        cluster.env.engines.by_address["engine-0:8000"].leaving = True
+        await trio.sleep(2)
+        assert words
+        assert all(word.leaving for word in words)
+
+
 async def test_job_runs_to_readable_output(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -207,6 +207,16 @@
         assert leaving_id not in chosen
 
 
+def test_reports_of_a_new_lease_holder_replace_those_of_the_former() -> None:
+    """Guards against ignoring a new holder, whose serials start again."""
+    router = _make(2, candidates=2)
+    former = messages.ReplicaWord("e0", 0, 0, 0, False, serial=900, epoch=5)
+    router.fleet.apply_holder_report(former, 0)
+    new = messages.ReplicaWord("e0", 0, 0, 0, True, serial=1, epoch=8)
+    router.fleet.apply_holder_report(new, 0)
+    assert {_start(router, 0).replica.id for _ in range(10)} == {"e1"}
+
+
 def test_failing_replica_is_ejected_probed_and_readmitted() -> None:
     """Guards against routing to a failing replica and against never reusing it.
 
