Settle an append whose caller was cancelled before the next one

Cause: an owner's append takes the next sequence number of its epoch. A call to end a job is cancelled once the calling gateway gives up, after 0.8 s; with a slow store that is in the middle of the append. The sequence number was then used again, and if the first append had been done, the store answered the next one as its repetition: results were listed by the owner that are not on the log, and another owner would list others at their positions.

Change: the writer keeps a batch whose append was cancelled and repeats it under its number first.

The test failed before: 3 results listed, none on the log.

--- a/lacewingwood/jobs/writer.py
+++ b/lacewingwood/jobs/writer.py
@@ -27,6 +27,7 @@
     """
 
     __slots__ = (
+        "_cancelled_batch",
         "_clock",
         "_fence",
         "_lock",
@@ -55,6 +56,7 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = trio.Lock()
+        self._cancelled_batch: list[compacted.Record] | None = None
 
     async def claim(self) -> compacted.Snapshot:
         """Fences all earlier owners.
@@ -93,13 +95,31 @@
         async with self._lock:
             if self.lost.is_set():
                 raise compacted.FencedError("a later owner exists")
-            await self._append_until_settled(batch)
-            self._fence.sequence += 1
+            if self._cancelled_batch is not None:
+                await self._append_next(self._cancelled_batch, True)
+            await self._append_next(batch, False)
+
+    async def _append_next(
+        self, batch: list[compacted.Record], outcome_unknown: bool
+    ) -> None:
+        """Appends under the next sequence number.
+
+        An append whose caller is cancelled may have taken effect. It is kept
+        and repeated before the next one: the log would take another batch under
+        its sequence number for its repetition and drop it.
+        """
+        self._cancelled_batch = batch
+        try:
+            await self._append_until_settled(batch, outcome_unknown)
+        except log_errors.LogError:
+            self._cancelled_batch = None
+            raise
+        self._cancelled_batch = None
+        self._fence.sequence += 1
 
     async def _append_until_settled(
-        self, batch: list[compacted.Record]
+        self, batch: list[compacted.Record], outcome_unknown: bool
     ) -> None:
-        outcome_unknown = False
         while True:
             try:
                 await self._log.append(self._partition, batch, self._fence)
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -25,6 +25,8 @@
             reported as having an unknown outcome.
         delayed_appends: Number of the next appends that are reported as
             having an unknown outcome and executed by `execute_delayed`.
+        silent_appends: Number of the next appends that are executed, but
+            never answered.
     """
 
     def __init__(self) -> None:
@@ -32,6 +34,7 @@
         self.down = False
         self.lost_answers = 0
         self.delayed_appends = 0
+        self.silent_appends = 0
         self._delayed: collections.deque[tuple[dict[str, str], bytes]]
         self._delayed = collections.deque()
 
@@ -88,6 +91,9 @@
             self._delayed.append((query, body))
             raise errors.UnavailableError("no answer", True)
         status, _ = self.core.append(query, body)
+        if self.silent_appends:
+            self.silent_appends -= 1
+            await trio.sleep_forever()
         if self.lost_answers:
             self.lost_answers -= 1
             raise errors.UnavailableError("the answer was lost", True)
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -75,6 +75,12 @@
     return table
 
 
+def owner_results(owner: owners.Owner) -> list[records.Result]:
+    """Returns the results of the job that an owner lists."""
+    entry = owner._table.get(KEY)
+    return entry.results if entry is not None else []
+
+
 async def test_results_are_listed_in_order_of_completion() -> None:
     """Guards against results that are lost or written twice."""
     log, scheduler = fakes.MemoryLog(), fakes.FakeScheduler()
@@ -110,6 +116,32 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_cancelled_append_does_not_swallow_the_next_one() -> None:
+    """Guards against results that are listed, but not on the log.
+
+    The caller of an end gives up while the append waits for its answer. The
+    append was done, so the log takes a later one under the same sequence
+    number for its repetition.
+    """
+    log, scheduler = fakes.MemoryLog(), fakes.FakeScheduler()
+    owner = make_owner(log, scheduler)
+    async with trio.open_nursery() as nursery:
+        await start(nursery, owner)
+        await submit(log)
+        other = fakes.make_job("other", items=2)
+        await log.append(fakes.PARTITION, fakes.submission_records(other))
+        await until(lambda: len(scheduler.tasks) == 5)
+        log.silent_appends = 1
+        with trio.move_on_after(0.05):
+            await owner.end("kaje/other")
+        for task in [t for t in scheduler.tasks if t.job.id == "job"]:
+            scheduler.complete(task, b"x")
+        await until(lambda: len(owner_results(owner)) == 3)
+        assert len(read_table(log).get(KEY).results) == 3
+        assert read_table(log).get("kaje/other").ended
+        nursery.cancel_scope.cancel()
+
+
 async def test_restarted_owner_takes_a_new_epoch() -> None:
     """Guards against appends taken for repeats of an earlier process.
 
