Limit the tokens of a customer that wait on a batch route

Change: all of a customer's jobs on such routes go to one partition. Its owner reads the log's end, counts, and appends the job on the condition that nothing else was appended meanwhile (jobs/admission). The condition, not the ownership, makes the count exact: an owner that was frozen, two gateways at once and an append done late can't exceed it. A job that does not fit gets 429 and leaves nothing on the log. Other routes keep their jobs where they were; reads ask both partitions before a 404. Weighed: counts told between gateways, which are late, so that a margin for all gateways would have to refuse jobs that fit; a ledger of reservations, which needs records and their removal in step with results. Reads, bodies and ends also wait up to 1 s for an owner before a 503.

--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -219,8 +219,20 @@
                     )
                 time.sleep(0.05)
 
-    def configure(self, keys: tuple[str, ...] = (KEY,), **route: Any) -> int:
-        """Publishes a configuration; returns its version."""
+    def configure(
+        self,
+        keys: tuple[str, ...] = (KEY,),
+        waiting_limit: int = 0,
+        **route: Any,
+    ) -> int:
+        """Publishes a configuration; returns its version.
+
+        Args:
+            keys: The customer's API keys.
+            waiting_limit: Most tokens of a customer that wait on the batch
+                route, 0 for no limit.
+            **route: Fields of the routes of streams.
+        """
         self._version += 1
         common = {
             "host": HOST,
@@ -239,6 +251,7 @@
             "max_attempts": 3,
             "result_deadline_ms": 18_000,
             "retention_s": 60,
+            "cap": waiting_limit,
         }
         document = {
             "version": self._version,
--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -87,6 +87,11 @@
         current = self._published.current
         return current.max_body_bytes if current else 0
 
+    def limits_waiting_tokens(self, host: str) -> bool:
+        """Returns whether a route of a host limits the waiting tokens."""
+        current = self._published.current
+        return current is not None and current.limits_waiting_tokens(host)
+
     def resolve(self, head: Head) -> Resolved:
         """Returns the route and the customer of a request.
 
--- a/lacewingwood/configuration.py
+++ b/lacewingwood/configuration.py
@@ -52,6 +52,8 @@
             results are due.
         retention_ms: Time from a job's first submission until its unfinished
             items may be given up.
+        max_waiting_tokens: Most tokens of one customer's unfinished batch
+            items, over all gateways; 0 for no limit.
     """
 
     name: str
@@ -68,6 +70,7 @@
     resumable: bool = False
     result_deadline_ms: float = 0.0
     retention_ms: float = 0.0
+    max_waiting_tokens: int = 0
 
     @property
     def repeatable(self) -> bool:
@@ -144,6 +147,11 @@
         """Returns whether any route has this host."""
         return _host_name(host) in self._by_host
 
+    def limits_waiting_tokens(self, host: str) -> bool:
+        """Returns whether a route of this host limits the waiting tokens."""
+        routes = self._by_host.get(_host_name(host), ())
+        return any(route.max_waiting_tokens for route in routes)
+
     def customer_by_key(self, key: str) -> Customer | None:
         """Returns the customer that holds a key, or None."""
         return self._by_key.get(key)
--- a/lacewingwood/jobs/errors.py
+++ b/lacewingwood/jobs/errors.py
@@ -27,6 +27,15 @@
     code = "job_not_accepted"
 
 
+class OverLimitError(JobError):
+    """The customer's tokens that wait on the route leave no room for the job.
+
+    The job was not accepted, and no item of it will run.
+    """
+
+    code = "job_over_limit"
+
+
 class OutcomeUnknownError(JobError):
     """The job may have been accepted; the caller has to submit it again."""
 
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -11,6 +11,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import admission
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
@@ -82,6 +83,7 @@
         self.index = index
         self.partition = partition
         self.loaded = trio.Event()
+        self._log = log
         self._writer = writers.Writer(log, partition, min_epoch, clock, metrics)
         self._scheduler = scheduler
         self._clock = clock
@@ -94,6 +96,8 @@
         self._outbox = collections.deque()
         self._outbox_filled = trio.Event()
         self._changed = trio.Event()
+        # Appends of several submissions at once would conflict.
+        self._admission_lock = trio.Lock()
         self._follower = follow.Follower(
             log,
             partition,
@@ -202,6 +206,46 @@
             raise errors.UnavailableError(exc.message) from exc
         _log.info("job ended", job=key, epoch=self.epoch)
 
+    async def admit(
+        self,
+        job: records.Job,
+        batches: list[list[compacted.Record]],
+        limit: int,
+        find_route: admission.FindRoute,
+    ) -> None:
+        """Accepts a job if it fits the limit of its route's waiting tokens.
+
+        See `admission.Admission`.
+
+        Raises:
+            errors.UnavailableError: The partition is not loaded, or a later
+                owner exists.
+        """
+        with trio.move_on_after(_LOAD_WAIT_MS / 1000):
+            await self.loaded.wait()
+        if not self.loaded.is_set() or self.lost.is_set():
+            raise errors.UnavailableError("the partition is being read")
+        async with self._admission_lock:
+            await admission.Admission(
+                self._log,
+                self.partition,
+                self,
+                job,
+                batches,
+                limit,
+                find_route,
+            ).run()
+
+    @property
+    def table(self) -> tables.Table:
+        """The partition's jobs, see `admission.View`."""
+        return self._table
+
+    async def refresh(self) -> int:
+        """Reads the log's end, see `admission.View`."""
+        await self._follower.poll(0)
+        return self._follower.position
+
     async def apply_progress(
         self, progress: gateway_messages.JobProgress
     ) -> None:
@@ -234,7 +278,7 @@
     def stop_items(self) -> list[gateway_messages.JobProgress]:
         """Stops all items; returns their progress for the next owner."""
         progress = [
-            _progress_message(
+            self._progress_message(
                 key, result.item, None, [result.output], 0, result
             )
             for key, result in self._outbox
@@ -244,7 +288,7 @@
             self._scheduler.remove(task)
             if task.events.last_id is not None or task.failures:
                 progress.append(
-                    _progress_message(
+                    self._progress_message(
                         key,
                         index,
                         task.events.last_id,
@@ -286,7 +330,7 @@
 
     async def _catch_up(self) -> None:
         try:
-            await self._follower.poll(0)
+            await self.refresh()
         except log_errors.LogError as exc:
             raise errors.UnavailableError(exc.message) from exc
         if self.lost.is_set():
@@ -421,6 +465,27 @@
             self._table.apply(record)
         self._notify()
 
+    def _progress_message(
+        self,
+        key: str,
+        index: int,
+        last_event: int | None,
+        output: list[bytes],
+        failures: int,
+        result: records.Result | None,
+    ) -> gateway_messages.JobProgress:
+        customer, _, job_id = key.partition("/")
+        return gateway_messages.JobProgress(
+            customer,
+            job_id,
+            index,
+            last_event,
+            output,
+            failures,
+            result.completed if result is not None else None,
+            self.index,
+        )
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -432,21 +497,6 @@
             await self.remove_expired_jobs()
 
 
-def _progress_message(
-    key: str,
-    index: int,
-    last_event: int | None,
-    output: list[bytes],
-    failures: int,
-    result: records.Result | None,
-) -> gateway_messages.JobProgress:
-    customer, _, job_id = key.partition("/")
-    completed = result.completed if result is not None else None
-    return gateway_messages.JobProgress(
-        customer, job_id, index, last_event, output, failures, completed
-    )
-
-
 def _removal_records(entry: tables.Entry) -> list[compacted.Record]:
     """Returns the records that remove a job."""
     key = entry.key
--- a/lacewingwood/jobs/records.py
+++ b/lacewingwood/jobs/records.py
@@ -123,6 +123,23 @@
 _result_decoder = msgspec.msgpack.Decoder(Result)
 
 
+def encode_job(job: Job) -> bytes:
+    """Encodes a job's specification."""
+    return _encode(job)
+
+
+def decode_job(data: bytes) -> Job:
+    """Decodes a job's specification.
+
+    Raises:
+        errors.JobError: The data is malformed.
+    """
+    try:
+        return _job_decoder.decode(data)
+    except msgspec.MsgspecError as exc:
+        raise errors.JobError(str(exc)) from exc
+
+
 def job_key(customer: str, job_id: str) -> str:
     """Returns the key that identifies a job within its partition.
 
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -1,9 +1,14 @@
 """Callers' operations on jobs, available at every gateway."""
 
+from collections.abc import Callable
+
+import msgspec
 import structlog
+import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import admission
 from lacewingwood.jobs import appending
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import owner as owners
@@ -22,9 +27,38 @@
 # requested.
 _PEER_TIMEOUT_MS = 800.0
 _MAX_READ_WAIT_MS = 1_000.0
+# How long a read waits until the job's partition has an owner that answers, and
+# how often it looks. Callers wait longer than this for an answer.
+_OWNER_WAIT_MS = 1_000.0
+_OWNER_POLL_MS = 50.0
+# Timeout of an owner's answer to a submission. Reading the partition oneself
+# then still ends within the usual latency objective of 400 ms.
+_ADMISSION_TIMEOUT_MS = 200.0
+# Timeout of a submission that is counted from a snapshot.
+_SNAPSHOT_TIMEOUT_MS = 2_500.0
+
+# Makes the request to the owner of a partition.
+MakeRequest = Callable[[int], messages.Message]
+
 _log = structlog.get_logger()
 
 
+class JobName(msgspec.Struct, frozen=True):
+    """Names a job in a caller's request.
+
+    Attributes:
+        customer: Customer to whom the job belongs.
+        id: The job's id.
+        limited: True if its route may limit the customer's waiting tokens. Jobs
+            on such routes are in their customer's partition, others in one of
+            their own.
+    """
+
+    customer: str
+    id: str
+    limited: bool = False
+
+
 def partitions(per_topic: int) -> list[compacted.Partition]:
     """Returns all partitions of the job topics, in a fixed order."""
     return [
@@ -45,10 +79,12 @@
     __slots__ = (
         "_appender",
         "_clock",
+        "_find_route",
         "_network",
         "_ownership",
         "_partitions",
         "_peers",
+        "_store",
     )
 
     def __init__(
@@ -58,6 +94,7 @@
         ownership: ownerships.Ownership,
         network: network_lib.Network,
         peers: appending.Peers,
+        find_route: admission.FindRoute,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         *,
@@ -72,11 +109,14 @@
             ownership: The partitions that this gateway owns.
             network: Carries calls to the other gateways.
             peers: This gateway's view of the other gateways.
+            find_route: Returns the route of a host and a path, if any.
             clock: Source of monotonic time.
             metrics: Registry of counters.
             max_record_bytes: Size of the largest record that the log accepts.
             max_append_bytes: Size of the largest append to the log.
         """
+        self._store = log
+        self._find_route = find_route
         self._partitions = partitions_
         self._ownership = ownership
         self._network = network
@@ -92,40 +132,56 @@
             max_record_bytes=max_record_bytes,
             max_append_bytes=max_append_bytes,
         )
-        network.handle(gateway_messages.JobRead, self._handle_read)
-        network.handle(gateway_messages.JobItemRead, self._handle_item_read)
-        network.handle(gateway_messages.JobEnd, self._handle_end)
+        network.handle(gateway_messages.JobRead, self._handle_request)
+        network.handle(gateway_messages.JobItemRead, self._handle_request)
+        network.handle(gateway_messages.JobEnd, self._handle_request)
+        network.handle(gateway_messages.JobAdmission, self._handle_admission)
         network.handle(gateway_messages.JobProgress, self._handle_progress)
 
-    async def submit(self, submission: records.Submission) -> None:
+    async def submit(
+        self, submission: records.Submission, waiting_limit: int = 0
+    ) -> None:
         """Accepts a job; returns once all of it is on the log.
 
+        Args:
+            submission: The job.
+            waiting_limit: Most tokens of the customer's unfinished items on the
+                job's route, this job included; 0 for no limit.
+
         Raises:
             errors.InvalidJobError: The job's id is invalid, or a record is
                 too large for the log.
+            errors.OverLimitError: The job does not fit the limit.
             errors.NotAcceptedError: The job was not accepted.
             errors.OutcomeUnknownError: The job may have been accepted.
         """
         job = submission.job
         key = records.job_key(job.customer, job.id)
-        index = records.partition_index(key, len(self._partitions))
-        owner = self._ownership.owner(index)
-        if owner is not None and owner.has_job(key):
-            return
         started_ms = self._clock.now_ms()
-        new_records = records.submission_records(key, job, submission.bodies)
-        await self._appender.append(index, new_records)
+        if waiting_limit:
+            index = self._customer_partition(job.customer)
+            await self._submit_limited(index, key, submission, waiting_limit)
+        else:
+            index = records.partition_index(key, len(self._partitions))
+            owner = self._ownership.owner(index)
+            if owner is not None and owner.has_job(key):
+                return
+            new_records = records.submission_records(
+                key, job, submission.bodies
+            )
+            await self._appender.append(index, new_records)
         _log.info(
             "job accepted",
             request_id=job.id,
             customer=job.customer,
             partition=index,
             items=len(job.items),
+            limit=waiting_limit,
             ms=round(self._clock.now_ms() - started_ms),
         )
 
     async def read(
-        self, customer: str, job_id: str, start: int, wait_ms: float
+        self, job: JobName, start: int, wait_ms: float
     ) -> gateway_messages.JobResults:
         """Returns a job's results from position `start` on.
 
@@ -136,18 +192,18 @@
             errors.UnavailableError: The owner gave no usable answer.
         """
         wait_ms = min(wait_ms, _MAX_READ_WAIT_MS)
-        request = gateway_messages.JobRead(customer, job_id, start, wait_ms)
-        owner, address = self._locate(customer, job_id)
-        if owner is not None:
-            return await self._read_local(owner, request)
-        answer = await self._call_owner(address, request, wait_ms)
+        answer = await self._ask_owner(
+            job,
+            lambda index: gateway_messages.JobRead(
+                job.customer, job.id, start, wait_ms, index
+            ),
+            wait_ms,
+        )
         if not isinstance(answer, gateway_messages.JobResults):
             raise errors.UnavailableError("the owner sent an unexpected answer")
         return answer
 
-    async def item_body(
-        self, customer: str, job_id: str, item_id: str
-    ) -> bytes:
+    async def item_body(self, job: JobName, item_id: str) -> bytes:
         """Returns the body of an item that has no result yet.
 
         Raises:
@@ -155,56 +211,181 @@
                 result, or the job has ended.
             errors.UnavailableError: The owner gave no usable answer.
         """
-        owner, address = self._locate(customer, job_id)
-        if owner is not None:
-            return await owner.item_body(
-                records.job_key(customer, job_id), item_id
-            )
-        request = gateway_messages.JobItemRead(customer, job_id, item_id)
-        answer = await self._call_owner(address, request, 0)
+        answer = await self._ask_owner(
+            job,
+            lambda index: gateway_messages.JobItemRead(
+                job.customer, job.id, item_id, index
+            ),
+        )
         if not isinstance(answer, gateway_messages.JobItemBody):
             raise errors.UnavailableError("the owner sent an unexpected answer")
         return answer.body
 
-    async def end(self, customer: str, job_id: str) -> None:
+    async def end(self, job: JobName) -> None:
         """Ends a job; returns once its end record is on the log.
 
         Raises:
             errors.UnknownJobError: No such job exists.
             errors.UnavailableError: The end record may not have been appended.
         """
-        key = records.job_key(customer, job_id)
         try:
-            owner, address = self._locate(customer, job_id)
-            if owner is not None:
-                await owner.end(key)
-            else:
-                request = gateway_messages.JobEnd(customer, job_id)
-                await self._call_owner(address, request, 0)
+            await self._ask_partitions(
+                job,
+                lambda index: gateway_messages.JobEnd(
+                    job.customer, job.id, index
+                ),
+                0,
+            )
             return
         except errors.UnavailableError as exc:
             _log.info(
                 "owner unavailable; appending the end record",
-                request_id=job_id,
+                request_id=job.id,
                 code=exc.code,
             )
         # The present or next owner reads the end record from the log.
-        index = records.partition_index(key, len(self._partitions))
+        key = records.job_key(job.customer, job.id)
         try:
-            await self._appender.append(index, [records.end_record(key)])
+            for index in self._partitions_of(job):
+                await self._appender.append(index, [records.end_record(key)])
         except (errors.NotAcceptedError, errors.OutcomeUnknownError) as exc:
             raise errors.UnavailableError(exc.message) from exc
 
-    def _locate(
-        self, customer: str, job_id: str
-    ) -> tuple[owners.Owner | None, str]:
-        """Returns the job's owner if it is here, else the owner's address.
+    async def _submit_limited(
+        self,
+        index: int,
+        key: str,
+        submission: records.Submission,
+        limit: int,
+    ) -> None:
+        """Accepts a job through the owner of its customer's partition.
+
+        While no owner answers, this gateway counts from a snapshot itself.
+        """
+        job, bodies = submission.job, submission.bodies
+        batches = self._appender.split(
+            records.submission_records(key, job, bodies)
+        )
+        outcome_unknown = False
+        try:
+            owner, address = self._locate(index)
+            if owner is not None:
+                await owner.admit(job, batches, limit, self._find_route)
+            else:
+                request = gateway_messages.JobAdmission(
+                    index, records.encode_job(job), bodies, limit
+                )
+                await self._network.call(
+                    address, request, _ADMISSION_TIMEOUT_MS
+                )
+            return
+        except peer_errors.RefusedError as exc:
+            if exc.reason == errors.OverLimitError.code:
+                raise errors.OverLimitError(exc.message) from exc
+            outcome_unknown = exc.reason == errors.OutcomeUnknownError.code
+            detail = exc.message
+        except peer_errors.PeerError as exc:
+            # An owner that did not answer may still accept the job. A second
+            # copy of its records changes nothing.
+            outcome_unknown, detail = True, exc.message
+        except errors.UnavailableError as exc:
+            detail = exc.message
+        _log.info(
+            "owner unavailable; counting waiting tokens from the log",
+            request_id=job.id,
+            partition=index,
+            detail=detail[:80],
+        )
+        try:
+            await self._admit_from_snapshot(index, job, batches, limit)
+        except (errors.NotAcceptedError, errors.OverLimitError) as exc:
+            if outcome_unknown:
+                raise errors.OutcomeUnknownError(exc.message) from exc
+            raise
+
+    async def _admit_from_snapshot(
+        self,
+        index: int,
+        job: records.Job,
+        batches: list[list[compacted.Record]],
+        limit: int,
+    ) -> None:
+        partition = self._partitions[index]
+        view = admission.SnapshotView(self._store, partition)
+        with trio.move_on_after(_SNAPSHOT_TIMEOUT_MS / 1000) as scope:
+            await admission.Admission(
+                self._store,
+                partition,
+                view,
+                job,
+                batches,
+                limit,
+                self._find_route,
+            ).run()
+        if scope.cancelled_caught:
+            raise errors.OutcomeUnknownError("the log did not answer in time")
+
+    async def _ask_owner(
+        self, job: JobName, make: MakeRequest, wait_ms: float = 0.0
+    ) -> messages.Message:
+        """Asks the job's owner; waits a short time for one if there is none.
+
+        Right after a start or the loss of a gateway, partitions have no owner
+        that this gateway knows of.
+
+        Raises:
+            errors.UnknownJobError: No such job exists.
+            errors.UnavailableError: No owner gave a usable answer.
+        """
+        deadline_ms = self._clock.now_ms() + _OWNER_WAIT_MS
+        while True:
+            try:
+                return await self._ask_partitions(job, make, wait_ms)
+            except errors.UnavailableError:
+                if self._clock.now_ms() >= deadline_ms:
+                    raise
+            await self._clock.sleep_ms(_OWNER_POLL_MS)
+
+    async def _ask_partitions(
+        self, job: JobName, make: MakeRequest, wait_ms: float
+    ) -> messages.Message:
+        """Asks the owners of all partitions that may hold a job."""
+        unknown = errors.UnknownJobError("no such job")
+        for index in self._partitions_of(job):
+            try:
+                return await self._ask_partition(index, make(index), wait_ms)
+            except errors.UnknownJobError as exc:
+                unknown = exc
+        raise unknown
+
+    async def _ask_partition(
+        self, index: int, request: messages.Message, wait_ms: float
+    ) -> messages.Message:
+        owner, address = self._locate(index)
+        if owner is not None:
+            return await self._answer_locally(owner, request)
+        return await self._call_owner(address, request, wait_ms)
+
+    def _partitions_of(self, job: JobName) -> list[int]:
+        """Returns the partitions that may hold a job, the likeliest first."""
+        key = records.job_key(job.customer, job.id)
+        indexes = [
+            records.partition_index(key, len(self._partitions)),
+            self._customer_partition(job.customer),
+        ]
+        if job.limited:
+            indexes.reverse()
+        return list(dict.fromkeys(indexes))
+
+    def _customer_partition(self, customer: str) -> int:
+        return records.partition_index(customer, len(self._partitions))
+
+    def _locate(self, index: int) -> tuple[owners.Owner | None, str]:
+        """Returns a partition's owner if it is here, else its address.
 
         Raises:
             errors.UnavailableError: No owner is known.
         """
-        key = records.job_key(customer, job_id)
-        index = records.partition_index(key, len(self._partitions))
         owner = self._ownership.owner(index)
         if owner is not None and not owner.lost.is_set():
             return owner, ""
@@ -248,37 +429,63 @@
             ],
         )
 
-    def _require_local_owner(self, customer: str, job_id: str) -> owners.Owner:
-        owner, _ = self._locate(customer, job_id)
-        if owner is None:
-            raise errors.UnavailableError("the partition is not owned here")
-        return owner
-
-    async def _handle_read(
-        self, request: gateway_messages.JobRead
-    ) -> gateway_messages.JobResults:
-        owner = self._require_local_owner(request.customer, request.job_id)
-        return await self._read_local(owner, request)
+    async def _answer_locally(
+        self, owner: owners.Owner, request: messages.Message
+    ) -> messages.Message:
+        match request:
+            case gateway_messages.JobRead():
+                return await self._read_local(owner, request)
+            case gateway_messages.JobItemRead(customer, job_id, item_id):
+                key = records.job_key(customer, job_id)
+                body = await owner.item_body(key, item_id)
+                return gateway_messages.JobItemBody(body)
+            case gateway_messages.JobEnd(customer, job_id):
+                await owner.end(records.job_key(customer, job_id))
+                return messages.Ack()
+            case _:
+                raise AssertionError("not a request to an owner")
 
-    async def _handle_item_read(
-        self, request: gateway_messages.JobItemRead
-    ) -> gateway_messages.JobItemBody:
-        owner = self._require_local_owner(request.customer, request.job_id)
-        key = records.job_key(request.customer, request.job_id)
-        return gateway_messages.JobItemBody(
-            await owner.item_body(key, request.item_id)
+    async def _handle_request(
+        self,
+        request: gateway_messages.JobRead
+        | gateway_messages.JobItemRead
+        | gateway_messages.JobEnd,
+    ) -> messages.Message:
+        owner = self._require_local_owner(
+            request.customer, request.job_id, request.partition
         )
+        return await self._answer_locally(owner, request)
 
-    async def _handle_end(
-        self, request: gateway_messages.JobEnd
+    async def _handle_admission(
+        self, request: gateway_messages.JobAdmission
     ) -> messages.Ack:
-        owner = self._require_local_owner(request.customer, request.job_id)
-        await owner.end(records.job_key(request.customer, request.job_id))
+        owner, _ = self._locate(request.partition)
+        if owner is None:
+            raise errors.UnavailableError("the partition is not owned here")
+        job = records.decode_job(request.job)
+        key = records.job_key(job.customer, job.id)
+        batches = self._appender.split(
+            records.submission_records(key, job, request.bodies)
+        )
+        await owner.admit(job, batches, request.limit, self._find_route)
         return messages.Ack()
 
     async def _handle_progress(
         self, progress: gateway_messages.JobProgress
     ) -> messages.Ack:
-        owner = self._require_local_owner(progress.customer, progress.job_id)
+        owner = self._require_local_owner(
+            progress.customer, progress.job_id, progress.partition
+        )
         await owner.apply_progress(progress)
         return messages.Ack()
+
+    def _require_local_owner(
+        self, customer: str, job_id: str, index: int
+    ) -> owners.Owner:
+        if index < 0:
+            key = records.job_key(customer, job_id)
+            index = records.partition_index(key, len(self._partitions))
+        owner, _ = self._locate(index)
+        if owner is None:
+            raise errors.UnavailableError("the partition is not owned here")
+        return owner
--- a/lacewingwood/log/compacted.py
+++ b/lacewingwood/log/compacted.py
@@ -17,6 +17,12 @@
     code = "log_fenced"
 
 
+class ConflictError(errors.LogError):
+    """The partition does not end where the append expects; nothing was done."""
+
+    code = "log_conflict"
+
+
 class FullError(errors.LogError):
     """The log has no space left; nothing was appended."""
 
@@ -117,6 +123,7 @@
         partition: Partition,
         records: list[Record],
         fence: Fence | None = None,
+        expected_end: int | None = None,
     ) -> None:
         """Appends either all of the records or none.
 
@@ -124,8 +131,16 @@
         after an unknown outcome takes effect once. With an empty list of
         records it only establishes the epoch of the fence.
 
+        Args:
+            partition: The partition.
+            records: The records, in order.
+            fence: Identity of the writer, None for an append without one.
+            expected_end: The append takes effect only if the partition ends at
+                this offset; None for no condition.
+
         Raises:
             UnavailableError: The log gave no usable answer.
+            ConflictError: The partition ends at another offset.
             FencedError: A writer with a later epoch exists.
             FullError: The log has no space left.
         """
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -129,12 +129,15 @@
         job_id: The job.
         start: Position of the first result to return.
         wait_ms: How long to wait for a result if there is none yet.
+        partition: Number of the partition whose owner is asked; -1 in messages
+            of earlier versions, which know one partition for each job.
     """
 
     customer: str
     job_id: str
     start: int
     wait_ms: float
+    partition: int = -1
 
 
 class JobResult(msgspec.Struct):
@@ -164,6 +167,7 @@
     customer: str
     job_id: str
     item_id: str
+    partition: int = -1
 
 
 class JobItemBody(messages.Message, tag="job_item_body"):
@@ -183,6 +187,7 @@
         output: Data of the events received so far.
         failures: Number of answers that counted as failed attempts.
         completed: Whether the item completed, None if it has to continue.
+        partition: Number of the partition.
     """
 
     customer: str
@@ -192,6 +197,7 @@
     output: list[bytes]
     failures: int
     completed: bool | None
+    partition: int = -1
 
 
 class JobAppend(messages.Message, tag="job_append"):
@@ -210,11 +216,30 @@
     values: list[bytes]
 
 
+class JobAdmission(messages.Message, tag="job_admission"):
+    """Asks a partition's owner to accept a job if it fits the route's limit.
+
+    Answered with `Ack` once the job is on the log.
+
+    Attributes:
+        partition: Number of the partition.
+        job: The job's encoded specification.
+        bodies: Bodies of its items.
+        limit: Most tokens of the customer that may wait on the job's route.
+    """
+
+    partition: int
+    job: bytes
+    bodies: list[bytes]
+    limit: int
+
+
 class JobEnd(messages.Message, tag="job_end"):
     """Asks the owner of a job to end the job; answered with `Ack`."""
 
     customer: str
     job_id: str
+    partition: int = -1
 
 
 AnyMessage = (
@@ -229,5 +254,6 @@
     | JobItemBody
     | JobProgress
     | JobAppend
+    | JobAdmission
     | JobEnd
 )
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -59,6 +59,9 @@
     result_deadline_ms: float = 0.0
     # From a job's submission until its items may be given up.
     retention_s: float = 0.0
+    # Tokens of a tenant that may wait on a batch route, 0 for no limit. The
+    # name also stands for other limits, in the services' engines.
+    cap: float = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -164,6 +167,7 @@
         resumable=route.resumable,
         result_deadline_ms=route.result_deadline_ms,
         retention_ms=route.retention_s * 1000,
+        max_waiting_tokens=int(route.cap),
     )
 
 
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -35,6 +35,9 @@
 _BINARY_CONTENT = (b"content-type", b"application/octet-stream")
 # Retry-After of a call for which the owner of the job can't be reached.
 _JOB_RETRY_AFTER_MS = 400.0
+# Retry-After of a job that exceeds its customer's waiting tokens. Items take
+# some seconds, so a part of them has made room by then.
+_OVER_LIMIT_RETRY_AFTER_MS = 1_000.0
 # Most bytes of job outputs in one response.
 _MAX_RESULTS_BYTES = 900_000
 
@@ -130,34 +133,42 @@
             resolved.route,
             time.time_ns() // 1_000_000,
         )
-        await self._jobs.submit(submission)
+        limit = resolved.route.max_waiting_tokens
+        await self._jobs.submit(submission, limit)
         await req.respond(202, b"{}")
 
     async def _handle_job(self, req: "_Request", head: gateways.Head) -> None:
-        customer = self._gateway.authenticate(head).name
+        job = self._find_job(head, _JOBS_PREFIX)
         await req.read_body(self._gateway.max_body_bytes)
-        job_id = head.path.removeprefix(_JOBS_PREFIX)
         match req.method:
             case "GET":
                 start = _parse_number(req.query("after"))
                 wait_ms = _parse_number(
                     req.header(b"wait-ms").decode("latin-1")
                 )
-                page = await self._jobs.read(customer, job_id, start, wait_ms)
+                page = await self._jobs.read(job, start, wait_ms)
                 _truncate_results(page.results)
                 await req.respond(200, job_codec.encode_results(page, start))
             case "DELETE":
-                await self._jobs.end(customer, job_id)
+                await self._jobs.end(job)
                 await req.respond(200, b"{}")
             case _:
                 raise errors.CallerError(405, "method", "use GET or DELETE")
 
     async def _handle_item(self, req: "_Request", head: gateways.Head) -> None:
-        customer = self._gateway.authenticate(head).name
-        job_id = head.path.removeprefix(_ITEMS_PREFIX)
-        body = await self._jobs.item_body(customer, job_id, req.query("id"))
+        job = self._find_job(head, _ITEMS_PREFIX)
+        body = await self._jobs.item_body(job, req.query("id"))
         await req.respond(200, body, [_BINARY_CONTENT])
 
+    def _find_job(
+        self, head: gateways.Head, prefix: str
+    ) -> job_service.JobName:
+        """Returns the job that a request names in its path after `prefix`."""
+        customer = self._gateway.authenticate(head).name
+        limited = self._gateway.limits_waiting_tokens(head.host)
+        job_id = head.path.removeprefix(prefix)
+        return job_service.JobName(customer, job_id, limited)
+
     async def _respond_error(
         self, req: "_Request", head: gateways.Head, exc: errors.CallerError
     ) -> None:
@@ -297,6 +308,13 @@
             return errors.CallerError(404, exc.code, exc.message)
         case job_errors.InvalidJobError():
             return errors.CallerError(400, exc.code, exc.message)
+        case job_errors.OverLimitError():
+            return errors.CallerError(
+                429,
+                exc.code,
+                exc.message,
+                retry_after_ms=_OVER_LIMIT_RETRY_AFTER_MS,
+            )
         case job_errors.OutcomeUnknownError():
             return errors.CallerError(
                 504, exc.code, exc.message, ran=base_errors.Ran.MAY_HAVE_RUN
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -127,6 +127,7 @@
         partition: compacted.Partition,
         records: list[compacted.Record],
         fence: compacted.Fence | None = None,
+        expected_end: int | None = None,
     ) -> None:
         """Appends records, all or none; see `compacted.CompactedLog`."""
         query = (
@@ -135,6 +136,8 @@
         if fence is not None:
             query += f"&producer={fence.producer}&epoch={fence.epoch}"
             query += f"&seq={fence.sequence}"
+        if expected_end is not None:
+            query += f"&at={expected_end}"
         body = b"".join([_encode_record(record) for record in records])
         status, response = await self._call("POST", "append", query, body)
         match status:
@@ -143,6 +146,8 @@
             case 409:
                 reason = _decode(response, _ConflictResponse).why
                 raise compacted.FencedError(f"append refused: {reason}")
+            case 412:
+                raise compacted.ConflictError("the partition has grown")
             case 507:
                 raise compacted.FullError("the store is full")
             case _:
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -151,6 +151,7 @@
             self._ownership,
             self._network,
             self._roster,
+            self._find_route,
             self._clock,
             self._metrics,
             max_record_bytes=cfg.max_record_bytes,
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -98,7 +98,8 @@
 
         Args:
             query: Topic, partition and, for a fenced append, the producer
-                with its epoch and sequence number.
+                with its epoch and sequence number; `at` is the offset at which
+                the partition must end.
             body: The records.
             operator: True to allow topics that are read-only for gateways.
         """
@@ -111,6 +112,8 @@
             if refusal is not None:
                 return refusal
         offset = partition.end
+        if int(query.get("at", offset)) != offset:
+            return 412, msgspec.json.encode({"end": offset})
         position = 0
         while position < len(body):
             (length,) = _RECORD_LENGTH.unpack_from(body, position)
--- a/tests/integration/test_gateways.py
+++ b/tests/integration/test_gateways.py
@@ -156,6 +156,30 @@
     assert outputs["j-1-2"].split("\n") == [f"j-1-2 {n}" for n in range(1, 9)]
 
 
+def test_job_beyond_the_customers_waiting_tokens_is_refused(
+    fleet: fleets.Fleet,
+) -> None:
+    """Guards against accepting more tokens than may wait on the route.
+
+    An item has 10 tokens. A job that fits is accepted and readable everywhere.
+    """
+    fleet.configure(waiting_limit=25)
+    deadline = time.monotonic() + 3
+    while (status := _submit(fleet.gateways[0], "large", items=3)) != 429:
+        assert status in (202, 503)
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+    for number, gateway in enumerate(fleet.gateways):
+        assert _submit(gateway, f"refused-{number}", items=3) == 429
+        assert _submit(gateway, f"fits-{number}", items=2) == 202
+        found = _wait_results(fleet.gateways[0], f"fits-{number}", 2)
+        for other in fleet.gateways:
+            assert _get_results(other, f"fits-{number}") == (200, found)
+            assert _get_results(other, f"refused-{number}")[0] == 404
+    assert not [r for r in fleet.runs() if "refused" in r["request_id"]]
+    fleet.configure()
+
+
 def test_rejected_item_is_dead_lettered(fleet: fleets.Fleet) -> None:
     """Guards against retrying an item without end.
 
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -76,6 +76,7 @@
         partition: compacted.Partition,
         batch: list[compacted.Record],
         fence: compacted.Fence | None = None,
+        expected_end: int | None = None,
     ) -> None:
         """Appends records, all or none."""
         await trio.lowlevel.checkpoint()
@@ -85,6 +86,8 @@
             query["producer"] = fence.producer
             query["epoch"] = str(fence.epoch)
             query["seq"] = str(fence.sequence)
+        if expected_end is not None:
+            query["at"] = str(expected_end)
         body = b"".join([wire._encode_record(record) for record in batch])
         if self.delayed_appends:
             self.delayed_appends -= 1
@@ -99,6 +102,8 @@
             raise errors.UnavailableError("the answer was lost", True)
         if status == 409:
             raise compacted.FencedError("fenced")
+        if status == 412:
+            raise compacted.ConflictError("the partition has grown")
 
     def execute_delayed(self) -> None:
         """Executes the delayed appends."""
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -17,6 +17,7 @@
 from tests.jobs import fakes
 
 KEY = "j/kaje/job"
+JOB = services.JobName("kaje", "job")
 
 
 class Peers:
@@ -75,6 +76,7 @@
             ownership,
             self.network,
             self.peers,
+            lambda host, path: None,
             clock,
             metrics,
             max_record_bytes=1_000,
@@ -190,16 +192,16 @@
     """Guards against a 404 answer while the owner can't be asked."""
     async with two_nodes() as (a, b):
         with pytest.raises(errors.UnavailableError):
-            await a.service.read("kaje", "job", 0, 0)
+            await a.service.read(JOB, 0, 0)
         a.peers.owner = (b.address, 1)
         with pytest.raises(errors.UnavailableError):
-            await a.service.read("kaje", "job", 0, 0)
+            await a.service.read(JOB, 0, 0)
 
 
 async def test_end_without_an_owner_is_appended_to_the_log() -> None:
     """Guards against a lost end while the partition has no owner."""
     async with two_nodes() as (a, _):
-        await a.service.end("kaje", "job")
+        await a.service.end(JOB)
         part = a.log.core.partition(fakes.PARTITION.topic, 0)
         assert "e/kaje/job" in part.newest
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -25,6 +25,7 @@
     "max_attempts": 2,
     "resumable": True,
     "gap_aim_ms": 200,
+    "cap": 2_600_000,
 }
 _ENTRY = {
     "service": "x",
@@ -70,6 +71,7 @@
     assert route.objective_ms == 300
     assert route.gap_objective_ms == 200
     assert route.repeatable
+    assert route.max_waiting_tokens == 2_600_000
     customer = decoded.customer_by_key("k2")
     assert customer is not None
     assert (customer.rate, customer.burst, customer.priority) == (24, 30, 1)
