Keep a partition's owner when an earlier generation claims it late

Cause: a gateway whose share of the partitions had changed, but which had not heard of it, could claim a partition after its new owner: it took an epoch above the owner's and fenced it. The rightful owner then waited for a change of generation, and until then no item ran and no read of the partition was answered. This fits test_job_is_the_same_at_all_gateways, which once waited for more than 15 s for results: its gateways join one after another, each dealing the partitions anew.

Change: a claim ends if the newest claim is of a later generation. An owner that was fenced and still holds its partition claims it again at the next renewal, and its items go on in the new owner.

--- a/lacewingwood/jobs/ownership.py
+++ b/lacewingwood/jobs/ownership.py
@@ -1,5 +1,6 @@
 """This gateway's share of the partitions, as assigned by the log's group."""
 
+import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -8,6 +9,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import errors
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import writer as writers
 from lacewingwood.log import compacted
@@ -171,8 +173,6 @@
         for index, partition in assigned.items():
             owner = self._owners.get(index)
             if owner is not None and owner.lost.is_set():
-                if owner.epoch >= self._min_epoch():
-                    continue
                 self._nursery.start_soon(self._retire, *self._pop_owner(index))
                 owner = None
             if owner is None:
@@ -205,29 +205,54 @@
         self, owner: owners.Owner, scope: trio.CancelScope
     ) -> None:
         """Runs a partition's items until its next owner can continue them."""
-        index = owner.index
         deadline_ms = self._clock.now_ms() + _RETIRE_TIMEOUT_MS
-        reported = self._find_owner(index)
-        while reported is None or reported[1] <= owner.epoch:
-            if self._clock.now_ms() > deadline_ms:
-                break
+        successor = self._successor(owner)
+        while successor is None and self._clock.now_ms() <= deadline_ms:
             await self._clock.sleep_ms(_RETIRE_POLL_MS)
-            reported = self._find_owner(index)
+            successor = self._successor(owner)
         progress = owner.stop_items()
         scope.cancel()
-        has_successor = reported is not None and reported[1] > owner.epoch
         _log.info(
             "owner retired",
-            partition=index,
+            partition=owner.index,
             topic=owner.partition.topic,
             part=owner.partition.number,
             epoch=owner.epoch,
             items=len(progress),
-            successor=reported[0] if reported and has_successor else None,
+            successor="here" if successor is self else successor,
         )
-        if reported is not None and has_successor:
-            async with trio.open_nursery() as nursery:
-                for item_progress in progress:
-                    nursery.start_soon(
-                        self._hand_over, reported[0], item_progress
-                    )
+        if successor is None:
+            return
+        async with trio.open_nursery() as nursery:
+            for item_progress in progress:
+                nursery.start_soon(
+                    self._pass_progress, successor, item_progress
+                )
+
+    def _successor(self, owner: owners.Owner) -> "str | Ownership | None":
+        """Returns the address of a partition's later owner, or this object.
+
+        Returns:
+            This object if the later owner is in this process, None if no later
+            owner is known.
+        """
+        local = self._owners.get(owner.index)
+        if local is not None and local.loaded.is_set():
+            return self
+        reported = self._find_owner(owner.index)
+        if reported is not None and reported[1] > owner.epoch:
+            return reported[0]
+        return None
+
+    async def _pass_progress(
+        self,
+        successor: "str | Ownership",
+        progress: gateway_messages.JobProgress,
+    ) -> None:
+        if isinstance(successor, str):
+            await self._hand_over(successor, progress)
+            return
+        local = self._owners.get(progress.partition)
+        if local is not None:
+            with contextlib.suppress(errors.UnavailableError):
+                await local.apply_progress(progress)
--- a/lacewingwood/jobs/writer.py
+++ b/lacewingwood/jobs/writer.py
@@ -65,11 +65,21 @@
             A snapshot read before the claim. Records that earlier owners
             appended between the snapshot and the claim are at or after the
             snapshot's next offset.
+
+        Raises:
+            compacted.FencedError: The owner of a later generation has claimed
+                the partition.
         """
         while True:
             try:
                 snapshot = await self._log.snapshot(self._partition)
-                self._set_epoch(snapshot.records)
+                newest_epoch = max(
+                    (records.claimed_epoch(r) for r in snapshot.records),
+                    default=-1,
+                )
+                if _generation(newest_epoch) > _generation(self._min_epoch):
+                    break
+                self._set_epoch(newest_epoch)
                 record = records.claim_record(self.epoch)
                 await self._log.append(self._partition, [record], self._fence)
                 self._fence.sequence += 1
@@ -81,6 +91,10 @@
             except log_errors.LogError as exc:
                 self._metrics.add("claims_failed", code=exc.code)
             await self._clock.sleep_ms(_RETRY_DELAY_MS)
+        # This gateway has not yet heard that the partition is no longer its
+        # own. A higher epoch would fence the rightful owner.
+        self._note_ownership_lost()
+        raise compacted.FencedError("a later generation's owner exists")
 
     async def append(self, batch: list[compacted.Record]) -> None:
         """Appends records, all or none.
@@ -134,16 +148,13 @@
                     raise
                 await self._clock.sleep_ms(_RETRY_DELAY_MS)
 
-    def _set_epoch(self, snapshot: list[compacted.Record]) -> None:
+    def _set_epoch(self, newest_epoch: int) -> None:
         """Chooses an epoch that no earlier owner of the partition has used.
 
         The group assigns a partition to one member in each generation, and
         each generation has its own range of epochs. Within that range the
         epochs belong to successive processes on this host.
         """
-        newest_epoch = max(
-            (records.claimed_epoch(r) for r in snapshot), default=-1
-        )
         self.epoch = max(self._min_epoch, newest_epoch + 1)
         self._fence = compacted.Fence(_PRODUCER, self.epoch)
 
@@ -155,3 +166,8 @@
             epoch=self.epoch,
         )
         self.lost.set()
+
+
+def _generation(epoch: int) -> int:
+    """Returns the generation of the group to which an epoch belongs."""
+    return epoch // EPOCHS_PER_GENERATION
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -189,6 +189,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_late_claim_does_not_take_a_partition_from_its_new_owner() -> (
+    None
+):
+    """Guards against a partition without an owner for the rest of a generation.
+
+    A gateway that has not heard of the new generation claims a partition after
+    the new owner did. Found by test_job_is_the_same_at_all_gateways, where
+    gateways join one after another.
+    """
+    log = fakes.MemoryLog()
+    scheduler = fakes.FakeScheduler()
+    async with trio.open_nursery() as nursery:
+        new = make_owner(log, scheduler, 2 * EPOCHS_PER_GENERATION)
+        await start(nursery, new)
+        late = make_owner(log, fakes.FakeScheduler())
+        with trio.move_on_after(1), contextlib.suppress(compacted.FencedError):
+            await late.run()
+        assert late.lost.is_set()
+        await submit(log)
+        await until(lambda: len(scheduler.tasks) == 3)
+        for task in list(scheduler.tasks):
+            scheduler.complete(task, b"x")
+        await until(lambda: len(read_table(log).get(KEY).results) == 3)
+        assert not new.lost.is_set()
+        nursery.cancel_scope.cancel()
+
+
 async def test_late_append_of_a_dead_owner_changes_nothing() -> None:
     """Guards against an append that the store executes seconds later."""
     log = fakes.MemoryLog()
