--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -62,17 +62,17 @@
 class Forwarder:
     """Runs calls on replicas, retries them and resumes broken streams."""
 
-    __slots__ = ("_clock", "_dispatcher", "_metrics", "_replicas", "_rng")
+    __slots__ = ("_clock", "_metrics", "_replicas", "_rng", "_slots")
 
     def __init__(
         self,
-        dispatcher: dispatchers.Dispatcher,
+        slots: dispatchers.Slots,
         replicas: runs.ReplicaClient,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         rng: random.Random | None = None,
     ) -> None:
-        self._dispatcher = dispatcher
+        self._slots = slots
         self._replicas = replicas
         self._clock = clock
         self._metrics = metrics
@@ -157,7 +157,7 @@
                     await self._relay_error_response(call, exc, progress)
                     return
             finally:
-                self._dispatcher.release(slot)
+                self._slots.release(slot)
             if not progress.may_retry():
                 self._give_up(call, progress, 502)
 
@@ -167,11 +167,11 @@
         service: str,
         progress: progress_lib.Progress,
     ) -> dispatchers.Slot | None:
-        if not self._dispatcher.has_replica(service):
+        if not self._slots.has_replica(service):
             progress.reason = "no_replica"
             return None
         objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
-        return await self._dispatcher.acquire(
+        return await self._slots.acquire(
             dispatchers.SlotRequest(
                 service=service,
                 work=load.WorkKind.ONLINE,
@@ -315,6 +315,7 @@
             slot.replica.note_failure(now_ms)
         else:
             slot.replica.note_full(now_ms)
+            slot.refused = True
         raise upstream_errors.RefusedError("not run", run.status, b"")
 
     def _record_failure(
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -110,16 +110,16 @@
 class ItemRunner:
     """Runs items at replicas."""
 
-    __slots__ = ("_clock", "_dispatcher", "_metrics", "_replicas")
+    __slots__ = ("_clock", "_metrics", "_replicas", "_slots")
 
     def __init__(
         self,
-        dispatcher: dispatchers.Dispatcher,
+        slots: dispatchers.Slots,
         replicas: runs.ReplicaClient,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
     ) -> None:
-        self._dispatcher = dispatcher
+        self._slots = slots
         self._replicas = replicas
         self._clock = clock
         self._metrics = metrics
@@ -147,7 +147,7 @@
             with task.scope:
                 result = await self._run_once(task, slot, route)
         finally:
-            self._dispatcher.release(slot)
+            self._slots.release(slot)
             task.slot = task.scope = None
         took_ms = self._clock.now_ms() - started_ms
         self._metrics.add("item_runs", ended="done" if result else "again")
@@ -179,6 +179,7 @@
             now_ms = self._clock.now_ms()
             if isinstance(exc, upstream_errors.RefusedError):
                 replica.note_full(now_ms)
+                slot.refused = True
             else:
                 replica_healthy = (
                     replica.standing(now_ms) is outliers.Standing.SOUND
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 import trio
 
@@ -12,6 +13,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
+from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 
@@ -45,6 +47,21 @@
 _MISSING_ROUTE_TIMEOUT_MS = 4_000.0
 
 FindRoute = Callable[[str, str], configuration.Route | None]
+
+
+class Coordination(Protocol):
+    """Slots that coordinators grant, in a large fleet."""
+
+    def coordinated(self) -> bool:
+        """Returns whether coordinators grant the slots."""
+
+    def want_batch(self, service: str, count: int, urgent: bool) -> None:
+        """Sets how many slots waiting items of a service need."""
+
+    def release(self, slot: dispatchers.Slot) -> None:
+        """Gives a slot back."""
+
+
 OnResult = Callable[[running.ItemTask, records.Result], None]
 
 
@@ -65,6 +82,7 @@
         "_average_run_ms",
         "_clock",
         "_contenders",
+        "_coordination",
         "_dispatcher",
         "_entries",
         "_find_route",
@@ -74,6 +92,7 @@
         "_runner",
         "_wake",
         "_wall_ms",
+        "_wanted_services",
     )
 
     def __init__(
@@ -85,6 +104,7 @@
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
         metrics: metrics_lib.Registry,
+        coordination: Coordination | None = None,
     ) -> None:
         """Creates a scheduler, which does nothing until `run` is called.
 
@@ -97,8 +117,12 @@
             clock: Source of monotonic time.
             wall_ms: Returns Unix time.
             metrics: Registry of counters.
+            coordination: Grants slots in a large fleet; None if slots are
+                always taken from the dispatcher.
         """
         self._dispatcher = dispatcher
+        self._coordination = coordination
+        self._wanted_services: set[str] = set()
         self._runner = runner
         self._find_route = find_route
         self._contenders = contenders
@@ -137,13 +161,43 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                self._preempt_items()
-                self._start_waiting()
+                if self._is_coordinated():
+                    self._ask_for_slots()
+                else:
+                    self._preempt_items()
+                    self._start_waiting()
                 self._wake = trio.Event()
                 tick_s = _TICK_MS / 1000 if self._entries else math.inf
                 with trio.move_on_after(tick_s):
                     await self._wake.wait()
 
+    def start_one(self, slot: dispatchers.Slot) -> bool:
+        """Starts the most urgent waiting item in a granted slot.
+
+        Returns:
+            False if no item can use the slot.
+        """
+        now_ms = self._clock.now_ms()
+        listing = slot.replica.listing
+        for entry in self._waiting_in_order():
+            task = entry.task
+            if task.not_before_ms > now_ms:
+                continue
+            route = self._usable_route(entry, now_ms)
+            if route is None or listing.id in self._excluded(task, listing):
+                continue
+            if any(t.service == listing.service for t in route.targets):
+                self._start_in(entry, slot, route)
+                return True
+        return False
+
+    def preempt_one(self, replica: load.Replica) -> None:
+        """Stops an item at a replica that an online request needs."""
+        victims = self._preemption_victims(
+            replica, False, 1
+        ) or self._preemption_victims(replica, True, 1)
+        self._preempt(replica, victims)
+
     def slack_ms(self, task: running.ItemTask) -> float:
         """Returns how long an item can still wait without missing its deadline.
 
@@ -162,18 +216,54 @@
             _MIN_REMAINING_MS, self._average_run_ms * (1 - min(progress, 1.0))
         )
 
-    def _start_waiting(self) -> None:
+    def _is_coordinated(self) -> bool:
+        return self._coordination is not None and (
+            self._coordination.coordinated()
+        )
+
+    def _ask_for_slots(self) -> None:
+        """Tells the coordinators how many items wait for a slot."""
+        assert self._coordination is not None
         now_ms = self._clock.now_ms()
+        counts: dict[str, int] = dict.fromkeys(self._wanted_services, 0)
+        urgent: set[str] = set()
+        for entry in self._waiting_in_order():
+            if entry.task.not_before_ms > now_ms:
+                continue
+            route = self._usable_route(entry, now_ms)
+            if route is None:
+                continue
+            service = _choose_service(route)
+            counts[service] = counts.get(service, 0) + 1
+            if self._is_urgent(entry.task):
+                urgent.add(service)
+        self._wanted_services = {s for s, count in counts.items() if count}
+        for service, count in counts.items():
+            self._coordination.want_batch(service, count, service in urgent)
+
+    def _waiting_in_order(self) -> list[_Entry]:
         waiting = [
             entry
             for entry in self._entries.values()
             if entry.task.state is running.State.WAITING
         ]
-        if not waiting:
-            return
-        if not self._has_turn():
-            return
         waiting.sort(key=lambda entry: self._start_order(entry.task))
+        return waiting
+
+    def _excluded(
+        self, task: running.ItemTask, listing: directory.Listing
+    ) -> set[str]:
+        """Returns the replicas at which an item failed, if there are others."""
+        exclude = task.failed_replica_ids
+        if self._dispatcher.has_replica(listing.service, exclude):
+            return exclude
+        return set()
+
+    def _start_waiting(self) -> None:
+        now_ms = self._clock.now_ms()
+        waiting = self._waiting_in_order()
+        if not waiting or not self._has_turn():
+            return
         full_services: set[tuple[str, bool]] = set()
         for entry in waiting:
             if entry.task.not_before_ms <= now_ms:
@@ -213,17 +303,10 @@
                 was tried; a service without one is added.
         """
         task = entry.task
-        since_expiry_ms = self._wall_ms() - task.job.expires_ms
-        if since_expiry_ms >= records.MAX_CLOCK_SKEW_MS:
-            self._finish(entry, task.result(completed=False))
-            return
-        route = self._find_route(task.job.host, task.item.target)
-        if route is None or not route.targets:
-            self._note_missing_route(entry, now_ms)
+        route = self._usable_route(entry, now_ms)
+        if route is None:
             return
-        entry.route_missing_since_ms = None
-        weights = [target.weight for target in route.targets]
-        service = random.choices(route.targets, weights)[0].service
+        service = _choose_service(route)
         urgent = self._is_urgent(task)
         if (service, urgent) in full_services:
             return
@@ -241,7 +324,28 @@
             if not exclude:
                 full_services.add((service, urgent))
             return
-        task.state = running.State.RUNNING
+        self._start_in(entry, slot, route)
+
+    def _usable_route(
+        self, entry: _Entry, now_ms: float
+    ) -> configuration.Route | None:
+        """Returns the route of an item that may run; may give up the item."""
+        task = entry.task
+        since_expiry_ms = self._wall_ms() - task.job.expires_ms
+        if since_expiry_ms >= records.MAX_CLOCK_SKEW_MS:
+            self._finish(entry, task.result(completed=False))
+            return None
+        route = self._find_route(task.job.host, task.item.target)
+        if route is None or not route.targets:
+            self._note_missing_route(entry, now_ms)
+            return None
+        entry.route_missing_since_ms = None
+        return route
+
+    def _start_in(
+        self, entry: _Entry, slot: dispatchers.Slot, route: configuration.Route
+    ) -> None:
+        entry.task.state = running.State.RUNNING
         assert self._nursery is not None
         self._nursery.start_soon(self._run, entry, slot, route)
 
@@ -324,13 +428,18 @@
         target_count = excess * share
         count = int(target_count) + (random.random() < target_count % 1)
         stopped = self._preemption_victims(replica, urgent, count)
+        self._preempt(replica, stopped)
+        return len(stopped)
+
+    def _preempt(
+        self, replica: load.Replica, stopped: list[running.ItemTask]
+    ) -> None:
         for task in stopped:
             task.preempted = True
             if task.scope is not None:
                 task.scope.cancel()
         if stopped:
             self._preempted_ms[replica.listing.id] = self._clock.now_ms()
-        return len(stopped)
 
     def _preempted_recently(self, replica: load.Replica) -> bool:
         last_ms = self._preempted_ms.get(replica.listing.id, -math.inf)
@@ -363,3 +472,9 @@
         """
         late = self.slack_ms(task) < _LATE_SLACK_MS
         return late, self._remaining_ms(task)
+
+
+def _choose_service(route: configuration.Route) -> str:
+    """Returns one of a route's services by their weights."""
+    weights = [target.weight for target in route.targets]
+    return random.choices(route.targets, weights)[0].service
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -242,6 +242,94 @@
     partition: int = -1
 
 
+class SlotAsk(messages.Message, tag="slot_ask"):
+    """Asks the coordinator of a shard of replicas for a slot.
+
+    Answered with `SlotAnswer` if it is a call. It is repeated while it waits.
+
+    Attributes:
+        host: The gateway that asks.
+        address: Address on which that gateway accepts peer connections.
+        ticket: Number of the ticket, unique for the gateway.
+        shard: The shard.
+        service: Service of the shard's replicas.
+        batch: True for a batch item.
+        urgent: True for an item that may take the last free slots.
+        repeatable: True if the request may run again elsewhere if it fails.
+        may_preempt: True if a batch item may be stopped for it.
+        rank: Priority, 0 is the highest.
+        age_ms: Time since the request arrived.
+        objective_ms: Time after its arrival by which its first event is due.
+        exclude: Replicas that must not be used.
+    """
+
+    host: str
+    address: str
+    ticket: int
+    shard: str
+    service: str
+    batch: bool = False
+    urgent: bool = False
+    repeatable: bool = True
+    may_preempt: bool = False
+    rank: int = 0
+    age_ms: float = 0.0
+    objective_ms: float = 0.0
+    exclude: list[str] = []
+
+
+class SlotAnswer(messages.Message, tag="slot_answer"):
+    """Answers `SlotAsk`.
+
+    Attributes:
+        replica: The replica, empty if the ticket waits.
+        free: Slots of the shard that no online request uses.
+    """
+
+    replica: str
+    free: int
+
+
+class SlotGrant(messages.Message, tag="slot_grant"):
+    """Tells a gateway that a ticket which waited has got a replica."""
+
+    ticket: int
+    replica: str
+    shard: str
+
+
+class SlotRelease(messages.Message, tag="slot_release"):
+    """Ends a ticket; `refused` if the replica refused the request as full."""
+
+    host: str
+    ticket: int
+    refused: bool = False
+
+
+class SlotPreempt(messages.Message, tag="slot_preempt"):
+    """Asks a gateway to stop one of its batch items at a replica."""
+
+    replica: str
+
+
+class SlotsHeld(messages.Message, tag="slots_held"):
+    """Tells a coordinator what a gateway holds in a shard; sent repeatedly.
+
+    Attributes:
+        host: The gateway.
+        address: Address on which it accepts peer connections.
+        shard: The shard.
+        online: Replicas of its online requests, by ticket.
+        batch: Replicas of its batch items, by ticket.
+    """
+
+    host: str
+    address: str
+    shard: str
+    online: dict[int, str]
+    batch: dict[int, str]
+
+
 AnyMessage = (
     GatewayReport
     | ZoneDigest
@@ -255,5 +343,11 @@
     | JobProgress
     | JobAppend
     | JobAdmission
+    | SlotAsk
+    | SlotAnswer
+    | SlotGrant
+    | SlotRelease
+    | SlotPreempt
+    | SlotsHeld
     | JobEnd
 )
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -38,6 +38,9 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import shards as shards_lib
+from lacewingwood.routing import slot_client
+from lacewingwood.routing import slot_server
 from lacewingwood.state import peer_copy
 from lacewingwood.state import published
 
@@ -59,6 +62,10 @@
 # telling peers of the stop.
 _LEAVE_TIMEOUT_MS = 700.0
 
+# Tickets are numbered from the process's start time on, so that they differ
+# from those of earlier processes on the host.
+_TICKET_BITS = 20
+
 LoadSettings = Callable[[], settings.GatewaySettings]
 
 _log = structlog.get_logger()
@@ -120,18 +127,34 @@
             self._clock,
             self._metrics,
         )
+        self._shards = shards_lib.ShardMap()
+        self._slot_server = slot_server.SlotServer(
+            self._shards, self._network, cfg.host, self._clock, self._metrics
+        )
+        self._slots = slot_client.SlotClient(
+            self._dispatcher,
+            self._shards,
+            self._slot_server,
+            self._network,
+            self._roster,
+            cfg.peer_address,
+            self._clock,
+            self._metrics,
+            first_ticket=self._started_ms << _TICKET_BITS,
+        )
         self._replicas = replica_client.Replicas()
         replicas = self._replicas
         self._scheduler = schedulers.Scheduler(
             self._dispatcher,
             running.ItemRunner(
-                self._dispatcher, replicas, self._clock, self._metrics
+                self._slots, replicas, self._clock, self._metrics
             ),
             self._find_route,
             self._roster.batch_rank,
             self._clock,
             _wall_ms,
             self._metrics,
+            self._slots,
         )
         partitions = job_service.partitions(cfg.partitions_per_topic)
         self._ownership = ownerships.Ownership(
@@ -158,7 +181,7 @@
             max_append_bytes=cfg.max_append_bytes,
         )
         forwarder = forwarding.Forwarder(
-            self._dispatcher, replicas, self._clock, self._metrics
+            self._slots, replicas, self._clock, self._metrics
         )
         gateway = gateways.Gateway(
             self._published,
@@ -170,6 +193,10 @@
         self._app = ingress.Ingress(gateway, jobs, self._clock, self._metrics)
         self._dispatcher.on_change = self._presence.schedule_report
         self._dispatcher.counts_lag = lambda: self._presence.uses_hubs
+        self._slots.coordinated = lambda: self._presence.uses_hubs
+        self._slots.on_batch_slot = self._scheduler.start_one
+        self._slots.on_preempt = self._scheduler.preempt_one
+        self._fleet.on_replicas = self._shards.update
         self._published.on_change = self._apply_configuration
         self._add_gauges()
 
@@ -186,6 +213,8 @@
             for follower in self._followers:
                 nursery.start_soon(follower.run)
             nursery.start_soon(self._presence.run)
+            nursery.start_soon(self._slots.run)
+            nursery.start_soon(self._slot_server.run)
             nursery.start_soon(self._scheduler.run)
             nursery.start_soon(self._ownership.run)
             nursery.start_soon(self._do_upkeep)
@@ -450,6 +479,7 @@
                 peer.host: peer.address for peer in self._roster.live_peers()
             },
             "owned": self._ownership.epochs(),
+            "coordinated": self._slot_server.dump(),
             "replicas": {
                 replica.listing.id: {
                     "own": list(replica.own_counts),
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from collections.abc import Collection
+from typing import Protocol
 
 import trio
 
@@ -71,11 +72,41 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Slot:
-    """A slot on a replica, held until `Dispatcher.release`."""
+    """A slot on a replica, held until it is released.
+
+    Attributes:
+        replica: The replica.
+        work: Kind of work.
+        held: False once it was released.
+        ticket: Number of the ticket under which a coordinator granted it, 0 for
+            a slot that was taken without one.
+        refused: True if the replica refused the request as full.
+    """
 
     replica: load.Replica
     work: load.WorkKind
     held: bool = True
+    ticket: int = 0
+    refused: bool = False
+
+
+class Slots(Protocol):
+    """Gives slots to requests, and takes them back."""
+
+    @property
+    def fleet(self) -> load.Fleet:
+        """The replicas and their load as this gateway knows them."""
+
+    def has_replica(
+        self, service: str, exclude: Collection[str] = frozenset()
+    ) -> bool:
+        """Returns whether a service has a usable replica not in `exclude`."""
+
+    async def acquire(self, req: SlotRequest) -> Slot | None:
+        """Waits for a slot; returns None if the deadline passes first."""
+
+    def release(self, slot: Slot) -> None:
+        """Releases a slot; further calls have no effect."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -139,7 +170,7 @@
     def try_acquire(self, req: SlotRequest) -> Slot | None:
         """Returns a slot if one is free now."""
         replica = self._choose_replica(req)
-        return self._assign(replica, req.work) if replica else None
+        return self.assign(replica, req.work) if replica else None
 
     async def acquire(self, req: SlotRequest) -> Slot | None:
         """Waits for a slot; returns None if the deadline passes first."""
@@ -178,7 +209,7 @@
             return
         now_ms = self._clock.now_ms()
         ordered = sorted(
-            self._waiting, key=lambda w: _waiting_key(w.req, now_ms)
+            self._waiting, key=lambda w: waiting_key(w.req, now_ms)
         )
         for waiter in ordered:
             slot = self.try_acquire(waiter.req)
@@ -208,7 +239,8 @@
             if not waiter.ready.is_set():
                 self.serve_waiting()
 
-    def _assign(self, replica: load.Replica, work: load.WorkKind) -> Slot:
+    def assign(self, replica: load.Replica, work: load.WorkKind) -> Slot:
+        """Returns a slot at a replica, whether or not one is free."""
         replica.own_counts[work.value] += 1
         self.on_change()
         return Slot(replica, work)
@@ -221,7 +253,7 @@
             if not r.listing.leaving and r.listing.id not in req.exclude
         ]
         # Failures alone must not make all replicas of a service unusable.
-        for tier in _tiers(usable, req, now_ms):
+        for tier in tiers(usable, req, now_ms):
             if replica := self._least_busy(tier, req, now_ms):
                 return replica
         return None
@@ -280,7 +312,7 @@
         return busy, replica.listing.zone != self._zone, self._rng.random()
 
 
-def _tiers(
+def tiers(
     replicas: list[load.Replica], req: SlotRequest, now_ms: float
 ) -> list[list[load.Replica]]:
     """Returns the replicas that a request may use, in order of preference.
@@ -323,6 +355,10 @@
     return total + reserve < replica.slots
 
 
-def _waiting_key(req: SlotRequest, now_ms: float) -> tuple[bool, int, float]:
+def waiting_key(req: SlotRequest, now_ms: float) -> tuple[bool, int, float]:
+    """Returns the order in which requests are served.
+
+    Those that can still meet their objective come first.
+    """
     due_ms = req.arrived_ms + req.objective_ms - _EXPECTED_FIRST_EVENT_MS
     return now_ms > due_ms, req.rank, req.arrived_ms
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -175,11 +176,21 @@
 
     Attributes:
         directory: Directory that provides the listings.
+        on_replicas: Called with all replicas when one was added, removed or
+            listed anew.
     """
 
-    __slots__ = ("_by_service", "_replicas", "_reports", "directory")
+    __slots__ = (
+        "_by_service",
+        "_replicas",
+        "_reports",
+        "directory",
+        "on_replicas",
+    )
 
     def __init__(self) -> None:
+        self.on_replicas: Callable[[Iterable[Replica]], None]
+        self.on_replicas = lambda replicas: None
         self.directory = directory.Directory()
         self._replicas: dict[str, Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
@@ -200,6 +211,7 @@
         for replica in self._replicas.values():
             service = replica.listing.service
             self._by_service.setdefault(service, []).append(replica)
+        self.on_replicas(self._replicas.values())
 
     def get(self, replica_id: str) -> Replica | None:
         """Returns a replica, or None if it is not listed."""
--- /dev/null
+++ b/lacewingwood/routing/slot_client.py
@@ -0,0 +1,483 @@
+"""Gets slots for this gateway's requests, in a large fleet from coordinators.
+
+In a small fleet, and for requests whose coordinators do not answer, slots are
+taken by this gateway's own picture of the replicas (`dispatcher`).
+"""
+
+import collections
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable
+from collections.abc import Collection
+
+import structlog
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import gateway_messages
+from lacewingwood.peers import messages
+from lacewingwood.peers import network as network_lib
+from lacewingwood.peers import roster as roster_lib
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.routing import shards as shards_lib
+from lacewingwood.routing import slot_server
+
+# An answer takes 1 to 5 ms. A coordinator that takes longer than this is
+# replaced by the next for `_SUSPECT_MS`.
+_ANSWER_TIMEOUT_MS = 60.0
+_SUSPECT_MS = 1_000.0
+# What is held and waited for is repeated at this interval; see
+# `coordinator.TICKET_TTL_MS`.
+_REPEAT_INTERVAL_MS = 400.0
+# A waiting online request asks its coordinators again after this time, in case
+# one of them has ended.
+_WAIT_MS = 300.0
+# Shards that one online request asks.
+_MAX_SHARDS = 3
+# Tickets that batch items wait under in each shard.
+_BATCH_TICKETS_PER_SHARD = 2
+# A shard that had no free slot at its last answer is asked last for this long.
+_HINT_TTL_MS = 150.0
+# How long a coordinator is kept before the live gateways are looked at again.
+_ELECTION_TTL_MS = 100.0
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Pending:
+    """An online request that waits for one of its tickets.
+
+    Attributes:
+        req: The request.
+        shards: Shard of each ticket, by number.
+        slot: The slot, None until one ticket was granted.
+        ready: Set once it was.
+    """
+
+    req: dispatchers.SlotRequest
+    shards: dict[int, str] = dataclasses.field(default_factory=dict)
+    slot: dispatchers.Slot | None = None
+    ready: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+@dataclasses.dataclass(slots=True)
+class _BatchTicket:
+    shard: str
+    service: str
+    asked_ms: float
+
+
+class SlotClient:
+    """Slots for online requests and batch items.
+
+    Attributes:
+        on_batch_slot: Called with a slot for a batch item; returns False if no
+            item needs it.
+        on_preempt: Called with a replica at which an item has to be stopped.
+        coordinated: Returns whether coordinators grant the slots.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatchers.Dispatcher,
+        shard_map: shards_lib.ShardMap,
+        server: slot_server.SlotServer,
+        network: network_lib.Network,
+        roster: roster_lib.Roster,
+        address: str,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Registry,
+        first_ticket: int,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            dispatcher: Takes slots by this gateway's own picture.
+            shard_map: The shards of all replicas.
+            server: Answers for the shards that this gateway coordinates.
+            network: Carries messages to other coordinators.
+            roster: The other gateways.
+            address: Address on which this gateway accepts peer connections.
+            clock: Source of monotonic time.
+            metrics: Registry of counters.
+            first_ticket: Number of the first ticket, greater than those of
+                earlier processes on this host.
+            rng: Chooses shards.
+        """
+        self.on_batch_slot: Callable[[dispatchers.Slot], bool]
+        self.on_batch_slot = lambda slot: False
+        self.on_preempt: Callable[[load.Replica], None] = lambda replica: None
+        self.coordinated: Callable[[], bool] = lambda: False
+        self._dispatcher = dispatcher
+        self._shard_map = shard_map
+        self._server = server
+        self._network = network
+        self._roster = roster
+        self._address = address
+        self._clock = clock
+        self._metrics = metrics
+        self._numbers = itertools.count(first_ticket)
+        self._rng = rng or random.Random()
+        self._suspects: dict[str, float] = {}
+        # The coordinator of each shard, and when it was worked out.
+        self._elected: dict[str, tuple[str | None, float]] = {}
+        self._pending: dict[int, _Pending] = {}
+        self._batch: dict[int, _BatchTicket] = {}
+        self._held: dict[int, dispatchers.Slot] = {}
+        # Free slots of a shard by its last answer, and when that came.
+        self._hints: dict[str, tuple[int, float]] = {}
+        server.deliver = self._deliver
+        network.handle(gateway_messages.SlotGrant, self._handle)
+        network.handle(gateway_messages.SlotPreempt, self._handle)
+
+    @property
+    def fleet(self) -> load.Fleet:
+        """The replicas and their load by this gateway's own picture."""
+        return self._dispatcher.fleet
+
+    def has_replica(
+        self, service: str, exclude: Collection[str] = frozenset()
+    ) -> bool:
+        """Returns whether a service has a usable replica not in `exclude`."""
+        return self._dispatcher.has_replica(service, exclude)
+
+    async def acquire(
+        self, req: dispatchers.SlotRequest
+    ) -> dispatchers.Slot | None:
+        """Waits for a slot; returns None if the deadline passes first."""
+        if not self.coordinated():
+            return await self._dispatcher.acquire(req)
+        started_ms = self._clock.now_ms()
+        pending = _Pending(req)
+        remaining_ms = req.deadline_ms - started_ms
+        try:
+            with trio.move_on_after(max(0.0, remaining_ms) / 1000):
+                answered = await self._ask_until_granted(pending)
+                if not answered:
+                    return await self._acquire_alone(req)
+        except BaseException:
+            if pending.slot is not None:
+                self.release(pending.slot)
+            raise
+        finally:
+            self._forget(pending)
+        waited_ms = self._clock.now_ms() - started_ms
+        self._metrics.histogram("slot_wait").record_ms(waited_ms)
+        return pending.slot
+
+    def release(self, slot: dispatchers.Slot) -> None:
+        """Releases a slot; further calls have no effect."""
+        if not slot.held:
+            return
+        self._dispatcher.release(slot)
+        if slot.ticket and self._held.pop(slot.ticket, None) is not None:
+            shard = self._shard_map.of_replica(slot.replica)
+            self._end_ticket(slot.ticket, shard, slot.refused)
+
+    def want_batch(self, service: str, count: int, urgent: bool) -> None:
+        """Sets how many slots batch items of a service wait for.
+
+        Args:
+            service: The service.
+            count: Number of waiting items.
+            urgent: True if one of them may take the last free slots.
+        """
+        mine = [n for n, t in self._batch.items() if t.service == service]
+        shards = self._shard_map.of_service(service)
+        wanted = min(count, _BATCH_TICKETS_PER_SHARD * len(shards))
+        for number in mine[wanted:]:
+            self._end_ticket(number, self._batch.pop(number).shard, False)
+        now_ms = self._clock.now_ms()
+        for number in mine[:wanted]:
+            if now_ms - self._batch[number].asked_ms >= _REPEAT_INTERVAL_MS:
+                self._ask_batch(number, self._batch[number], urgent)
+        for shard in self._batch_shards(shards, wanted - len(mine)):
+            ticket = _BatchTicket(shard, service, now_ms)
+            number = next(self._numbers)
+            self._batch[number] = ticket
+            self._ask_batch(number, ticket, urgent)
+
+    async def run(self) -> None:
+        """Repeats what this gateway holds until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_REPEAT_INTERVAL_MS)
+            if self._held and self.coordinated():
+                self._tell_held()
+
+    async def _ask_until_granted(self, pending: _Pending) -> bool:
+        """Asks shards in turn; returns False if no coordinator answers.
+
+        A shard without a free slot is asked to stop batch items only if the
+        other shards have no free slot either.
+        """
+        while True:
+            shards = self._shards_for(pending.req)
+            answered = False
+            for may_preempt in (False, True):
+                for shard in shards:
+                    if await self._ask(pending, shard, may_preempt):
+                        answered = True
+                    if pending.ready.is_set():
+                        return True
+            if not answered:
+                return False
+            with trio.move_on_after(_WAIT_MS / 1000):
+                await pending.ready.wait()
+            if pending.ready.is_set():
+                return True
+
+    async def _ask(
+        self, pending: _Pending, shard: str, may_preempt: bool
+    ) -> bool:
+        """Asks for a slot of a shard; returns whether its coordinator answers.
+
+        The ticket stays, and may be granted later.
+        """
+        host = self._coordinator_of(shard)
+        if host is None:
+            return False
+        number = next((n for n, s in pending.shards.items() if s == shard), 0)
+        if not number:
+            number = next(self._numbers)
+            pending.shards[number] = shard
+            self._pending[number] = pending
+        now_ms = self._clock.now_ms()
+        req = pending.req
+        message = gateway_messages.SlotAsk(
+            host=self._roster.host,
+            address=self._address,
+            ticket=number,
+            shard=shard,
+            service=req.service,
+            repeatable=req.repeatable,
+            may_preempt=may_preempt,
+            rank=req.rank,
+            age_ms=now_ms - req.arrived_ms,
+            objective_ms=req.objective_ms,
+            exclude=list(req.exclude),
+        )
+        answer = await self._call(host, message)
+        if answer is None:
+            self._forget_ticket(pending, number)
+            return False
+        self._hints[shard] = answer.free, self._clock.now_ms()
+        if answer.replica:
+            self._take(number, answer.replica, shard)
+        return True
+
+    async def _call(
+        self, host: str, message: gateway_messages.SlotAsk
+    ) -> gateway_messages.SlotAnswer | None:
+        if host == self._roster.host:
+            return self._server.ask(message)
+        peer = self._roster.get(host)
+        if peer is None:
+            return None
+        try:
+            answer = await self._network.call(
+                peer.address, message, _ANSWER_TIMEOUT_MS
+            )
+        except peer_errors.PeerError as exc:
+            self._suspects[host] = self._clock.now_ms() + _SUSPECT_MS
+            self._elected.pop(message.shard, None)
+            self._metrics.add("coordinator_failures", code=exc.code)
+            _log.info(
+                "coordinator does not answer",
+                coordinator=host,
+                shard=message.shard,
+                code=exc.code,
+            )
+            return None
+        if isinstance(answer, gateway_messages.SlotAnswer):
+            return answer
+        return None
+
+    async def _acquire_alone(
+        self, req: dispatchers.SlotRequest
+    ) -> dispatchers.Slot | None:
+        """Takes a slot by this gateway's own picture of the replicas."""
+        self._metrics.add("slots_uncoordinated")
+        slot = await self._dispatcher.acquire(req)
+        if slot is not None:
+            slot.ticket = next(self._numbers)
+            self._held[slot.ticket] = slot
+        return slot
+
+    def _shards_for(self, req: dispatchers.SlotRequest) -> list[str]:
+        """Returns the shards to ask, those of this zone first.
+
+        Shards that were full a moment ago come last.
+        """
+        now_ms = self._clock.now_ms()
+        shards = list(self._shard_map.of_service(req.service))
+        self._rng.shuffle(shards)
+
+        def order(shard: str) -> tuple[bool, bool, int]:
+            free, at_ms = self._hints.get(shard, (1, 0.0))
+            known = now_ms - at_ms < _HINT_TTL_MS
+            is_here = shards_lib.zone_of(shard) == self._roster.zone
+            return known and free <= 0, not is_here, -free if known else 0
+
+        return sorted(shards, key=order)[:_MAX_SHARDS]
+
+    def _batch_shards(self, shards: list[str], count: int) -> list[str]:
+        """Returns the shards of `count` new tickets for batch items."""
+        if count <= 0:
+            return []
+        waiting = collections.Counter(t.shard for t in self._batch.values())
+        chosen = []
+        for _ in range(count):
+            shard = min(shards, key=lambda s: (waiting[s], self._rng.random()))
+            waiting[shard] += 1
+            chosen.append(shard)
+        return chosen
+
+    def _ask_batch(
+        self, number: int, ticket: _BatchTicket, urgent: bool
+    ) -> None:
+        ticket.asked_ms = self._clock.now_ms()
+        message = gateway_messages.SlotAsk(
+            host=self._roster.host,
+            address=self._address,
+            ticket=number,
+            shard=ticket.shard,
+            service=ticket.service,
+            batch=True,
+            urgent=urgent,
+        )
+        host = self._coordinator_of(ticket.shard)
+        if host == self._roster.host:
+            answer = self._server.ask(message)
+            if answer.replica:
+                self._take(number, answer.replica, ticket.shard)
+        elif peer := self._roster.get(host or ""):
+            self._network.send(peer.address, message)
+
+    def _coordinator_of(self, shard: str) -> str | None:
+        """Returns the host of a shard's coordinator, None if none is usable."""
+        now_ms = self._clock.now_ms()
+        elected = self._elected.get(shard)
+        if elected is None or now_ms - elected[1] > _ELECTION_TTL_MS:
+            elected = self._elect(shard, now_ms), now_ms
+            self._elected[shard] = elected
+        return elected[0]
+
+    def _elect(self, shard: str, now_ms: float) -> str | None:
+        """Returns the host that coordinates a shard, one of its zone if any."""
+        live = self._roster.live_peers()
+        zone = shards_lib.zone_of(shard)
+        hosts = [peer.host for peer in live if peer.zone == zone]
+        if self._roster.zone == zone:
+            hosts.append(self._roster.host)
+        if not hosts:
+            hosts = [peer.host for peer in live] + [self._roster.host]
+        return shards_lib.elect(
+            shard,
+            hosts,
+            lambda host: self._suspects.get(host, 0.0) <= now_ms,
+        )
+
+    async def _handle(self, message: messages.Message) -> messages.Message:
+        self._deliver(message)
+        return messages.Ack()
+
+    def _deliver(self, message: messages.Message) -> None:
+        """Applies a coordinator's message."""
+        match message:
+            case gateway_messages.SlotGrant(ticket, replica_id, shard):
+                self._take(ticket, replica_id, shard)
+            case gateway_messages.SlotPreempt(replica_id):
+                if found := self.fleet.get(replica_id):
+                    self.on_preempt(found)
+
+    def _take(self, number: int, replica_id: str, shard: str) -> None:
+        """Takes a granted slot, or gives it back if it is not needed."""
+        if number in self._held:
+            return
+        pending = self._pending.get(number)
+        batch = self._batch.pop(number, None)
+        replica = self.fleet.get(replica_id)
+        usable = replica is not None and not replica.listing.leaving
+        if not usable or (pending is None and batch is None):
+            if pending is not None:
+                pending.req.exclude.add(replica_id)
+                self._forget_ticket(pending, number)
+                return
+            self._end_ticket(number, shard, False)
+            return
+        assert replica is not None
+        if batch is not None:
+            self._take_batch(number, replica)
+        elif pending is not None:
+            if pending.ready.is_set():
+                self._forget_ticket(pending, number)
+                return
+            del pending.shards[number]
+            del self._pending[number]
+            pending.slot = self._hold(number, replica, load.WorkKind.ONLINE)
+            pending.ready.set()
+
+    def _take_batch(self, number: int, replica: load.Replica) -> None:
+        slot = self._hold(number, replica, load.WorkKind.BATCH)
+        if not self.on_batch_slot(slot):
+            self.release(slot)
+
+    def _hold(
+        self, number: int, replica: load.Replica, work: load.WorkKind
+    ) -> dispatchers.Slot:
+        slot = self._dispatcher.assign(replica, work)
+        slot.ticket = number
+        self._held[number] = slot
+        return slot
+
+    def _forget(self, pending: _Pending) -> None:
+        """Ends the tickets of a request that were not granted."""
+        for number in list(pending.shards):
+            self._forget_ticket(pending, number)
+
+    def _forget_ticket(self, pending: _Pending, number: int) -> None:
+        shard = pending.shards.pop(number)
+        self._pending.pop(number, None)
+        self._end_ticket(number, shard, False)
+
+    def _end_ticket(self, number: int, shard: str, refused: bool) -> None:
+        message = gateway_messages.SlotRelease(
+            self._roster.host, number, refused
+        )
+        host = self._coordinator_of(shard) if shard else None
+        if host == self._roster.host:
+            self._server.release(message)
+        elif peer := self._roster.get(host or ""):
+            self._network.send(peer.address, message)
+
+    def _tell_held(self) -> None:
+        """Tells each coordinator what this gateway holds in its shards."""
+        by_shard: dict[str, gateway_messages.SlotsHeld] = {}
+        for number, slot in self._held.items():
+            shard = self._shard_map.of_replica(slot.replica)
+            if not shard:
+                continue
+            message = by_shard.setdefault(
+                shard,
+                gateway_messages.SlotsHeld(
+                    self._roster.host, self._address, shard, {}, {}
+                ),
+            )
+            held = (
+                message.batch
+                if slot.work is load.WorkKind.BATCH
+                else message.online
+            )
+            held[number] = slot.replica.listing.id
+        for shard, message in by_shard.items():
+            host = self._coordinator_of(shard)
+            if host == self._roster.host:
+                self._server.note_held(message)
+            elif peer := self._roster.get(host or ""):
+                self._network.send(peer.address, message)
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -317,7 +317,7 @@
             Script([b"id: 1\ndata: x\n\n"]),
         )
         forwarder = make_forwarder(replicas)
-        for replica in forwarder._dispatcher.fleet.all():
+        for replica in forwarder._slots.fleet.all():
             for _ in range(4):
                 replica.note_failure(clocks.MonotonicClock().now_ms())
         await forwarder.run(make_call(caller))
--- /dev/null
+++ b/tests/routing/fleets.py
@@ -0,0 +1,350 @@
+"""A fleet of gateways and replicas in one process, on simulated time.
+
+The gateways run the real decision code; messages take `Network.delay_ms`.
+Replicas run as many requests as they have slots and queue the others.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from lacewingwood import errors as base_errors
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import messages
+from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.routing import shards as shards_lib
+from lacewingwood.routing import slot_client
+from lacewingwood.routing import slot_server
+
+SERVICE = "lm"
+OBJECTIVE_MS = 300.0
+
+Handler = Callable[[messages.Message], Awaitable[messages.Message]]
+
+
+class Clock:
+    """Trio's clock in ms."""
+
+    def now_ms(self) -> float:
+        """Returns the simulated time."""
+        return trio.current_time() * 1000
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Waits."""
+        await trio.sleep(max(0.0, duration_ms) / 1000)
+
+
+class Bus:
+    """Carries messages between the gateways of a fleet.
+
+    Attributes:
+        silent: Hosts that neither answer nor send.
+        sent: Number of messages.
+    """
+
+    def __init__(self, nursery: trio.Nursery, delay_ms: float) -> None:
+        self.networks: dict[str, Network] = {}
+        self.silent: set[str] = set()
+        self.sent = 0
+        self._nursery = nursery
+        self._delay_ms = delay_ms
+
+    async def deliver(
+        self, sender: str, address: str, message: messages.Message
+    ) -> messages.Message:
+        """Takes a message to its handler and returns the answer."""
+        self.sent += 1
+        await trio.sleep(self._delay_ms / 1000)
+        network = self.networks[address]
+        if address in self.silent or sender in self.silent:
+            await trio.sleep_forever()
+        return await network.handlers[type(message)](message)
+
+    def post(
+        self, sender: str, address: str, message: messages.Message
+    ) -> None:
+        """Delivers a message without waiting."""
+        self._nursery.start_soon(self.deliver, sender, address, message)
+
+
+class Network:
+    """The transport of one gateway, as `peers.network.Network`."""
+
+    def __init__(self, bus: Bus, host: str) -> None:
+        self.handlers: dict[type, Handler] = {}
+        self._bus, self._host = bus, host
+        bus.networks[host] = self
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Registers a handler."""
+        self.handlers[message_type] = handler
+
+    async def call(
+        self, address: str, message: messages.Message, timeout_ms: float
+    ) -> messages.Message:
+        """Sends a request and returns the answer."""
+        with trio.move_on_after(timeout_ms / 1000):
+            return await self._bus.deliver(self._host, address, message)
+        raise peer_errors.TimeoutError(
+            "no answer", base_errors.Ran.MAY_HAVE_RUN
+        )
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Sends a one-way message."""
+        self._bus.post(self._host, address, message)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another gateway, as `roster.Peer`."""
+
+    host: str
+    address: str
+    zone: str
+
+
+class Roster:
+    """The other gateways, as `roster.Roster`."""
+
+    def __init__(self, host: str, zone: str, fleet: "Fleet") -> None:
+        self.host, self.zone = host, zone
+        self._fleet = fleet
+
+    def live_peers(self) -> list[Peer]:
+        """Returns all other gateways that are not known to be dead."""
+        peers = self._fleet.peers.values()
+        dead = self._fleet.known_dead
+        return [p for p in peers if p.host not in {self.host, *dead}]
+
+    def get(self, host: str) -> Peer | None:
+        """Returns a gateway."""
+        return self._fleet.peers.get(host)
+
+
+class Replica:
+    """A replica that admits requests in order of arrival."""
+
+    def __init__(self, slots: int) -> None:
+        self.limiter = trio.CapacityLimiter(slots)
+        self.most_queued = 0
+
+    async def run(self, duration_ms: float, started: trio.Event) -> None:
+        """Runs a request; `started` is set once it has a slot."""
+        async with self.limiter:
+            started.set()
+            await trio.sleep(duration_ms / 1000)
+
+    def note_queue(self) -> None:
+        """Records the length of the queue."""
+        waiting = self.limiter.statistics().tasks_waiting
+        self.most_queued = max(self.most_queued, waiting)
+
+
+class Gateway:
+    """The slot client and server of one gateway, and its own batch items."""
+
+    def __init__(self, host: str, zone: str, fleet: "Fleet", seed: int) -> None:
+        clock, metrics = Clock(), metrics_lib.Registry()
+        own = load.Fleet()
+        shard_map = shards_lib.ShardMap()
+        own.on_replicas = shard_map.update
+        for listing in fleet.listings:
+            own.directory.put(listing)
+        own.refresh()
+        network = Network(fleet.bus, host)
+        self.dispatcher = dispatchers.Dispatcher(
+            own, zone, clock, metrics, random.Random(seed)
+        )
+        self.dispatcher.counts_lag = lambda: True
+        self.server = slot_server.SlotServer(
+            shard_map,
+            network,  # type: ignore[arg-type]
+            host,
+            clock,
+            metrics,
+        )
+        self.client = slot_client.SlotClient(
+            self.dispatcher,
+            shard_map,
+            self.server,
+            network,  # type: ignore[arg-type]
+            Roster(host, zone, fleet),  # type: ignore[arg-type]
+            host,
+            clock,
+            metrics,
+            first_ticket=1,
+            rng=random.Random(seed),
+        )
+        self.client.coordinated = lambda: fleet.coordinated
+        self.client.on_batch_slot = self._start_item
+        self.client.on_preempt = self._stop_item
+        self.host, self.zone = host, zone
+        self.waiting_items = 0
+        self._fleet = fleet
+        self._items: dict[dispatchers.Slot, trio.CancelScope] = {}
+
+    async def serve_online(self, duration_ms: float) -> None:
+        """Serves one online request and records when it began to run."""
+        outcome = self._fleet.outcome
+        started_ms = trio.current_time() * 1000
+        slot = await self.client.acquire(
+            dispatchers.SlotRequest(
+                service=SERVICE,
+                work=load.WorkKind.ONLINE,
+                arrived_ms=started_ms,
+                objective_ms=OBJECTIVE_MS,
+                deadline_ms=started_ms + 5_000,
+            )
+        )
+        if slot is None:
+            outcome.refused += 1
+            return
+        replica = self._fleet.replicas[slot.replica.listing.id]
+        started = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(replica.run, duration_ms, started)
+            await trio.sleep(0)
+            replica.note_queue()
+            await started.wait()
+            waited_ms = trio.current_time() * 1000 - started_ms
+            outcome.waits_ms.append(waited_ms)
+        self.client.release(slot)
+
+    def want(self, count: int) -> None:
+        """Adds batch items."""
+        self.waiting_items += count
+        self.client.want_batch(SERVICE, self.waiting_items, False)
+
+    def _start_item(self, slot: dispatchers.Slot) -> bool:
+        if not self.waiting_items:
+            return False
+        self.waiting_items -= 1
+        self._items[slot] = trio.CancelScope()
+        self._fleet.nursery.start_soon(self._run_item, slot)
+        return True
+
+    async def _run_item(self, slot: dispatchers.Slot) -> None:
+        outcome = self._fleet.outcome
+        replica = self._fleet.replicas[slot.replica.listing.id]
+        with self._items[slot] as scope:
+            await replica.run(self._fleet.item_ms, trio.Event())
+        del self._items[slot]
+        self.client.release(slot)
+        if scope.cancelled_caught:
+            outcome.items_cut += 1
+            self.waiting_items += 1
+        else:
+            outcome.items_done += 1
+
+    def _stop_item(self, replica: load.Replica) -> None:
+        for slot, scope in list(self._items.items())[::-1]:
+            if slot.replica.listing.id == replica.listing.id:
+                scope.cancel()
+                return
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What callers got.
+
+    Attributes:
+        waits_ms: Time until each online request began to run.
+        refused: Online requests that got no slot.
+        items_done: Batch items that were completed.
+        items_cut: Runs of batch items that were stopped.
+    """
+
+    waits_ms: list[float] = dataclasses.field(default_factory=list)
+    refused: int = 0
+    items_done: int = 0
+    items_cut: int = 0
+
+    def share_within(self, limit_ms: float) -> float:
+        """Returns the share of online requests that began in time."""
+        total = len(self.waits_ms) + self.refused
+        return sum(w <= limit_ms for w in self.waits_ms) / max(1, total)
+
+
+class Fleet:
+    """Gateways and replicas in zones; plays load on them.
+
+    Attributes:
+        coordinated: False to let gateways take slots by their own picture.
+        known_dead: Hosts that the other gateways know to be dead.
+        item_ms: Duration of a batch item.
+        outcome: What callers got so far.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        gateways: int,
+        replicas: int,
+        zones: int = 2,
+        slots: int = 8,
+        delay_ms: float = 2.0,
+        seed: int = 1,
+    ) -> None:
+        self.nursery = nursery
+        self.bus = Bus(nursery, delay_ms)
+        self.coordinated = True
+        self.known_dead: set[str] = set()
+        self.item_ms = 4_000.0
+        self.outcome = Outcome()
+        self.rng = random.Random(seed)
+        self.replicas = {f"r{n}": Replica(slots) for n in range(replicas)}
+        self.listings = [
+            directory.Listing(
+                f"r{n}", SERVICE, f"10.0.0.{n}:1", f"z{n % zones}", slots
+            )
+            for n in range(replicas)
+        ]
+        names = [(f"g{n}", f"z{n % zones}") for n in range(gateways)]
+        self.peers = {host: Peer(host, host, zone) for host, zone in names}
+        self.gateways = [
+            Gateway(host, zone, self, seed + n)
+            for n, (host, zone) in enumerate(names)
+        ]
+        for gateway in self.gateways:
+            nursery.start_soon(gateway.client.run)
+            nursery.start_soon(gateway.server.run)
+
+    async def play_online(
+        self, per_s: float, seconds: float, duration_ms: float = 740.0
+    ) -> None:
+        """Sends online requests at random times and random gateways."""
+        end = trio.current_time() + seconds
+        while True:
+            await trio.sleep(-math.log(1 - self.rng.random()) / per_s)
+            if trio.current_time() >= end:
+                return
+            gateway = self.rng.choice(self.gateways)
+            if gateway.host in self.bus.silent:
+                continue
+            length_ms = duration_ms * self.rng.uniform(0.7, 1.3)
+            self.nursery.start_soon(gateway.serve_online, length_ms)
+
+    async def renew_wants(self, interval_ms: float = 100.0) -> None:
+        """Repeats each gateway's number of waiting items until cancelled."""
+        while True:
+            await trio.sleep(interval_ms / 1000)
+            for gateway in self.gateways:
+                gateway.want(0)
+
+    def most_queued(self) -> int:
+        """Returns the longest queue at a replica so far."""
+        return max(r.most_queued for r in self.replicas.values())
+
+    def queued_by_replica(self) -> collections.Counter[int]:
+        """Returns how many replicas had each longest queue."""
+        return collections.Counter(
+            r.most_queued for r in self.replicas.values()
+        )
--- /dev/null
+++ b/tests/routing/test_coordination.py
@@ -0,0 +1,142 @@
+"""Tests of slots that coordinators grant, by playing load on a fleet.
+
+The load is that of a large fleet's heaviest day in small: peaks of online
+requests that need four fifths of all slots, with batch items between them.
+"""
+
+import trio
+from trio import testing as trio_testing
+
+from tests.routing import fleets
+
+# 37 replicas with 8 slots; a request holds one for 0.74 s.
+_PEAK_PER_S = 320.0
+_VALLEY_PER_S = 70.0
+_PEAK_S = 2.4
+_VALLEY_S = 3.4
+# Time until a request begins to run that leaves two thirds of the objective
+# for its prompt.
+_IN_TIME_MS = 100.0
+
+
+async def _play_peaks(fleet: fleets.Fleet, peaks: int = 2) -> None:
+    await fleet.play_online(_VALLEY_PER_S, _VALLEY_S)
+    for _ in range(peaks):
+        await fleet.play_online(_PEAK_PER_S, _PEAK_S)
+        await fleet.play_online(_VALLEY_PER_S, _VALLEY_S)
+    await trio.sleep(3)
+
+
+def _add_items(fleet: fleets.Fleet) -> None:
+    fleet.nursery.start_soon(fleet.renew_wants)
+    for gateway in fleet.gateways[:12]:
+        gateway.want(10)
+
+
+async def test_requests_find_the_free_slots_of_the_fleet_at_a_peak(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against queues at some replicas while others are free.
+
+    Callers get 99 of 100 first events in time, and all items are done.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=60, replicas=37, zones=6)
+        _add_items(fleet)
+        await _play_peaks(fleet)
+        assert fleet.outcome.share_within(_IN_TIME_MS) >= 0.99
+        assert fleet.outcome.refused == 0
+        assert fleet.outcome.items_done == 120
+        assert fleet.most_queued() <= 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_items_make_way_at_a_peak_and_are_done_after_it(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against batch items that hold the slots of online requests.
+
+    The items fill all slots before the peak.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=30, replicas=12)
+        fleet.nursery.start_soon(fleet.renew_wants)
+        for gateway in fleet.gateways[:10]:
+            gateway.want(12)
+        await trio.sleep(2)
+        await fleet.play_online(90, 3)
+        assert fleet.outcome.share_within(_IN_TIME_MS) >= 0.99
+        await trio.sleep(12)
+        assert fleet.outcome.items_done == 120
+        # An item is cut at most once for each of them on average.
+        assert fleet.outcome.items_cut <= 120
+        nursery.cancel_scope.cancel()
+
+
+async def test_loss_of_coordinators_delays_requests_by_little(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against requests that wait for a dead coordinator.
+
+    A quarter of the gateways fall silent, among them coordinators. The others
+    learn of it from missing reports 1.5 s later.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=60, replicas=37, zones=6)
+        _add_items(fleet)
+        await fleet.play_online(_VALLEY_PER_S, 2)
+        fleet.bus.silent = {g.host for g in fleet.gateways[::4]}
+        await fleet.play_online(_PEAK_PER_S, 1.5)
+        fleet.known_dead = set(fleet.bus.silent)
+        await _play_peaks(fleet, peaks=1)
+        assert fleet.outcome.share_within(_IN_TIME_MS) >= 0.95
+        assert fleet.outcome.share_within(fleets.OBJECTIVE_MS) >= 0.99
+        assert fleet.outcome.refused == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_slots_of_a_dead_gateway_are_used_again(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against slots that stay taken after their gateway has ended."""
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=2, slots=4)
+        fleet.item_ms = 60_000.0
+        fleet.gateways[0].want(8)
+        fleet.nursery.start_soon(fleet.renew_wants)
+        await trio.sleep(1)
+        fleet.bus.silent = {"g0"}
+        fleet.known_dead = {"g0"}
+        await trio.sleep(3)
+        coordinated = [
+            granted
+            for gateway in fleet.gateways[1:]
+            for _, granted in gateway.server.dump().values()
+        ]
+        assert sum(coordinated) == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_two_coordinators_of_a_shard_only_lengthen_queues(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against lost requests while gateways disagree on a coordinator.
+
+    Half of the gateways take another half for dead.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=8)
+        for gateway in fleet.gateways[::2]:
+            hidden = {f"g{n}" for n in range(1, 20, 2)}
+            roster = gateway.client._roster
+            live = roster.live_peers
+            roster.live_peers = (  # type: ignore[method-assign]
+                lambda live=live, hidden=hidden: [
+                    p for p in live() if p.host not in hidden
+                ]
+            )
+        await fleet.play_online(60, 4)
+        await trio.sleep(3)
+        assert fleet.outcome.refused == 0
+        assert fleet.outcome.share_within(fleets.OBJECTIVE_MS) >= 0.99
+        nursery.cancel_scope.cancel()
