Bound answers without end in bytes and in time

A replica that sent interim responses, comments, events without an id or half an event kept a request until its deadline and its events without an id went on to the caller; an error body was read up to 16 MiB for each request; an answer of the store had no bound at all. A stream that sent a byte or a comment now and then counted as alive, and an item's output could grow beyond what the log takes, so that its result could never be stored.

Only a numbered event counts as progress (upstreams/event_reader); the time that a slow caller takes does not.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -16,6 +16,7 @@
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
 
@@ -38,6 +39,11 @@
 # Retry-After if no replica can be used.
 _NO_REPLICA_RETRY_AFTER_MS = 300.0
 _MAX_BODY_BYTES = 16 << 20
+# A replica's error response is short, and no larger one is relayed.
+_MAX_ERROR_BODY_BYTES = 64 << 10
+# Most bytes of whole responses that are held at once, so that replicas which
+# send bytes without end cannot use up the memory of a host of 128 MB.
+_MAX_HELD_BYTES = 24 << 20
 
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
@@ -62,7 +68,14 @@
 class Forwarder:
     """Runs calls on replicas, retries them and resumes broken streams."""
 
-    __slots__ = ("_clock", "_metrics", "_replicas", "_rng", "_slots")
+    __slots__ = (
+        "_clock",
+        "_held_bytes",
+        "_metrics",
+        "_replicas",
+        "_rng",
+        "_slots",
+    )
 
     def __init__(
         self,
@@ -77,6 +90,7 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = rng or random.Random()
+        self._held_bytes = 0
 
     async def run(self, call: progress_lib.Call) -> None:
         """Runs a call and sends its response.
@@ -217,7 +231,7 @@
             progress.ran = Ran.MAY_HAVE_RUN
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
             if run.status >= _SERVER_ERROR:
-                body = await _read_all(run)
+                body = await self._read_all(run, _MAX_ERROR_BODY_BYTES)
                 raise _ErrorResponse(run.status, run.headers, body)
             if call.route.kind is configuration.RouteKind.STREAM and (
                 run.status < 300
@@ -252,19 +266,12 @@
         gap_timeout_ms = math.inf
         if may_retry and call.route.gap_objective_ms:
             gap_timeout_ms = call.route.gap_objective_ms * _RESUME_GAP_FRACTION
-        splitter = progress.splitter
+        reader = event_reader.EventReader(run, progress.splitter, self._clock)
         timeout_ms = self._first_event_timeout_ms(call, may_retry)
-        while chunk := await run.next_chunk(timeout_ms):
-            complete_events = splitter.feed(chunk)
-            if not complete_events:
-                continue
+        while events := await reader.next_events(timeout_ms):
             timeout_ms = gap_timeout_ms
             await self._start_response(call, run)
-            await call.req.write(complete_events)
-        if not splitter.between_events:
-            raise upstream_errors.BrokenError(
-                "the stream ended within an event"
-            )
+            await call.req.write(events)
         await self._start_response(call, run)
         await call.req.end()
 
@@ -280,9 +287,31 @@
     async def _relay_whole_response(
         self, call: progress_lib.Call, run: runs.Run
     ) -> None:
-        body = await _read_all(run)
+        body = await self._read_all(run, _MAX_BODY_BYTES)
         await _respond(call, run.status, run.headers, body)
 
+    async def _read_all(self, run: runs.Run, limit_bytes: int) -> bytes:
+        """Returns a whole body.
+
+        Raises:
+            upstream_errors.InvalidResponseError: The body is larger than
+                `limit_bytes`, or the bodies of all responses are too large.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            while chunk := await run.next_chunk():
+                chunks.append(chunk)
+                size += len(chunk)
+                self._held_bytes += len(chunk)
+                if size > limit_bytes or self._held_bytes > _MAX_HELD_BYTES:
+                    raise upstream_errors.InvalidResponseError(
+                        "the response is too large"
+                    )
+        finally:
+            self._held_bytes -= size
+        return b"".join(chunks)
+
     async def _relay_error_response(
         self,
         call: progress_lib.Call,
@@ -437,19 +466,6 @@
         )
 
 
-async def _read_all(run: runs.Run) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    while chunk := await run.next_chunk():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > _MAX_BODY_BYTES:
-            raise upstream_errors.InvalidResponseError(
-                "the response is too large"
-            )
-    return b"".join(chunks)
-
-
 async def _respond(
     call: progress_lib.Call, status: int, headers: runs.Headers, body: bytes
 ) -> None:
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -270,7 +270,7 @@
             return
         resumed = running.ItemTask(task.job, task.index, task.body)
         resumed.events = event_stream.Splitter(progress.last_event)
-        resumed.output = list(progress.output)
+        resumed.add_output(progress.output)
         resumed.failures = progress.failures
         self._tasks[key, task.index] = resumed
         self._scheduler.add(resumed, self._note_result)
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -15,6 +15,7 @@
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import outliers
 from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
 
@@ -24,6 +25,8 @@
 _EVENT_GAP_TIMEOUT_MS = 1_000.0
 # Longest duration of one run at a replica.
 _RUN_TIMEOUT_MS = 60_000.0
+# Largest output of an item; a result has to fit into a record of the log.
+_MAX_OUTPUT_BYTES = 240 << 10
 # Delay after a run that failed without an event; doubled after each failed
 # attempt. The delay keeps an item that crashes replicas from crashing one
 # after another.
@@ -64,6 +67,7 @@
         events: Splitter of the event stream; its last id is where the next
             run resumes.
         output: Data of the events received so far.
+        output_bytes: Size of `output`.
         failures: Number of answers that count as failed attempts.
         failed_replica_ids: Replicas that gave such answers while the item was
             scheduled by this gateway.
@@ -82,6 +86,7 @@
         default_factory=event_stream.Splitter
     )
     output: list[bytes] = dataclasses.field(default_factory=list)
+    output_bytes: int = 0
     failures: int = 0
     failed_replica_ids: set[str] = dataclasses.field(default_factory=set)
     breaks: int = 0
@@ -101,6 +106,23 @@
             return True
         return (progress.last_event or 0) > (self.events.last_id or 0)
 
+    def add_output(self, lines: list[bytes]) -> None:
+        """Adds the data of further events.
+
+        Raises:
+            upstream_errors.InvalidResponseError: The output is too large for a
+                record of the log.
+        """
+        self.output += lines
+        self.output_bytes += sum(len(line) + 1 for line in lines)
+        if self.output_bytes > _MAX_OUTPUT_BYTES:
+            # The next run starts from the beginning.
+            self.output, self.output_bytes = [], 0
+            self.events = event_stream.Splitter()
+            raise upstream_errors.InvalidResponseError(
+                "the item's output is too large"
+            )
+
     def result(self, completed: bool) -> records.Result:
         """Returns the item's result; a given-up item has no output."""
         output = b"\n".join(self.output) if completed else b""
@@ -229,13 +251,9 @@
 
     async def _collect(self, task: ItemTask, run: runs.Run) -> None:
         task.events.restart()
-        while chunk := await run.next_chunk(_EVENT_GAP_TIMEOUT_MS):
-            complete_events = task.events.feed(chunk)
-            task.output += event_stream.data_lines(complete_events)
-        if not task.events.between_events:
-            raise upstream_errors.BrokenError(
-                "the stream ended within an event"
-            )
+        reader = event_reader.EventReader(run, task.events, self._clock)
+        while events := await reader.next_events(_EVENT_GAP_TIMEOUT_MS):
+            task.add_output(event_stream.data_lines(events))
 
     def _note_failed_attempt(
         self,
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -9,6 +9,7 @@
 
 import httpcore
 import msgspec
+import trio
 
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.log import compacted
@@ -21,6 +22,8 @@
 _MAX_CONNECTIONS = 64
 _KEEPALIVE_S = 10.0
 _MAX_READ_KB = 1024
+# A page of the newest records holds 1 MB in base64, and a read as much.
+_MAX_ANSWER_BYTES = 4 << 20
 # The store compacts only topics whose names have this prefix.
 _TOPIC_PREFIX = "keyed."
 _RECORD_LENGTH = struct.Struct(">I")
@@ -204,14 +207,19 @@
         }
         url = f"{self._base}/-/log-{call}" + (f"?{query}" if query else "")
         headers = [("content-type", "application/json")] if body else []
+        content = body if method == "POST" else None
         try:
-            response = await self._pool.request(
-                method,
-                url,
-                headers=headers,
-                content=body if method == "POST" else None,
-                extensions={"timeout": timeouts},
-            )
+            # The timeouts of the pool bound each read; an answer that comes
+            # byte by byte is bounded here.
+            with trio.fail_after(timeout_s + _CALL_TIMEOUT_S):
+                async with self._pool.stream(
+                    method,
+                    url,
+                    headers=headers,
+                    content=content,
+                    extensions={"timeout": timeouts},
+                ) as response:
+                    answer = await _read_answer(response)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             self._metrics.add("store_errors", call=call, cause="connect")
             raise errors.UnavailableError(str(exc), False) from exc
@@ -219,6 +227,7 @@
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
+            trio.TooSlowError,
         ) as exc:
             cause = type(exc).__name__
             self._metrics.add("store_errors", call=call, cause=cause)
@@ -227,7 +236,23 @@
             self._metrics.add(
                 "store_refusals", call=call, status=str(response.status)
             )
-        return response.status, response.content
+        return response.status, answer
+
+
+async def _read_answer(response: httpcore.Response) -> bytes:
+    """Returns the body of an answer.
+
+    Raises:
+        errors.UnavailableError: The body is larger than any answer.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in response.aiter_stream():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > _MAX_ANSWER_BYTES:
+            raise errors.UnavailableError("the answer is too large", True)
+    return b"".join(chunks)
 
 
 def _require_ok(status: int, body: bytes) -> None:
--- a/lacewingwood/upstreams/event_stream.py
+++ b/lacewingwood/upstreams/event_stream.py
@@ -7,7 +7,11 @@
 
 from lacewingwood.upstreams import errors
 
-_EVENT_LIMIT_BYTES = 1 << 20
+# The largest event of a model is some kilobytes long. Each connection may hold
+# this much, also when many replicas send bytes without end.
+_EVENT_LIMIT_BYTES = 128 << 10
+# Blocks without an id, such as comments, that may come between two events.
+_MAX_UNNUMBERED_BLOCKS = 100
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data: ?([^\r\n]*)\r?$", re.MULTILINE)
@@ -22,33 +26,40 @@
         last_id: Id of the last complete event, None before the first one.
     """
 
-    __slots__ = ("_partial", "last_id")
+    __slots__ = ("_partial", "_unnumbered", "last_id")
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self._partial = b""
+        self._unnumbered = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Returns the bytes of the events that `chunk` completes.
 
         Raises:
-            InvalidResponseError: An event is too large, or its id does not
-                follow the previous one.
+            InvalidResponseError: An event is too large, its id does not follow
+                the previous one, or too many blocks have no id.
         """
         data = self._partial + chunk
         start, last_id = 0, self.last_id
+        unnumbered = self._unnumbered
         for end in _EVENT_END.finditer(data):
-            last_id = _check_id(data[start : end.end()], last_id)
-            start = end.end()
+            event_id = _check_id(data[start : end.end()], last_id)
+            unnumbered = unnumbered + 1 if event_id == last_id else 0
+            if unnumbered > _MAX_UNNUMBERED_BLOCKS:
+                raise errors.InvalidResponseError("too many events have no id")
+            start, last_id = end.end(), event_id
         if len(data) - start > _EVENT_LIMIT_BYTES:
             raise errors.InvalidResponseError("event is too large")
         # The state changes only if all events of the chunk are in order.
         self._partial, self.last_id = data[start:], last_id
+        self._unnumbered = unnumbered
         return data[:start]
 
     def restart(self) -> None:
         """Prepares for a new stream that resumes after the last whole event."""
         self._partial = b""
+        self._unnumbered = 0
 
     @property
     def between_events(self) -> bool:
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -25,7 +25,9 @@
 # Time to wait for the end of a response whose content is complete, so that its
 # connection can be kept.
 _DRAIN_TIMEOUT_S = 0.05
-_BODY_LIMIT_BYTES = 64 << 20
+_BODY_LIMIT_BYTES = 16 << 20
+# Interim responses that may precede a response.
+_MAX_INTERIM_RESPONSES = 16
 _BODILESS_STATUSES = (204, 304)
 _BACKEND = httpcore.TrioBackend()
 
@@ -192,10 +194,15 @@
 
         Raises:
             BrokenError: The connection ended or the peer broke the protocol.
+            InvalidResponseError: Too many interim responses came first.
         """
         event = await self._connection.receive()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(_MAX_INTERIM_RESPONSES):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._connection.receive()
+        else:
+            raise errors.InvalidResponseError("too many interim responses")
         if not isinstance(event, h11.Response):
             raise errors.BrokenError("connection closed without a response")
         self.status = event.status_code
@@ -229,7 +236,7 @@
 
         Raises:
             BrokenError: The connection ended before the response did.
-            InvalidResponseError: The body is larger than 64 MiB.
+            InvalidResponseError: The body is larger than 16 MiB.
         """
         chunks = []
         size = 0
--- /dev/null
+++ b/tests/upstreams/test_endless.py
@@ -0,0 +1,331 @@
+"""Tests of servers that send bytes which are no answer without end.
+
+The servers send over real sockets. Each client has to end within a bound and
+hold little memory, also when many servers do so at once.
+"""
+
+import contextlib
+import functools
+import tracemalloc
+from collections.abc import AsyncIterator
+
+import h11
+import pytest
+import trio
+
+from lacewingwood import clock as clocks
+from lacewingwood import configuration
+from lacewingwood import errors as base_errors
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import errors as caller_errors
+from lacewingwood.callers import forwarding
+from lacewingwood.callers import progress
+from lacewingwood.log import compacted
+from lacewingwood.log import errors as log_errors
+from lacewingwood.platform import replicas as replica_client
+from lacewingwood.platform import store as store_lib
+from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.upstreams import errors
+from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import runs
+from tests.callers import test_forwarding
+
+_HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\ntransfer-encoding: chunked\r\n"
+_EVENT = b"id: 1\ndata: x\n\n"
+_FILLER = b"x" * 16_384
+# Parts of an answer that a server starts with and those it repeats for ever.
+_ENDLESS = {
+    "head": (b"HTTP/1.1 200 OK\r\nx: ", _FILLER),
+    "header fields": (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 1000),
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    "chunk extension": (_HEAD + b"\r\n5;", _FILLER),
+    "event": (_HEAD + b"\r\nffffffff\r\nid: 1\ndata: ", _FILLER),
+    "comments": (_HEAD + b"\r\nffffffff\r\n", b": no event\n\n" * 1000),
+    "data without an id": (_HEAD + b"\r\nffffffff\r\n", b"data: x\n\n" * 1000),
+    "trailers": (_HEAD + b"trailer: t\r\n\r\n0\r\n", b"t: x\r\n" * 1000),
+    "error body": (
+        b"HTTP/1.1 500 X\r\nrequest-id: id-1\r\ncontent-length: 999999999"
+        b"\r\n\r\n",
+        _FILLER,
+    ),
+}
+_SERVERS = 12
+_MAX_HELD_BYTES = 8 << 20
+
+
+@contextlib.asynccontextmanager
+async def _endless_server(
+    start: bytes, repeated: bytes, pause_s: float = 0.0
+) -> AsyncIterator[str]:
+    """Runs a server that never ends its answer; yields its address."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        with contextlib.suppress(trio.BrokenResourceError):
+            async with stream:
+                await stream.receive_some()
+                await stream.send_all(start)
+                while True:
+                    await stream.send_all(repeated)
+                    await trio.sleep(pause_s)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(trio.serve_listeners, serve, listeners)
+        )
+        yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+
+
+def _make_call(
+    caller: test_forwarding.Caller, **fields: object
+) -> progress.Call:
+    """Returns a call with 5 s until its deadline."""
+    call = test_forwarding.make_call(caller, **fields)
+    headers = [(b"host", b"h.example")]
+    call.work = runs.Work("id-1", "POST", b"/p/1", headers, b"body", "kaje")
+    call.deadline_ms += 4_500
+    return call
+
+
+def _make_forwarder(address: str) -> forwarding.Forwarder:
+    clock, metrics = clocks.MonotonicClock(), metrics_lib.Registry()
+    fleet = load.Fleet()
+    fleet.directory.put(directory.Listing("r0", "s", address, "z", _SERVERS))
+    fleet.refresh()
+    return forwarding.Forwarder(
+        dispatchers.Dispatcher(fleet, "z", clock, metrics),
+        replica_client.Replicas(),
+        clock,
+        metrics,
+    )
+
+
+async def _expect_failure(forwarder: forwarding.Forwarder) -> None:
+    """Sends a request that may run once; expects no complete answer."""
+    caller = test_forwarding.Caller()
+    call = _make_call(caller, resumable=False, max_attempts=1)
+    with pytest.raises((caller_errors.CallerError, forwarding.AbortError)):
+        await forwarder.run(call)
+    assert not caller.complete
+    assert len(caller.body) < _MAX_HELD_BYTES
+
+
+@pytest.mark.parametrize("name", _ENDLESS)
+async def test_endless_answer_ends_early_and_holds_little(name: str) -> None:
+    """Guards against a replica that fills the memory or keeps a request.
+
+    Twelve requests meet such a replica at once. Their deadline is 5 s away.
+    """
+    start, repeated = _ENDLESS[name]
+    async with _endless_server(start, repeated) as address:
+        forwarder = _make_forwarder(address)
+        tracemalloc.start()
+        try:
+            with trio.fail_after(4):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(_SERVERS):
+                        nursery.start_soon(_expect_failure, forwarder)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak_bytes < _MAX_HELD_BYTES
+
+
+@pytest.mark.parametrize("repeated", [b":\n\n", b" ", b"1\r\nx\r\n"])
+async def test_stream_that_sends_a_byte_now_and_then_is_resumed(
+    repeated: bytes,
+) -> None:
+    """Guards against a stalled stream that is taken for a slow one.
+
+    A byte, a comment or a chunk every 20 ms is no event. The route allows
+    pauses of 50 ms, so another run goes on; the last one ends at the deadline.
+    """
+    start = _HEAD + b"\r\n" + b"%x\r\n" % len(_EVENT) + _EVENT + b"\r\n"
+    async with _endless_server(start, repeated, 0.02) as address:
+        forwarder = _make_forwarder(address)
+        caller = test_forwarding.Caller()
+        call = _make_call(caller)
+        call.deadline_ms -= 4_000
+        with trio.fail_after(2), pytest.raises(forwarding.AbortError):
+            await forwarder.run(call)
+        assert caller.body.startswith(_EVENT)
+        assert not caller.complete
+        assert "attempt_failures" in forwarder._metrics.render()
+
+
+async def test_slow_stream_is_not_cut() -> None:
+    """Guards against cutting a stream whose events come slowly but in time.
+
+    Its pauses are longer than those after which it would be resumed, but its
+    route allows only one attempt.
+    """
+    caller = test_forwarding.Caller()
+    chunks: list[bytes | float | type[test_forwarding.Break]] = []
+    for event in test_forwarding.stream(1, 4):
+        chunks += [90.0, event]
+    replicas = test_forwarding.FakeReplicas(test_forwarding.Script(chunks))
+    call = test_forwarding.make_call(caller, max_attempts=1)
+    await test_forwarding.make_forwarder(replicas).run(call)
+    assert caller.complete
+    assert caller.body == b"".join(test_forwarding.stream(1, 4))
+
+
+async def test_slow_caller_does_not_count_as_a_stalled_replica() -> None:
+    """Guards against cutting a stream because its caller reads slowly."""
+    caller = test_forwarding.Caller()
+    send = caller.req._send
+
+    async def send_slowly(message: dict[str, object]) -> None:
+        await trio.sleep(0.08)
+        await send(message)
+
+    caller.req._send = send_slowly
+    replicas = test_forwarding.FakeReplicas(
+        test_forwarding.Script([*test_forwarding.stream(1, 4)])
+    )
+    await test_forwarding.make_forwarder(replicas).run(
+        test_forwarding.make_call(caller)
+    )
+    assert caller.complete
+    assert len(replicas.sent) == 1
+
+
+@pytest.mark.parametrize(
+    ("repeated", "pause_s"), [(_FILLER, 0.0), (b"x", 0.02)]
+)
+async def test_endless_answer_of_the_store_is_an_error(
+    repeated: bytes, pause_s: float
+) -> None:
+    """Guards against a call to the store that fills memory or never ends.
+
+    The outcome of an append is unknown then.
+    """
+    start = b"HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n"
+    async with _endless_server(start, repeated, pause_s) as address:
+        store = store_lib.Store(address, metrics_lib.Registry())
+        partition = compacted.Partition("jobs", 0)
+        tracemalloc.start()
+        try:
+            with (
+                trio.fail_after(4),
+                pytest.raises(log_errors.UnavailableError) as caught,
+            ):
+                await store.append(partition, [compacted.Record("a", b"1")])
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert caught.value.may_have_taken_effect
+    assert peak_bytes < 2 * _MAX_HELD_BYTES
+
+
+async def test_whole_responses_hold_a_bounded_sum() -> None:
+    """Guards against many large answers that together fill the memory."""
+    start = (
+        b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\n"
+        b"content-length: 15000000\r\n\r\n"
+    )
+    async with _endless_server(start, b"x" * 1_000_000) as address:
+        forwarder = _make_forwarder(address)
+        outcomes: list[bool] = []
+
+        async def send() -> None:
+            caller = test_forwarding.Caller()
+            call = _make_call(
+                caller,
+                kind=configuration.RouteKind.NON_IDEMPOTENT,
+                max_attempts=1,
+            )
+            with contextlib.suppress(caller_errors.CallerError):
+                await forwarder.run(call)
+            outcomes.append(caller.complete)
+
+        with trio.fail_after(8):
+            async with trio.open_nursery() as nursery:
+                for _ in range(6):
+                    nursery.start_soon(send)
+            await send()
+        assert not all(outcomes)
+        # The memory that failed answers held is free again.
+        assert outcomes[-1]
+
+
+async def test_late_copy_of_an_answer_reaches_no_other_caller() -> None:
+    """Guards against a second answer that the next request is given.
+
+    The copy comes after the connection is in use again.
+    """
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            answer = (
+                b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\ncontent-length: 2"
+                b"\r\n\r\nok"
+            )
+            await stream.receive_some()
+            await stream.send_all(answer)
+            await stream.receive_some()
+            await stream.send_all(answer)
+            await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(trio.serve_listeners, serve, listeners)
+        )
+        port = listeners[0].socket.getsockname()[1]
+        client = replica_client.Replicas()
+        listing = directory.Listing("r0", "s", f"127.0.0.1:{port}", "z", 1)
+
+        def work(request_id: str) -> runs.Work:
+            headers = [(b"host", b"h.example")]
+            return runs.Work(request_id, "POST", b"/p", headers, b"b", "kaje")
+
+        async with client.open(listing, work("id-1"), 1_000) as run:
+            assert await run.next_chunk() == b"ok"
+            assert await run.next_chunk() == b""
+        with pytest.raises(errors.InvalidResponseError) as caught:
+            async with client.open(listing, work("id-2"), 1_000):
+                pass
+        assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+        nursery.cancel_scope.cancel()
+
+
+async def test_answer_that_breaks_off_is_never_complete() -> None:
+    """Guards against half an answer that looks whole.
+
+    It breaks off before its length, within a chunk, or without any end.
+    """
+    for answer in (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nhalf",
+    ):
+
+        async def serve(
+            stream: trio.SocketStream, answer: bytes = answer
+        ) -> None:
+            async with stream:
+                await stream.receive_some()
+                await stream.send_all(answer)
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                functools.partial(trio.serve_listeners, serve, listeners)
+            )
+            port = listeners[0].socket.getsockname()[1]
+            pool = http1.Pools(1).pool(f"127.0.0.1:{port}")
+            async with pool.exchange() as exchange:
+                head = h11.Request(
+                    method="GET", target="/", headers=[("host", "x")]
+                )
+                await exchange.send_whole(head, b"")
+                await exchange.receive_head()
+                with pytest.raises(errors.BrokenError):
+                    await exchange.read()
+            assert not exchange.complete
+            nursery.cancel_scope.cancel()
