Let few gateways of a large fleet join the group of owners

Cause: every gateway renewed its membership 1.2 times a second, and reported to its hubs four times a second, whatever it owned or ran. Coordinators now count the requests at replicas, so only rate limits need quick reports, and those are urgent already.

Change: of all zones together twice as many gateways as there are partitions join, the first by host in each zone among those that report; one that is not among them stays a member only while it owns partitions. Reports to hubs and their forwarding take 0.45 and 0.4 s unless they are urgent.

--- a/lacewingwood/jobs/ownership.py
+++ b/lacewingwood/jobs/ownership.py
@@ -50,6 +50,7 @@
         "_groups",
         "_hand_over",
         "_indexes",
+        "_is_candidate",
         "_make_owner",
         "_member",
         "_metrics",
@@ -72,7 +73,23 @@
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         min_ttl_ms: int = 0,
+        is_candidate: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Creates an ownership without partitions; `run` joins the group.
+
+        Args:
+            groups: The groups of the log.
+            member: Name of this gateway in the group.
+            partitions: All partitions of the job topics.
+            make_owner: Makes the owner of a partition.
+            find_owner: Returns the owner that peers report.
+            hand_over: Sends an item's progress to another owner.
+            clock: Source of monotonic time.
+            metrics: Registry of counters.
+            min_ttl_ms: Shortest time to live that the log accepts.
+            is_candidate: Returns whether this gateway should take partitions.
+                One that should not is a member only while it holds some.
+        """
         self._groups = groups
         self._member = member
         self._indexes = {p: n for n, p in enumerate(partitions)}
@@ -82,6 +99,7 @@
         self._clock = clock
         self._metrics = metrics
         self._ttl_ms = max(_TTL_MS, min_ttl_ms)
+        self._is_candidate = is_candidate
         self._generation = 0
         self._renewed_ms = float("-inf")
         self._owners: dict[int, owners.Owner] = {}
@@ -110,8 +128,9 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while not self._stopping:
-                await self._renew()
-                self._retire_superseded()
+                if self._owners or self._is_candidate():
+                    await self._renew()
+                    self._retire_superseded()
                 await self._clock.sleep_ms(self._ttl_ms / _RENEWALS_PER_TTL)
 
     async def stop(self) -> None:
--- a/lacewingwood/peers/presence.py
+++ b/lacewingwood/peers/presence.py
@@ -34,10 +34,10 @@
 # Shortest pause between two reports; bounds their rate while counts change.
 _REPORT_PAUSE_MS = 25.0
 # Shortest pause between reports to hubs, and the interval at which hubs forward
-# them. Counts may be out of date by that much, since requests are spread over
-# replicas at random.
-_HUB_REPORT_PAUSE_MS = 250.0
-_FORWARD_PAUSE_MS = 200.0
+# them. Coordinators count the requests at replicas, so nothing else depends on
+# earlier counts than rate limits, whose reports are urgent.
+_HUB_REPORT_PAUSE_MS = 450.0
+_FORWARD_PAUSE_MS = 400.0
 # Number of other gateways from which on reports go through hubs.
 _MIN_PEERS_FOR_HUBS = 16
 # Interval of digests to other zones, and of reports to gateways whose standby
--- a/lacewingwood/peers/roster.py
+++ b/lacewingwood/peers/roster.py
@@ -1,6 +1,7 @@
 """The other gateways that a gateway knows, and their latest reports."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -173,6 +174,19 @@
         """Returns whether other gateways are known but none reports."""
         return bool(self._peers) and not self.live_peers()
 
+    def is_candidate(self, count: int) -> bool:
+        """Returns whether this gateway is among `count` chosen live ones.
+
+        Each zone has an equal share of them, the first by host. Gateways that
+        know different peers choose differently, so some more may be chosen.
+        """
+        live = self.live_peers()
+        zones = {self.zone, *(peer.zone for peer in live)}
+        before = sum(
+            peer.host < self.host for peer in live if peer.zone == self.zone
+        )
+        return before < math.ceil(count / len(zones))
+
     def batch_rank(self) -> tuple[int, int]:
         """Returns this gateway's rank among those with waiting batch items.
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -170,6 +170,7 @@
             self._clock,
             self._metrics,
             cfg.member_ttl_min_ms,
+            lambda: self._roster.is_candidate(2 * len(partitions)),
         )
         jobs = job_service.JobService(
             self._store,
--- a/tests/jobs/test_ownership.py
+++ b/tests/jobs/test_ownership.py
@@ -82,3 +82,34 @@
         assert resumed.output == [b"seven events"]
         assert ownership.owner(0) is not first
         nursery.cancel_scope.cancel()
+
+
+async def test_gateway_that_is_no_candidate_does_not_join() -> None:
+    """Guards against calls of hundreds of gateways that own nothing."""
+    joins = 0
+
+    class Groups(_Groups):
+        """Counts the calls."""
+
+        async def join(self, *args: object) -> compacted.Assignment:
+            nonlocal joins
+            joins += 1
+            return await super().join(*args)
+
+    def no_owner(*args: object) -> owners.Owner:
+        raise AssertionError("owns nothing")
+
+    ownership = ownerships.Ownership(
+        Groups(),
+        "host-1",
+        [fakes.PARTITION],
+        no_owner,
+        lambda index: None,
+        no_owner,  # type: ignore[arg-type]
+        clocks.MonotonicClock(),
+        metrics_lib.Registry(),
+        is_candidate=lambda: False,
+    )
+    with trio.move_on_after(1.2):
+        await ownership.run()
+    assert joins == 0
--- a/tests/peers/test_roster.py
+++ b/tests/peers/test_roster.py
@@ -77,3 +77,22 @@
     assert roster.reachable_share() == 0.5
     clock.advance(10_000)
     assert roster.reachable_share() == 1.0
+
+
+def test_candidates_are_dealt_over_the_zones_and_replaced_when_lost() -> None:
+    """Guards against work that no gateway takes, or that all take.
+
+    Four candidates of two zones: two hosts of each zone.
+    """
+    roster, clock = _make()
+    assert roster.is_candidate(4)
+    for host, zone in (("a", "z"), ("b", "z"), ("c", "y"), ("d", "y")):
+        roster.note_entry(host, f"{host}:1", zone, 1_000)
+        report = gateway_messages.GatewayReport(
+            host, f"{host}:1", 1_000, 1, {}, {}, {}, serial=1
+        )
+        assert roster.note_report(report)
+    assert not roster.is_candidate(4)
+    assert roster.is_candidate(6)
+    clock.advance(roster_lib.REPORT_TIMEOUT_MS + 1)
+    assert roster.is_candidate(4)
