Keep coordinators from sending requests to replicas that fail

An answer of a coordinator that came after the grant of its ticket raised a KeyError, and the caller got 500. Items held all but two slots of a shard, so that each fluctuation of online requests stopped one.

Change: the end of a ticket says whether the replica refused or failed the request; a coordinator pauses the replica for 0.3 s, doubled with each failure in a row up to 4.8 s, and uses paused ones only if all are. Batch items leave the square root of the running online requests free. A grant that overtakes a lost answer is used.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -165,6 +165,7 @@
                 await self._discount_attempt_if_ended(slot, progress, exc)
             except _ErrorResponse as exc:
                 slot.replica.note_failure(self._clock.now_ms())
+                slot.failed = True
                 progress.reason = f"status_{exc.status}"
                 progress.tried.add(slot.replica.listing.id)
                 if not progress.may_retry():
@@ -342,6 +343,7 @@
         now_ms = self._clock.now_ms()
         if run.misdirected:
             slot.replica.note_failure(now_ms)
+            slot.failed = True
         else:
             slot.replica.note_full(now_ms)
             slot.refused = True
@@ -362,8 +364,10 @@
             # The requests queued on the replica explain the timeout, so it
             # does not count as a failure; other replicas would be as full.
             replica.note_full(now_ms)
+            slot.refused = True
         elif not isinstance(exc, upstream_errors.RefusedError):
             replica.note_failure(now_ms)
+            slot.failed = True
         self._metrics.add("attempt_failures", code=exc.code)
         _log.info(
             "attempt failed",
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -207,6 +207,7 @@
                     replica.standing(now_ms) is outliers.Standing.SOUND
                 )
                 replica.note_failure(now_ms)
+                slot.failed = True
                 self._note_break(task, last_id_before, replica_healthy)
             _log.info(
                 "item run failed",
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -299,11 +299,19 @@
 
 
 class SlotRelease(messages.Message, tag="slot_release"):
-    """Ends a ticket; `refused` if the replica refused the request as full."""
+    """Ends a ticket.
+
+    Attributes:
+        host: The gateway that holds it.
+        ticket: Its number.
+        refused: True if the replica refused the request as full.
+        failed: True if the request failed at the replica.
+    """
 
     host: str
     ticket: int
     refused: bool = False
+    failed: bool = False
 
 
 class SlotPreempt(messages.Message, tag="slot_preempt"):
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -11,6 +11,8 @@
 """
 
 import dataclasses
+import enum
+import math
 import random
 from collections.abc import Callable
 
@@ -23,15 +25,35 @@
 # A granted ticket that its gateway does not list is kept for this long, as the
 # grant may still be on its way.
 _GRANT_GRACE_MS = 400.0
-# Slots of a shard that batch items leave free, unless they are urgent. Items
-# also make way for online requests, but then part of their work is repeated.
-_BATCH_RESERVE = 2
+# Slots of a shard that batch items leave free, unless they are urgent: these
+# and the square root of the running online requests, about the spread of their
+# number. Items also make way for online requests, but then part of their work
+# is repeated.
+_BATCH_RESERVE = 1
 # A replica that refused a request as full gets no other for this long.
 _REFUSAL_PAUSE_MS = 60.0
+# Pause of a replica after a failure, doubled with each failure in a row. A
+# replica that has ended fails at once, and would otherwise be the least busy.
+_FAILURE_PAUSE_MS = 300.0
+_MAX_FAILURE_PAUSE_MS = 4_800.0
 
 TicketId = tuple[str, int]
 
 
+class End(enum.Enum):
+    """How a request ended at its replica.
+
+    Attributes:
+        DONE: It was completed, or its caller gave it up.
+        REFUSED: The replica refused it as full.
+        FAILED: The replica failed it.
+    """
+
+    DONE = 0
+    REFUSED = 1
+    FAILED = 2
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Ticket:
     """A request for a slot, and the slot that it was given.
@@ -99,7 +121,14 @@
     caller has to send.
     """
 
-    __slots__ = ("_paused_ms", "_replicas_of", "_rng", "_shards", "_tickets")
+    __slots__ = (
+        "_failures",
+        "_paused_ms",
+        "_replicas_of",
+        "_rng",
+        "_shards",
+        "_tickets",
+    )
 
     def __init__(
         self,
@@ -116,7 +145,9 @@
         self._rng = rng or random.Random()
         self._shards: dict[str, _Shard] = {}
         self._tickets: dict[TicketId, Ticket] = {}
+        # Pauses of replicas, and their failures in a row.
         self._paused_ms: dict[str, float] = {}
+        self._failures: dict[str, int] = {}
 
     def counts(self) -> dict[str, tuple[int, int]]:
         """Returns the numbers of waiting and granted tickets by shard."""
@@ -130,11 +161,8 @@
         state = self._shards.get(shard)
         granted = state.granted.values() if state is not None else ()
         online = sum(not ticket.is_batch for ticket in granted)
-        slots = sum(
-            replica.slots
-            for replica in self._replicas_of(shard)
-            if self._is_usable(replica, now_ms)
-        )
+        replicas = self._usable(self._replicas_of(shard), now_ms)
+        slots = sum(replica.slots for replica in replicas)
         return slots - online
 
     def ask(self, ticket: Ticket, now_ms: float) -> tuple[str, list[Decision]]:
@@ -160,14 +188,14 @@
         return known.replica_id, others
 
     def release(
-        self, ticket_id: TicketId, now_ms: float, refused: bool = False
+        self, ticket_id: TicketId, now_ms: float, end: End = End.DONE
     ) -> list[Decision]:
         """Ends a ticket, granted or not.
 
         Args:
             ticket_id: The ticket.
             now_ms: Current time.
-            refused: True if the replica refused the request as full.
+            end: How its request ended.
         """
         ticket = self._tickets.pop(ticket_id, None)
         if ticket is None:
@@ -177,9 +205,7 @@
             shard.waiting.remove(ticket)
             return []
         del shard.granted[ticket.id]
-        if refused:
-            until_ms = now_ms + _REFUSAL_PAUSE_MS
-            self._paused_ms[ticket.replica_id] = until_ms
+        self._note_end(ticket.replica_id, end, now_ms)
         self._settle_preemption(shard, ticket)
         return self._serve(ticket.shard, now_ms)
 
@@ -233,6 +259,26 @@
                 decisions += self._serve(name, now_ms)
         return decisions
 
+    def _note_end(self, replica_id: str, end: End, now_ms: float) -> None:
+        """Pauses a replica after a failure or a refusal."""
+        match end:
+            case End.DONE:
+                self._failures.pop(replica_id, None)
+                return
+            case End.REFUSED:
+                pause_ms = _REFUSAL_PAUSE_MS
+            case End.FAILED if self._is_paused(replica_id, now_ms):
+                # The requests of one crash end at the same moment.
+                return
+            case End.FAILED:
+                failures = self._failures.get(replica_id, 0)
+                self._failures[replica_id] = failures + 1
+                pause_ms = min(
+                    _FAILURE_PAUSE_MS * 2.0**failures, _MAX_FAILURE_PAUSE_MS
+                )
+        until_ms = self._paused_ms.get(replica_id, 0.0)
+        self._paused_ms[replica_id] = max(until_ms, now_ms + pause_ms)
+
     def _shard(self, name: str) -> _Shard:
         return self._shards.setdefault(name, _Shard())
 
@@ -294,15 +340,18 @@
         req = ticket.req
         usable = [
             replica
-            for replica in replicas
-            if self._is_usable(replica, now_ms)
-            and replica.listing.id not in req.exclude
+            for replica in self._usable(replicas, now_ms)
+            if replica.listing.id not in req.exclude
         ]
         if ticket.is_batch and not req.urgent:
             free = sum(
                 max(0, r.slots - busy.get(r.listing.id, 0)) for r in usable
             )
-            if free <= _BATCH_RESERVE:
+            online = sum(
+                not t.is_batch
+                for t in self._shard(ticket.shard).granted.values()
+            )
+            if free <= _BATCH_RESERVE + math.sqrt(online):
                 return None
         for tier in dispatchers.tiers(usable, req, now_ms):
             free_replicas = [
@@ -318,9 +367,17 @@
                 )
         return None
 
-    def _is_usable(self, replica: load.Replica, now_ms: float) -> bool:
-        paused_ms = self._paused_ms.get(replica.listing.id, 0.0)
-        return not replica.listing.leaving and paused_ms <= now_ms
+    def _usable(
+        self, replicas: list[load.Replica], now_ms: float
+    ) -> list[load.Replica]:
+        """Returns the replicas that are not paused, or all if all are."""
+        staying = [r for r in replicas if not r.listing.leaving]
+        return [
+            r for r in staying if not self._is_paused(r.listing.id, now_ms)
+        ] or staying
+
+    def _is_paused(self, replica_id: str, now_ms: float) -> bool:
+        return self._paused_ms.get(replica_id, 0.0) > now_ms
 
     def _victim(
         self,
@@ -335,7 +392,7 @@
         is the newest, which has done the least work.
         """
         usable = {
-            r.listing.id for r in replicas if self._is_usable(r, now_ms)
+            r.listing.id for r in self._usable(replicas, now_ms)
         } - ticket.req.exclude
         candidates = [
             t
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -81,6 +81,7 @@
         ticket: Number of the ticket under which a coordinator granted it, 0 for
             a slot that was taken without one.
         refused: True if the replica refused the request as full.
+        failed: True if the request failed at the replica.
     """
 
     replica: load.Replica
@@ -88,6 +89,7 @@
     held: bool = True
     ticket: int = 0
     refused: bool = False
+    failed: bool = False
 
 
 class Slots(Protocol):
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -179,7 +179,7 @@
         self._dispatcher.release(slot)
         if slot.ticket and self._held.pop(slot.ticket, None) is not None:
             shard = self._shard_map.of_replica(slot.replica)
-            self._end_ticket(slot.ticket, shard, slot.refused)
+            self._end_ticket(slot.ticket, shard, slot.refused, slot.failed)
 
     def want_batch(self, service: str, count: int, urgent: bool) -> None:
         """Sets how many slots batch items of a service wait for.
@@ -193,11 +193,16 @@
         shards = self._shard_map.of_service(service)
         wanted = min(count, _BATCH_TICKETS_PER_SHARD * len(shards))
         for number in mine[wanted:]:
-            self._end_ticket(number, self._batch.pop(number).shard, False)
+            self._end_ticket(number, self._batch.pop(number).shard)
         now_ms = self._clock.now_ms()
         for number in mine[:wanted]:
-            if now_ms - self._batch[number].asked_ms >= _REPEAT_INTERVAL_MS:
-                self._ask_batch(number, self._batch[number], urgent)
+            # A ticket may be granted while another one is repeated, if this
+            # gateway is the coordinator.
+            ticket = self._batch.get(number)
+            if ticket is None:
+                continue
+            if now_ms - ticket.asked_ms >= _REPEAT_INTERVAL_MS:
+                self._ask_batch(number, ticket, urgent)
         for shard in self._batch_shards(shards, wanted - len(mine)):
             ticket = _BatchTicket(shard, service, now_ms)
             number = next(self._numbers)
@@ -265,9 +270,10 @@
         )
         answer = await self._call(host, message)
         if answer is None:
-            # It may still grant the ticket.
-            del self._pending[number], pending.shards[number]
-            self._send_release(host, number, False)
+            if pending.shards.pop(number, None) is not None:
+                # It may still grant the ticket.
+                del self._pending[number]
+                self._send_release(host, number)
             return False
         self._hints[shard] = answer.free, self._clock.now_ms()
         if answer.replica:
@@ -412,7 +418,7 @@
                 pending.req.exclude.add(replica_id)
                 self._forget_ticket(pending, number)
                 return
-            self._end_ticket(number, shard, False)
+            self._end_ticket(number, shard)
             return
         assert replica is not None
         if batch is not None:
@@ -447,15 +453,27 @@
     def _forget_ticket(self, pending: _Pending, number: int) -> None:
         shard = pending.shards.pop(number)
         self._pending.pop(number, None)
-        self._end_ticket(number, shard, False)
+        self._end_ticket(number, shard)
 
-    def _end_ticket(self, number: int, shard: str, refused: bool) -> None:
+    def _end_ticket(
+        self,
+        number: int,
+        shard: str,
+        refused: bool = False,
+        failed: bool = False,
+    ) -> None:
         if host := self._coordinator_of(shard) if shard else None:
-            self._send_release(host, number, refused)
+            self._send_release(host, number, refused, failed)
 
-    def _send_release(self, host: str, number: int, refused: bool) -> None:
+    def _send_release(
+        self,
+        host: str,
+        number: int,
+        refused: bool = False,
+        failed: bool = False,
+    ) -> None:
         message = gateway_messages.SlotRelease(
-            self._roster.host, number, refused
+            self._roster.host, number, refused, failed
         )
         if host == self._roster.host:
             self._server.release(message)
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -92,9 +92,12 @@
         """Ends a ticket."""
         ticket_id = message.host, message.ticket
         now_ms = self._clock.now_ms()
-        self._send(
-            self._coordinator.release(ticket_id, now_ms, message.refused)
-        )
+        end = coordinators.End.DONE
+        if message.refused:
+            end = coordinators.End.REFUSED
+        elif message.failed:
+            end = coordinators.End.FAILED
+        self._send(self._coordinator.release(ticket_id, now_ms, end))
 
     def note_held(self, message: gateway_messages.SlotsHeld) -> None:
         """Takes over what a gateway holds."""
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -30,6 +30,18 @@
 Handler = Callable[[messages.Message], Awaitable[messages.Message]]
 
 
+def make_request() -> dispatchers.SlotRequest:
+    """Returns an online request that arrives now."""
+    now_ms = trio.current_time() * 1000
+    return dispatchers.SlotRequest(
+        service=SERVICE,
+        work=load.WorkKind.ONLINE,
+        arrived_ms=now_ms,
+        objective_ms=OBJECTIVE_MS,
+        deadline_ms=now_ms + 5_000,
+    )
+
+
 class Clock:
     """Trio's clock in ms."""
 
@@ -195,15 +207,7 @@
         """Serves one online request and records when it began to run."""
         outcome = self._fleet.outcome
         started_ms = trio.current_time() * 1000
-        slot = await self.client.acquire(
-            dispatchers.SlotRequest(
-                service=SERVICE,
-                work=load.WorkKind.ONLINE,
-                arrived_ms=started_ms,
-                objective_ms=OBJECTIVE_MS,
-                deadline_ms=started_ms + 5_000,
-            )
-        )
+        slot = await self.client.acquire(make_request())
         if slot is None:
             outcome.refused += 1
             return
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -7,6 +7,8 @@
 import trio
 from trio import testing as trio_testing
 
+from lacewingwood import errors as base_errors
+from lacewingwood.peers import errors as peer_errors
 from tests.routing import fleets
 
 # 37 replicas with 8 slots; a request holds one for 0.74 s.
@@ -95,6 +97,37 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_grant_that_overtakes_a_lost_answer_is_used(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against an internal error when a grant comes without its answer.
+
+    The coordinator lets a ticket wait, its answer is lost, and it grants the
+    ticket before the gateway gives up on the answer.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=1, zones=1, slots=1)
+        await fleet.gateways[0].client.acquire(fleets.make_request())
+        coordinator = next(g for g in fleet.gateways if g.server.dump())
+        asker = next(g for g in fleet.gateways if g is not coordinator)
+        blocker = next(g.client for g in fleet.gateways if g.client._held)
+        handler = asker.client._network.call
+
+        async def lose_answers(*args: object) -> object:
+            await handler(*args)  # type: ignore[arg-type]
+            blocker.release(next(iter(blocker._held.values())))
+            await trio.sleep(0.02)
+            raise peer_errors.TimeoutError("lost", base_errors.Ran.MAY_HAVE_RUN)
+
+        asker.client._network.call = lose_answers  # type: ignore[method-assign]
+        slot = await asker.client.acquire(fleets.make_request())
+        assert slot is not None
+        asker.client.release(slot)
+        await trio.sleep(3)
+        assert not coordinator.server.dump()
+        nursery.cancel_scope.cancel()
+
+
 async def test_slots_of_a_dead_gateway_are_used_again(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
@@ -117,6 +150,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_replica_that_ended_gets_few_requests(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a dead replica that looks idle and gets every request.
+
+    Requests there fail at once.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=4, zones=1)
+        sent = 0
+        for n in range(200):
+            slot = await fleet.gateways[n % 20].client.acquire(
+                fleets.make_request()
+            )
+            assert slot is not None
+            if slot.replica.listing.id == "r0":
+                sent += 1
+                slot.failed = True
+            fleet.gateways[n % 20].client.release(slot)
+            await trio.sleep(0.02)
+        # It is tried again after 0.3, 0.6, 1.2 and 2.4 s.
+        assert 1 <= sent <= 5
+        nursery.cancel_scope.cancel()
+
+
 async def test_two_coordinators_of_a_shard_only_lengthen_queues(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
