Play the soak with coordinators, on ports that stay free

Cause: the soak and the integration tests never had more than 16 gateways, so nothing played coordinators and hubs under faults.

Change: ports are chosen below those of outgoing connections.

--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -22,13 +23,25 @@
 SERVICE = "sabeel-lm"
 
 
+# Below the ports that the system gives to outgoing connections, which would take
+# a free port before the process that it was meant for.
+_PORT_RANGE = (10_000, 32_000)
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports on loopback that are not in use."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*_PORT_RANGE)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
 
 
 def call(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,9 +12,15 @@
 }
 
 
-def _run_soak(seed: int, seconds: float) -> dict[str, object]:
+# Gateways from which on coordinators grant the slots.
+_LARGE_FLEET = 18
+
+
+def _run_soak(
+    seed: int, seconds: float, gateways: int = 4
+) -> dict[str, object]:
     command = [sys.executable, "-m", "soak", "--seed", str(seed)]
-    command += ["--seconds", str(seconds)]
+    command += ["--seconds", str(seconds), "--gateways", str(gateways)]
     result = subprocess.run(
         command, capture_output=True, text=True, timeout=120, check=False
     )
@@ -28,3 +34,10 @@
     report = _run_soak(seed, 6.0)
     assert report["broken"] == []
     assert report["served"]
+
+
+def test_promises_hold_in_a_large_fleet() -> None:
+    """Guards against guarantees that fail with coordinators and hubs."""
+    report = _run_soak(401, 8.0, _LARGE_FLEET)
+    assert report["broken"] == []
+    assert report["served"]
