--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -23,8 +23,8 @@
 SERVICE = "sabeel-lm"
 
 
-# Below the ports that the system gives to outgoing connections, which would take
-# a free port before the process that it was meant for.
+# Below the ports that the system gives to outgoing connections, which would
+# take a free port before the process that it was meant for.
 _PORT_RANGE = (10_000, 32_000)
 
 
