Give back a ticket that is granted after a gateway decided by itself

Cause: a request whose coordinators stop answering takes a slot by its gateway's own picture; a ticket that waited in another shard could be granted meanwhile, and that slot stayed taken until the request's process ended.

Change: waiting tickets are given back before the gateway decides by itself; a grant that has come by then is used.

--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -160,7 +160,9 @@
         try:
             with trio.move_on_after(max(0.0, remaining_ms) / 1000):
                 answered = await self._ask_until_granted(pending)
-                if not answered:
+                # Tickets of shards that answered before may still be granted.
+                self._forget(pending)
+                if not answered and pending.slot is None:
                     return await self._acquire_alone(req)
         except BaseException:
             if pending.slot is not None:
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -128,6 +128,62 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_grant_after_a_gateway_decided_by_itself_is_given_back(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a slot that stays taken by a request that has another.
+
+    A ticket waits in a shard, no coordinator answers any more, and the request
+    takes a slot by its gateway's own picture before the ticket is granted.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=1, zones=1, slots=2)
+        blockers = [
+            await fleet.gateways[0].client.acquire(fleets.make_request())
+            for _ in range(2)
+        ]
+        coordinator = next(g for g in fleet.gateways if g.server.dump())
+        asker = next(g for g in fleet.gateways[1:] if g is not coordinator)
+        call = asker.client._network.call
+
+        async def fail(*args: object) -> object:
+            await trio.lowlevel.checkpoint()
+            raise peer_errors.TimeoutError(
+                "silent", base_errors.Ran.MAY_HAVE_RUN
+            )
+
+        async def go_silent() -> None:
+            await trio.sleep(0.1)
+            asker.client._network.call = fail  # type: ignore[method-assign]
+            shards = asker.client._shards_for
+            # The shards that are asked next are others than the first.
+            asker.client._shards_for = (  # type: ignore[method-assign]
+                lambda req: [f"{shard}x" for shard in shards(req)]
+            )
+
+        async def free_the_slot() -> None:
+            await trio.sleep(1)
+            for blocker in blockers:
+                assert blocker is not None
+                fleet.gateways[0].client.release(blocker)
+            await trio.sleep(1)
+            asker.dispatcher.fleet.expire(1e9)
+            asker.dispatcher.serve_waiting()
+
+        # By its own picture the replica is full until its peer's report ends.
+        asker.dispatcher.fleet.note_report("g0", {"r0": (2, 0)}, 0)
+        nursery.start_soon(go_silent)
+        nursery.start_soon(free_the_slot)
+        slot = await asker.client.acquire(fleets.make_request())
+        assert slot is not None
+        asker.client._network.call = call  # type: ignore[method-assign]
+        asker.client.release(slot)
+        await trio.sleep(3)
+        assert not asker.client._held
+        assert not coordinator.server.dump()
+        nursery.cancel_scope.cancel()
+
+
 async def test_slots_of_a_dead_gateway_are_used_again(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
