Split the coordinators' links and the limited jobs from their callers

Change: routing/coordinator_links finds coordinators and carries messages to them; jobs/limited submits jobs on routes with a limit. A test plays an owner that is unknown, refuses or is silent.

--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -4,13 +4,13 @@
 
 import msgspec
 import structlog
-import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import admission
 from lacewingwood.jobs import appending
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import limited
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import ownership as ownerships
 from lacewingwood.jobs import records
@@ -31,12 +31,6 @@
 # how often it looks. Callers wait longer than this for an answer.
 _OWNER_WAIT_MS = 1_000.0
 _OWNER_POLL_MS = 50.0
-# Timeout of an owner's answer to a submission. Reading the partition oneself
-# then still ends within the usual latency objective of 400 ms.
-_ADMISSION_TIMEOUT_MS = 200.0
-# Timeout of a submission that is counted from a snapshot.
-_SNAPSHOT_TIMEOUT_MS = 2_500.0
-
 # Makes the request to the owner of a partition.
 MakeRequest = Callable[[int], messages.Message]
 
@@ -80,11 +74,11 @@
         "_appender",
         "_clock",
         "_find_route",
+        "_limited",
         "_network",
         "_ownership",
         "_partitions",
         "_peers",
-        "_store",
     )
 
     def __init__(
@@ -115,7 +109,6 @@
             max_record_bytes: Size of the largest record that the log accepts.
             max_append_bytes: Size of the largest append to the log.
         """
-        self._store = log
         self._find_route = find_route
         self._partitions = partitions_
         self._ownership = ownership
@@ -132,6 +125,9 @@
             max_record_bytes=max_record_bytes,
             max_append_bytes=max_append_bytes,
         )
+        self._limited = limited.LimitedSubmitter(
+            log, partitions_, self._locate, network, find_route
+        )
         network.handle(gateway_messages.JobRead, self._handle_request)
         network.handle(gateway_messages.JobItemRead, self._handle_request)
         network.handle(gateway_messages.JobEnd, self._handle_request)
@@ -160,7 +156,12 @@
         started_ms = self._clock.now_ms()
         if waiting_limit:
             index = self._customer_partition(job.customer)
-            await self._submit_limited(index, key, submission, waiting_limit)
+            batches = self._appender.split(
+                records.submission_records(key, job, submission.bodies)
+            )
+            await self._limited.submit(
+                index, submission, batches, waiting_limit
+            )
         else:
             index = records.partition_index(key, len(self._partitions))
             owner = self._ownership.owner(index)
@@ -251,80 +252,6 @@
         except (errors.NotAcceptedError, errors.OutcomeUnknownError) as exc:
             raise errors.UnavailableError(exc.message) from exc
 
-    async def _submit_limited(
-        self,
-        index: int,
-        key: str,
-        submission: records.Submission,
-        limit: int,
-    ) -> None:
-        """Accepts a job through the owner of its customer's partition.
-
-        While no owner answers, this gateway counts from a snapshot itself.
-        """
-        job, bodies = submission.job, submission.bodies
-        batches = self._appender.split(
-            records.submission_records(key, job, bodies)
-        )
-        outcome_unknown = False
-        try:
-            owner, address = self._locate(index)
-            if owner is not None:
-                await owner.admit(job, batches, limit, self._find_route)
-            else:
-                request = gateway_messages.JobAdmission(
-                    index, records.encode_job(job), bodies, limit
-                )
-                await self._network.call(
-                    address, request, _ADMISSION_TIMEOUT_MS
-                )
-            return
-        except peer_errors.RefusedError as exc:
-            if exc.reason == errors.OverLimitError.code:
-                raise errors.OverLimitError(exc.message) from exc
-            outcome_unknown = exc.reason == errors.OutcomeUnknownError.code
-            detail = exc.message
-        except peer_errors.PeerError as exc:
-            # An owner that did not answer may still accept the job. A second
-            # copy of its records changes nothing.
-            outcome_unknown, detail = True, exc.message
-        except errors.UnavailableError as exc:
-            detail = exc.message
-        _log.info(
-            "owner unavailable; counting waiting tokens from the log",
-            request_id=job.id,
-            partition=index,
-            detail=detail[:80],
-        )
-        try:
-            await self._admit_from_snapshot(index, job, batches, limit)
-        except (errors.NotAcceptedError, errors.OverLimitError) as exc:
-            if outcome_unknown:
-                raise errors.OutcomeUnknownError(exc.message) from exc
-            raise
-
-    async def _admit_from_snapshot(
-        self,
-        index: int,
-        job: records.Job,
-        batches: list[list[compacted.Record]],
-        limit: int,
-    ) -> None:
-        partition = self._partitions[index]
-        view = admission.SnapshotView(self._store, partition)
-        with trio.move_on_after(_SNAPSHOT_TIMEOUT_MS / 1000) as scope:
-            await admission.Admission(
-                self._store,
-                partition,
-                view,
-                job,
-                batches,
-                limit,
-                self._find_route,
-            ).run()
-        if scope.cancelled_caught:
-            raise errors.OutcomeUnknownError("the log did not answer in time")
-
     async def _ask_owner(
         self, job: JobName, make: MakeRequest, wait_ms: float = 0.0
     ) -> messages.Message:
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -36,6 +36,7 @@
 from lacewingwood.platform import replicas as replica_client
 from lacewingwood.platform import settings as platform_settings
 from lacewingwood.platform import store as store_lib
+from lacewingwood.routing import coordinator_links
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
@@ -137,6 +138,13 @@
         self._slots = slot_client.SlotClient(
             self._dispatcher,
             self._shards,
+            coordinator_links.CoordinatorLinks(
+                self._slot_server,
+                self._network,
+                self._roster,
+                self._clock,
+                self._metrics,
+            ),
             self._slot_server,
             self._network,
             self._roster,
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -11,26 +11,20 @@
 from collections.abc import Callable
 from collections.abc import Collection
 
-import structlog
 import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
-from lacewingwood.peers import errors as peer_errors
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import roster as roster_lib
+from lacewingwood.routing import coordinator_links
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_server
 
-# An answer takes 1 to 5 ms. A coordinator that takes longer than this is
-# replaced by the next for `_SUSPECT_MS`. Three that have ended are then passed
-# over within half of the usual objective of 300 ms.
-_ANSWER_TIMEOUT_MS = 40.0
-_SUSPECT_MS = 1_000.0
 # What is held and waited for is repeated at this interval; see
 # `coordinator.TICKET_TTL_MS`.
 _REPEAT_INTERVAL_MS = 400.0
@@ -43,10 +37,6 @@
 _BATCH_TICKETS_PER_SHARD = 2
 # A shard that had no free slot at its last answer is asked last for this long.
 _HINT_TTL_MS = 150.0
-# How long a coordinator is kept before the live gateways are looked at again.
-_ELECTION_TTL_MS = 100.0
-
-_log = structlog.get_logger()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -87,6 +77,7 @@
         self,
         dispatcher: dispatchers.Dispatcher,
         shard_map: shards_lib.ShardMap,
+        links: coordinator_links.CoordinatorLinks,
         server: slot_server.SlotServer,
         network: network_lib.Network,
         roster: roster_lib.Roster,
@@ -101,8 +92,9 @@
         Args:
             dispatcher: Takes slots by this gateway's own picture.
             shard_map: The shards of all replicas.
-            server: Answers for the shards that this gateway coordinates.
-            network: Carries messages to other coordinators.
+            links: Carries messages to the coordinators.
+            server: Sends what this gateway itself grants to this client.
+            network: Receives the messages of other coordinators.
             roster: The other gateways.
             address: Address on which this gateway accepts peer connections.
             clock: Source of monotonic time.
@@ -117,17 +109,13 @@
         self.coordinated: Callable[[], bool] = lambda: False
         self._dispatcher = dispatcher
         self._shard_map = shard_map
-        self._server = server
-        self._network = network
+        self._links = links
         self._roster = roster
         self._address = address
         self._clock = clock
         self._metrics = metrics
         self._numbers = itertools.count(first_ticket)
         self._rng = rng or random.Random()
-        self._suspects: dict[str, float] = {}
-        # The coordinator of each shard, and when it was worked out.
-        self._elected: dict[str, tuple[str | None, float]] = {}
         self._pending: dict[int, _Pending] = {}
         self._batch: dict[int, _BatchTicket] = {}
         self._held: dict[int, dispatchers.Slot] = {}
@@ -247,7 +235,7 @@
 
         The ticket stays, and may be granted later.
         """
-        host = self._coordinator_of(shard)
+        host = self._links.coordinator_of(shard)
         if host is None:
             return False
         number = next((n for n, s in pending.shards.items() if s == shard), 0)
@@ -270,7 +258,7 @@
             objective_ms=req.objective_ms,
             exclude=list(req.exclude),
         )
-        answer = await self._call(host, message)
+        answer = await self._links.ask(host, message)
         if answer is None:
             if pending.shards.pop(number, None) is not None:
                 # It may still grant the ticket.
@@ -282,33 +270,6 @@
             self._take(number, answer.replica, shard)
         return True
 
-    async def _call(
-        self, host: str, message: gateway_messages.SlotAsk
-    ) -> gateway_messages.SlotAnswer | None:
-        if host == self._roster.host:
-            return self._server.ask(message)
-        peer = self._roster.get(host)
-        if peer is None:
-            return None
-        try:
-            answer = await self._network.call(
-                peer.address, message, _ANSWER_TIMEOUT_MS
-            )
-        except peer_errors.PeerError as exc:
-            self._suspects[host] = self._clock.now_ms() + _SUSPECT_MS
-            self._elected.pop(message.shard, None)
-            self._metrics.add("coordinator_failures", code=exc.code)
-            _log.info(
-                "coordinator does not answer",
-                coordinator=host,
-                shard=message.shard,
-                code=exc.code,
-            )
-            return None
-        if isinstance(answer, gateway_messages.SlotAnswer):
-            return answer
-        return None
-
     async def _acquire_alone(
         self, req: dispatchers.SlotRequest
     ) -> dispatchers.Slot | None:
@@ -362,37 +323,10 @@
             batch=True,
             urgent=urgent,
         )
-        host = self._coordinator_of(ticket.shard)
-        if host == self._roster.host:
-            answer = self._server.ask(message)
-            if answer.replica:
-                self._take(number, answer.replica, ticket.shard)
-        elif peer := self._roster.get(host or ""):
-            self._network.send(peer.address, message)
-
-    def _coordinator_of(self, shard: str) -> str | None:
-        """Returns the host of a shard's coordinator, None if none is usable."""
-        now_ms = self._clock.now_ms()
-        elected = self._elected.get(shard)
-        if elected is None or now_ms - elected[1] > _ELECTION_TTL_MS:
-            elected = self._elect(shard, now_ms), now_ms
-            self._elected[shard] = elected
-        return elected[0]
-
-    def _elect(self, shard: str, now_ms: float) -> str | None:
-        """Returns the host that coordinates a shard, one of its zone if any."""
-        live = self._roster.live_peers()
-        zone = shards_lib.zone_of(shard)
-        hosts = [peer.host for peer in live if peer.zone == zone]
-        if self._roster.zone == zone:
-            hosts.append(self._roster.host)
-        if not hosts:
-            hosts = [peer.host for peer in live] + [self._roster.host]
-        return shards_lib.elect(
-            shard,
-            hosts,
-            lambda host: self._suspects.get(host, 0.0) <= now_ms,
-        )
+        host = self._links.coordinator_of(ticket.shard)
+        answer = self._links.send(host, message)
+        if answer is not None and answer.replica:
+            self._take(number, answer.replica, ticket.shard)
 
     async def _handle(self, message: messages.Message) -> messages.Message:
         self._deliver(message)
@@ -464,7 +398,7 @@
         refused: bool = False,
         failed: bool = False,
     ) -> None:
-        if host := self._coordinator_of(shard) if shard else None:
+        if host := self._links.coordinator_of(shard) if shard else None:
             self._send_release(host, number, refused, failed)
 
     def _send_release(
@@ -477,10 +411,7 @@
         message = gateway_messages.SlotRelease(
             self._roster.host, number, refused, failed
         )
-        if host == self._roster.host:
-            self._server.release(message)
-        elif peer := self._roster.get(host):
-            self._network.send(peer.address, message)
+        self._links.send(host, message)
 
     def _tell_held(self) -> None:
         """Tells each coordinator what this gateway holds in its shards."""
@@ -502,8 +433,4 @@
             )
             held[number] = slot.replica.listing.id
         for shard, message in by_shard.items():
-            host = self._coordinator_of(shard)
-            if host == self._roster.host:
-                self._server.note_held(message)
-            elif peer := self._roster.get(host or ""):
-                self._network.send(peer.address, message)
+            self._links.send(self._links.coordinator_of(shard), message)
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -13,6 +13,8 @@
 from lacewingwood.jobs import ownership as ownerships
 from lacewingwood.jobs import service as services
 from lacewingwood.log import compacted
+from lacewingwood.peers import gateway_messages
+from lacewingwood.peers import messages
 from lacewingwood.peers import network as network_lib
 from tests.jobs import fakes
 
@@ -206,6 +208,34 @@
         assert "e/kaje/job" in part.newest
 
 
+async def test_limited_job_is_accepted_without_its_owner() -> None:
+    """Guards against refusing jobs while the customer's partition moves.
+
+    The owner is unknown, refuses, or does not answer; the limit holds.
+    """
+    async with two_nodes() as (a, b):
+        small = fakes.make_job("job", items=1)
+        await a.service.submit(small, 1_000)
+        a.peers.owner = (b.address, 1)
+        await a.service.submit(fakes.make_job("job-2", items=5), 1_000)
+        with pytest.raises(errors.OverLimitError):
+            await a.service.submit(fakes.make_job("job-3", items=5), 1_000)
+
+        async def never(request: messages.Message) -> messages.Message:
+            await trio.sleep_forever()
+            raise AssertionError
+
+        b.network.handle(gateway_messages.JobAdmission, never)
+        with trio.fail_after(0.5):
+            await a.service.submit(fakes.make_job("job-4", items=4), 1_000)
+        # Whether the silent owner accepts the job is not known.
+        with pytest.raises(errors.OutcomeUnknownError):
+            await a.service.submit(fakes.make_job("job-5", items=4), 1_000)
+        part = a.log.core.partition(fakes.PARTITION.topic, 0)
+        accepted = {key for key in part.newest if key.startswith("j/")}
+        assert accepted == {"j/kaje/job", "j/kaje/job-2", "j/kaje/job-4"}
+
+
 def test_all_gateways_agree_on_the_partitions() -> None:
     """Guards against gateways that expect a job in different partitions."""
     first = services.partitions(8)
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -17,6 +17,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.peers import errors as peer_errors
 from lacewingwood.peers import messages
+from lacewingwood.routing import coordinator_links
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
@@ -183,12 +184,21 @@
             clock,
             metrics,
         )
+        self.network = network
+        self.roster = roster = Roster(host, zone, fleet)
         self.client = slot_client.SlotClient(
             self.dispatcher,
             shard_map,
+            coordinator_links.CoordinatorLinks(
+                self.server,
+                network,  # type: ignore[arg-type]
+                roster,  # type: ignore[arg-type]
+                clock,
+                metrics,
+            ),
             self.server,
             network,  # type: ignore[arg-type]
-            Roster(host, zone, fleet),  # type: ignore[arg-type]
+            roster,  # type: ignore[arg-type]
             host,
             clock,
             metrics,
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -111,7 +111,7 @@
         coordinator = next(g for g in fleet.gateways if g.server.dump())
         asker = next(g for g in fleet.gateways if g is not coordinator)
         blocker = next(g.client for g in fleet.gateways if g.client._held)
-        handler = asker.client._network.call
+        handler = asker.network.call
 
         async def lose_answers(*args: object) -> object:
             await handler(*args)  # type: ignore[arg-type]
@@ -119,7 +119,7 @@
             await trio.sleep(0.02)
             raise peer_errors.TimeoutError("lost", base_errors.Ran.MAY_HAVE_RUN)
 
-        asker.client._network.call = lose_answers  # type: ignore[method-assign]
+        asker.network.call = lose_answers  # type: ignore[method-assign]
         slot = await asker.client.acquire(fleets.make_request())
         assert slot is not None
         asker.client.release(slot)
@@ -144,7 +144,7 @@
         ]
         coordinator = next(g for g in fleet.gateways if g.server.dump())
         asker = next(g for g in fleet.gateways[1:] if g is not coordinator)
-        call = asker.client._network.call
+        call = asker.network.call
 
         async def fail(*args: object) -> object:
             await trio.lowlevel.checkpoint()
@@ -154,7 +154,7 @@
 
         async def go_silent() -> None:
             await trio.sleep(0.1)
-            asker.client._network.call = fail  # type: ignore[method-assign]
+            asker.network.call = fail  # type: ignore[method-assign]
             shards = asker.client._shards_for
             # The shards that are asked next are others than the first.
             asker.client._shards_for = (  # type: ignore[method-assign]
@@ -176,7 +176,7 @@
         nursery.start_soon(free_the_slot)
         slot = await asker.client.acquire(fleets.make_request())
         assert slot is not None
-        asker.client._network.call = call  # type: ignore[method-assign]
+        asker.network.call = call  # type: ignore[method-assign]
         asker.client.release(slot)
         await trio.sleep(3)
         assert not asker.client._held
@@ -242,7 +242,7 @@
         fleet = fleets.Fleet(nursery, gateways=20, replicas=8)
         for gateway in fleet.gateways[::2]:
             hidden = {f"g{n}" for n in range(1, 20, 2)}
-            roster = gateway.client._roster
+            roster = gateway.roster
             live = roster.live_peers
             roster.live_peers = (  # type: ignore[method-assign]
                 lambda live=live, hidden=hidden: [
