Drop tickets for shards that are gone, and ask for items' slots less often

Cause: a ticket of a batch item waited on in a shard whose replicas had all left, and counted as one of the few tickets of its gateway. Waiting items were sorted 40 times a second although coordinators tell of free slots themselves.

Change: such tickets are dropped; with coordinators the scheduler asks ten times a second and whenever an item comes or ends.

--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -20,6 +20,8 @@
 # Interval of scheduling rounds, which start waiting items and preempt running
 # ones. Peers' reports arrive about as often.
 _TICK_MS = 25.0
+# The same if coordinators grant the slots: they tell of free slots themselves.
+_COORDINATED_TICK_MS = 100.0
 # Gateways with waiting items take turns of this length at taking free slots. It
 # is long enough for one gateway to take slots and for the others to receive its
 # report.
@@ -161,14 +163,16 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
+                tick_ms = _TICK_MS
                 if self._is_coordinated():
+                    tick_ms = _COORDINATED_TICK_MS
                     self._ask_for_slots()
                 else:
                     self._preempt_items()
                     self._start_waiting()
                 self._wake = trio.Event()
-                tick_s = _TICK_MS / 1000 if self._entries else math.inf
-                with trio.move_on_after(tick_s):
+                timeout_s = tick_ms / 1000 if self._entries else math.inf
+                with trio.move_on_after(timeout_s):
                     await self._wake.wait()
 
     def start_one(self, slot: dispatchers.Slot) -> bool:
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -179,8 +179,15 @@
             count: Number of waiting items.
             urgent: True if one of them may take the last free slots.
         """
-        mine = [n for n, t in self._batch.items() if t.service == service]
         shards = self._shard_map.of_service(service)
+        mine: list[int] = []
+        for number, ticket in list(self._batch.items()):
+            if ticket.service != service:
+                continue
+            if ticket.shard in shards:
+                mine.append(number)
+            else:
+                del self._batch[number]
         wanted = min(count, _BATCH_TICKETS_PER_SHARD * len(shards))
         for number in mine[wanted:]:
             self._end_ticket(number, self._batch.pop(number).shard)
@@ -188,11 +195,11 @@
         for number in mine[:wanted]:
             # A ticket may be granted while another one is repeated, if this
             # gateway is the coordinator.
-            ticket = self._batch.get(number)
-            if ticket is None:
+            known = self._batch.get(number)
+            if known is None:
                 continue
-            if now_ms - ticket.asked_ms >= _REPEAT_INTERVAL_MS:
-                self._ask_batch(number, ticket, urgent)
+            if now_ms - known.asked_ms >= _REPEAT_INTERVAL_MS:
+                self._ask_batch(number, known, urgent)
         for shard in self._batch_shards(shards, wanted - len(mine)):
             ticket = _BatchTicket(shard, service, now_ms)
             number = next(self._numbers)
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -184,6 +184,26 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_items_do_not_wait_for_a_shard_that_is_gone(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against tickets that wait where no replica is left."""
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=4, slots=1)
+        gateway = fleet.gateways[0]
+        fleet.item_ms = 500.0
+        gateway.want(40)
+        await trio.sleep(0.1)
+        for other in fleet.gateways:
+            for replica_id in ("r1", "r3"):
+                other.client.fleet.directory.remove(replica_id, 0)
+            other.client.fleet.refresh()
+        gateway.want(0)
+        waiting = {t.shard for t in gateway.client._batch.values()}
+        assert waiting == {"lm/z0/0"}
+        nursery.cancel_scope.cancel()
+
+
 async def test_slots_of_a_dead_gateway_are_used_again(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
