Count progress that a local owner does not take; sort items only in turn

Cause: read-through. A failed hand-over within a process was swallowed, and waiting items were sorted before it was known whether it was the gateway's turn.

--- a/lacewingwood/jobs/ownership.py
+++ b/lacewingwood/jobs/ownership.py
@@ -1,6 +1,5 @@
 """This gateway's share of the partitions, as assigned by the log's group."""
 
-import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -272,6 +271,10 @@
             await self._hand_over(successor, progress)
             return
         local = self._owners.get(progress.partition)
-        if local is not None:
-            with contextlib.suppress(errors.UnavailableError):
-                await local.apply_progress(progress)
+        if local is None:
+            return
+        try:
+            await local.apply_progress(progress)
+        except errors.UnavailableError as exc:
+            # Without the progress, the new owner runs the item from the start.
+            self._metrics.add("hand_overs_failed", code=exc.code)
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -60,9 +60,6 @@
     def want_batch(self, service: str, count: int, urgent: bool) -> None:
         """Sets how many slots waiting items of a service need."""
 
-    def release(self, slot: dispatchers.Slot) -> None:
-        """Gives a slot back."""
-
 
 OnResult = Callable[[running.ItemTask, records.Result], None]
 
@@ -264,10 +261,10 @@
         return set()
 
     def _start_waiting(self) -> None:
+        if not self._entries or not self._has_turn():
+            return
         now_ms = self._clock.now_ms()
         waiting = self._waiting_in_order()
-        if not waiting or not self._has_turn():
-            return
         full_services: set[tuple[str, bool]] = set()
         for entry in waiting:
             if entry.task.not_before_ms <= now_ms:
