--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -92,7 +92,8 @@
         await fleet.play_online(_PEAK_PER_S, 1.5)
         fleet.known_dead = set(fleet.bus.silent)
         await _play_peaks(fleet, peaks=1)
-        assert fleet.outcome.share_within(2 * _IN_TIME_MS) >= 0.95
+        assert fleet.outcome.share_within(_IN_TIME_MS) >= 0.95
+        assert fleet.outcome.share_within(fleets.OBJECTIVE_MS) >= 0.99
         assert fleet.outcome.refused == 0
         nursery.cancel_scope.cancel()
 
