Log the prompt of a failed attempt and whether it had begun

Cause of the change: the logs could not tell whether one part of prompts, one request's retries or the load on returned replicas ended them. A failed attempt now says the parts of its prompt and its last event.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -45,6 +45,10 @@
 # send bytes without end cannot use up the memory of a host of 128 MB.
 _MAX_HELD_BYTES = 24 << 20
 
+# Most parts of a prompt, and most characters of them, in a line of the log.
+_MAX_LOGGED_PARTS = 6
+_MAX_LOGGED_PROMPT = 120
+
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 
@@ -378,6 +382,8 @@
             ran=exc.ran.value,
             attempts=progress.attempts,
             failures=replica.failures,
+            events=progress.splitter.last_id if progress.splitter else None,
+            prompt=_describe_prompt(call.work.prompt),
         )
 
     def _give_up(
@@ -470,6 +476,10 @@
         )
 
 
+def _describe_prompt(prompt: tuple[str, ...]) -> str:
+    return " ".join(prompt[:_MAX_LOGGED_PARTS])[:_MAX_LOGGED_PROMPT]
+
+
 async def _respond(
     call: progress_lib.Call, status: int, headers: runs.Headers, body: bytes
 ) -> None:
--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -36,6 +36,7 @@
             say.
         resume_after: Id of the last event that the caller received, or None.
         arrived_ms: When the head was read, on the process's clock.
+        prompt: Ids of the parts of the prompt; see `runs.Work`.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     timeout_ms: float | None
     resume_after: int | None
     arrived_ms: float
+    prompt: tuple[str, ...] = ()
 
 
 class Resolved(msgspec.Struct):
@@ -153,6 +155,7 @@
             headers=headers,
             body=body,
             customer=customer.name if customer else "",
+            prompt=head.prompt,
         )
         await self._forwarder.run(
             progress.Call(
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -274,9 +274,18 @@
         timeout_ms=float(timeout_ms) if timeout_ms.isdigit() else None,
         resume_after=int(last_event_id) if last_event_id.isdigit() else None,
         arrived_ms=now_ms,
+        prompt=_decode_prompt(fields.get(b"prompt-prefix", b"")),
     )
 
 
+def _decode_prompt(value: bytes) -> tuple[str, ...]:
+    """Returns the ids of a prompt's parts; each is followed by its length."""
+    if not value:
+        return ()
+    parts = value.decode("latin-1").split(",")
+    return tuple(part.partition(":")[0].strip() for part in parts)
+
+
 def _parse_number(text: str) -> int:
     """Parses a decimal number sent by a caller; an empty string is 0.
 
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -24,6 +24,8 @@
         headers: The caller's headers to forward; names in lower case.
         body: The whole body.
         customer: Name of the customer, empty on a public route.
+        prompt: Ids of the parts of the prompt, in order. Requests share all
+            but the last, which belongs to the request or to its session.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     headers: Headers
     body: bytes
     customer: str
+    prompt: tuple[str, ...] = ()
 
 
 class Run(Protocol):
