Quarantine parts of prompts, and requests, that crash replicas

Callers saw: while requests with one bad part of their prompts came, most sound requests of the same replicas failed or were late.

Cause: no gateway kept which requests were on a replica when it ended, nor told others, so each new request with the part, and each retry of one, crashed one more replica. Of 14 replicas that ended by second 12, all 14 had a request with the part that had not begun; requests that had begun there were unharmed.

Change: routing/quarantine.py. The suspects of a crash are the requests that the replica had not begun to answer. Gateways tell each other suspects, and what began since, in their reports. What was a suspect of three crashes (two, if alone) and began nowhere since is refused as not run, with the time until the quarantine ends. A part explains all crashes at which it was a suspect, so that requests beside it are cleared. The same covers a single request that is sent again and again, which gateways did not notice either.

The test in integration/test_gateways.py failed on: all of ten replicas ended, of which eight are allowed.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -15,6 +15,7 @@
 from lacewingwood.callers import progress as progress_lib
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -49,6 +50,10 @@
 _MAX_LOGGED_PARTS = 6
 _MAX_LOGGED_PROMPT = 120
 
+# Reads of events after which a run counts as begun. The first event may have
+# been sent before the replica crashed.
+_READS_TO_BEGIN = 2
+
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 
@@ -76,6 +81,7 @@
         "_clock",
         "_held_bytes",
         "_metrics",
+        "_quarantine",
         "_replicas",
         "_rng",
         "_slots",
@@ -87,12 +93,14 @@
         replicas: runs.ReplicaClient,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
+        quarantine: quarantines.Quarantine,
         rng: random.Random | None = None,
     ) -> None:
         self._slots = slots
         self._replicas = replicas
         self._clock = clock
         self._metrics = metrics
+        self._quarantine = quarantine
         self._rng = rng or random.Random()
         self._held_bytes = 0
 
@@ -157,16 +165,19 @@
         progress: progress_lib.Progress,
     ) -> None:
         while True:
+            self._check_quarantine(call, progress)
             slot = await self._acquire_slot(call, service, progress)
             if slot is None:
                 self._give_up(call, progress, _UNAVAILABLE)
                 return
             try:
+                # The cause may have been found while the call waited.
+                self._check_quarantine(call, progress)
                 await self._attempt(call, slot, progress)
                 return
             except upstream_errors.UpstreamError as exc:
                 self._record_failure(call, slot, progress, exc)
-                await self._discount_attempt_if_ended(slot, progress, exc)
+                await self._handle_end_of_replica(slot, progress, exc)
             except _ErrorResponse as exc:
                 slot.replica.note_failure(self._clock.now_ms())
                 slot.failed = True
@@ -180,6 +191,29 @@
             if not progress.may_retry():
                 self._give_up(call, progress, 502)
 
+    def _check_quarantine(
+        self, call: progress_lib.Call, progress: progress_lib.Progress
+    ) -> None:
+        """Gives up a call that is known to crash replicas.
+
+        Raises:
+            AbortError: The response was started.
+            errors.CallerError: The response was not started.
+        """
+        verdict = self._quarantine.check(call.work, self._clock.now_ms())
+        if verdict is None:
+            return
+        progress.reason = "quarantined"
+        _log.info(
+            "request quarantined",
+            request_id=call.work.request_id,
+            cause=verdict.cause,
+            remaining_ms=round(verdict.remaining_ms),
+        )
+        self._give_up(
+            call, progress, _UNAVAILABLE, retry_after_ms=verdict.remaining_ms
+        )
+
     async def _acquire_slot(
         self,
         call: progress_lib.Call,
@@ -216,6 +250,7 @@
         splitter = progress.splitter
         resume_after = splitter.last_id if splitter else call.resume_after
         may_retry = repeatable and progress.attempts_left(begun=1)
+        progress.begun = False
         opening = self._replicas.open(
             listing,
             call.work,
@@ -245,6 +280,7 @@
             else:
                 await self._relay_whole_response(call, run)
             slot.replica.note_success(self._clock.now_ms())
+            self._note_begun(call, progress)
             self._record_success(call, slot, progress)
 
     def _first_event_timeout_ms(
@@ -273,13 +309,24 @@
             gap_timeout_ms = call.route.gap_objective_ms * _RESUME_GAP_FRACTION
         reader = event_reader.EventReader(run, progress.splitter, self._clock)
         timeout_ms = self._first_event_timeout_ms(call, may_retry)
+        reads = 0
         while events := await reader.next_events(timeout_ms):
             timeout_ms = gap_timeout_ms
+            reads += 1
+            if reads == _READS_TO_BEGIN:
+                self._note_begun(call, progress)
             await self._start_response(call, run)
             await call.req.write(events)
         await self._start_response(call, run)
         await call.req.end()
 
+    def _note_begun(
+        self, call: progress_lib.Call, progress: progress_lib.Progress
+    ) -> None:
+        if not progress.begun:
+            progress.begun = True
+            self._quarantine.note_begun(call.work, self._clock.now_ms())
+
     async def _start_response(
         self, call: progress_lib.Call, run: runs.Run
     ) -> None:
@@ -391,6 +438,7 @@
         call: progress_lib.Call,
         progress: progress_lib.Progress,
         status: int,
+        retry_after_ms: float = _NO_REPLICA_RETRY_AFTER_MS,
     ) -> None:
         """Ends a call that no replica completed.
 
@@ -418,7 +466,7 @@
             raise errors.unavailable(
                 progress.reason,
                 "no replica accepted the request",
-                _NO_REPLICA_RETRY_AFTER_MS,
+                retry_after_ms,
             )
         if status == _UNAVAILABLE:
             status = 502
@@ -429,27 +477,34 @@
             ran=progress.ran,
         )
 
-    async def _discount_attempt_if_ended(
+    async def _handle_end_of_replica(
         self,
         slot: dispatchers.Slot,
         progress: progress_lib.Progress,
         exc: upstream_errors.UpstreamError,
     ) -> None:
-        """Discounts the last attempt if its replica has ended meanwhile.
+        """Finds out whether a replica ended while it ran a call.
 
-        The run has then ended, too, so that the request can't be running
-        twice when it is sent again.
+        The call is a suspect unless its run had begun. Its attempt is
+        discounted if it was the last: the run has ended, too, so that the
+        request can't be running twice when it is sent again.
         """
-        if progress.may_retry() or not progress.may_discount_attempt():
-            return
-        if not isinstance(exc, upstream_errors.BrokenError):
+        discount = not progress.may_retry() and progress.may_discount_attempt()
+        if not isinstance(exc, upstream_errors.BrokenError) or (
+            progress.begun and not discount
+        ):
             return
         listing = slot.replica.listing
-        if await self._replicas.has_stopped(listing):
+        work = progress.call.work
+        if not await self._replicas.has_stopped(listing):
+            return
+        if not progress.begun:
+            self._quarantine.note_crash(listing, work, self._clock.now_ms())
+        if discount:
             progress.discount_attempt()
             _log.info(
                 "attempt forgiven",
-                request_id=progress.call.work.request_id,
+                request_id=work.request_id,
                 replica=listing.id,
                 attempts=progress.attempts,
             )
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -56,6 +56,7 @@
         reason: Code of the last failure.
         discounted_attempts: Attempts that are not counted because their
             replica ended.
+        begun: True if the last run had begun to answer.
         done: True once the call has ended other than by its caller's
             disconnect.
     """
@@ -68,6 +69,7 @@
     splitter: event_stream.Splitter | None = None
     reason: str = "no_replica"
     discounted_attempts: int = 0
+    begun: bool = False
     done: bool = False
 
     def attempts_left(self, begun: int = 0) -> bool:
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -26,9 +26,12 @@
     hosts: list[gateway_messages.HostCounts] = []
     running: dict[str, tuple[int, int]] = {}
     outcomes: dict[str, tuple[int, int]] = {}
+    crash_report = gateway_messages.CrashReport([], {})
     urgent = False
     for report in reports:
         urgent |= report.urgent
+        if report.crash_report is not None:
+            _add_crash_report(crash_report, report.crash_report)
         hosts.append(
             gateway_messages.HostCounts(
                 report.host,
@@ -41,10 +44,27 @@
         _add_counts(running, report.running)
         _add_counts(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
-        zone, sender, started_ms, serial, hosts, running, outcomes, urgent
+        zone,
+        sender,
+        started_ms,
+        serial,
+        hosts,
+        running,
+        outcomes,
+        urgent,
+        crash_report if crash_report.begun or crash_report.crashes else None,
     )
 
 
+def _add_crash_report(
+    total: gateway_messages.CrashReport, report: gateway_messages.CrashReport
+) -> None:
+    """Adds a gateway's report of crashes to that of its zone."""
+    total.crashes.extend(report.crashes)
+    for name, age_ms in report.begun.items():
+        total.begun[name] = min(age_ms, total.begun.get(name, age_ms))
+
+
 def _add_counts(
     totals: dict[str, tuple[int, int]], counts: Mapping[str, tuple[int, int]]
 ) -> None:
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -5,6 +5,34 @@
 from lacewingwood.peers import messages
 
 
+class Crash(msgspec.Struct, array_like=True):
+    """A crash of a replica and the requests that may have caused it.
+
+    Attributes:
+        replica: Identifies the replica and its start.
+        age_ms: Time since the crash.
+        suspects: Shared parts of the prompts of the requests that the replica
+            had not begun to answer, by the digest of the request.
+    """
+
+    replica: str
+    age_ms: float
+    suspects: dict[str, list[str]]
+
+
+class CrashReport(msgspec.Struct, array_like=True):
+    """What gateways tell each other after replicas have crashed.
+
+    Attributes:
+        crashes: Recent crashes.
+        begun: Time since a replica last began to answer a suspect request, or
+            one with a part of its prompt, by digest or part.
+    """
+
+    crashes: list[Crash]
+    begun: dict[str, float]
+
+
 class GatewayReport(messages.Message, tag="gateway_report"):
     """State of a gateway that it reports to its peers at short intervals.
 
@@ -26,6 +54,8 @@
         standby: True if the receiver is the sender's standby hub, which
             answers at longer intervals.
         urgent: True if hubs must forward the report without delay.
+        crash_report: What it knows of recent crashes of replicas, None if
+            there were none.
     """
 
     host: str
@@ -42,6 +72,7 @@
     serial: int = 0
     standby: bool = False
     urgent: bool = False
+    crash_report: CrashReport | None = None
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -76,6 +107,7 @@
             replica.
         outcomes: Recent outcomes of the zone's requests, by replica.
         urgent: True if one of the summarized reports is urgent.
+        crash_report: What the zone knows of recent crashes of replicas.
     """
 
     zone: str
@@ -86,6 +118,7 @@
     running: dict[str, tuple[int, int]]
     outcomes: dict[str, tuple[int, int]] = {}
     urgent: bool = False
+    crash_report: CrashReport | None = None
 
 
 class ZoneReports(messages.Message, tag="zone_reports"):
@@ -114,11 +147,13 @@
         document: The encoded configuration document, empty if there is none.
         replicas: Encoded entries of the replicas, by replica id.
         levels: Tokens in the customers' buckets, by customer.
+        crash_report: What the gateway knows of crashes of replicas.
     """
 
     document: bytes
     replicas: dict[str, bytes]
     levels: dict[str, float]
+    crash_report: CrashReport | None = None
 
 
 class JobRead(messages.Message, tag="job_read"):
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -40,6 +40,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_client
 from lacewingwood.routing import slot_server
@@ -107,6 +108,7 @@
         self._limits = shared.SharedLimits(
             cfg.rate_tolerance, cfg.burst_tolerance
         )
+        self._quarantine = quarantines.Quarantine()
         self._dispatcher = dispatchers.Dispatcher(
             self._fleet, cfg.zone, self._clock, self._metrics
         )
@@ -126,6 +128,7 @@
             self._replica_list,
             self._fleet,
             self._limits,
+            self._quarantine,
             self._presence,
             self._network,
             self._clock,
@@ -193,7 +196,11 @@
             max_append_bytes=cfg.max_append_bytes,
         )
         forwarder = forwarding.Forwarder(
-            self._slots, replicas, self._clock, self._metrics
+            self._slots,
+            replicas,
+            self._clock,
+            self._metrics,
+            self._quarantine,
         )
         gateway = gateways.Gateway(
             self._published,
@@ -369,9 +376,16 @@
         presence.on_report = self._apply_report
         presence.on_digest = self._apply_digest
         self._roster.on_peer_lost = self._fleet.forget
-        presence.is_urgent = self._limits.has_customer_near_limit
+        presence.is_urgent = self._has_urgent_news
         return presence
 
+    def _has_urgent_news(self) -> bool:
+        """Returns whether other gateways need this one's report at once."""
+        return (
+            self._limits.has_customer_near_limit()
+            or self._quarantine.is_urgent(self._clock.now_ms())
+        )
+
     def _make_owner(
         self, index: int, partition: compacted.Partition, epoch: int
     ) -> owners.Owner:
@@ -421,6 +435,8 @@
         self._limits.note_report(
             report.host, report.started_ms, report.admitted, now_ms
         )
+        if report.crash_report is not None:
+            self._quarantine.note_report(report.crash_report, now_ms)
 
     def _apply_digest(self, digest: gateway_messages.ZoneDigest) -> None:
         now_ms = self._clock.now_ms()
@@ -435,6 +451,8 @@
             self._limits.note_report(
                 counts.host, counts.started_ms, counts.admitted, now_ms
             )
+        if digest.crash_report is not None:
+            self._quarantine.note_report(digest.crash_report, now_ms)
 
     def _make_report(self) -> gateway_messages.GatewayReport:
         now_ms = self._clock.now_ms()
@@ -449,6 +467,7 @@
             owned=self._ownership.epochs(),
             log_age_ms=self._log_age_ms(),
             waiting=self._scheduler.counts[0],
+            crash_report=self._quarantine.report(now_ms),
         )
 
     def _log_age_ms(self) -> float:
@@ -492,6 +511,7 @@
             },
             "owned": self._ownership.epochs(),
             "coordinated": self._slot_server.dump(),
+            "quarantined": self._quarantine.dump(now_ms),
             "replicas": {
                 replica.listing.id: {
                     "own": list(replica.own_counts),
--- a/lacewingwood/state/peer_copy.py
+++ b/lacewingwood/state/peer_copy.py
@@ -14,6 +14,7 @@
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
 from lacewingwood.routing import load
+from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.state import published as published_lib
 
 # A reachable gateway answers within milliseconds. The timeout leaves time to
@@ -33,6 +34,7 @@
         "_network",
         "_presence",
         "_published",
+        "_quarantine",
         "_replicas",
     )
 
@@ -42,6 +44,7 @@
         replicas: published_lib.ReplicaList,
         fleet: load.Fleet,
         limits: shared.SharedLimits,
+        quarantine: quarantines.Quarantine,
         presence: presence_lib.Presence,
         network: network_lib.Network,
         clock: clocks.Clock,
@@ -51,6 +54,7 @@
         self._replicas = replicas
         self._fleet = fleet
         self._limits = limits
+        self._quarantine = quarantine
         self._presence = presence
         self._network = network
         self._clock = clock
@@ -98,6 +102,10 @@
             self._published.apply_if_newer(answer.document, "peer")
         if self._published.current is not None and answer.levels:
             self._limits.init_levels(answer.levels, self._clock.now_ms())
+        if answer.crash_report is not None:
+            self._quarantine.note_report(
+                answer.crash_report, self._clock.now_ms()
+            )
         return True
 
     async def _on_fetch_configuration(
@@ -107,4 +115,5 @@
             self._published.document,
             self._replicas.entries,
             self._limits.levels(),
+            self._quarantine.copy(self._clock.now_ms()),
         )
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -1,6 +1,7 @@
 """Stand-in for a replica that streams events by the platform's protocol."""
 
 import dataclasses
+import os
 import secrets
 import time
 
@@ -24,6 +25,8 @@
         fail: Answer 500 in place of a stream.
         mute: Send nothing after the first event.
         reject: Answer 422, which says that the request can never succeed.
+        crash_part: Part of a prompt at which the process ends, empty for none;
+            for all runs.
     """
 
     break_after: int = -1
@@ -31,6 +34,7 @@
     fail: bool = False
     mute: bool = False
     reject: bool = False
+    crash_part: str = ""
 
 
 class Run(msgspec.Struct):
@@ -190,6 +194,10 @@
             await request.answer(422 if faults.reject else 500, b"", "", answer)
             return
         await trio.sleep(self.settings.step_ms / 1000)
+        if faults.crash_part and faults.crash_part in headers.get(
+            "prompt-prefix", ""
+        ):
+            os._exit(1)
         await request.start(
             200, {**answer, "content-type": "text/event-stream"}
         )
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -16,6 +16,7 @@
 from lacewingwood.callers import http
 from lacewingwood.callers import progress
 from lacewingwood.routing import directory
+from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
 from tests.routing import test_dispatcher
@@ -191,7 +192,9 @@
     )
 
 
-def make_forwarder(replicas: FakeReplicas) -> forwarding.Forwarder:
+def make_forwarder(
+    replicas: FakeReplicas, quarantine: quarantines.Quarantine | None = None
+) -> forwarding.Forwarder:
     """Returns a forwarder over two replicas of two slots."""
     clock = clocks.MonotonicClock()
     return forwarding.Forwarder(
@@ -199,6 +202,7 @@
         replicas,
         clock,
         metrics_lib.Registry(),
+        quarantine or quarantines.Quarantine(),
     )
 
 
@@ -429,3 +433,55 @@
     call = make_call(caller, kind=configuration.RouteKind.IDEMPOTENT)
     await make_forwarder(replicas).run(call)
     assert caller.body == b"whole body"
+
+
+def _crash_twice(
+    quarantine: quarantines.Quarantine, work: runs.Work, now_ms: float
+) -> None:
+    """Records two crashes of which only one request is suspected."""
+    for replica_id in ("x1", "x2"):
+        replica = directory.Listing(replica_id, "s", "h:1", "a", slots=1)
+        quarantine.note_crash(replica, work, now_ms)
+
+
+async def test_quarantined_call_is_refused_without_being_sent() -> None:
+    """Guards against sending what crashes replicas, and an untrue refusal."""
+    caller = Caller()
+    call = make_call(caller)
+    quarantine = quarantines.Quarantine()
+    _crash_twice(quarantine, call.work, call.arrived_ms)
+    replicas = FakeReplicas()
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas, quarantine).run(call)
+    assert caught.value.status == 503
+    assert caught.value.ran is base_errors.Ran.NOT_RUN
+    assert caught.value.retry_after_ms > 1_000
+    assert replicas.sent == []
+
+
+async def test_call_that_crashes_two_replicas_reaches_no_third() -> None:
+    """Guards against retrying a request on one replica after another."""
+    broken = Script(error=upstream_errors.BrokenError("reset"))
+    replicas = FakeReplicas(broken, Script([Break]), Script(stream(1, 4)))
+    replicas.gone = True
+    call = make_call(Caller(), max_attempts=4)
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(call)
+    assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+    assert caught.value.status == 502
+    assert len(replicas.sent) == 2
+
+
+async def test_call_that_had_begun_is_no_suspect_of_a_crash() -> None:
+    """Guards against giving up a sound stream whose replicas crash."""
+    first, second = (
+        Script([*stream(n, n), *stream(n + 1, n + 1), Break]) for n in (1, 3)
+    )
+    replicas = FakeReplicas(first, second)
+    replicas.gone = True
+    quarantine = quarantines.Quarantine()
+    call = make_call(Caller(), max_attempts=2)
+    with pytest.raises(forwarding.AbortError):
+        await make_forwarder(replicas, quarantine).run(call)
+    assert len(replicas.sent) == 2
+    assert quarantine.check(call.work, call.arrived_ms) is None
--- a/tests/integration/test_gateways.py
+++ b/tests/integration/test_gateways.py
@@ -42,6 +42,21 @@
     )
 
 
+def _prompt_stream(
+    gateway: fleets.Gateway, request_id: str, *parts: str
+) -> int:
+    """Returns the status of a stream whose prompt has the given parts."""
+    prompt = ",".join(f"{part}:50" for part in (*parts, f"own-{request_id}"))
+    headers = {
+        **_HEADERS,
+        "Request-Id": request_id,
+        "Deadline-Ms": "2000",
+        "Prompt-Prefix": prompt,
+    }
+    body = request_id.encode()
+    return fleets.call(gateway.address, "POST", "/s/x", body, headers)[0]
+
+
 def _submit(gateway: fleets.Gateway, job_id: str, items: int = 4) -> int:
     """Submits a batch job and returns the status of the response."""
     body = {
@@ -128,6 +143,30 @@
     assert {r["first"] for r in runs} >= {1, 4}
 
 
+def test_requests_with_one_part_do_not_crash_replica_after_replica(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against sending a part that crashes replicas to all of them."""
+    shape = fleets.Shape(replicas=10)
+    with fleets.running(shape, tmp_path) as fleet:
+        for replica in fleet.replicas:
+            fleet.set_faults(replica, crash_part="bad")
+        statuses = []
+        for n in range(24):
+            gateway = fleet.gateways[n % 3]
+            _prompt_stream(gateway, f"bad-{n}", "start", "bad")
+            statuses.append(
+                _prompt_stream(gateway, f"good-{n}", "start", f"part-{n}")
+            )
+        ended = sum(not replica.running for replica in fleet.replicas)
+        # The users allow five crashes and three requests more.
+        assert 0 < ended <= 8
+        # With five of ten replicas left, sound requests are all served.
+        assert statuses[-12:] == [200] * 12
+        refused = _prompt_stream(fleet.gateways[0], "bad", "start", "bad")
+        assert refused == 503
+
+
 def test_stream_that_may_not_be_repeated_runs_once(
     fleet: fleets.Fleet,
 ) -> None:
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -27,6 +27,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors
 from lacewingwood.upstreams import http1
 from lacewingwood.upstreams import runs
@@ -100,6 +101,7 @@
         replica_client.Replicas(),
         clock,
         metrics,
+        quarantines.Quarantine(),
     )
 
 
