Run items again soon after the replicas under them crashed

Reported by other operators: an item under which several replicas died in a burst was not placed again although all was calm afterwards.

Items are never what crashes a replica.

Change: the delay after breaks ends at 2 s, and breaks are no suspicion.

--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -13,7 +13,6 @@
 from lacewingwood.jobs import records
 from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import dispatcher as dispatchers
-from lacewingwood.routing import outliers
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -28,15 +27,12 @@
 # Largest output of an item; a result has to fit into a record of the log.
 _MAX_OUTPUT_BYTES = 240 << 10
 # Delay after a run that failed without an event; doubled after each failed
-# attempt. The delay keeps an item that crashes replicas from crashing one
-# after another.
+# attempt.
 _RETRY_DELAY_MS = 200.0
 _MAX_RETRY_DELAY_MS = 20_000.0
-# Number of runs in a row that break without an event after which the item is
-# suspected of crashing its replicas. Its delay is then longer, and doubled with
-# each further break.
-_SUSPECT_BREAKS = 2
-_SUSPECT_RETRY_DELAY_MS = 6_000.0
+# Longest delay after runs that broke. Items do not crash replicas, so their
+# breaks say nothing against them, and replicas are back within seconds.
+_MAX_BREAK_DELAY_MS = 2_000.0
 # An item that has failed at too few replicas to be blamed itself is given up
 # after this many times its route's max_attempts. Three times max_attempts is
 # the most that it may run.
@@ -203,12 +199,9 @@
                 replica.note_full(now_ms)
                 slot.refused = True
             else:
-                replica_healthy = (
-                    replica.standing(now_ms) is outliers.Standing.SOUND
-                )
                 replica.note_failure(now_ms)
                 slot.failed = True
-                self._note_break(task, last_id_before, replica_healthy)
+                self._note_break(task, last_id_before)
             _log.info(
                 "item run failed",
                 request_id=task.item.id,
@@ -231,7 +224,6 @@
             task.events.last_id,
             head_limit_ms=_HEAD_TIMEOUT_MS,
             # A reused connection may break because it was idle for too long.
-            # Only a break of a fresh one indicates a fault of the item.
             fresh=task.breaks > 0,
         ) as run:
             if run.reported_in_flight >= 0:
@@ -287,25 +279,17 @@
             return True
         return task.failures >= attempts * _FEW_REPLICAS_ATTEMPT_FACTOR
 
-    def _note_break(
-        self, task: ItemTask, last_id_before: int | None, replica_healthy: bool
-    ) -> None:
+    def _note_break(self, task: ItemTask, last_id_before: int | None) -> None:
         """Counts a run that broke without an event and delays the next run.
 
-        The item may have caused the break. A run with events resets the
-        count.
+        A run with events resets the count.
         """
         if task.events.last_id != last_id_before:
             task.breaks = 0
             return
-        # At a replica that fails other requests, too, a break does not
-        # indicate a fault of the item.
-        task.breaks += replica_healthy
-        if task.breaks >= _SUSPECT_BREAKS:
-            doublings = min(task.breaks - _SUSPECT_BREAKS, 8)
-            self._delay_next_run(task, _SUSPECT_RETRY_DELAY_MS * 2**doublings)
-        else:
-            self._delay_next_run(task, _RETRY_DELAY_MS)
+        delay_ms = _RETRY_DELAY_MS * 2 ** min(task.breaks, 8)
+        self._delay_next_run(task, min(delay_ms, _MAX_BREAK_DELAY_MS))
+        task.breaks += 1
 
     def _delay_next_run(self, task: ItemTask, delay_ms: float) -> None:
         # The jitter keeps items that failed together from retrying together.
