Accept answers of replicas that end with their connection

Callers saw 502, or a second run, for such answers.

Cause: http1 took the end of each response without a length for a break. Change: the replicas' client accepts it if the connection is closed, not reset. A stream that ends inside an event was broken off already; one that ends without any byte is, too, since a replica that dies closes its connections as well. Entries go on refusing such answers, as their engines never send them.

Tests over sockets: two of five failed before (sound answers); those for breaks (no event, within an event, reset) passed before and pass now.

--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         "_exchange",
+        "_has_data",
         "headers",
         "misdirected",
         "refused",
@@ -78,6 +79,7 @@
 
     def __init__(self, exchange: http1.Exchange) -> None:
         self._exchange = exchange
+        self._has_data = False
         self.status = exchange.status
         self.headers = [
             (name, value)
@@ -94,13 +96,25 @@
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
         """Returns the next chunk of the body; see `runs.Run`."""
         if limit_ms == math.inf:
-            return await self._exchange.next_chunk()
+            return self._check_end(await self._exchange.next_chunk())
         deadline = trio.current_time() + limit_ms / 1000
         # Cheaper than `trio.move_on_after`, once for each chunk.
         with trio.CancelScope(deadline=deadline):
-            return await self._exchange.next_chunk()
+            return self._check_end(await self._exchange.next_chunk())
         raise _timeout_error(limit_ms)
 
+    def _check_end(self, chunk: bytes) -> bytes:
+        """Returns a chunk; raises if it is the end of an answer of no bytes.
+
+        Such an answer is only complete if it has a length or chunks: a replica
+        that ends closes its connections as well.
+        """
+        if chunk:
+            self._has_data = True
+        elif not self._has_data and not self._exchange.framed:
+            raise errors.BrokenError("the connection was closed without data")
+        return chunk
+
 
 class Replicas:
     """Opens runs at replicas; see `runs.ReplicaClient`."""
@@ -108,7 +122,9 @@
     __slots__ = ("_pools",)
 
     def __init__(self) -> None:
-        self._pools = http1.Pools(_MAX_CONNECTIONS, _CONNECT_TIMEOUT_S)
+        self._pools = http1.Pools(
+            _MAX_CONNECTIONS, _CONNECT_TIMEOUT_S, accept_unframed=True
+        )
 
     @contextlib.asynccontextmanager
     async def open(
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -129,6 +129,7 @@
     """
 
     __slots__ = (
+        "_accept_unframed",
         "_connection",
         "_method",
         "complete",
@@ -138,8 +139,11 @@
         "trailers",
     )
 
-    def __init__(self, connection: Connection) -> None:
+    def __init__(
+        self, connection: Connection, accept_unframed: bool = False
+    ) -> None:
         self._connection = connection
+        self._accept_unframed = accept_unframed
         self._method = b""
         self.sent = False
         self.status = 0
@@ -223,7 +227,7 @@
             raise errors.BrokenError(
                 "connection closed before the response ended"
             )
-        if not self._has_explicit_end():
+        if not self._accept_unframed and not self.framed:
             raise errors.BrokenError(
                 "response has neither a length nor chunked encoding"
             )
@@ -259,11 +263,12 @@
             while await self.next_chunk():
                 pass
 
-    def _has_explicit_end(self) -> bool:
-        """Returns whether the end of the body can be told from a broken one.
+    @property
+    def framed(self) -> bool:
+        """Whether the end of the body can be told from a broken one.
 
         A response without a length or chunked encoding lasts until the
-        connection is closed, so its end looks like a broken connection.
+        connection is closed. If it is reset, the response has broken off.
         """
         return (
             self._method == b"HEAD"
@@ -276,18 +281,27 @@
 class Pool:
     """Connections to one upstream, at most `limit` at once."""
 
-    __slots__ = ("_connect_timeout_s", "_host", "_idle", "_port", "_slots")
+    __slots__ = (
+        "_accept_unframed",
+        "_connect_timeout_s",
+        "_host",
+        "_idle",
+        "_port",
+        "_slots",
+    )
 
     def __init__(
         self,
         address: str,
         limit: int,
         connect_timeout_s: float = _CONNECT_TIMEOUT_S,
+        accept_unframed: bool = False,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
         self._connect_timeout_s = connect_timeout_s
+        self._accept_unframed = accept_unframed
         self._slots = trio.Semaphore(limit)
         self._idle: collections.deque[Connection] = collections.deque()
 
@@ -305,7 +319,7 @@
         """
         async with self._slots:
             connection = await (self._connect() if fresh else self._acquire())
-            exchange = Exchange(connection)
+            exchange = Exchange(connection, self._accept_unframed)
             try:
                 yield exchange
             finally:
@@ -358,21 +372,37 @@
 class Pools:
     """A pool for each upstream address."""
 
-    __slots__ = ("_connect_timeout_s", "_limit", "_pools")
+    __slots__ = ("_accept_unframed", "_connect_timeout_s", "_limit", "_pools")
 
     def __init__(
-        self, limit: int, connect_timeout_s: float = _CONNECT_TIMEOUT_S
+        self,
+        limit: int,
+        connect_timeout_s: float = _CONNECT_TIMEOUT_S,
+        accept_unframed: bool = False,
     ) -> None:
-        """Creates pools of at most `limit` connections each."""
+        """Creates the pools.
+
+        Args:
+            limit: Most connections to one upstream.
+            connect_timeout_s: Longest wait for a connection.
+            accept_unframed: Whether responses without a length or chunked
+                encoding are complete when their connection is closed.
+        """
         self._limit = limit
         self._connect_timeout_s = connect_timeout_s
+        self._accept_unframed = accept_unframed
         self._pools: dict[str, Pool] = {}
 
     def pool(self, address: str) -> Pool:
         """Returns the pool for an address, creating it on first use."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = Pool(address, self._limit, self._connect_timeout_s)
+            pool = Pool(
+                address,
+                self._limit,
+                self._connect_timeout_s,
+                self._accept_unframed,
+            )
             self._pools[address] = pool
         return pool
 
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -6,6 +6,8 @@
 
 import contextlib
 import functools
+import socket
+import struct
 import tracemalloc
 from collections.abc import AsyncIterator
 
@@ -331,3 +333,66 @@
                     await exchange.read()
             assert not exchange.complete
             nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def _scripted_server(
+    *answers: bytes, reset: bool = False
+) -> AsyncIterator[str]:
+    """Runs a server with one answer for each connection; yields its address.
+
+    Args:
+        *answers: Bytes to send; the connection is closed after them.
+        reset: True to reset the connections instead.
+    """
+    remaining = list(answers)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some()
+            await stream.send_all(remaining.pop(0))
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(trio.serve_listeners, serve, listeners)
+        )
+        yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+
+
+_UNFRAMED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\n"
+    b"content-type: text/event-stream\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("kind", ["STREAM", "NON_IDEMPOTENT"])
+async def test_answer_that_ends_with_its_connection_is_complete(
+    kind: str,
+) -> None:
+    """Guards against losing sound answers without a length or chunks."""
+    async with _scripted_server(_UNFRAMED_HEAD + _EVENT) as address:
+        caller = test_forwarding.Caller()
+        call = _make_call(
+            caller, kind=configuration.RouteKind[kind], max_attempts=1
+        )
+        await _make_forwarder(address).run(call)
+    assert caller.body == _EVENT
+    assert caller.complete
+
+
+@pytest.mark.parametrize(
+    ("body", "reset"),
+    [(b"", False), (_EVENT + b"id: 2\ndata: y", False), (_EVENT, True)],
+    ids=["no event", "within an event", "reset"],
+)
+async def test_stream_that_breaks_off_with_its_connection_is_not_complete(
+    body: bytes, reset: bool
+) -> None:
+    """Guards against half a stream without a length that looks whole."""
+    async with _scripted_server(_UNFRAMED_HEAD + body, reset=reset) as address:
+        await _expect_failure(_make_forwarder(address))
