Keep other answers out of streams that were begun

Reported by other operators: a stream broke off, the next replica answered with an error, and the caller found its text, or its head, within the stream.

It could happen here: a status of 3xx or 4xx to a resumed run was sent as a second response within the first, and text without an event id, such as an error page or the head of a second answer, was passed on as if it were a comment.

Change: a resumed run must answer with 2xx, and a block without an id may only be a comment or a retry interval; all else ends the attempt as malformed. Items read their events the same way.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -273,6 +273,10 @@
             if run.status >= _SERVER_ERROR:
                 body = await self._read_all(run, _MAX_ERROR_BODY_BYTES)
                 raise _ErrorResponse(run.status, run.headers, body)
+            if call.req.started and run.status >= 300:
+                raise upstream_errors.InvalidResponseError(
+                    f"a stream was resumed with status {run.status}"
+                )
             if call.route.kind is configuration.RouteKind.STREAM and (
                 run.status < 300
             ):
--- a/lacewingwood/upstreams/event_stream.py
+++ b/lacewingwood/upstreams/event_stream.py
@@ -37,8 +37,9 @@
         """Returns the bytes of the events that `chunk` completes.
 
         Raises:
-            InvalidResponseError: An event is too large, its id does not follow
-                the previous one, or too many blocks have no id.
+            InvalidResponseError: An event is too large, has no id or one that
+                does not follow the previous one, or too many comments come
+                between two events.
         """
         data = self._partial + chunk
         start, last_id = 0, self.last_id
@@ -47,7 +48,7 @@
             event_id = _check_id(data[start : end.end()], last_id)
             unnumbered = unnumbered + 1 if event_id == last_id else 0
             if unnumbered > _MAX_UNNUMBERED_BLOCKS:
-                raise errors.InvalidResponseError("too many events have no id")
+                raise errors.InvalidResponseError("too many comments")
             start, last_id = end.end(), event_id
         if len(data) - start > _EVENT_LIMIT_BYTES:
             raise errors.InvalidResponseError("event is too large")
@@ -68,9 +69,16 @@
 
 
 def _check_id(event: bytes, last_id: int | None) -> int | None:
-    """Returns the last id after an event; raises if an id was skipped."""
+    """Returns the last id after an event or a comment.
+
+    Raises:
+        InvalidResponseError: An id was skipped, or the event has none. Text
+            that is no event may be another answer that the replica sent.
+    """
     match = _ID_LINE.search(event)
     if match is None:
+        if any(map(_carries_data, event.splitlines())):
+            raise errors.InvalidResponseError("an event has no id")
         return last_id
     event_id = int(match[1])
     if last_id is not None and event_id != last_id + 1:
@@ -80,6 +88,11 @@
     return event_id
 
 
+def _carries_data(line: bytes) -> bool:
+    """Returns whether a line is more than a comment or a retry interval."""
+    return bool(line) and not line.startswith((b":", b"retry:"))
+
+
 def data_lines(events: bytes) -> list[bytes]:
     """Returns the data of each event in `events`, in order."""
     return [match[1] for match in _DATA_LINE.finditer(events)]
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of forwarding requests to replicas and of resuming their streams."""
 
 import contextlib
+import copy
 import math
 from collections.abc import AsyncIterator
 
@@ -485,3 +486,33 @@
         await make_forwarder(replicas, quarantine).run(call)
     assert len(replicas.sent) == 2
     assert quarantine.check(call.work, call.arrived_ms) is None
+
+
+_OTHER_ANSWERS = {
+    "not found": Script([b"no such model\n\n"], status=404),
+    "redirect": Script([b"moved\n\n"], status=302),
+    "error in place of events": Script([b"overloaded\n\n"]),
+    "head in place of events": Script(
+        [b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"]
+    ),
+    "head between events": Script(
+        [*stream(3, 3), b"HTTP/1.1 503 Busy\r\n\r\n", *stream(4, 4)]
+    ),
+}
+
+
+@pytest.mark.parametrize("name", _OTHER_ANSWERS)
+async def test_other_answer_to_a_resumed_stream_does_not_get_into_it(
+    name: str,
+) -> None:
+    """Guards against an error's text within a stream that had begun."""
+    caller = Caller()
+    answer = copy.deepcopy(_OTHER_ANSWERS[name])
+    replicas = FakeReplicas(Script([*stream(1, 2), Break]), answer)
+    with pytest.raises(forwarding.AbortError):
+        await make_forwarder(replicas).run(make_call(caller))
+    assert caller.body in (
+        b"".join(stream(1, 2)),
+        b"".join(stream(1, 3)),
+    )
+    assert not caller.complete
