Believe no copy of an earlier refusal on a kept connection

Reported by other operators: a replica wrote an earlier refusal once more, and callers were told 'not run' for requests that ran, or these ran twice.

It could happen here: a refusal without a request's id was believed on any connection, and a request that had been refused was sent again on the same connection, where a copy of its refusal could not be told from the answer. A refusal of another request was told apart by its id already.

Change: a refusal without an id counts only on a new connection, else the attempt is malformed and may have run; a request is not sent on a connection on which it was refused. Three cases over sockets, all of which failed before.

--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -139,14 +139,17 @@
         """Sends a request and waits for its response head; see `runs`."""
         head = _encode(replica, work, remaining_ms, resume_after)
         pool = self._pools.pool(replica.address)
-        async with pool.exchange(fresh) as exchange:
+        async with pool.exchange(fresh, work.request_id) as exchange:
             with trio.move_on_after(head_limit_ms / 1000) as limit:
                 await exchange.send_whole(head, work.body)
                 await exchange.receive_head()
             if limit.cancelled_caught:
                 raise _timeout_error(head_limit_ms)
             _check_request_id(exchange, work.request_id)
-            yield Run(exchange)
+            run = Run(exchange)
+            if run.refused:
+                exchange.note_refusal(work.request_id)
+            yield run
 
     async def has_stopped(self, replica: directory.Listing) -> bool:
         """Returns whether a replica no longer accepts connections."""
@@ -201,8 +204,10 @@
     echoed = exchange.header(_REQUEST_ID_HEADER)
     if echoed is not None and echoed.decode("latin-1") == request_id:
         return
-    # A replica may refuse a request before it has read the request's id.
-    if echoed is None and exchange.header(_NOT_EXECUTED_HEADER) is not None:
+    # A replica may refuse a request before it has read the request's id. On a
+    # connection that was used before, this may be a copy of an earlier refusal.
+    refused = exchange.header(_NOT_EXECUTED_HEADER) is not None
+    if echoed is None and refused and not exchange.reused:
         return
     raise errors.InvalidResponseError("the response echoes another request id")
 
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -35,12 +35,28 @@
 
 
 class Connection:
-    """One connection; carries one exchange at a time."""
+    """One connection; carries one exchange at a time.
 
-    __slots__ = ("_fd", "_h11", "_stream", "_write_complete", "idle_since_s")
+    Attributes:
+        idle_since_s: When the last exchange ended.
+        reused: True once it has carried an exchange before the present one.
+        refused: Ids of the requests that were refused on it.
+    """
+
+    __slots__ = (
+        "_fd",
+        "_h11",
+        "_stream",
+        "_write_complete",
+        "idle_since_s",
+        "refused",
+        "reused",
+    )
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self.idle_since_s = 0.0
+        self.reused = False
+        self.refused: set[str] = set()
         self._write_complete = True
         self._stream = stream
         self._fd: int = stream.get_extra_info("socket").fileno()
@@ -98,6 +114,7 @@
             # Data after a complete response belongs to no request.
             return False
         self._h11.start_next_cycle()
+        self.reused = True
         self.idle_since_s = trio.current_time()
         return True
 
@@ -151,6 +168,19 @@
         self.trailers: Headers = []
         self.complete = False
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection has carried earlier exchanges."""
+        return self._connection.reused
+
+    def note_refusal(self, request_id: str) -> None:
+        """Records that the request was refused without being run.
+
+        It is not sent on this connection again: a second copy of the refusal
+        could not be told from the answer.
+        """
+        self._connection.refused.add(request_id)
+
     @property
     def ran(self) -> base_errors.Ran:
         """Whether the request may have had an effect so far."""
@@ -306,19 +336,25 @@
         self._idle: collections.deque[Connection] = collections.deque()
 
     @contextlib.asynccontextmanager
-    async def exchange(self, fresh: bool = False) -> AsyncIterator[Exchange]:
+    async def exchange(
+        self, fresh: bool = False, request_id: str = ""
+    ) -> AsyncIterator[Exchange]:
         """Yields an exchange on a connection that nothing else uses.
 
         The connection is kept only if the exchange is complete at the end.
 
         Args:
             fresh: True to open a new connection in any case.
+            request_id: Connections on which this request was refused are not
+                used.
 
         Raises:
             ConnectError: No connection could be made.
         """
         async with self._slots:
-            connection = await (self._connect() if fresh else self._acquire())
+            connection = await (
+                self._connect() if fresh else self._acquire(request_id)
+            )
             exchange = Exchange(connection, self._accept_unframed)
             try:
                 yield exchange
@@ -349,12 +385,19 @@
         while self._idle and self._idle[0].expired():
             await self._idle.popleft().close()
 
-    async def _acquire(self) -> Connection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.usable():
-                return connection
-            await connection.close()
+    async def _acquire(self, request_id: str) -> Connection:
+        skipped: list[Connection] = []
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                if request_id in connection.refused:
+                    skipped.append(connection)
+                elif connection.usable():
+                    return connection
+                else:
+                    await connection.close()
+        finally:
+            self._idle.extend(reversed(skipped))
         return await self._connect()
 
     async def _connect(self) -> Connection:
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -297,6 +297,64 @@
         nursery.cancel_scope.cancel()
 
 
+_REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n%s\r\n"
+)
+
+
+async def _refuse_all(stream: trio.SocketStream, refusal: bytes) -> None:
+    """Answers each request on a connection with the same bytes."""
+    async with stream:
+        while await stream.receive_some():
+            await stream.send_all(refusal)
+
+
+@pytest.mark.parametrize(
+    ("header", "second_id"),
+    [(b"", "id-2"), (b"", "id-1"), (b"request-id: id-1\r\n", "id-1")],
+    ids=["no id", "no id, same request", "same request"],
+)
+async def test_copy_of_an_earlier_refusal_refuses_nothing(
+    header: bytes, second_id: str
+) -> None:
+    """Guards against calling a request not run because of an old refusal.
+
+    The replica repeats a refusal on a kept connection, where it runs the
+    second request. On a new connection there is no earlier one.
+    """
+    opened = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal opened
+        opened += 1
+        await _refuse_all(stream, _REFUSAL % header)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(trio.serve_listeners, serve, listeners)
+        )
+        port = listeners[0].socket.getsockname()[1]
+        client = replica_client.Replicas()
+        listing = directory.Listing("r0", "s", f"127.0.0.1:{port}", "z", 1)
+        headers = [(b"host", b"h.example")]
+        for request_id in ("id-1", second_id):
+            work = runs.Work(request_id, "POST", b"/p", headers, b"b", "kaje")
+            connections = opened
+            failure: errors.UpstreamError | None = None
+            try:
+                async with client.open(listing, work, 1_000) as run:
+                    assert run.refused
+                    assert await run.next_chunk() == b""
+                    assert opened == connections + 1
+            except errors.InvalidResponseError as exc:
+                failure = exc
+            if failure is not None:
+                assert opened == connections
+                assert failure.ran is base_errors.Ran.MAY_HAVE_RUN
+        nursery.cancel_scope.cancel()
+
+
 async def test_answer_that_breaks_off_is_never_complete() -> None:
     """Guards against half an answer that looks whole.
 
