Report only own suspects of crashes, and document the quarantine

Cause: each gateway passed on all that it had heard of a crash, so the size of reports grew with the number of gateways, and hubs multiply it. Change: reports hold what a gateway saw itself, copies for starting gateways all. A crash heard of after an own one no longer hides that the own one is urgent.

--- a/lacewingwood/routing/quarantine.py
+++ b/lacewingwood/routing/quarantine.py
@@ -16,6 +16,7 @@
 import collections
 import dataclasses
 from collections.abc import Collection
+from collections.abc import Iterator
 
 import structlog
 import xxhash
@@ -75,13 +76,21 @@
         suspects: Shared parts of the prompts of the suspects, by the digest of
             the request.
         runs: Number of runs that had begun at this gateway by then.
-        own: True if this gateway has suspects to report.
+        own: Digests of the suspects that this gateway had sent there.
     """
 
     replica: str
     at_ms: float
     suspects: dict[str, tuple[str, ...]]
     runs: int
+    own: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class _Begin:
+    """When something last began to be answered, and whether it did so here."""
+
+    at_ms: float
     own: bool
 
 
@@ -112,17 +121,19 @@
         "_changed",
         "_crashes",
         "_last_crash_ms",
+        "_last_own_crash_ms",
         "_runs",
     )
 
     def __init__(self) -> None:
         # By replica and start, the oldest first.
         self._crashes: dict[str, _Crash] = {}
-        # When parts, and requests that were suspects, last began to be
+        # Parts, and requests that were suspects, that have begun to be
         # answered; the least recent first.
-        self._begun: dict[str, float] = {}
+        self._begun: dict[str, _Begin] = {}
         # When what is suspected was last a suspect.
         self._last_crash_ms: dict[str, float] = {}
+        self._last_own_crash_ms = float("-inf")
         self._runs = 0
         self._causes: dict[str, _Cause] = {}
         self._changed = False
@@ -147,7 +158,7 @@
         if self._crashes:
             names = (*names, _digest(work))
         for name in names:
-            self._note_begun(name, now_ms)
+            self._note_begun(name, _Begin(now_ms, own=True))
 
     def note_crash(
         self, replica: directory.Listing, work: runs.Work, now_ms: float
@@ -160,8 +171,10 @@
             now_ms: Current time.
         """
         crash = self._find_crash(f"{replica.id}/{replica.started_ms}", now_ms)
-        crash.own = True
-        self._add_suspect(crash, _digest(work), _shared_parts(work))
+        digest = _digest(work)
+        crash.own.add(digest)
+        self._last_own_crash_ms = now_ms
+        self._add_suspect(crash, digest, _shared_parts(work))
         _log.info(
             "replica crashed",
             replica=replica.id,
@@ -172,8 +185,6 @@
 
     def report(self, now_ms: float) -> gateway_messages.CrashReport | None:
         """Returns what other gateways need to know, None if nothing."""
-        if not self._crashes:
-            return None
         recent = [
             crash
             for crash in self._crashes.values()
@@ -182,24 +193,32 @@
         if not recent:
             return None
         return gateway_messages.CrashReport(
-            [_encode(crash, now_ms) for crash in recent if crash.own],
-            self._begun_ages(recent, now_ms),
+            [
+                _encode(crash, crash.own, now_ms)
+                for crash in recent
+                if crash.own
+            ],
+            {
+                name: now_ms - begin.at_ms
+                for name, begin in self._begun_of(recent)
+                if begin.own
+            },
         )
 
     def copy(self, now_ms: float) -> gateway_messages.CrashReport:
         """Returns all that is known, for a gateway that has just started."""
         crashes = list(self._crashes.values())
         return gateway_messages.CrashReport(
-            [_encode(crash, now_ms) for crash in crashes],
-            self._begun_ages(crashes, now_ms),
+            [_encode(crash, set(crash.suspects), now_ms) for crash in crashes],
+            {
+                name: now_ms - begin.at_ms
+                for name, begin in self._begun_of(crashes)
+            },
         )
 
     def is_urgent(self, now_ms: float) -> bool:
         """Returns whether other gateways need to hear of a crash at once."""
-        if not self._crashes:
-            return False
-        newest = next(reversed(self._crashes.values()))
-        return newest.own and now_ms - newest.at_ms < _URGENT_MS
+        return now_ms - self._last_own_crash_ms < _URGENT_MS
 
     def note_report(
         self, report: gateway_messages.CrashReport, now_ms: float
@@ -211,8 +230,8 @@
             for digest, parts in reported.suspects.items():
                 self._add_suspect(crash, digest, tuple(parts))
         for name, age_ms in report.begun.items():
-            if now_ms - age_ms > self._begun.get(name, float("-inf")):
-                self._note_begun(name, now_ms - age_ms)
+            if now_ms - age_ms > self._begun_ms(name):
+                self._note_begun(name, _Begin(now_ms - age_ms, own=False))
 
     def dump(self, now_ms: float) -> dict[str, float]:
         """Returns the remaining time of each quarantine."""
@@ -222,21 +241,21 @@
             for name, cause in self._causes.items()
         }
 
-    def _begun_ages(
-        self, crashes: list[_Crash], now_ms: float
-    ) -> dict[str, float]:
-        """Returns how long ago the suspects of crashes last began."""
-        suspected = {name for crash in crashes for name in _names(crash)}
-        return {
-            name: now_ms - self._begun[name]
-            for name in suspected
-            if name in self._begun
-        }
+    def _begun_of(self, crashes: list[_Crash]) -> Iterator[tuple[str, _Begin]]:
+        """Yields the suspects of crashes that have begun."""
+        for name in {name for crash in crashes for name in _names(crash)}:
+            if name in self._begun:
+                yield name, self._begun[name]
+
+    def _begun_ms(self, name: str) -> float:
+        """Returns when something last began, minus infinity if never."""
+        begin = self._begun.get(name)
+        return begin.at_ms if begin else float("-inf")
 
     def _find_crash(self, replica: str, at_ms: float) -> _Crash:
         crash = self._crashes.get(replica)
         if crash is None:
-            crash = _Crash(replica, at_ms, {}, self._runs, own=False)
+            crash = _Crash(replica, at_ms, {}, self._runs)
             self._crashes[replica] = crash
             if len(self._crashes) > _MAX_CRASHES:
                 self._drop(next(iter(self._crashes.values())))
@@ -255,12 +274,14 @@
         if digest not in crash.suspects and len(crash.suspects) < _MAX_SUSPECTS:
             crash.suspects[digest] = parts
             for name in (digest, *parts):
-                self._last_crash_ms[name] = crash.at_ms
+                last_ms = self._last_crash_ms.get(name, crash.at_ms)
+                self._last_crash_ms[name] = max(last_ms, crash.at_ms)
             self._changed = True
 
-    def _note_begun(self, name: str, at_ms: float) -> None:
-        before_ms = self._begun.pop(name, float("-inf"))
-        self._begun[name] = at_ms
+    def _note_begun(self, name: str, begin: _Begin) -> None:
+        before_ms = self._begun_ms(name)
+        self._begun.pop(name, None)
+        self._begun[name] = begin
         if len(self._begun) > _MAX_BEGUN:
             del self._begun[next(iter(self._begun))]
         if before_ms < self._last_crash_ms.get(name, float("-inf")):
@@ -307,7 +328,7 @@
         by_digest: dict[str, list[_Crash]] = collections.defaultdict(list)
         for crash in unexplained:
             for digest in crash.suspects:
-                if crash.at_ms > self._begun.get(digest, float("-inf")):
+                if crash.at_ms > self._begun_ms(digest):
                     by_digest[digest].append(crash)
         for digest, crashes in by_digest.items():
             alone = all(len(crash.suspects) == 1 for crash in crashes)
@@ -324,7 +345,7 @@
         for crash in unexplained:
             for parts in crash.suspects.values():
                 for position, part in enumerate(parts):
-                    if crash.at_ms > self._begun.get(part, float("-inf")):
+                    if crash.at_ms > self._begun_ms(part):
                         positions[part] = position
                         by_part[part][crash.replica] = crash
         best: tuple[int, int, str] | None = None
@@ -361,11 +382,18 @@
     return _MIN_CRASHES_ALONE if alone else _MIN_CRASHES
 
 
-def _encode(crash: _Crash, now_ms: float) -> gateway_messages.Crash:
+def _encode(
+    crash: _Crash, digests: Collection[str], now_ms: float
+) -> gateway_messages.Crash:
+    """Encodes a crash with some of its suspects."""
     return gateway_messages.Crash(
         crash.replica,
         now_ms - crash.at_ms,
-        {digest: list(parts) for digest, parts in crash.suspects.items()},
+        {
+            digest: list(parts)
+            for digest, parts in crash.suspects.items()
+            if digest in digests
+        },
     )
 
 
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -245,3 +245,19 @@
             verdict = quarantine.check(work, end_ms)
             if verdict and verdict.cause in crashes:
                 assert len(crashes[verdict.cause]) >= 2
+
+
+def test_gateway_reports_only_what_it_has_seen_itself() -> None:
+    """Guards against reports that grow with the number of gateways."""
+    first, second = quarantines.Quarantine(), quarantines.Quarantine()
+    for gateway, number in ((first, 1), (second, 2)):
+        _crash(gateway, 1, _work(number, "start", f"part-{number}"))
+        gateway.note_begun(_work(9, f"begun-{number}", "start"), 1.0)
+    report = second.report(2.0)
+    assert report is not None
+    first.note_report(report, 2.0)
+    report = first.report(3.0)
+    assert report is not None
+    (crash,) = report.crashes
+    assert list(crash.suspects.values()) == [["start", "part-1"]]
+    assert len(first.copy(3.0).crashes[0].suspects) == 2
