Split the causes of crashes from their reports, and bound what callers choose

Cause: callers choose the parts of prompts, so long ones filled a gateway's memory; each request's digest was kept for an hour after a crash and displaced parts that had begun. The decision and the exchange of reports stood in one file, and the reader of whole bodies in the forwarder.

Change: at most 16 parts of 64 characters count, digests are kept for suspects only. routing/crash_causes.py decides, without state; callers/bodies.py reads bodies. A quarantined caller is told so.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -10,6 +10,7 @@
 from lacewingwood import configuration
 from lacewingwood import errors as base_errors
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import bodies
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
 from lacewingwood.callers import progress as progress_lib
@@ -42,9 +43,6 @@
 _MAX_BODY_BYTES = 16 << 20
 # A replica's error response is short, and no larger one is relayed.
 _MAX_ERROR_BODY_BYTES = 64 << 10
-# Most bytes of whole responses that are held at once, so that replicas which
-# send bytes without end cannot use up the memory of a host of 128 MB.
-_MAX_HELD_BYTES = 24 << 20
 
 # Most parts of a prompt, and most characters of them, in a line of the log.
 _MAX_LOGGED_PARTS = 6
@@ -78,8 +76,8 @@
     """Runs calls on replicas, retries them and resumes broken streams."""
 
     __slots__ = (
+        "_bodies",
         "_clock",
-        "_held_bytes",
         "_metrics",
         "_quarantine",
         "_replicas",
@@ -102,7 +100,7 @@
         self._metrics = metrics
         self._quarantine = quarantine
         self._rng = rng or random.Random()
-        self._held_bytes = 0
+        self._bodies = bodies.BodyReader()
 
     async def run(self, call: progress_lib.Call) -> None:
         """Runs a call and sends its response.
@@ -211,7 +209,11 @@
             remaining_ms=round(verdict.remaining_ms),
         )
         self._give_up(
-            call, progress, _UNAVAILABLE, retry_after_ms=verdict.remaining_ms
+            call,
+            progress,
+            _UNAVAILABLE,
+            "the request crashes replicas",
+            verdict.remaining_ms,
         )
 
     async def _acquire_slot(
@@ -271,7 +273,7 @@
             progress.ran = Ran.MAY_HAVE_RUN
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
             if run.status >= _SERVER_ERROR:
-                body = await self._read_all(run, _MAX_ERROR_BODY_BYTES)
+                body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
                 raise _ErrorResponse(run.status, run.headers, body)
             if call.req.started and run.status >= 300:
                 raise upstream_errors.InvalidResponseError(
@@ -343,31 +345,9 @@
     async def _relay_whole_response(
         self, call: progress_lib.Call, run: runs.Run
     ) -> None:
-        body = await self._read_all(run, _MAX_BODY_BYTES)
+        body = await self._bodies.read(run, _MAX_BODY_BYTES)
         await _respond(call, run.status, run.headers, body)
 
-    async def _read_all(self, run: runs.Run, limit_bytes: int) -> bytes:
-        """Returns a whole body.
-
-        Raises:
-            upstream_errors.InvalidResponseError: The body is larger than
-                `limit_bytes`, or the bodies of all responses are too large.
-        """
-        chunks: list[bytes] = []
-        size = 0
-        try:
-            while chunk := await run.next_chunk():
-                chunks.append(chunk)
-                size += len(chunk)
-                self._held_bytes += len(chunk)
-                if size > limit_bytes or self._held_bytes > _MAX_HELD_BYTES:
-                    raise upstream_errors.InvalidResponseError(
-                        "the response is too large"
-                    )
-        finally:
-            self._held_bytes -= size
-        return b"".join(chunks)
-
     async def _relay_error_response(
         self,
         call: progress_lib.Call,
@@ -442,10 +422,18 @@
         call: progress_lib.Call,
         progress: progress_lib.Progress,
         status: int,
+        refusal: str = "no replica accepted the request",
         retry_after_ms: float = _NO_REPLICA_RETRY_AFTER_MS,
     ) -> None:
         """Ends a call that no replica completed.
 
+        Args:
+            call: The call.
+            progress: Its attempts.
+            status: Status of the response if a replica may have run the call.
+            refusal: What the caller is told if no replica has.
+            retry_after_ms: When the caller may try again in that case.
+
         Raises:
             AbortError: The response was started.
             errors.CallerError: The response was not started.
@@ -467,11 +455,7 @@
         if call.req.started:
             raise AbortError
         if progress.ran is Ran.NOT_RUN:
-            raise errors.unavailable(
-                progress.reason,
-                "no replica accepted the request",
-                retry_after_ms,
-            )
+            raise errors.unavailable(progress.reason, refusal, retry_after_ms)
         if status == _UNAVAILABLE:
             status = 502
         raise errors.CallerError(
--- a/lacewingwood/routing/quarantine.py
+++ b/lacewingwood/routing/quarantine.py
@@ -6,42 +6,28 @@
 those that the replica had not begun to answer: the others ran there unharmed.
 Gateways tell each other the suspects of each crash, and what has begun since.
 A part, or a request, is quarantined if it was a suspect of several crashes and
-has not begun anywhere since the first of them.
-
-One cause explains all crashes of which it was a suspect. What was only beside
-it is no longer suspected of these, so that requests that were retried on one
-crashing replica after another are not quarantined with it.
+has not begun anywhere since the first of them; see `crash_causes`.
 """
 
-import collections
 import dataclasses
 from collections.abc import Collection
-from collections.abc import Iterator
+from collections.abc import Iterable
 
 import structlog
 import xxhash
 
 from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import crash_causes
 from lacewingwood.routing import directory
 from lacewingwood.upstreams import runs
 
-# Crashes of which something must be a suspect. Two suffice if nothing else is a
-# suspect of them; otherwise, requests that are retried during an unrelated
-# burst of crashes would be quarantined.
-_MIN_CRASHES = 3
-_MIN_CRASHES_ALONE = 2
-# A part that has begun before is the last thing to suspect. It must not begin
-# while this many other runs do, which tells its failure from one of the fleet.
-_MIN_OTHER_RUNS = 20
-# Duration of a quarantine after the last crash, doubled with each crash beyond
-# the minimum. Its end admits a request, which tells whether the fault persists.
-_QUARANTINE_MS = 60_000.0
-_MAX_QUARANTINE_MS = 3_600_000.0
 # Crashes and the parts that have begun are remembered for this long.
-_RETENTION_MS = _MAX_QUARANTINE_MS
+_RETENTION_MS = crash_causes.MAX_QUARANTINE_MS
 _MAX_CRASHES = 200
 _MAX_SUSPECTS = 32
 _MAX_BEGUN = 5_000
+_MAX_PARTS = 16
+_MAX_PART_LENGTH = 64
 # Crashes are reported to other gateways for this long, so that a gateway that
 # was cut off for some seconds hears of them as well.
 _REPORT_MS = 30_000.0
@@ -66,49 +52,6 @@
     remaining_ms: float
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Crash:
-    """A crash of one replica.
-
-    Attributes:
-        replica: Identifies the replica and its start.
-        at_ms: When the crash was first noticed.
-        suspects: Shared parts of the prompts of the suspects, by the digest of
-            the request.
-        runs: Number of runs that had begun at this gateway by then.
-        own: Digests of the suspects that this gateway had sent there.
-    """
-
-    replica: str
-    at_ms: float
-    suspects: dict[str, tuple[str, ...]]
-    runs: int
-    own: set[str] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True)
-class _Begin:
-    """When something last began to be answered, and whether it did so here."""
-
-    at_ms: float
-    own: bool
-
-
-@dataclasses.dataclass(slots=True)
-class _Cause:
-    """What is taken for the cause of some crashes."""
-
-    crashes: list[_Crash]
-
-    @property
-    def until_ms(self) -> float:
-        """When the quarantine ends."""
-        doublings = min(max(0, len(self.crashes) - _MIN_CRASHES), 10)
-        return self.crashes[-1].at_ms + min(
-            _QUARANTINE_MS * 2**doublings, _MAX_QUARANTINE_MS
-        )
-
-
 class Quarantine:
     """Crashes of replicas, their suspects, and what is quarantined.
 
@@ -116,7 +59,8 @@
     """
 
     __slots__ = (
-        "_begun",
+        "_begun_here",
+        "_begun_ms",
         "_causes",
         "_changed",
         "_crashes",
@@ -127,15 +71,17 @@
 
     def __init__(self) -> None:
         # By replica and start, the oldest first.
-        self._crashes: dict[str, _Crash] = {}
-        # Parts, and requests that were suspects, that have begun to be
+        self._crashes: dict[str, crash_causes.Crash] = {}
+        # When parts, and requests that were suspects, last began to be
         # answered; the least recent first.
-        self._begun: dict[str, _Begin] = {}
+        self._begun_ms: dict[str, float] = {}
+        # Those of them that last began at this gateway.
+        self._begun_here: set[str] = set()
         # When what is suspected was last a suspect.
         self._last_crash_ms: dict[str, float] = {}
         self._last_own_crash_ms = float("-inf")
         self._runs = 0
-        self._causes: dict[str, _Cause] = {}
+        self._causes: dict[str, crash_causes.Cause] = {}
         self._changed = False
 
     def check(self, work: runs.Work, now_ms: float) -> Verdict | None:
@@ -154,11 +100,10 @@
     def note_begun(self, work: runs.Work, now_ms: float) -> None:
         """Records that a replica answers a request and has not crashed."""
         self._runs += 1
-        names: tuple[str, ...] = _shared_parts(work)
-        if self._crashes:
-            names = (*names, _digest(work))
-        for name in names:
-            self._note_begun(name, _Begin(now_ms, own=True))
+        for part in _shared_parts(work):
+            self._note_begun(part, now_ms, here=True)
+        if self._crashes and (digest := _digest(work)) in self._last_crash_ms:
+            self._note_begun(digest, now_ms, here=True)
 
     def note_crash(
         self, replica: directory.Listing, work: runs.Work, now_ms: float
@@ -199,9 +144,9 @@
                 if crash.own
             ],
             {
-                name: now_ms - begin.at_ms
-                for name, begin in self._begun_of(recent)
-                if begin.own
+                name: age_ms
+                for name, age_ms in self._begun_ages(recent, now_ms).items()
+                if name in self._begun_here
             },
         )
 
@@ -210,10 +155,7 @@
         crashes = list(self._crashes.values())
         return gateway_messages.CrashReport(
             [_encode(crash, set(crash.suspects), now_ms) for crash in crashes],
-            {
-                name: now_ms - begin.at_ms
-                for name, begin in self._begun_of(crashes)
-            },
+            self._begun_ages(crashes, now_ms),
         )
 
     def is_urgent(self, now_ms: float) -> bool:
@@ -230,8 +172,8 @@
             for digest, parts in reported.suspects.items():
                 self._add_suspect(crash, digest, tuple(parts))
         for name, age_ms in report.begun.items():
-            if now_ms - age_ms > self._begun_ms(name):
-                self._note_begun(name, _Begin(now_ms - age_ms, own=False))
+            if now_ms - age_ms > self._begun_ms.get(name, float("-inf")):
+                self._note_begun(name, now_ms - age_ms, here=False)
 
     def dump(self, now_ms: float) -> dict[str, float]:
         """Returns the remaining time of each quarantine."""
@@ -241,35 +183,35 @@
             for name, cause in self._causes.items()
         }
 
-    def _begun_of(self, crashes: list[_Crash]) -> Iterator[tuple[str, _Begin]]:
-        """Yields the suspects of crashes that have begun."""
-        for name in {name for crash in crashes for name in _names(crash)}:
-            if name in self._begun:
-                yield name, self._begun[name]
-
-    def _begun_ms(self, name: str) -> float:
-        """Returns when something last began, minus infinity if never."""
-        begin = self._begun.get(name)
-        return begin.at_ms if begin else float("-inf")
+    def _begun_ages(
+        self, crashes: Iterable[crash_causes.Crash], now_ms: float
+    ) -> dict[str, float]:
+        """Returns how long ago the suspects of crashes last began."""
+        names = {name for crash in crashes for name in crash.names()}
+        return {
+            name: now_ms - self._begun_ms[name]
+            for name in names
+            if name in self._begun_ms
+        }
 
-    def _find_crash(self, replica: str, at_ms: float) -> _Crash:
+    def _find_crash(self, replica: str, at_ms: float) -> crash_causes.Crash:
         crash = self._crashes.get(replica)
         if crash is None:
-            crash = _Crash(replica, at_ms, {}, self._runs)
+            crash = crash_causes.Crash(replica, at_ms, self._runs)
             self._crashes[replica] = crash
             if len(self._crashes) > _MAX_CRASHES:
                 self._drop(next(iter(self._crashes.values())))
         return crash
 
-    def _drop(self, crash: _Crash) -> None:
+    def _drop(self, crash: crash_causes.Crash) -> None:
         del self._crashes[crash.replica]
-        for name in _names(crash):
+        for name in crash.names():
             if self._last_crash_ms.get(name) == crash.at_ms:
                 del self._last_crash_ms[name]
         self._changed = True
 
     def _add_suspect(
-        self, crash: _Crash, digest: str, parts: tuple[str, ...]
+        self, crash: crash_causes.Crash, digest: str, parts: tuple[str, ...]
     ) -> None:
         if digest not in crash.suspects and len(crash.suspects) < _MAX_SUSPECTS:
             crash.suspects[digest] = parts
@@ -278,12 +220,18 @@
                 self._last_crash_ms[name] = max(last_ms, crash.at_ms)
             self._changed = True
 
-    def _note_begun(self, name: str, begin: _Begin) -> None:
-        before_ms = self._begun_ms(name)
-        self._begun.pop(name, None)
-        self._begun[name] = begin
-        if len(self._begun) > _MAX_BEGUN:
-            del self._begun[next(iter(self._begun))]
+    def _note_begun(self, name: str, at_ms: float, here: bool) -> None:
+        before_ms = self._begun_ms.pop(name, float("-inf"))
+        self._begun_ms[name] = at_ms
+        if here:
+            self._begun_here.add(name)
+        else:
+            self._begun_here.discard(name)
+        if len(self._begun_ms) > _MAX_BEGUN:
+            oldest = next(iter(self._begun_ms))
+            del self._begun_ms[oldest]
+            self._begun_here.discard(oldest)
+        # Only the first begin after a crash can change the verdict.
         if before_ms < self._last_crash_ms.get(name, float("-inf")):
             self._changed = True
 
@@ -296,7 +244,9 @@
         if not self._changed:
             return
         self._changed = False
-        causes = self._find_causes()
+        causes = crash_causes.find(
+            self._crashes.values(), self._begun_ms, self._runs
+        )
         for name in causes.keys() - self._causes.keys():
             _log.warning(
                 "quarantined",
@@ -309,81 +259,9 @@
             _log.info("quarantine ended", cause=name)
         self._causes = causes
 
-    def _find_causes(self) -> dict[str, _Cause]:
-        """Returns the causes of the crashes: parts first, then requests.
-
-        The part that explains most crashes comes first, and of several that
-        explain the same, the one that comes last in prompts: fewer requests
-        have it.
-        """
-        causes: dict[str, _Cause] = {}
-        unexplained = sorted(self._crashes.values(), key=lambda c: c.at_ms)
-        while unexplained:
-            found = self._find_part(unexplained)
-            if found is None:
-                break
-            name, crashes = found
-            causes[name] = _Cause(crashes)
-            unexplained = [c for c in unexplained if c not in crashes]
-        by_digest: dict[str, list[_Crash]] = collections.defaultdict(list)
-        for crash in unexplained:
-            for digest in crash.suspects:
-                if crash.at_ms > self._begun_ms(digest):
-                    by_digest[digest].append(crash)
-        for digest, crashes in by_digest.items():
-            alone = all(len(crash.suspects) == 1 for crash in crashes)
-            if len(crashes) >= _min_crashes(alone):
-                causes[digest] = _Cause(crashes)
-        return causes
-
-    def _find_part(
-        self, unexplained: list[_Crash]
-    ) -> tuple[str, list[_Crash]] | None:
-        """Returns the part that explains most crashes, with these."""
-        positions: dict[str, int] = {}
-        by_part: dict[str, dict[str, _Crash]] = collections.defaultdict(dict)
-        for crash in unexplained:
-            for parts in crash.suspects.values():
-                for position, part in enumerate(parts):
-                    if crash.at_ms > self._begun_ms(part):
-                        positions[part] = position
-                        by_part[part][crash.replica] = crash
-        best: tuple[int, int, str] | None = None
-        for part, crashes in by_part.items():
-            if self._may_be_cause(part, list(crashes.values())):
-                rank = len(crashes), positions[part], part
-                best = max(best, rank) if best else rank
-        return (best[2], list(by_part[best[2]].values())) if best else None
-
-    def _may_be_cause(self, part: str, crashes: list[_Crash]) -> bool:
-        """Returns whether crashes suffice to quarantine a part."""
-        suspects = [_suspects_with(crash, part) for crash in crashes]
-        alone = all(
-            len(with_part) == len(crash.suspects)
-            for with_part, crash in zip(suspects, crashes, strict=True)
-        )
-        if len(crashes) < _min_crashes(alone):
-            return False
-        if part in self._begun and (
-            self._runs - crashes[0].runs < _MIN_OTHER_RUNS
-        ):
-            return False
-        # If one request was a suspect of all of them, it may itself be the
-        # cause.
-        return not set.intersection(*suspects)
-
-
-def _min_crashes(alone: bool) -> int:
-    """Returns how many crashes suffice.
-
-    Args:
-        alone: True if there was no other suspect at each of them.
-    """
-    return _MIN_CRASHES_ALONE if alone else _MIN_CRASHES
-
 
 def _encode(
-    crash: _Crash, digests: Collection[str], now_ms: float
+    crash: crash_causes.Crash, digests: Collection[str], now_ms: float
 ) -> gateway_messages.Crash:
     """Encodes a crash with some of its suspects."""
     return gateway_messages.Crash(
@@ -397,22 +275,16 @@
     )
 
 
-def _suspects_with(crash: _Crash, part: str) -> set[str]:
-    """Returns the digests of a crash's suspects with a part."""
-    return {d for d, parts in crash.suspects.items() if part in parts}
-
-
-def _names(crash: _Crash) -> Collection[str]:
-    """Returns the suspects of a crash and the parts of their prompts."""
-    names = set(crash.suspects)
-    for parts in crash.suspects.values():
-        names.update(parts)
-    return names
-
-
 def _shared_parts(work: runs.Work) -> tuple[str, ...]:
-    """Returns the parts of a prompt that other requests may share."""
-    return work.prompt[:-1]
+    """Returns the parts of a prompt that other requests may share.
+
+    Leaves out what would take much memory: callers choose the parts.
+    """
+    return tuple(
+        part
+        for part in work.prompt[:-1][:_MAX_PARTS]
+        if len(part) <= _MAX_PART_LENGTH
+    )
 
 
 def _digest(work: runs.Work) -> str:
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -202,7 +202,12 @@
         for suspect in range(40):
             work = _work(number * 100 + suspect, f"{number}-{suspect}")
             _crash(quarantine, number, work, at_ms=number)
+    huge = _work(1, *("x" * 10_000 for _ in range(1_000)))
+    _crash(quarantine, 999, huge, at_ms=500)
+    quarantine.note_begun(huge, 600)
     copied = quarantine.copy(1_000.0)
+    assert max(len(name) for name in copied.begun) < 100
+    assert sum(map(len, copied.crashes[-1].suspects.values())) == 0
     assert len(copied.crashes) <= 200
     assert max(len(crash.suspects) for crash in copied.crashes) <= 32
     report = quarantine.report(1_000.0)
