Check whose refusal it is at entries, too

Entries were worse off: an engine's status was read before the request's id, so a copy of a refusal of any earlier request made the next one 'not run', though the engine ran it. Change: the id is checked first, a refusal without one counts only as a connection's first response, and a refused request takes another connection. The stand-in engine names the request in refusals. Gateways do not use this client.

--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -227,9 +227,8 @@
             ),
         )
         async with self._exchange(
-            self._request_pools, address, head, body, remaining_ms
+            self._request_pools, address, head, body, remaining_ms, request_id
         ) as exchange:
-            _check_request_id(exchange, request_id)
             yield exchange
 
     @contextlib.asynccontextmanager
@@ -240,14 +239,18 @@
         head: h11.Request,
         body: bytes,
         timeout_ms: float,
+        request_id: str = "",
     ) -> AsyncIterator[http1.Exchange]:
         sent: http1.Exchange | None = None
         with trio.move_on_after(max(0.0, timeout_ms) / 1000) as scope:
-            async with pools.pool(address).exchange() as exchange:
+            pool = pools.pool(address)
+            async with pool.exchange(request_id=request_id) as exchange:
                 sent = exchange
                 await exchange.send_whole(head, body)
                 await exchange.receive_head()
-                await _check_status(exchange)
+                if request_id:
+                    _check_request_id(exchange, request_id)
+                await _check_status(exchange, request_id)
                 yield exchange
         if scope.cancelled_caught:
             ran = sent.ran if sent else base_errors.Ran.NOT_RUN
@@ -270,11 +273,13 @@
     return h11.Request(method=method, target=path, headers=fields)
 
 
-async def _check_status(exchange: http1.Exchange) -> None:
+async def _check_status(exchange: http1.Exchange, request_id: str) -> None:
     status = exchange.status
     if 200 <= status < 300:
         return
-    if status in _REFUSAL_STATUSES or status == _SERVICE_UNAVAILABLE:
+    if _is_refusal(status):
+        if request_id:
+            exchange.note_refusal(request_id)
         body = b""
         # The status suffices to know that the request did not run.
         with contextlib.suppress(errors.UpstreamError):
@@ -291,8 +296,19 @@
         raise errors.InvalidResponseError("response is not an event stream")
 
 
+def _is_refusal(status: int) -> bool:
+    return status in _REFUSAL_STATUSES or status == _SERVICE_UNAVAILABLE
+
+
 def _check_request_id(exchange: http1.Exchange, request_id: str) -> None:
+    """Raises InvalidResponseError for the response to another request.
+
+    A refusal without an id may be a copy of an earlier one, unless it is the
+    first response on its connection.
+    """
     response_id = exchange.header(b"x-request-id")
+    if response_id is None and _is_refusal(exchange.status) and exchange.reused:
+        raise errors.InvalidResponseError("refusal does not name its request")
     if response_id is not None and response_id != request_id.encode():
         raise errors.InvalidResponseError("response is for another request")
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -344,7 +344,8 @@
 ) -> None:
     code = message if message == "leaving" else status
     error = {"message": message, "type": "engine_error", "code": code}
-    await request.answer_json(status, {"error": error})
+    echoed = {"x-request-id": request.headers.get("x-request-id", "")}
+    await request.answer_json(status, {"error": error}, echoed)
 
 
 async def _cancel_on_disconnect(
--- a/standins/server.py
+++ b/standins/server.py
@@ -99,9 +99,11 @@
         await self.start(status, fields)
         await self.send(body, more=False)
 
-    async def answer_json(self, status: int, value: Any) -> None:
-        """Sends `value` as JSON."""
-        await self.answer(status, msgspec.json.encode(value))
+    async def answer_json(
+        self, status: int, value: Any, headers: dict[str, str] | None = None
+    ) -> None:
+        """Sends `value` as JSON, with further header fields."""
+        await self.answer(status, msgspec.json.encode(value), headers=headers)
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Sends the status and the header fields."""
--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -192,6 +192,38 @@
     assert (stats["runs"], stats["refused"]) == ([], 2)
 
 
+@pytest.mark.parametrize(
+    ("echoed", "second_id"),
+    [(b"x-request-id: r1\r\n", "r2"), (b"", "r2"), (b"", "r1")],
+    ids=["other request", "no id", "no id, same request"],
+)
+async def test_copy_of_an_earlier_refusal_refuses_nothing(
+    nursery: trio.Nursery, echoed: bytes, second_id: str
+) -> None:
+    """Guards against calling a request not run because of an old refusal."""
+    refusal = b"HTTP/1.1 503 No\r\n%scontent-length: 2\r\n\r\n{}" % echoed
+    opened = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal opened
+        opened += 1
+        async with stream:
+            while await stream.receive_some():
+                await stream.send_all(refusal)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    fixture = _EngineFixture()
+    port = listeners[0].socket.getsockname()[1]
+    fixture.address = f"127.0.0.1:{port}"
+    with pytest.raises(errors.RefusedError):
+        await fixture.complete("r1")
+    with pytest.raises(errors.UpstreamError) as info:
+        await fixture.complete(second_id)
+    # On a new connection there is no earlier refusal.
+    assert info.value.ran is (_MAY_HAVE_RUN if opened == 1 else _NOT_RUN)
+
+
 async def test_refusal_with_truncated_body_is_not_run(
     nursery: trio.Nursery,
 ) -> None:
