Close connections that would remember many refusals

Cause: a connection remembers the requests refused on it, and one to a replica that is always full would grow without bound. Change: after 64 refusals it is closed. The test failed before: one connection took all 100 exchanges.

--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -28,6 +28,8 @@
 _BODY_LIMIT_BYTES = 16 << 20
 # Interim responses that may precede a response.
 _MAX_INTERIM_RESPONSES = 16
+# Refusals after which a connection is closed, as it has to remember them.
+_MAX_REFUSED = 64
 _BODILESS_STATUSES = (204, 304)
 _BACKEND = httpcore.TrioBackend()
 
@@ -106,6 +108,8 @@
         """Prepares for another exchange; returns False if impossible."""
         if not self._write_complete:
             return False
+        if len(self.refused) > _MAX_REFUSED:
+            return False
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
--- a/tests/upstreams/test_http1.py
+++ b/tests/upstreams/test_http1.py
@@ -112,3 +112,17 @@
     assert pools.pool(address) is pool
     await pools.keep_only(set())
     assert pools.pool(address) is not pool
+
+
+async def test_connection_remembers_a_bounded_number_of_refusals() -> None:
+    """Guards against memory that grows on a connection of a busy replica."""
+    accepted: list[trio.SocketStream] = []
+    pool = http1.Pools(1).pool(await _serve_responses(accepted))
+    head = h11.Request(method="GET", target="/", headers=[("host", "x")])
+    for n in range(100):
+        async with pool.exchange(request_id=f"id-{n}") as exchange:
+            await exchange.send_whole(head, b"")
+            await exchange.receive_head()
+            await exchange.read()
+            exchange.note_refusal(f"id-{n}")
+    assert len(accepted) == 2
