Show that a late answer of the store reaches no other call

Listed as not tried in docs/guarantees.md. An append that timed out is answered late while the next one is refused: the second is told of its own refusal. The test passed at once; nothing was changed.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -136,3 +136,37 @@
         await store.leave("g", "b")
         first = await store.join("g", "a", ["jobs"], 1000, first.generation)
         assert len(first.partitions) == 8
+
+
+async def test_late_answer_to_a_call_that_timed_out_reaches_no_other_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an append that is taken for done by another's answer.
+
+    The first connection answers after the time-out, the second one refuses.
+    """
+    monkeypatch.setattr(store_lib, "_CALL_TIMEOUT_S", 0.1)
+    answers = [(0.15, b"200 OK"), (0.0, b"412 Precondition Failed")]
+
+    async def serve(stream: trio.SocketStream) -> None:
+        delay_s, status = answers.pop(0)
+        async with stream:
+            await stream.receive_some()
+            await trio.sleep(delay_s)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(
+                    b"HTTP/1.1 %s\r\ncontent-length: 2\r\n\r\n{}" % status
+                )
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        store = store_lib.Store(f"127.0.0.1:{port}", metrics_lib.Registry())
+        with pytest.raises(errors.UnavailableError) as caught:
+            await store.append(_PARTITION, [_record("a", b"1")])
+        assert caught.value.may_have_taken_effect
+        await trio.sleep(0.1)
+        with pytest.raises(compacted.ConflictError):
+            await store.append(_PARTITION, [_record("a", b"1")])
+        nursery.cancel_scope.cancel()
