--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -1,7 +1,7 @@
-"""Tests of servers that send bytes which are no answer without end.
+"""Tests of servers whose bytes are no answer, or another one, or half of one.
 
-The servers send over real sockets. Each client has to end within a bound and
-hold little memory, also when many servers do so at once.
+The servers send over real sockets. If they send without end, each client has to
+end within a bound and hold little memory, also when many servers do so at once.
 """
 
 import contextlib
@@ -10,6 +10,8 @@
 import struct
 import tracemalloc
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import h11
 import pytest
@@ -58,6 +60,20 @@
 _MAX_HELD_BYTES = 8 << 20
 
 
+@contextlib.asynccontextmanager
+async def _serving(
+    serve: Callable[[trio.SocketStream], Awaitable[object]],
+) -> AsyncIterator[str]:
+    """Serves connections; yields the address."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(trio.serve_listeners, serve, listeners)
+        )
+        yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
+
+
 @contextlib.asynccontextmanager
 async def _endless_server(
     start: bytes, repeated: bytes, pause_s: float = 0.0
@@ -73,13 +89,8 @@
                     await stream.send_all(repeated)
                     await trio.sleep(pause_s)
 
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            functools.partial(trio.serve_listeners, serve, listeners)
-        )
-        yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-        nursery.cancel_scope.cancel()
+    async with _serving(serve) as address:
+        yield address
 
 
 def _make_call(
@@ -274,14 +285,9 @@
             await stream.send_all(answer)
             await trio.sleep_forever()
 
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            functools.partial(trio.serve_listeners, serve, listeners)
-        )
-        port = listeners[0].socket.getsockname()[1]
+    async with _serving(serve) as address:
         client = replica_client.Replicas()
-        listing = directory.Listing("r0", "s", f"127.0.0.1:{port}", "z", 1)
+        listing = directory.Listing("r0", "s", address, "z", 1)
 
         def work(request_id: str) -> runs.Work:
             headers = [(b"host", b"h.example")]
@@ -294,7 +300,6 @@
             async with client.open(listing, work("id-2"), 1_000):
                 pass
         assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
-        nursery.cancel_scope.cancel()
 
 
 _REFUSAL = (
@@ -329,14 +334,9 @@
         opened += 1
         await _refuse_all(stream, _REFUSAL % header)
 
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            functools.partial(trio.serve_listeners, serve, listeners)
-        )
-        port = listeners[0].socket.getsockname()[1]
+    async with _serving(serve) as address:
         client = replica_client.Replicas()
-        listing = directory.Listing("r0", "s", f"127.0.0.1:{port}", "z", 1)
+        listing = directory.Listing("r0", "s", address, "z", 1)
         headers = [(b"host", b"h.example")]
         for request_id in ("id-1", second_id):
             work = runs.Work(request_id, "POST", b"/p", headers, b"b", "kaje")
@@ -352,7 +352,6 @@
             if failure is not None:
                 assert opened == connections
                 assert failure.ran is base_errors.Ran.MAY_HAVE_RUN
-        nursery.cancel_scope.cancel()
 
 
 async def test_answer_that_breaks_off_is_never_complete() -> None:
@@ -413,13 +412,8 @@
                 linger = struct.pack("ii", 1, 0)
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            functools.partial(trio.serve_listeners, serve, listeners)
-        )
-        yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-        nursery.cancel_scope.cancel()
+    async with _serving(serve) as address:
+        yield address
 
 
 _UNFRAMED_HEAD = (
