Log the limits that replicas name

Cause: nothing shows whether a gateway knows the limit of a replica, so that the hypotheses on why replicas get more than their limits can't be told apart. Change: the adapter decodes the limit and hands it on with the other things that a replica says of itself, in one type; a change of it is a line of the log. Conclusion: no decision uses the limit yet.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -265,8 +265,7 @@
         )
         async with opening as run:
             now_ms = self._clock.now_ms()
-            if run.reported_in_flight >= 0:
-                slot.replica.note_reported_load(run.reported_in_flight, now_ms)
+            self._slots.fleet.note_notice(slot.replica, run.notice, now_ms)
             if run.refused:
                 self._raise_refusal(call, slot, progress, run)
             progress.attempts += 1
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -226,10 +226,9 @@
             # A reused connection may break because it was idle for too long.
             fresh=task.breaks > 0,
         ) as run:
-            if run.reported_in_flight >= 0:
-                slot.replica.note_reported_load(
-                    run.reported_in_flight, self._clock.now_ms()
-                )
+            self._slots.fleet.note_notice(
+                slot.replica, run.notice, self._clock.now_ms()
+            )
             if run.refused:
                 raise upstream_errors.RefusedError(
                     "the replica refused the run", run.status, b""
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 
 import h11
+import structlog
 import trio
 
 from lacewingwood import errors as base_errors
@@ -26,6 +27,9 @@
 _NOT_EXECUTED_HEADER = b"not-executed"
 # Numbers of running and of queued requests, separated by a comma.
 _LOAD_HEADER = b"server-load"
+# Requests a second, a decimal number, that the replica takes from all gateways
+# together; absent while it takes any number.
+_RATE_LIMIT_HEADER = b"server-limit"
 # The address now belongs to another replica than the expected one.
 _STATUS_MISDIRECTED = 421
 
@@ -63,6 +67,8 @@
     )
 )
 
+_log = structlog.get_logger()
+
 
 class Run:
     """One attempt at one replica; see `runs.Run`."""
@@ -72,8 +78,8 @@
         "_has_data",
         "headers",
         "misdirected",
+        "notice",
         "refused",
-        "reported_in_flight",
         "status",
     )
 
@@ -91,7 +97,10 @@
             exchange.header(_NOT_EXECUTED_HEADER) is not None
             or self.misdirected
         )
-        self.reported_in_flight = _parse_load(exchange.header(_LOAD_HEADER))
+        self.notice = runs.Notice(
+            _parse_load(exchange.header(_LOAD_HEADER)),
+            _parse_rate_limit(exchange.header(_RATE_LIMIT_HEADER)),
+        )
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
         """Returns the next chunk of the body; see `runs.Run`."""
@@ -226,3 +235,17 @@
         return int(parts[0]) + int(parts[1])
     except (IndexError, ValueError):
         return -1
+
+
+def _parse_rate_limit(value: bytes | None) -> float | None:
+    """Returns a limit in requests a second, None if there is none."""
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        limit = math.nan
+    if not math.isfinite(limit) or limit < 0:
+        _log.warning("malformed rate limit ignored", value=repr(value[:40]))
+        return None
+    return limit
--- a/lacewingwood/routing/directory.py
+++ b/lacewingwood/routing/directory.py
@@ -33,6 +33,11 @@
     started_ms: int = 0
     warming_ms: float = 0.0
 
+    @property
+    def incarnation(self) -> str:
+        """Identifies one start of the replica, also if it keeps its id."""
+        return f"{self.id}/{self.started_ms}"
+
 
 class Directory:
     """Listed replicas; retains entries that expire because of a store outage.
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -10,6 +10,7 @@
 
 from lacewingwood.routing import directory
 from lacewingwood.routing import outliers
+from lacewingwood.upstreams import runs
 
 # A peer's report is dropped if no newer one arrives within this time.
 _REPORT_TTL_MS = 2_000.0
@@ -53,6 +54,8 @@
         paused_until_ms: Before this time it is used only if no other replica
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
+        rate_limit: Requests a second that it last said it takes from all
+            gateways together, None for any number.
         outcomes: Recent outcomes of this gateway's requests.
         zone_outcomes: Recent outcomes reported by other gateways of this zone.
         other_zone_outcomes: Recent outcomes reported by gateways of other
@@ -67,6 +70,7 @@
     failures: int = 0
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
+    rate_limit: float | None = None
     outcomes: outliers.Outcomes = dataclasses.field(
         default_factory=outliers.Outcomes
     )
@@ -225,6 +229,21 @@
         """Returns all replicas."""
         return self._replicas.values()
 
+    def note_notice(
+        self, replica: Replica, notice: runs.Notice, now_ms: float
+    ) -> None:
+        """Records what a replica says of itself with a response."""
+        if notice.in_flight >= 0:
+            replica.note_reported_load(notice.in_flight, now_ms)
+        if notice.rate_limit != replica.rate_limit:
+            _log.info(
+                "replica rate limit",
+                replica=replica.listing.id,
+                rate=notice.rate_limit,
+                before=replica.rate_limit,
+            )
+            replica.rate_limit = notice.rate_limit
+
     def own_counts(self) -> dict[str, Counts]:
         """Returns this gateway's requests in flight, to report to its peers."""
         return {
--- a/lacewingwood/routing/quarantine.py
+++ b/lacewingwood/routing/quarantine.py
@@ -115,7 +115,7 @@
             work: The request.
             now_ms: Current time.
         """
-        crash = self._find_crash(f"{replica.id}/{replica.started_ms}", now_ms)
+        crash = self._find_crash(replica.incarnation, now_ms)
         digest = _digest(work)
         crash.own.add(digest)
         self._last_own_crash_ms = now_ms
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -37,6 +37,19 @@
     prompt: tuple[str, ...] = ()
 
 
+class Notice(msgspec.Struct, frozen=True):
+    """What a replica says of itself in the head of a response.
+
+    Attributes:
+        in_flight: Requests that it runs and queues, -1 if it states no number.
+        rate_limit: Requests a second that it takes from all gateways together,
+            None if it names no limit.
+    """
+
+    in_flight: int = -1
+    rate_limit: float | None = None
+
+
 class Run(Protocol):
     """One run at one replica, once the head of its response has arrived.
 
@@ -45,15 +58,14 @@
         headers: Response headers for the caller.
         refused: True if the replica states that it did not run the request.
         misdirected: True if another replica has this address now.
-        reported_in_flight: Requests that the replica states it runs and queues,
-            -1 if it states no number.
+        notice: What the replica says of itself.
     """
 
     status: int
     headers: Headers
     refused: bool
     misdirected: bool
-    reported_in_flight: int
+    notice: Notice
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
         """Returns the next piece of the body, empty at its end.
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -61,7 +61,7 @@
     """A scripted run."""
 
     misdirected = False
-    reported_in_flight = -1
+    notice = runs.Notice()
 
     def __init__(self, script: Script) -> None:
         self._chunks = list(script.chunks)
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -34,7 +34,7 @@
         self.status = status
         self.headers: runs.Headers = []
         self.refused = self.misdirected = False
-        self.reported_in_flight = -1
+        self.notice = runs.Notice()
         self._chunks = [b"id: 1\ndata: x\n\n", b""]
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
