Show that replicas get more requests than the limit that they name

Cause: not changed yet. Change: the stand-in of replicas names a limit; a test over three gateways counts what reaches it. It is no input to any decision, and a gateway that waits for its own response learns of it too late.

--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -308,6 +308,13 @@
                 runs += json.loads(body) if status == 200 else []
         return runs
 
+    def arrivals(self, replica: deployment.Process) -> list[float]:
+        """Returns the Unix times of all requests that a replica got."""
+        address = str(replica.info["address"])
+        status, body = call(address, "GET", "/arrivals")
+        times: list[float] = json.loads(body) if status == 200 else []
+        return times
+
     def stop(self) -> None:
         """Ends all processes that this fleet started."""
         for gateway in self.gateways:
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -27,6 +27,8 @@
         reject: Answer 422, which says that the request can never succeed.
         crash_part: Part of a prompt at which the process ends, empty for none;
             for all runs.
+        rate_limit: Requests a second that the replica says it takes, 0 for any
+            number; for all answers.
     """
 
     break_after: int = -1
@@ -35,6 +37,7 @@
     mute: bool = False
     reject: bool = False
     crash_part: str = ""
+    rate_limit: float = 0.0
 
 
 class Run(msgspec.Struct):
@@ -88,6 +91,7 @@
         settings: Settings of the replica.
         faults: Faults to show.
         runs: All runs so far.
+        arrivals: Unix time of each request so far that was for this replica.
         draining: True once the replica was told to drain.
     """
 
@@ -96,6 +100,7 @@
         self.settings = settings
         self.faults = Faults()
         self.runs: list[Run] = []
+        self.arrivals: list[float] = []
         self.draining = False
         self._slots = trio.Semaphore(settings.slots)
         self._waiting = 0
@@ -130,6 +135,8 @@
                 await request.answer_json(200, {})
             case "/runs":
                 await request.answer_json(200, self.runs)
+            case "/arrivals":
+                await request.answer_json(200, self.arrivals)
             case _:
                 await self._serve(request)
 
@@ -140,10 +147,13 @@
     async def _serve(self, request: server.Request) -> None:
         headers = request.headers
         echoed = {"request-id": headers.get("request-id", "")}
+        if self.faults.rate_limit:
+            echoed["server-limit"] = f"{self.faults.rate_limit:.1f}"
         expected = headers.get("expected-instance", self.id)
         if expected != self.id:
             await request.answer(421, headers={**echoed, "not-executed": "1"})
             return
+        self.arrivals.append(time.time())
         if self._waiting >= self.settings.queue:
             await request.answer(503, headers={**echoed, "not-executed": "1"})
             return
@@ -176,7 +186,7 @@
             faults.count -= 1
         first = int(headers.get("last-event-id", "0")) + 1
         run = Run(
-            echoed["request-id"],
+            headers.get("request-id", ""),
             headers.get("tenant-id", ""),
             first,
             first - 1,
@@ -209,7 +219,7 @@
                 return
             if show_fault and faults.mute and sent == 1:
                 await trio.sleep_forever()
-            text = f"{echoed['request-id']} {number}".encode()
+            text = f"{run.request_id} {number}".encode()
             await request.send(b"id: %d\ndata: %s\n\n" % (number, text))
             run.last = number
             await trio.sleep(self.settings.step_ms / 1000)
--- /dev/null
+++ b/tests/integration/test_replica_limits.py
@@ -0,0 +1,73 @@
+"""Tests of what replicas ask of a fleet of gateways with their responses."""
+
+import concurrent.futures
+import pathlib
+import time
+
+from devtools import fleet as fleets
+
+_HEADERS = {"Host": fleets.HOST, "Authorization": f"Bearer {fleets.KEY}"}
+_WINDOW_S = 4.0
+# The users allow this long for a new limit to take effect, and then half as
+# much again as the limit and five requests more in each window.
+_TAKES_EFFECT_S = 3.0
+
+
+def _send_for(gateway: fleets.Gateway, name: str, duration_s: float) -> int:
+    """Sends one stream after another; returns the number that succeeded."""
+    succeeded = sent = 0
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        sent += 1
+        headers = {
+            **_HEADERS,
+            "Request-Id": f"{name}-{sent}",
+            "Deadline-Ms": "5000",
+        }
+        status, _ = fleets.call(gateway.address, "POST", "/s/x", b"{}", headers)
+        succeeded += status == 200
+    return succeeded
+
+
+def _most_in_window(times: list[float]) -> int:
+    """Returns the largest number of times within `_WINDOW_S`."""
+    return max(
+        (
+            sum(start <= other < start + _WINDOW_S for other in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+def test_replicas_get_no_more_than_the_limit_they_name(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a limit that each gateway ignores or keeps for itself."""
+    limit = 2.0
+    with fleets.running(fleets.Shape(), tmp_path) as fleet:
+        limited = fleet.replicas[:2]
+        for replica in limited:
+            fleet.set_faults(replica, rate_limit=limit)
+        named_s = time.time()
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            sent = [
+                pool.submit(_send_for, gateway, f"r-{n}-{i}", 11.0)
+                for n, gateway in enumerate(fleet.gateways)
+                for i in range(2)
+            ]
+            served = sum(future.result() for future in sent)
+        counted = [
+            [
+                t
+                for t in fleet.arrivals(replica)
+                if t > named_s + _TAKES_EFFECT_S
+            ]
+            for replica in limited
+        ]
+    for times in counted:
+        assert _most_in_window(times) <= 1.5 * limit * _WINDOW_S + 5
+        # Half of what the replica takes is used meanwhile.
+        assert len(times) >= limit * 8 / 2
+    # What the limited replicas do not take, the third one runs.
+    assert served > 200
