Keep to the limits that replicas name, over all gateways

Callers saw nothing; replicas in trouble got up to five times what they said they take.

Cause: no decision used the limit that responses name. A gateway that reads it from its own responses learns of it up to 6.2 s late, and most send a limited replica less than one request a second, so it can't be kept by each alone. Change: gateways tell each other the newest limit of a replica and what they have sent there; whoever gives a slot (dispatcher or coordinator) asks and counts in the same shared buckets as customers' rates use. A request that limits rule out until its deadline is refused at once. Reports leave out empty fields.

--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -1,4 +1,4 @@
-"""Customers' rate limits, shared by all gateways.
+"""Rate limits of customers and of replicas, shared by all gateways.
 
 Each gateway keeps a token bucket per customer. The bucket is refilled at the
 customer's whole rate and drained by the gateway's own admissions and by those
@@ -59,6 +59,7 @@
     __slots__ = (
         "_buckets",
         "_burst_tolerance",
+        "_counts_first_report",
         "_rate_tolerance",
         "_reported",
         "levels_known",
@@ -66,7 +67,10 @@
     )
 
     def __init__(
-        self, rate_tolerance: float = 0.0, burst_tolerance: float = 0.0
+        self,
+        rate_tolerance: float = 0.0,
+        burst_tolerance: float = 0.0,
+        counts_first_report: bool = False,
     ) -> None:
         """Creates limits without customers.
 
@@ -78,9 +82,13 @@
             rate_tolerance: Share by which rate and burst may be exceeded.
             burst_tolerance: Number of requests that may be admitted on top of
                 that.
+            counts_first_report: True if the count of a peer that was not heard
+                of before is all taken from the bucket. This suits limits that
+                come into being while requests run.
         """
         self._rate_tolerance = rate_tolerance * _TOLERANCE_SHARE
         self._burst_tolerance = burst_tolerance * _TOLERANCE_SHARE
+        self._counts_first_report = counts_first_report
         self.levels_known = False
         self.share = 1.0
         self._buckets: dict[str, _Bucket] = {}
@@ -95,11 +103,18 @@
         if bucket.level < 1:
             wait_ms = (1 - bucket.level) / (bucket.rate * self.share) * 1000
             return max(wait_ms, _MIN_RETRY_AFTER_MS)
-        bucket.level -= 1
-        bucket.admitted += 1
-        bucket.admitted_ms = now_ms
+        self.note_admission(customer, now_ms)
         return None
 
+    def note_admission(self, name: str, now_ms: float) -> None:
+        """Takes a token for a request that was admitted."""
+        bucket = self._buckets.get(name)
+        if bucket is not None and bucket.rate > 0:
+            self._refill(bucket, now_ms)
+            bucket.level -= 1
+            bucket.admitted += 1
+            bucket.admitted_ms = now_ms
+
     def configure(
         self, rates: Mapping[str, tuple[float, float]], now_ms: float
     ) -> None:
@@ -109,19 +124,32 @@
         fleet admitted before this process started or received the customer's
         configuration are not known.
         """
-        factor = 1 + self._rate_tolerance
         for customer in [c for c in self._buckets if c not in rates]:
-            del self._buckets[customer]
+            self.remove(customer)
         for customer, (agreed_rate, agreed_burst) in rates.items():
-            rate = agreed_rate * factor
-            burst = agreed_burst * factor + self._burst_tolerance
-            bucket = self._buckets.get(customer)
-            if bucket is None:
-                initial_level = self._burst_tolerance * _TOLERANCE_SHARE
-                bucket = _Bucket(rate, burst, initial_level, now_ms)
-                self._buckets[customer] = bucket
-            self._refill(bucket, now_ms)
-            bucket.rate, bucket.burst = rate, burst
+            self.set_rate(customer, agreed_rate, agreed_burst, now_ms)
+
+    def set_rate(
+        self, name: str, agreed_rate: float, agreed_burst: float, now_ms: float
+    ) -> None:
+        """Sets a rate per second, 0 for no limit, and a burst.
+
+        Admissions are counted only while there is a limit.
+        """
+        factor = 1 + self._rate_tolerance
+        rate = agreed_rate * factor
+        burst = agreed_burst * factor + self._burst_tolerance
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            initial_level = self._burst_tolerance * _TOLERANCE_SHARE
+            bucket = _Bucket(rate, burst, initial_level, now_ms)
+            self._buckets[name] = bucket
+        self._refill(bucket, now_ms)
+        bucket.rate, bucket.burst = rate, burst
+
+    def remove(self, name: str) -> None:
+        """Removes a bucket with its count."""
+        self._buckets.pop(name, None)
 
     def has_customer_near_limit(self) -> bool:
         """Returns whether a customer of this gateway is near its limit."""
@@ -131,10 +159,19 @@
             if b.rate > 0
         )
 
-    def level(self, customer: str) -> float | None:
-        """Returns a customer's tokens, None if it has no bucket."""
+    def level(self, customer: str, now_ms: float | None = None) -> float | None:
+        """Returns a customer's tokens, None if it has no bucket.
+
+        Args:
+            customer: The customer.
+            now_ms: Present time, None for the tokens at the last change.
+        """
         bucket = self._buckets.get(customer)
-        return bucket.level if bucket else None
+        if bucket is None:
+            return None
+        if now_ms is not None:
+            self._refill(bucket, now_ms)
+        return bucket.level
 
     def recent_admissions(self, now_ms: float) -> dict[str, int]:
         """Returns recently changed counts of admissions, for the peers."""
@@ -186,7 +223,8 @@
             )
             self._reported[node] = started_ms, known_counts
         for customer, count in admitted.items():
-            known_count = known_counts.get(customer, count)
+            first_count = 0 if self._counts_first_report else count
+            known_count = known_counts.get(customer, first_count)
             known_counts[customer] = max(count, known_count)
             new_admissions = count - known_count
             bucket = self._buckets.get(customer)
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -27,6 +27,7 @@
     running: dict[str, tuple[int, int]] = {}
     outcomes: dict[str, tuple[int, int]] = {}
     crash_report = gateway_messages.CrashReport([], {})
+    limits: dict[str, gateway_messages.ReplicaLimit] = {}
     urgent = False
     for report in reports:
         urgent |= report.urgent
@@ -39,8 +40,12 @@
                 report.version,
                 report.admitted,
                 report.owned,
+                report.sent,
             )
         )
+        for replica, limit in report.replica_limits.items():
+            if replica not in limits or limit.age_ms < limits[replica].age_ms:
+                limits[replica] = limit
         _add_counts(running, report.running)
         _add_counts(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
@@ -53,6 +58,7 @@
         outcomes,
         urgent,
         crash_report if crash_report.begun or crash_report.crashes else None,
+        limits,
     )
 
 
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -33,7 +33,19 @@
     begun: dict[str, float]
 
 
-class GatewayReport(messages.Message, tag="gateway_report"):
+class ReplicaLimit(msgspec.Struct, array_like=True):
+    """How many requests a replica takes from all gateways together.
+
+    Attributes:
+        rate: Requests a second, None for any number.
+        age_ms: Time since the response that told it.
+    """
+
+    rate: float | None
+    age_ms: float
+
+
+class GatewayReport(messages.Message, tag="gateway_report", omit_defaults=True):
     """State of a gateway that it reports to its peers at short intervals.
 
     Attributes:
@@ -56,6 +68,10 @@
         urgent: True if hubs must forward the report without delay.
         crash_report: What it knows of recent crashes of replicas, None if
             there were none.
+        replica_limits: Limits that replicas named to it recently, by replica
+            and start.
+        sent: Requests that it has sent to replicas with a limit; holds only
+            replicas whose count changed recently.
     """
 
     host: str
@@ -73,6 +89,8 @@
     standby: bool = False
     urgent: bool = False
     crash_report: CrashReport | None = None
+    replica_limits: dict[str, ReplicaLimit] = {}
+    sent: dict[str, int] = {}
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -85,6 +103,8 @@
         admitted: Requests admitted since the start, by customer; holds only
             customers whose count changed recently.
         owned: Epochs of the job partitions that the gateway owns.
+        sent: Requests that it has sent to replicas with a limit; holds only
+            replicas whose count changed recently.
     """
 
     host: str
@@ -92,9 +112,10 @@
     version: int
     admitted: dict[str, int]
     owned: dict[int, int]
+    sent: dict[str, int] = {}
 
 
-class ZoneDigest(messages.Message, tag="zone_digest"):
+class ZoneDigest(messages.Message, tag="zone_digest", omit_defaults=True):
     """Summary of the reports of one zone's gateways, for other zones.
 
     Attributes:
@@ -108,6 +129,7 @@
         outcomes: Recent outcomes of the zone's requests, by replica.
         urgent: True if one of the summarized reports is urgent.
         crash_report: What the zone knows of recent crashes of replicas.
+        replica_limits: Limits that replicas named to the zone recently.
     """
 
     zone: str
@@ -119,6 +141,7 @@
     outcomes: dict[str, tuple[int, int]] = {}
     urgent: bool = False
     crash_report: CrashReport | None = None
+    replica_limits: dict[str, ReplicaLimit] = {}
 
 
 class ZoneReports(messages.Message, tag="zone_reports"):
@@ -148,12 +171,14 @@
         replicas: Encoded entries of the replicas, by replica id.
         levels: Tokens in the customers' buckets, by customer.
         crash_report: What the gateway knows of crashes of replicas.
+        replica_limits: The limits of replicas that it knows.
     """
 
     document: bytes
     replicas: dict[str, bytes]
     levels: dict[str, float]
     crash_report: CrashReport | None = None
+    replica_limits: dict[str, ReplicaLimit] = {}
 
 
 class JobRead(messages.Message, tag="job_read"):
--- a/lacewingwood/peers/roster.py
+++ b/lacewingwood/peers/roster.py
@@ -187,6 +187,15 @@
         )
         return before < math.ceil(count / len(zones))
 
+    def rank(self) -> tuple[int, int]:
+        """Returns this gateway's rank among the live ones.
+
+        Returns:
+            Its position in the order of their hosts, from 0, and their number.
+        """
+        hosts = [peer.host for peer in self.live_peers()]
+        return sum(host < self.host for host in hosts), len(hosts) + 1
+
     def batch_rank(self) -> tuple[int, int]:
         """Returns this gateway's rank among those with waiting batch items.
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -22,6 +22,7 @@
 from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.jobs import service as job_service
+from lacewingwood.limits import replica_limits
 from lacewingwood.limits import shared
 from lacewingwood.log import compacted
 from lacewingwood.log import follow
@@ -136,7 +137,12 @@
         )
         self._shards = shards_lib.ShardMap()
         self._slot_server = slot_server.SlotServer(
-            self._shards, self._network, cfg.host, self._clock, self._metrics
+            self._shards,
+            self._fleet.limits,
+            self._network,
+            cfg.host,
+            self._clock,
+            self._metrics,
         )
         self._slots = slot_client.SlotClient(
             self._dispatcher,
@@ -212,6 +218,7 @@
         self._app = ingress.Ingress(gateway, jobs, self._clock, self._metrics)
         self._dispatcher.on_change = self._presence.schedule_report
         self._dispatcher.counts_lag = lambda: self._presence.uses_hubs
+        self._dispatcher.stagger_s = self._stagger_s
         self._slots.coordinated = lambda: self._presence.uses_hubs
         self._slots.on_batch_slot = self._scheduler.start_one
         self._slots.on_preempt = self._scheduler.preempt_one
@@ -319,7 +326,8 @@
             self._fleet.log_standings(now_ms)
             if self._fleet.directory.expire(now_ms):
                 self._fleet.refresh()
-            self._limits.share = self._roster.reachable_share()
+            share = self._roster.reachable_share()
+            self._limits.share = self._fleet.limits.share = share
             listed = {r.listing.address for r in self._fleet.all()}
             await self._replicas.keep_only(listed)
             await self._clock.sleep_ms(_UPKEEP_INTERVAL_MS)
@@ -381,9 +389,11 @@
 
     def _has_urgent_news(self) -> bool:
         """Returns whether other gateways need this one's report at once."""
+        now_ms = self._clock.now_ms()
         return (
             self._limits.has_customer_near_limit()
-            or self._quarantine.is_urgent(self._clock.now_ms())
+            or self._quarantine.is_urgent(now_ms)
+            or self._fleet.limits.is_urgent(now_ms)
         )
 
     def _make_owner(
@@ -435,6 +445,10 @@
         self._limits.note_report(
             report.host, report.started_ms, report.admitted, now_ms
         )
+        self._fleet.limits.note_limits(report.replica_limits, now_ms)
+        self._fleet.limits.note_report(
+            report.host, report.started_ms, report.sent, now_ms
+        )
         if report.crash_report is not None:
             self._quarantine.note_report(report.crash_report, now_ms)
 
@@ -447,9 +461,12 @@
             digest.outcomes,
             same_zone=False,
         )
+        self._fleet.limits.note_limits(digest.replica_limits, now_ms)
         for counts in digest.hosts:
-            self._limits.note_report(
-                counts.host, counts.started_ms, counts.admitted, now_ms
+            host, started_ms = counts.host, counts.started_ms
+            self._limits.note_report(host, started_ms, counts.admitted, now_ms)
+            self._fleet.limits.note_report(
+                host, started_ms, counts.sent, now_ms
             )
         if digest.crash_report is not None:
             self._quarantine.note_report(digest.crash_report, now_ms)
@@ -468,8 +485,14 @@
             log_age_ms=self._log_age_ms(),
             waiting=self._scheduler.counts[0],
             crash_report=self._quarantine.report(now_ms),
+            replica_limits=self._fleet.limits.report(now_ms),
+            sent=self._fleet.limits.recently_sent(now_ms),
         )
 
+    def _stagger_s(self) -> float:
+        position, count = self._roster.rank()
+        return replica_limits.stagger_s(position, count, _wall_ms())
+
     def _log_age_ms(self) -> float:
         answer_ms = max(f.last_answer_ms for f in self._followers)
         return self._clock.now_ms() - answer_ms
@@ -512,6 +535,7 @@
             "owned": self._ownership.epochs(),
             "coordinated": self._slot_server.dump(),
             "quarantined": self._quarantine.dump(now_ms),
+            "replica_limits": self._fleet.limits.dump(now_ms),
             "replicas": {
                 replica.listing.id: {
                     "own": list(replica.own_counts),
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -16,6 +16,7 @@
 import random
 from collections.abc import Callable
 
+from lacewingwood.limits import replica_limits
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 
@@ -123,6 +124,7 @@
 
     __slots__ = (
         "_failures",
+        "_limits",
         "_paused_ms",
         "_replicas_of",
         "_rng",
@@ -133,15 +135,18 @@
     def __init__(
         self,
         replicas_of: Callable[[str], list[load.Replica]],
+        limits: replica_limits.ReplicaLimits | None = None,
         rng: random.Random | None = None,
     ) -> None:
         """Creates a coordinator without tickets.
 
         Args:
             replicas_of: Returns the replicas of a shard.
+            limits: Rates at which replicas take requests.
             rng: Breaks ties between replicas.
         """
         self._replicas_of = replicas_of
+        self._limits = limits or replica_limits.ReplicaLimits()
         self._rng = rng or random.Random()
         self._shards: dict[str, _Shard] = {}
         self._tickets: dict[TicketId, Ticket] = {}
@@ -162,7 +167,11 @@
         granted = state.granted.values() if state is not None else ()
         online = sum(not ticket.is_batch for ticket in granted)
         replicas = self._usable(self._replicas_of(shard), now_ms)
-        slots = sum(replica.slots for replica in replicas)
+        slots = sum(
+            replica.slots
+            for replica in replicas
+            if self._may_send(replica, now_ms)
+        )
         return slots - online
 
     def ask(self, ticket: Ticket, now_ms: float) -> tuple[str, list[Decision]]:
@@ -312,6 +321,7 @@
                 continue
             shard.waiting.remove(ticket)
             self._grant(ticket, replica.listing.id, now_ms)
+            self._limits.note_sent(replica.listing.incarnation, now_ms)
             busy[replica.listing.id] = busy.get(replica.listing.id, 0) + 1
             decisions.append(Grant(ticket))
         return decisions
@@ -342,6 +352,7 @@
             replica
             for replica in self._usable(replicas, now_ms)
             if replica.listing.id not in req.exclude
+            and self._may_send(replica, now_ms, ticket.is_batch)
         ]
         if ticket.is_batch and not req.urgent:
             free = sum(
@@ -361,7 +372,12 @@
                 return min(
                     free_replicas,
                     key=lambda r: (
-                        busy.get(r.listing.id, 0) / r.slots,
+                        max(
+                            busy.get(r.listing.id, 0) / r.slots,
+                            self._limits.used_share(
+                                r.listing.incarnation, now_ms
+                            ),
+                        ),
                         self._rng.random(),
                     ),
                 )
@@ -376,6 +392,13 @@
             r for r in staying if not self._is_paused(r.listing.id, now_ms)
         ] or staying
 
+    def _may_send(
+        self, replica: load.Replica, now_ms: float, batch: bool = False
+    ) -> bool:
+        """Returns whether a replica's own limit allows another request."""
+        incarnation = replica.listing.incarnation
+        return self._limits.may_send(incarnation, now_ms, batch)
+
     def _is_paused(self, replica_id: str, now_ms: float) -> bool:
         return self._paused_ms.get(replica_id, 0.0) > now_ms
 
@@ -392,7 +415,9 @@
         is the newest, which has done the least work.
         """
         usable = {
-            r.listing.id for r in self._usable(replicas, now_ms)
+            r.listing.id
+            for r in self._usable(replicas, now_ms)
+            if self._may_send(r, now_ms)
         } - ticket.req.exclude
         candidates = [
             t
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -38,6 +38,10 @@
 # more candidate from any zone balances load between zones.
 _RANDOM_CANDIDATES = 2
 _RANDOM_CANDIDATES_ANY_ZONE = 1
+# How much longer than coordinators a gateway with late counts waits for each
+# request to a replica that limits them. Nearly all that it may send at once, so
+# that it uses only what others leave.
+_LAGGING_STAGGER_S = 0.6
 # Interval at which waiting requests are served even without an event in this
 # process, as peers' reports and the end of a replica's pause also free slots.
 _POLL_INTERVAL_MS = 20.0
@@ -125,6 +129,8 @@
         fleet: The replicas and their load.
         on_change: Called when this gateway's counts have changed.
         counts_lag: Returns whether peers' counts may be some requests behind.
+        stagger_s: Returns how much longer than others this gateway waits for
+            each request to a replica that limits them.
     """
 
     __slots__ = (
@@ -136,6 +142,7 @@
         "counts_lag",
         "fleet",
         "on_change",
+        "stagger_s",
     )
 
     def __init__(
@@ -149,6 +156,7 @@
         self.fleet = fleet
         self.on_change = lambda: None
         self.counts_lag: Callable[[], bool] = lambda: False
+        self.stagger_s: Callable[[], float] = lambda: 0.0
         self._zone = zone
         self._clock = clock
         self._metrics = metrics
@@ -172,12 +180,19 @@
     def try_acquire(self, req: SlotRequest) -> Slot | None:
         """Returns a slot if one is free now."""
         replica = self._choose_replica(req)
-        return self.assign(replica, req.work) if replica else None
+        if replica is None:
+            return None
+        now_ms = self._clock.now_ms()
+        self.fleet.limits.note_sent(replica.listing.incarnation, now_ms)
+        return self.assign(replica, req.work)
 
     async def acquire(self, req: SlotRequest) -> Slot | None:
         """Waits for a slot; returns None if the deadline passes first."""
         if not self._waiting and (slot := self.try_acquire(req)):
             return slot
+        if self._is_hopeless(req):
+            self._metrics.add("slots_hopeless")
+            return None
         waiter = _Waiter(req, trio.Event())
         self._waiting.append(waiter)
         started_ms = self._clock.now_ms()
@@ -234,6 +249,28 @@
         )
         return min(replica.batch(), occupied + reserve - replica.slots)
 
+    def _is_hopeless(self, req: SlotRequest) -> bool:
+        """Returns whether limited replicas can't run a request in time.
+
+        That is certain if the requests that wait before it at this gateway are
+        more than all usable replicas take until its deadline.
+        """
+        now_ms = self._clock.now_ms()
+        limits = self.fleet.limits
+        usable = [r.listing.incarnation for r in self._usable(req)]
+        if not usable or any(limits.rate(name) is None for name in usable):
+            return False
+        left_ms = req.deadline_ms - now_ms
+        key = waiting_key(req, now_ms)
+        before = sum(
+            waiter.req.service == req.service
+            and waiting_key(waiter.req, now_ms) <= key
+            for waiter in self._waiting
+        )
+        return before + 1 > sum(
+            limits.expected(name, now_ms, left_ms) for name in usable
+        )
+
     async def _wait(self, waiter: _Waiter) -> None:
         while not waiter.ready.is_set():
             with trio.move_on_after(_POLL_INTERVAL_MS / 1000):
@@ -249,23 +286,29 @@
 
     def _choose_replica(self, req: SlotRequest) -> load.Replica | None:
         now_ms = self._clock.now_ms()
-        usable = [
-            r
-            for r in self.fleet.of_service(req.service)
-            if not r.listing.leaving and r.listing.id not in req.exclude
-        ]
+        usable = self._usable(req)
         # Failures alone must not make all replicas of a service unusable.
         for tier in tiers(usable, req, now_ms):
             if replica := self._least_busy(tier, req, now_ms):
                 return replica
         return None
 
+    def _usable(self, req: SlotRequest) -> list[load.Replica]:
+        return [
+            r
+            for r in self.fleet.of_service(req.service)
+            if not r.listing.leaving and r.listing.id not in req.exclude
+        ]
+
     def _least_busy(
         self, replicas: list[load.Replica], req: SlotRequest, now_ms: float
     ) -> load.Replica | None:
         reserve = self._reserve(req)
         available = [
-            r for r in replicas if _has_free_slot(r, req, reserve, now_ms)
+            r
+            for r in replicas
+            if _has_free_slot(r, req, reserve, now_ms)
+            and self._may_send(r, req, now_ms)
         ]
         if not available:
             return None
@@ -273,6 +316,19 @@
             available = self._draw_candidates(available, req.work)
         return min(available, key=lambda r: self._load_key(r, now_ms))
 
+    def _may_send(
+        self, replica: load.Replica, req: SlotRequest, now_ms: float
+    ) -> bool:
+        """Returns whether a replica's own limit allows another request."""
+        limits = self.fleet.limits
+        incarnation = replica.listing.incarnation
+        if limits.rate(incarnation) is None:
+            return True
+        lag = self.counts_lag()
+        stagger_s = _LAGGING_STAGGER_S if lag else self.stagger_s()
+        batch = req.work is load.WorkKind.BATCH
+        return limits.may_send(incarnation, now_ms, batch, stagger_s)
+
     def _reserve(self, req: SlotRequest) -> int:
         """Returns the slots that batch work must leave free on a replica."""
         if self.counts_lag():
@@ -311,7 +367,12 @@
         self, replica: load.Replica, now_ms: float
     ) -> tuple[float, bool, float]:
         busy = replica.in_flight(now_ms) / replica.slots
-        return busy, replica.listing.zone != self._zone, self._rng.random()
+        # Requests that a replica still takes are kept for a burst as long as
+        # others have slots.
+        limits = self.fleet.limits
+        used = limits.used_share(replica.listing.incarnation, now_ms)
+        is_far = replica.listing.zone != self._zone
+        return max(busy, used), is_far, self._rng.random()
 
 
 def tiers(
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from lacewingwood.limits import replica_limits
 from lacewingwood.routing import directory
 from lacewingwood.routing import outliers
 from lacewingwood.upstreams import runs
@@ -54,8 +55,6 @@
         paused_until_ms: Before this time it is used only if no other replica
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
-        rate_limit: Requests a second that it last said it takes from all
-            gateways together, None for any number.
         outcomes: Recent outcomes of this gateway's requests.
         zone_outcomes: Recent outcomes reported by other gateways of this zone.
         other_zone_outcomes: Recent outcomes reported by gateways of other
@@ -70,7 +69,6 @@
     failures: int = 0
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
-    rate_limit: float | None = None
     outcomes: outliers.Outcomes = dataclasses.field(
         default_factory=outliers.Outcomes
     )
@@ -180,6 +178,7 @@
 
     Attributes:
         directory: Directory that provides the listings.
+        limits: Rates at which replicas take requests.
         on_replicas: Called with all replicas when one was added, removed or
             listed anew.
     """
@@ -189,6 +188,7 @@
         "_replicas",
         "_reports",
         "directory",
+        "limits",
         "on_replicas",
     )
 
@@ -196,6 +196,7 @@
         self.on_replicas: Callable[[Iterable[Replica]], None]
         self.on_replicas = lambda replicas: None
         self.directory = directory.Directory()
+        self.limits = replica_limits.ReplicaLimits()
         self._replicas: dict[str, Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._reports: dict[str, _Report] = {}
@@ -235,14 +236,9 @@
         """Records what a replica says of itself with a response."""
         if notice.in_flight >= 0:
             replica.note_reported_load(notice.in_flight, now_ms)
-        if notice.rate_limit != replica.rate_limit:
-            _log.info(
-                "replica rate limit",
-                replica=replica.listing.id,
-                rate=notice.rate_limit,
-                before=replica.rate_limit,
-            )
-            replica.rate_limit = notice.rate_limit
+        self.limits.note_response(
+            replica.listing.incarnation, notice.rate_limit, now_ms
+        )
 
     def own_counts(self) -> dict[str, Counts]:
         """Returns this gateway's requests in flight, to report to its peers."""
@@ -303,7 +299,8 @@
         self._apply_report(report, 1)
 
     def expire(self, now_ms: float) -> None:
-        """Drops reports that have not been replaced for `_REPORT_TTL_MS`."""
+        """Drops reports and limits that have not been renewed in time."""
+        self.limits.expire(now_ms)
         limit_ms = now_ms - _REPORT_TTL_MS
         for node in [n for n, r in self._reports.items() if r.at_ms < limit_ms]:
             self.forget(node)
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -5,6 +5,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.limits import replica_limits
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import messages
 from lacewingwood.peers import network as network_lib
@@ -32,6 +33,7 @@
     def __init__(
         self,
         shard_map: shards_lib.ShardMap,
+        limits: replica_limits.ReplicaLimits,
         network: network_lib.Network,
         host: str,
         clock: clocks.Clock,
@@ -42,7 +44,7 @@
         self._host = host
         self._clock = clock
         self._metrics = metrics
-        self._coordinator = coordinators.Coordinator(shard_map.replicas)
+        self._coordinator = coordinators.Coordinator(shard_map.replicas, limits)
         self._addresses: dict[str, str] = {}
         self._shards: set[str] = set()
         self._asked = trio.Event()
--- a/lacewingwood/state/peer_copy.py
+++ b/lacewingwood/state/peer_copy.py
@@ -102,18 +102,20 @@
             self._published.apply_if_newer(answer.document, "peer")
         if self._published.current is not None and answer.levels:
             self._limits.init_levels(answer.levels, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._fleet.limits.note_limits(answer.replica_limits, now_ms)
         if answer.crash_report is not None:
-            self._quarantine.note_report(
-                answer.crash_report, self._clock.now_ms()
-            )
+            self._quarantine.note_report(answer.crash_report, now_ms)
         return True
 
     async def _on_fetch_configuration(
         self, request: gateway_messages.FetchConfiguration
     ) -> gateway_messages.ConfigurationCopy:
+        now_ms = self._clock.now_ms()
         return gateway_messages.ConfigurationCopy(
             self._published.document,
             self._replicas.entries,
             self._limits.levels(),
-            self._quarantine.copy(self._clock.now_ms()),
+            self._quarantine.copy(now_ms),
+            self._fleet.limits.copy(now_ms),
         )
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -179,6 +179,7 @@
         self.dispatcher.counts_lag = lambda: True
         self.server = slot_server.SlotServer(
             shard_map,
+            own.limits,
             network,  # type: ignore[arg-type]
             host,
             clock,
--- /dev/null
+++ b/tests/routing/test_coordinator.py
@@ -0,0 +1,84 @@
+"""Tests of a coordinator's grants to many gateways."""
+
+import random
+
+from lacewingwood.limits import replica_limits
+from lacewingwood.routing import coordinator as coordinators
+from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+
+_SHARD = "s/z/0"
+
+
+def _ask(
+    coordinator: coordinators.Coordinator,
+    number: int,
+    now_ms: float,
+    work: load.WorkKind = load.WorkKind.ONLINE,
+    may_preempt: bool = False,
+) -> str:
+    """Returns the replica that a new ticket is granted, empty if it waits."""
+    req = dispatchers.SlotRequest(
+        "s", work, arrived_ms=now_ms, objective_ms=2_000
+    )
+    ticket = coordinators.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
+    return coordinator.ask(ticket, now_ms)[0]
+
+
+def _make(
+    limits: replica_limits.ReplicaLimits, replicas: int = 1
+) -> coordinators.Coordinator:
+    listings = [
+        directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", "z", 8)
+        for n in range(replicas)
+    ]
+    listed = [load.Replica(listing) for listing in listings]
+    return coordinators.Coordinator(
+        lambda shard: listed, limits, random.Random(1)
+    )
+
+
+def test_grants_keep_to_a_replicas_limit() -> None:
+    """Guards against a limit that hundreds of gateways exceed together."""
+    limits = replica_limits.ReplicaLimits()
+    coordinator = _make(limits)
+    limits.note_response("r0/0", 2.0, 0)
+    granted = 0
+    for number, now_ms in enumerate(range(0, 20_000, 50)):
+        granted += _ask(coordinator, number, now_ms) != ""
+        coordinator.release((f"g{number}", number), now_ms)
+    assert 38 <= granted <= 44
+
+
+def test_waiting_request_is_granted_once_the_limit_allows_it() -> None:
+    """Guards against requests that wait although their replica takes one."""
+    limits = replica_limits.ReplicaLimits()
+    coordinator = _make(limits)
+    limits.note_response("r0/0", 1.0, 0)
+    assert not _ask(coordinator, 1, 0)
+    assert not coordinator.expire(500)
+    assert len(coordinator.expire(1_000)) == 1
+
+
+def test_no_item_is_stopped_at_a_replica_that_takes_no_request() -> None:
+    """Guards against items that are stopped for nothing."""
+    limits = replica_limits.ReplicaLimits()
+    coordinator = _make(limits)
+    for number in range(8):
+        _ask(coordinator, number, 0, load.WorkKind.BATCH)
+    limits.note_response("r0/0", 1.0, 0)
+    assert not _ask(coordinator, 100, 0, may_preempt=True)
+    counts = coordinator.counts()[_SHARD]
+    assert counts[0] > 0
+    assert coordinator.expire(100) == []
+
+
+def test_unlimited_replica_gets_what_a_limited_one_does_not_take() -> None:
+    """Guards against a limit of one replica that slows its whole shard."""
+    limits = replica_limits.ReplicaLimits()
+    coordinator = _make(limits, replicas=2)
+    limits.note_response("r0/0", 1.0, 0)
+    granted = [_ask(coordinator, number, 0) for number in range(8)]
+    assert granted == ["r1"] * 8
+    assert coordinator.free_slots(_SHARD, 0) == 0
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -3,12 +3,15 @@
 import random
 
 import trio
+import trio.testing
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.upstreams import runs
+from tests.routing import fleets
 
 ONLINE, BATCH = load.WorkKind.ONLINE, load.WorkKind.BATCH
 
@@ -321,3 +324,59 @@
     assert dispatcher.excess_batch_items(replica, urgent=True) == -1
     replica.note_reported_load(11, clock.now_ms())
     assert dispatcher.excess_batch_items(replica, urgent=True) == 3
+
+
+def _limit(dispatcher: dispatchers.Dispatcher, name: str, rate: float) -> None:
+    """Lets a replica name a limit, of which one request is left."""
+    replica = dispatcher.fleet.get(name)
+    assert replica is not None
+    notice = runs.Notice(rate_limit=rate)
+    dispatcher.fleet.note_notice(replica, notice, -1_000 / rate)
+
+
+def test_limited_replica_leaves_requests_to_others() -> None:
+    """Guards against unused replicas beside one that takes few requests."""
+    dispatcher = make(slots=8)
+    _limit(dispatcher, "r0", 1.0)
+    slots = [
+        dispatcher.try_acquire(_request(objective_ms=300)) for _ in range(8)
+    ]
+    names = [slot.replica.listing.id for slot in slots if slot]
+    assert sorted(names) == ["r0"] + ["r1"] * 7
+
+
+def test_each_request_to_a_limited_replica_counts_once() -> None:
+    """Guards against retries, items and resumed streams beyond the limit."""
+    clock = clocks.ManualClock()
+    dispatcher = make(replicas=1, slots=8, clock=clock)
+    _limit(dispatcher, "r0", 2.0)
+    taken = 0
+    for _ in range(100):
+        if slot := dispatcher.try_acquire(_request()):
+            taken += 1
+            dispatcher.release(slot)
+        clock.advance(100)
+    assert 19 <= taken <= 22
+
+
+async def test_request_that_limits_rule_out_is_refused_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against waiting for a deadline that can't be met."""
+    clock = fleets.Clock()
+    dispatcher = make(replicas=1, slots=8, clock=clock)
+    _limit(dispatcher, "r0", 0.5)
+    waits: list[float] = []
+
+    async def acquire() -> None:
+        started_ms = clock.now_ms()
+        req = _request(deadline_ms=started_ms + 6_000)
+        if await dispatcher.acquire(req) is None:
+            waits.append(clock.now_ms() - started_ms)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(12):
+            nursery.start_soon(acquire)
+            await trio.testing.wait_all_tasks_blocked()
+    # One request every 2 s can be served, with one at once.
+    assert sum(wait == 0 for wait in waits) >= 7
