Send nothing new to replicas that say in responses that they leave

Cause: a replica that leaves says so in all its responses, which the adapter did not read; some never say so in the store. Change: the gateway that gets such a response uses the replica no more, and tells the others. It is remembered by the replica's start, also while its entry lapses.

--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -28,6 +28,7 @@
     outcomes: dict[str, tuple[int, int]] = {}
     crash_report = gateway_messages.CrashReport([], {})
     limits: dict[str, gateway_messages.ReplicaLimit] = {}
+    leaving: set[str] = set()
     urgent = False
     for report in reports:
         urgent |= report.urgent
@@ -46,6 +47,7 @@
         for replica, limit in report.replica_limits.items():
             if replica not in limits or limit.age_ms < limits[replica].age_ms:
                 limits[replica] = limit
+        leaving.update(report.leaving_replicas)
         _add_counts(running, report.running)
         _add_counts(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
@@ -59,6 +61,7 @@
         urgent,
         crash_report if crash_report.begun or crash_report.crashes else None,
         limits,
+        sorted(leaving),
     )
 
 
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -72,6 +72,8 @@
             and start.
         sent: Requests that it has sent to replicas with a limit; holds only
             replicas whose count changed recently.
+        leaving_replicas: Replicas, by replica and start, that told it recently
+            that they take no new work.
     """
 
     host: str
@@ -91,6 +93,7 @@
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
     sent: dict[str, int] = {}
+    leaving_replicas: list[str] = []
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -130,6 +133,8 @@
         urgent: True if one of the summarized reports is urgent.
         crash_report: What the zone knows of recent crashes of replicas.
         replica_limits: Limits that replicas named to the zone recently.
+        leaving_replicas: Replicas that told the zone recently that they take no
+            new work.
     """
 
     zone: str
@@ -142,6 +147,7 @@
     urgent: bool = False
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
+    leaving_replicas: list[str] = []
 
 
 class ZoneReports(messages.Message, tag="zone_reports"):
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -30,6 +30,8 @@
 # Requests a second, a decimal number, that the replica takes from all gateways
 # together; absent while it takes any number.
 _RATE_LIMIT_HEADER = b"server-limit"
+# "1" in all responses of a replica that is about to end.
+_LEAVING_HEADER = b"server-leaving"
 # The address now belongs to another replica than the expected one.
 _STATUS_MISDIRECTED = 421
 
@@ -100,6 +102,7 @@
         self.notice = runs.Notice(
             _parse_load(exchange.header(_LOAD_HEADER)),
             _parse_rate_limit(exchange.header(_RATE_LIMIT_HEADER)),
+            exchange.header(_LEAVING_HEADER) == b"1",
         )
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -446,6 +446,7 @@
             report.host, report.started_ms, report.admitted, now_ms
         )
         self._fleet.limits.note_limits(report.replica_limits, now_ms)
+        self._fleet.note_leaving(report.leaving_replicas, now_ms)
         self._fleet.limits.note_report(
             report.host, report.started_ms, report.sent, now_ms
         )
@@ -462,6 +463,7 @@
             same_zone=False,
         )
         self._fleet.limits.note_limits(digest.replica_limits, now_ms)
+        self._fleet.note_leaving(digest.leaving_replicas, now_ms)
         for counts in digest.hosts:
             host, started_ms = counts.host, counts.started_ms
             self._limits.note_report(host, started_ms, counts.admitted, now_ms)
@@ -487,6 +489,7 @@
             crash_report=self._quarantine.report(now_ms),
             replica_limits=self._fleet.limits.report(now_ms),
             sent=self._fleet.limits.recently_sent(now_ms),
+            leaving_replicas=self._fleet.recently_leaving(now_ms),
         )
 
     def _stagger_s(self) -> float:
@@ -540,7 +543,7 @@
                 replica.listing.id: {
                     "own": list(replica.own_counts),
                     "others": list(replica.peer_counts),
-                    "leaving": replica.listing.leaving,
+                    "leaving": replica.leaving,
                     "failures": replica.failures,
                     "standing": replica.standing(now_ms).name.lower(),
                 }
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -173,7 +173,7 @@
     ) -> bool:
         """Returns whether a service has a usable replica not in `exclude`."""
         return any(
-            not r.listing.leaving and r.listing.id not in exclude
+            not r.leaving and r.listing.id not in exclude
             for r in self.fleet.of_service(service)
         )
 
@@ -297,7 +297,7 @@
         return [
             r
             for r in self.fleet.of_service(req.service)
-            if not r.listing.leaving and r.listing.id not in req.exclude
+            if not r.leaving and r.listing.id not in req.exclude
         ]
 
     def _least_busy(
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -24,6 +24,10 @@
 _MAX_DOUBLINGS = 4
 # Pause of a replica after it refused a request because it is full.
 _REFUSAL_PAUSE_MS = 60.0
+# Peers are told for this long of a replica that leaves. It is remembered for
+# longer than a replica takes to leave.
+_LEAVING_REPORT_MS = 3_000.0
+_LEAVING_RETENTION_MS = 600_000.0
 
 
 class WorkKind(enum.Enum):
@@ -55,6 +59,7 @@
         paused_until_ms: Before this time it is used only if no other replica
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
+        said_leaving: True if a response of it told that it takes no new work.
         outcomes: Recent outcomes of this gateway's requests.
         zone_outcomes: Recent outcomes reported by other gateways of this zone.
         other_zone_outcomes: Recent outcomes reported by gateways of other
@@ -69,6 +74,7 @@
     failures: int = 0
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
+    said_leaving: bool = False
     outcomes: outliers.Outcomes = dataclasses.field(
         default_factory=outliers.Outcomes
     )
@@ -77,6 +83,11 @@
         default_factory=lambda: [0, 0]
     )
 
+    @property
+    def leaving(self) -> bool:
+        """True if it takes no new work, by its entry or its own responses."""
+        return self.listing.leaving or self.said_leaving
+
     @property
     def slots(self) -> int:
         """Number of requests that it runs concurrently."""
@@ -185,6 +196,7 @@
 
     __slots__ = (
         "_by_service",
+        "_leaving",
         "_replicas",
         "_reports",
         "directory",
@@ -198,6 +210,9 @@
         self.directory = directory.Directory()
         self.limits = replica_limits.ReplicaLimits()
         self._replicas: dict[str, Replica] = {}
+        # When the replicas, by incarnation, said that they leave. Kept while
+        # they are not listed, since an entry may lapse and come back.
+        self._leaving: dict[str, float] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._reports: dict[str, _Report] = {}
 
@@ -212,6 +227,7 @@
                 replica = self._replicas[replica_id] = Replica(listing)
                 self._apply_all_reports(replica)
             replica.listing = listing
+        self._mark_leaving()
         self._by_service = {}
         for replica in self._replicas.values():
             service = replica.listing.service
@@ -236,9 +252,31 @@
         """Records what a replica says of itself with a response."""
         if notice.in_flight >= 0:
             replica.note_reported_load(notice.in_flight, now_ms)
-        self.limits.note_response(
-            replica.listing.incarnation, notice.rate_limit, now_ms
-        )
+        incarnation = replica.listing.incarnation
+        self.limits.note_response(incarnation, notice.rate_limit, now_ms)
+        if notice.leaving and incarnation not in self._leaving:
+            self._leaving[incarnation] = now_ms
+            _log.info(
+                "replica leaving", replica=replica.listing.id, source="response"
+            )
+            self._mark_leaving()
+
+    def note_leaving(self, incarnations: Iterable[str], now_ms: float) -> None:
+        """Records replicas that told peers that they take no new work."""
+        for incarnation in incarnations:
+            if incarnation not in self._leaving:
+                # Not reported again: the peer reports it itself.
+                self._leaving[incarnation] = now_ms - _LEAVING_REPORT_MS
+                _log.info("replica leaving", replica=incarnation, source="peer")
+                self._mark_leaving()
+
+    def recently_leaving(self, now_ms: float) -> list[str]:
+        """Returns replicas that told this gateway lately that they leave."""
+        return [
+            incarnation
+            for incarnation, at_ms in self._leaving.items()
+            if now_ms - at_ms < _LEAVING_REPORT_MS
+        ]
 
     def own_counts(self) -> dict[str, Counts]:
         """Returns this gateway's requests in flight, to report to its peers."""
@@ -301,10 +339,18 @@
     def expire(self, now_ms: float) -> None:
         """Drops reports and limits that have not been renewed in time."""
         self.limits.expire(now_ms)
+        for incarnation, at_ms in list(self._leaving.items()):
+            if now_ms - at_ms > _LEAVING_RETENTION_MS:
+                del self._leaving[incarnation]
         limit_ms = now_ms - _REPORT_TTL_MS
         for node in [n for n, r in self._reports.items() if r.at_ms < limit_ms]:
             self.forget(node)
 
+    def _mark_leaving(self) -> None:
+        for replica in self._replicas.values():
+            if replica.listing.incarnation in self._leaving:
+                replica.said_leaving = True
+
     def forget(self, node: str) -> None:
         """Drops the report of a peer that has stopped."""
         report = self._reports.pop(node, None)
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -355,7 +355,7 @@
         pending = self._pending.get(number)
         batch = self._batch.pop(number, None)
         replica = self.fleet.get(replica_id)
-        usable = replica is not None and not replica.listing.leaving
+        usable = replica is not None and not replica.leaving
         if not usable or (pending is None and batch is None):
             if pending is not None:
                 pending.req.exclude.add(replica_id)
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -44,10 +44,12 @@
         in_flight: Requests that it runs and queues, -1 if it states no number.
         rate_limit: Requests a second that it takes from all gateways together,
             None if it names no limit.
+        leaving: True if it is about to end and takes no new work.
     """
 
     in_flight: int = -1
     rate_limit: float | None = None
+    leaving: bool = False
 
 
 class Run(Protocol):
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -29,6 +29,8 @@
             for all runs.
         rate_limit: Requests a second that the replica says it takes, 0 for any
             number; for all answers.
+        leaving: Say in all answers, but not in the store, that the replica is
+            about to end.
     """
 
     break_after: int = -1
@@ -38,6 +40,7 @@
     reject: bool = False
     crash_part: str = ""
     rate_limit: float = 0.0
+    leaving: bool = False
 
 
 class Run(msgspec.Struct):
@@ -149,6 +152,8 @@
         echoed = {"request-id": headers.get("request-id", "")}
         if self.faults.rate_limit:
             echoed["server-limit"] = f"{self.faults.rate_limit:.1f}"
+        if self.faults.leaving or self.draining:
+            echoed["server-leaving"] = "1"
         expected = headers.get("expected-instance", self.id)
         if expected != self.id:
             await request.answer(421, headers={**echoed, "not-executed": "1"})
--- a/tests/integration/test_replica_limits.py
+++ b/tests/integration/test_replica_notices.py
@@ -1,4 +1,4 @@
-"""Tests of what replicas ask of a fleet of gateways with their responses."""
+"""Tests of what replicas say of themselves with their responses."""
 
 import concurrent.futures
 import pathlib
@@ -40,6 +40,23 @@
     )
 
 
+def test_replica_that_says_it_leaves_gets_no_new_requests(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against requests to a replica that only its responses show."""
+    with fleets.running(fleets.Shape(replicas=2), tmp_path) as fleet:
+        leaving, staying = fleet.replicas
+        fleet.set_faults(leaving, leaving=True)
+        for n, gateway in enumerate(fleet.gateways):
+            assert _send_for(gateway, f"first-{n}", 1.0) > 0
+        told_s = time.time()
+        for n, gateway in enumerate(fleet.gateways):
+            assert _send_for(gateway, f"second-{n}", 1.0) > 0
+        assert fleet.arrivals(leaving)
+        assert max(fleet.arrivals(leaving)) < told_s
+        assert max(fleet.arrivals(staying)) > told_s
+
+
 def test_replicas_get_no_more_than_the_limit_they_name(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import trio
 import trio.testing
 
@@ -326,6 +327,40 @@
     assert dispatcher.excess_batch_items(replica, urgent=True) == 3
 
 
+def test_replica_that_says_it_leaves_gets_no_new_work() -> None:
+    """Guards against new work that a replica has no time to finish.
+
+    Its entry may lapse and come back meanwhile, or never tell.
+    """
+    dispatcher = make(slots=8)
+    fleet = dispatcher.fleet
+    replica = fleet.get("r0")
+    assert replica is not None
+    listing = replica.listing
+    fleet.note_notice(replica, runs.Notice(leaving=True), 0)
+    fleet.directory.remove("r0", 100_000)
+    fleet.refresh()
+    fleet.directory.put(listing)
+    fleet.refresh()
+    for work in (ONLINE, BATCH):
+        slot = dispatcher.try_acquire(_request(work))
+        assert slot is not None
+        assert slot.replica.listing.id == "r1"
+    # A new start under the same id takes work again.
+    fleet.directory.put(msgspec.structs.replace(listing, started_ms=5))
+    fleet.directory.remove("r1", 100_000)
+    fleet.refresh()
+    assert dispatcher.try_acquire(_request())
+
+
+def test_replica_that_leaves_by_a_peers_report_gets_no_new_work() -> None:
+    """Guards against a request of each gateway to a leaving replica."""
+    dispatcher = make(replicas=1)
+    dispatcher.fleet.note_leaving(["r0/0"], 0)
+    assert not dispatcher.has_replica("s")
+    assert not dispatcher.fleet.recently_leaving(0)
+
+
 def _limit(dispatcher: dispatchers.Dispatcher, name: str, rate: float) -> None:
     """Lets a replica name a limit, of which one request is left."""
     replica = dispatcher.fleet.get(name)
