Let streams go on only at the software version that began them

Callers got complete answers whose parts were written by two versions of a back end, with nothing to show it.

Cause: no type of the product held the version of a replica's software, nor the request that a caller names when it takes a stream up again. Any replica served a stream that went on, in one answer, over several requests, or as an item. What began where was kept at the gateway that began it, so that reading the version alone would not have helped after the loss of all gateways. Later runs ask for slots at that version; what is not known is refused as not run. Items start again where their version has no replica. Two tests of handed-over items gave them events without a version, which no longer happens; they set it, and check that it is handed over.

--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -187,8 +187,8 @@
             self.add_gateway(f"gateway-{n}", f"zone-{n % 2}")
         self.wait_ready()
 
-    def add_replica(self) -> deployment.Process:
-        """Starts one more replica."""
+    def add_replica(self, version: str = "v1") -> deployment.Process:
+        """Starts one more replica of a software version."""
         name = f"replica-{len(self.replicas)}"
         replica = self._start_standin(
             name,
@@ -197,6 +197,7 @@
             *("--service", SERVICE),
             *("--events", str(self.shape.events)),
             *("--step-ms", str(self.shape.step_ms)),
+            *("--version", version),
         )
         self.replicas.append(replica)
         return replica
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -2,6 +2,8 @@
 
 import math
 import random
+from collections.abc import Collection
+from typing import Protocol
 
 import structlog
 import trio
@@ -16,6 +18,7 @@
 from lacewingwood.callers import progress as progress_lib
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
@@ -40,6 +43,9 @@
 _DEFAULT_OBJECTIVE_MS = 1_000.0
 # Retry-After if no replica can be used.
 _NO_REPLICA_RETRY_AFTER_MS = 300.0
+# Retry-After of a stream whose version has no replica. One that has crashed is
+# back within seconds.
+_NO_VERSION_RETRY_AFTER_MS = 1_000.0
 _MAX_BODY_BYTES = 16 << 20
 # A replica's error response is short, and no larger one is relayed.
 _MAX_ERROR_BODY_BYTES = 64 << 10
@@ -72,6 +78,20 @@
         self.body = body
 
 
+class Origins(Protocol):
+    """Knows which software version began a stream; see `stream_origins`."""
+
+    async def note_begun(
+        self, key: int, replica: load.Replica, services: Collection[str]
+    ) -> origins.Origin:
+        """Records that a replica began a stream."""
+
+    async def find(
+        self, key: int, services: Collection[str], request_id: str
+    ) -> origins.Origin | None:
+        """Returns the origin of a stream, None if it is not known."""
+
+
 class Forwarder:
     """Runs calls on replicas, retries them and resumes broken streams."""
 
@@ -79,6 +99,7 @@
         "_bodies",
         "_clock",
         "_metrics",
+        "_origins",
         "_quarantine",
         "_replicas",
         "_rng",
@@ -92,6 +113,7 @@
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         quarantine: quarantines.Quarantine,
+        stream_origins: Origins,
         rng: random.Random | None = None,
     ) -> None:
         self._slots = slots
@@ -99,6 +121,7 @@
         self._clock = clock
         self._metrics = metrics
         self._quarantine = quarantine
+        self._origins = stream_origins
         self._rng = rng or random.Random()
         self._bodies = bodies.BodyReader()
 
@@ -162,11 +185,15 @@
         service: str,
         progress: progress_lib.Progress,
     ) -> None:
+        if call.resume_after is not None and (
+            call.route.kind is configuration.RouteKind.STREAM
+        ):
+            await self._find_origin(call, progress)
         while True:
             self._check_quarantine(call, progress)
             slot = await self._acquire_slot(call, service, progress)
             if slot is None:
-                self._give_up(call, progress, _UNAVAILABLE)
+                self._give_up_without_slot(call, progress)
                 return
             try:
                 # The cause may have been found while the call waited.
@@ -189,6 +216,28 @@
             if not progress.may_retry():
                 self._give_up(call, progress, 502)
 
+    async def _find_origin(
+        self, call: progress_lib.Call, progress: progress_lib.Progress
+    ) -> None:
+        """Finds where a stream began that the caller takes up again.
+
+        Raises:
+            errors.CallerError: It is not known, or not a service of the route.
+        """
+        key = origins.stream_key(call.work.customer, call.resumes)
+        found = await self._origins.find(
+            key, call.services, call.work.request_id
+        )
+        if found is None or found.service not in call.services:
+            progress.reason = "unknown_origin"
+            self._give_up(
+                call,
+                progress,
+                _UNAVAILABLE,
+                "it is not known which version began the stream",
+            )
+        progress.origin = found
+
     def _check_quarantine(
         self, call: progress_lib.Call, progress: progress_lib.Progress
     ) -> None:
@@ -222,8 +271,16 @@
         service: str,
         progress: progress_lib.Progress,
     ) -> dispatchers.Slot | None:
-        if not self._slots.has_replica(service):
-            progress.reason = "no_replica"
+        exclude, version = progress.tried, None
+        if progress.origin is not None:
+            service, version = progress.origin.service, progress.origin.version
+            if self._slots.has_replica(service, exclude) and not (
+                self._slots.has_replica(service, exclude, version)
+            ):
+                # The other replicas are all of other versions.
+                exclude = set()
+        if not self._slots.has_replica(service, exclude=(), version=version):
+            progress.reason = "no_version" if version else "no_replica"
             return None
         objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
         return await self._slots.acquire(
@@ -234,9 +291,10 @@
                 arrived_ms=call.arrived_ms,
                 objective_ms=objective_ms,
                 deadline_ms=call.deadline_ms - _MIN_RUN_MS,
-                exclude=progress.tried,
+                exclude=exclude,
                 repeatable=call.route.repeatable
                 and progress.attempts_left(begun=1),
+                version=version,
             )
         )
 
@@ -320,6 +378,14 @@
             reads += 1
             if reads == _READS_TO_BEGIN:
                 self._note_begun(call, progress)
+            if progress.origin is None and call.route.repeatable:
+                progress.origin = await self._origins.note_begun(
+                    origins.stream_key(
+                        call.work.customer, call.work.request_id
+                    ),
+                    slot.replica,
+                    call.services,
+                )
             await self._start_response(call, run)
             await call.req.write(events)
         await self._start_response(call, run)
@@ -416,6 +482,19 @@
             prompt=_describe_prompt(call.work.prompt),
         )
 
+    def _give_up_without_slot(
+        self, call: progress_lib.Call, progress: progress_lib.Progress
+    ) -> None:
+        if progress.reason != "no_version":
+            self._give_up(call, progress, _UNAVAILABLE)
+        self._give_up(
+            call,
+            progress,
+            _UNAVAILABLE,
+            "no replica of the version that began the stream is left",
+            _NO_VERSION_RETRY_AFTER_MS,
+        )
+
     def _give_up(
         self,
         call: progress_lib.Call,
--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -37,6 +37,8 @@
         resume_after: Id of the last event that the caller received, or None.
         arrived_ms: When the head was read, on the process's clock.
         prompt: Ids of the parts of the prompt; see `runs.Work`.
+        resumes: Id of the caller's request that brought the first event of the
+            stream that this one goes on with, empty if it does not say.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     resume_after: int | None
     arrived_ms: float
     prompt: tuple[str, ...] = ()
+    resumes: str = ""
 
 
 class Resolved(msgspec.Struct):
@@ -166,6 +169,7 @@
                 deadline_ms=deadline_ms,
                 priority=priority,
                 resume_after=head.resume_after,
+                resumes=head.resumes,
             )
         )
 
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -5,6 +5,7 @@
 from lacewingwood import configuration
 from lacewingwood import errors as base_errors
 from lacewingwood.callers import http
+from lacewingwood.routing import origins
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
@@ -31,6 +32,8 @@
         deadline_ms: When the timeout of the caller or of the route expires.
         priority: Priority, 0 is the highest.
         resume_after: Id of the last event that the caller received, or None.
+        resumes: Id of the caller's request that brought the first event of the
+            stream, if the caller has received some of it.
     """
 
     req: http.Request
@@ -40,6 +43,12 @@
     deadline_ms: float
     priority: int
     resume_after: int | None
+    resumes: str = ""
+
+    @property
+    def services(self) -> list[str]:
+        """Services that may run it."""
+        return [target.service for target in self.route.targets]
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +66,8 @@
         discounted_attempts: Attempts that are not counted because their
             replica ended.
         begun: True if the last run had begun to answer.
+        origin: Service and software version that began the stream; its other
+            runs must be there. None before its first event.
         done: True once the call has ended other than by its caller's
             disconnect.
     """
@@ -70,6 +81,7 @@
     reason: str = "no_replica"
     discounted_attempts: int = 0
     begun: bool = False
+    origin: origins.Origin | None = None
     done: bool = False
 
     def attempts_left(self, begun: int = 0) -> bool:
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -22,6 +22,7 @@
 from lacewingwood.log import errors as log_errors
 from lacewingwood.log import follow
 from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import origins
 from lacewingwood.upstreams import event_stream
 
 # How long a read waits for records. A longer wait would delay the detection of
@@ -269,9 +270,11 @@
             self._note_result(task, result)
             return
         resumed = running.ItemTask(task.job, task.index, task.body)
-        resumed.events = event_stream.Splitter(progress.last_event)
-        resumed.add_output(progress.output)
         resumed.failures = progress.failures
+        if progress.origin is not None:
+            resumed.events = event_stream.Splitter(progress.last_event)
+            resumed.origin = progress.origin
+            resumed.add_output(progress.output)
         self._tasks[key, task.index] = resumed
         self._scheduler.add(resumed, self._note_result)
 
@@ -279,7 +282,7 @@
         """Stops all items; returns their progress for the next owner."""
         progress = [
             self._progress_message(
-                key, result.item, None, [result.output], 0, result
+                key, result.item, None, [result.output], 0, result, None
             )
             for key, result in self._outbox
         ]
@@ -297,6 +300,7 @@
                         list(task.output),
                         task.failures,
                         None,
+                        task.origin,
                     )
                 )
         self._tasks.clear()
@@ -473,6 +477,7 @@
         output: list[bytes],
         failures: int,
         result: records.Result | None,
+        origin: origins.Origin | None,
     ) -> gateway_messages.JobProgress:
         customer, _, job_id = key.partition("/")
         return gateway_messages.JobProgress(
@@ -484,6 +489,7 @@
             failures,
             result.completed if result is not None else None,
             self.index,
+            origin,
         )
 
     def _notify(self) -> None:
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -13,6 +13,8 @@
 from lacewingwood.jobs import records
 from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import load
+from lacewingwood.routing import origins
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -62,6 +64,8 @@
         state: The scheduling state.
         events: Splitter of the event stream; its last id is where the next
             run resumes.
+        origin: Service and software version that wrote the events received so
+            far, None if there are none.
         output: Data of the events received so far.
         output_bytes: Size of `output`.
         failures: Number of answers that count as failed attempts.
@@ -81,6 +85,7 @@
     events: event_stream.Splitter = dataclasses.field(
         default_factory=event_stream.Splitter
     )
+    origin: origins.Origin | None = None
     output: list[bytes] = dataclasses.field(default_factory=list)
     output_bytes: int = 0
     failures: int = 0
@@ -112,13 +117,17 @@
         self.output += lines
         self.output_bytes += sum(len(line) + 1 for line in lines)
         if self.output_bytes > _MAX_OUTPUT_BYTES:
-            # The next run starts from the beginning.
-            self.output, self.output_bytes = [], 0
-            self.events = event_stream.Splitter()
+            self.restart()
             raise upstream_errors.InvalidResponseError(
                 "the item's output is too large"
             )
 
+    def restart(self) -> None:
+        """Drops all events, so that the next run starts from the beginning."""
+        self.output, self.output_bytes = [], 0
+        self.events = event_stream.Splitter()
+        self.origin = None
+
     def result(self, completed: bool) -> records.Result:
         """Returns the item's result; a given-up item has no output."""
         output = b"\n".join(self.output) if completed else b""
@@ -150,11 +159,22 @@
     ) -> records.Result | None:
         """Runs an item in a slot, which is released at the end.
 
+        A run at another software version than the last one starts from the
+        beginning, since what two versions write does not fit together.
+
         Returns:
             The item's result, or None if it has to run again. In that case
             the task holds the events received so far, and `task.preempted`
             tells whether the run was cancelled to free the slot.
         """
+        if task.origin not in (None, load.origin_of(slot.replica)):
+            _log.info(
+                "item starts again at another version",
+                request_id=task.item.id,
+                replica=slot.replica.listing.id,
+                events=task.events.last_id,
+            )
+            task.restart()
         task.slot, task.preempted = slot, False
         task.scope = trio.CancelScope(
             deadline=trio.current_time() + _RUN_TIMEOUT_MS / 1000
@@ -237,14 +257,17 @@
                 return self._note_failed_attempt(task, slot, run.status, route)
             completed = run.status != _UNPROCESSABLE_STATUS
             if completed:
-                await self._collect(task, run)
+                await self._collect(task, run, slot.replica)
             slot.replica.note_success(self._clock.now_ms())
             return task.result(completed)
 
-    async def _collect(self, task: ItemTask, run: runs.Run) -> None:
+    async def _collect(
+        self, task: ItemTask, run: runs.Run, replica: load.Replica
+    ) -> None:
         task.events.restart()
         reader = event_reader.EventReader(run, task.events, self._clock)
         while events := await reader.next_events(_EVENT_GAP_TIMEOUT_MS):
+            task.origin = load.origin_of(replica)
             task.add_output(event_stream.data_lines(events))
 
     def _note_failed_attempt(
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -16,6 +16,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import origins
 
 # Interval of scheduling rounds, which start waiting items and preempt running
 # ones. Peers' reports arrive about as often.
@@ -62,6 +63,8 @@
 
 
 OnResult = Callable[[running.ItemTask, records.Result], None]
+# Service, urgency, and software version of a demand for a slot.
+_Demand = tuple[str, bool, str | None]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -187,6 +190,9 @@
             route = self._usable_route(entry, now_ms)
             if route is None or listing.id in self._excluded(task, listing):
                 continue
+            origin = self._origin_to_keep(task, route)
+            if origin not in (None, load.origin_of(slot.replica)):
+                continue
             if any(t.service == listing.service for t in route.targets):
                 self._start_in(entry, slot, route)
                 return True
@@ -260,12 +266,29 @@
             return exclude
         return set()
 
+    def _origin_to_keep(
+        self, task: running.ItemTask, route: configuration.Route
+    ) -> origins.Origin | None:
+        """Returns where an item has to go on, None if it may run anywhere.
+
+        An item whose version has no replica any more starts again.
+        """
+        origin = task.origin
+        if origin is None or all(
+            target.service != origin.service for target in route.targets
+        ):
+            return None
+        has_replica = self._dispatcher.has_replica(
+            origin.service, version=origin.version
+        )
+        return origin if has_replica else None
+
     def _start_waiting(self) -> None:
         if not self._entries or not self._has_turn():
             return
         now_ms = self._clock.now_ms()
         waiting = self._waiting_in_order()
-        full_services: set[tuple[str, bool]] = set()
+        full_services: set[_Demand] = set()
         for entry in waiting:
             if entry.task.not_before_ms <= now_ms:
                 self._start(entry, now_ms, full_services)
@@ -293,37 +316,43 @@
         return late, False, self._remaining_ms(task)
 
     def _start(
-        self, entry: _Entry, now_ms: float, full_services: set[tuple[str, bool]]
+        self, entry: _Entry, now_ms: float, full_services: set[_Demand]
     ) -> None:
         """Starts an item if its service has a free slot.
 
         Args:
             entry: The item.
             now_ms: Monotonic time.
-            full_services: Services without a free slot, with the urgency that
-                was tried; a service without one is added.
+            full_services: Services without a free slot, with the urgency and
+                the version that were tried; a service without one is added.
         """
         task = entry.task
         route = self._usable_route(entry, now_ms)
         if route is None:
             return
-        service = _choose_service(route)
+        origin = self._origin_to_keep(task, route)
+        service = origin.service if origin else _choose_service(route)
+        version = origin.version if origin else None
         urgent = self._is_urgent(task)
-        if (service, urgent) in full_services:
+        if full_services & {
+            (service, urgent, None),
+            (service, urgent, version),
+        }:
             return
         exclude = task.failed_replica_ids
-        if not self._dispatcher.has_replica(service, exclude):
+        if not self._dispatcher.has_replica(service, exclude, version):
             exclude = set()
         demand = dispatchers.SlotRequest(
             service=service,
             work=load.WorkKind.BATCH,
             exclude=exclude,
             urgent=urgent,
+            version=version,
         )
         slot = self._dispatcher.try_acquire(demand)
         if slot is None:
             if not exclude:
-                full_services.add((service, urgent))
+                full_services.add((service, urgent, version))
             return
         self._start_in(entry, slot, route)
 
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lacewingwood.peers import messages
+from lacewingwood.routing import origins
 
 
 class Crash(msgspec.Struct, array_like=True):
@@ -165,6 +166,30 @@
     digests: list[ZoneDigest]
 
 
+class FindOrigin(messages.Message, tag="find_origin"):
+    """Asks a gateway whether it began a stream, and at which version.
+
+    Attributes:
+        key: The stream; see `origins.stream_key`.
+        services: Services that may run it.
+    """
+
+    key: int
+    services: list[str]
+
+
+class OriginFound(messages.Message, tag="origin_found"):
+    """Answers `FindOrigin`.
+
+    Attributes:
+        origin: Where the gateway began the stream, None if it did not.
+        possible: Versions of the services at which streams can have begun.
+    """
+
+    origin: origins.Origin | None
+    possible: list[origins.Origin]
+
+
 class FetchConfiguration(messages.Message, tag="fetch_configuration"):
     """Asks a gateway for its configuration and its list of replicas."""
 
@@ -178,6 +203,7 @@
         levels: Tokens in the customers' buckets, by customer.
         crash_report: What the gateway knows of crashes of replicas.
         replica_limits: The limits of replicas that it knows.
+        versions: The software versions on the log, and when each was recorded.
     """
 
     document: bytes
@@ -185,6 +211,7 @@
     levels: dict[str, float]
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
+    versions: list[tuple[origins.Origin, int]] = []
 
 
 class JobRead(messages.Message, tag="job_read"):
@@ -254,6 +281,8 @@
         failures: Number of answers that counted as failed attempts.
         completed: Whether the item completed, None if it has to continue.
         partition: Number of the partition.
+        origin: Service and software version that wrote the events, None if
+            there are none.
     """
 
     customer: str
@@ -264,6 +293,7 @@
     failures: int
     completed: bool | None
     partition: int = -1
+    origin: origins.Origin | None = None
 
 
 class JobAppend(messages.Message, tag="job_append"):
@@ -327,6 +357,7 @@
         age_ms: Time since the request arrived.
         objective_ms: Time after its arrival by which its first event is due.
         exclude: Replicas that must not be used.
+        version: Software version that must run it, None for any.
     """
 
     host: str
@@ -342,6 +373,7 @@
     age_ms: float = 0.0
     objective_ms: float = 0.0
     exclude: list[str] = []
+    version: str | None = None
 
 
 class SlotAnswer(messages.Message, tag="slot_answer"):
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -88,6 +88,8 @@
     address: str
     state: str
     zone: str = ""
+    # Version of the replica's software, not of its weights.
+    version: str = ""
     # Requests that the replica runs at once.
     slots: int = 1
     # How much longer the replica is slow after its start.
@@ -139,6 +141,7 @@
         leaving=entry.state == "draining",
         started_ms=entry.born,
         warming_ms=entry.cold_remaining_ms,
+        version=entry.version,
     )
 
 
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -275,6 +275,7 @@
         resume_after=int(last_event_id) if last_event_id.isdigit() else None,
         arrived_ms=now_ms,
         prompt=_decode_prompt(fields.get(b"prompt-prefix", b"")),
+        resumes=fields.get(b"resumes", b"").decode("latin-1"),
     )
 
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 import structlog
@@ -47,6 +48,9 @@
 from lacewingwood.routing import slot_server
 from lacewingwood.state import peer_copy
 from lacewingwood.state import published
+from lacewingwood.state import software_versions
+from lacewingwood.state import stream_journal
+from lacewingwood.state import stream_origins
 
 # A read of the store waits for a change for this share of the time within which
 # the change must take effect, and the next read follows after a pause. If the
@@ -123,6 +127,17 @@
             cfg.host, cfg.zone, self._clock, self._log_age_ms
         )
         self._presence = self._make_presence()
+        self._versions = software_versions.SoftwareVersions(
+            self._store, self._clock, _wall_ms, self._metrics
+        )
+        self._journal = stream_journal.StreamJournal(
+            self._store,
+            cfg.host,
+            lambda: len(self._roster.live_peers()) + 1,
+            self._clock,
+            _wall_ms,
+            self._metrics,
+        )
         self._followers = self._make_followers()
         self._peer_copy = peer_copy.PeerCopy(
             self._published,
@@ -130,6 +145,7 @@
             self._fleet,
             self._limits,
             self._quarantine,
+            self._versions,
             self._presence,
             self._network,
             self._clock,
@@ -207,6 +223,14 @@
             self._clock,
             self._metrics,
             self._quarantine,
+            stream_origins.StreamOrigins(
+                self._versions,
+                self._journal,
+                self._network,
+                self._roster,
+                self._clock,
+                self._metrics,
+            ),
         )
         gateway = gateways.Gateway(
             self._published,
@@ -222,7 +246,7 @@
         self._slots.coordinated = lambda: self._presence.uses_hubs
         self._slots.on_batch_slot = self._scheduler.start_one
         self._slots.on_preempt = self._scheduler.preempt_one
-        self._fleet.on_replicas = self._shards.update
+        self._fleet.on_replicas = self._update_replicas
         self._published.on_change = self._apply_configuration
         self._add_gauges()
 
@@ -239,6 +263,8 @@
             for follower in self._followers:
                 nursery.start_soon(follower.run)
             nursery.start_soon(self._presence.run)
+            nursery.start_soon(self._versions.run)
+            nursery.start_soon(self._journal.run)
             nursery.start_soon(self._slots.run)
             nursery.start_soon(self._slot_server.run)
             nursery.start_soon(self._scheduler.run)
@@ -420,6 +446,11 @@
             # Without the progress, the new owner runs items from the start.
             self._metrics.add("hand_overs_failed", code=exc.code)
 
+    def _update_replicas(self, replicas: Iterable[load.Replica]) -> None:
+        listed = list(replicas)
+        self._shards.update(listed)
+        self._versions.update(listed)
+
     def _apply_documents(self, records: list[compacted.Record]) -> None:
         for record in records:
             if record.key == documents.CONFIGURATION_KEY and record.value:
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -351,7 +351,7 @@
         usable = [
             replica
             for replica in self._usable(replicas, now_ms)
-            if replica.listing.id not in req.exclude
+            if req.allows(replica)
             and self._may_send(replica, now_ms, ticket.is_batch)
         ]
         if ticket.is_batch and not req.urgent:
@@ -388,6 +388,7 @@
     ) -> list[load.Replica]:
         """Returns the replicas that are not paused, or all if all are."""
         staying = [r for r in replicas if not r.leaving]
+        staying = [r for r in staying if not r.version_pending] or staying
         return [
             r for r in staying if not self._is_paused(r.listing.id, now_ms)
         ] or staying
@@ -417,8 +418,8 @@
         usable = {
             r.listing.id
             for r in self._usable(replicas, now_ms)
-            if self._may_send(r, now_ms)
-        } - ticket.req.exclude
+            if ticket.req.allows(r) and self._may_send(r, now_ms)
+        }
         candidates = [
             t
             for t in shard.granted.values()
--- a/lacewingwood/routing/directory.py
+++ b/lacewingwood/routing/directory.py
@@ -22,6 +22,7 @@
         leaving: True if it accepts no new work.
         started_ms: Unix time of its start, 0 if not known.
         warming_ms: Remaining warm-up time, during which it is slow.
+        version: Version of its software.
     """
 
     id: str
@@ -32,6 +33,7 @@
     leaving: bool = False
     started_ms: int = 0
     warming_ms: float = 0.0
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -61,6 +61,7 @@
         exclude: Replicas that must not be used.
         urgent: True for batch work that may take the last free slots.
         repeatable: True if it may be retried on another replica if it fails.
+        version: Software version that must run it, None for any.
     """
 
     service: str
@@ -72,6 +73,13 @@
     exclude: set[str] = dataclasses.field(default_factory=set)
     urgent: bool = False
     repeatable: bool = True
+    version: str | None = None
+
+    def allows(self, replica: load.Replica) -> bool:
+        """Returns whether a replica may run it, its load aside."""
+        if replica.leaving or replica.listing.id in self.exclude:
+            return False
+        return self.version in (None, replica.listing.version)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -104,9 +112,15 @@
         """The replicas and their load as this gateway knows them."""
 
     def has_replica(
-        self, service: str, exclude: Collection[str] = frozenset()
+        self,
+        service: str,
+        exclude: Collection[str] = frozenset(),
+        version: str | None = None,
     ) -> bool:
-        """Returns whether a service has a usable replica not in `exclude`."""
+        """Returns whether a service has a usable replica not in `exclude`.
+
+        With `version`, only replicas of that software version count.
+        """
 
     async def acquire(self, req: SlotRequest) -> Slot | None:
         """Waits for a slot; returns None if the deadline passes first."""
@@ -169,13 +183,16 @@
         return len(self._waiting)
 
     def has_replica(
-        self, service: str, exclude: Collection[str] = frozenset()
+        self,
+        service: str,
+        exclude: Collection[str] = frozenset(),
+        version: str | None = None,
     ) -> bool:
-        """Returns whether a service has a usable replica not in `exclude`."""
-        return any(
-            not r.leaving and r.listing.id not in exclude
-            for r in self.fleet.of_service(service)
+        """Returns whether a service has a usable replica; see `Slots`."""
+        req = SlotRequest(
+            service, load.WorkKind.ONLINE, exclude=set(exclude), version=version
         )
+        return any(map(req.allows, self.fleet.of_service(service)))
 
     def try_acquire(self, req: SlotRequest) -> Slot | None:
         """Returns a slot if one is free now."""
@@ -294,11 +311,11 @@
         return None
 
     def _usable(self, req: SlotRequest) -> list[load.Replica]:
-        return [
-            r
-            for r in self.fleet.of_service(req.service)
-            if not r.leaving and r.listing.id not in req.exclude
+        """Returns the replicas that may run a request, their load aside."""
+        allowed = [
+            r for r in self.fleet.of_service(req.service) if req.allows(r)
         ]
+        return [r for r in allowed if not r.version_pending] or allowed
 
     def _least_busy(
         self, replicas: list[load.Replica], req: SlotRequest, now_ms: float
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -10,6 +10,7 @@
 
 from lacewingwood.limits import replica_limits
 from lacewingwood.routing import directory
+from lacewingwood.routing import origins
 from lacewingwood.routing import outliers
 from lacewingwood.upstreams import runs
 
@@ -60,6 +61,8 @@
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
         said_leaving: True if a response of it told that it takes no new work.
+        version_pending: True until the log knows its software version; used
+            only if no other replica can be.
         outcomes: Recent outcomes of this gateway's requests.
         zone_outcomes: Recent outcomes reported by other gateways of this zone.
         other_zone_outcomes: Recent outcomes reported by gateways of other
@@ -75,6 +78,7 @@
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
     said_leaving: bool = False
+    version_pending: bool = False
     outcomes: outliers.Outcomes = dataclasses.field(
         default_factory=outliers.Outcomes
     )
@@ -389,6 +393,11 @@
             )
 
 
+def origin_of(replica: Replica) -> origins.Origin:
+    """Returns the service and the software version of a replica."""
+    return origins.Origin(replica.listing.service, replica.listing.version)
+
+
 def _add_counts(counts: list[int], change: tuple[int, int], sign: int) -> None:
     counts[0] += sign * change[0]
     counts[1] += sign * change[1]
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -131,10 +131,13 @@
         return self._dispatcher.fleet
 
     def has_replica(
-        self, service: str, exclude: Collection[str] = frozenset()
+        self,
+        service: str,
+        exclude: Collection[str] = frozenset(),
+        version: str | None = None,
     ) -> bool:
-        """Returns whether a service has a usable replica not in `exclude`."""
-        return self._dispatcher.has_replica(service, exclude)
+        """Returns whether a service has a usable replica; see `Slots`."""
+        return self._dispatcher.has_replica(service, exclude, version)
 
     async def acquire(
         self, req: dispatchers.SlotRequest
@@ -264,6 +267,7 @@
             age_ms=now_ms - req.arrived_ms,
             objective_ms=req.objective_ms,
             exclude=list(req.exclude),
+            version=req.version,
         )
         answer = await self._links.ask(host, message)
         if answer is None:
@@ -294,7 +298,12 @@
         Shards that were full a moment ago come last.
         """
         now_ms = self._clock.now_ms()
-        shards = list(self._shard_map.of_service(req.service))
+        shards = [
+            shard
+            for shard in self._shard_map.of_service(req.service)
+            if req.version is None
+            or any(map(req.allows, self._shard_map.replicas(shard)))
+        ]
         self._rng.shuffle(shards)
 
         def order(shard: str) -> tuple[bool, bool, int]:
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -184,6 +184,7 @@
             exclude=set(message.exclude),
             urgent=message.urgent,
             repeatable=message.repeatable,
+            version=message.version,
         ),
         may_preempt=message.may_preempt and not message.batch,
     )
--- a/lacewingwood/state/peer_copy.py
+++ b/lacewingwood/state/peer_copy.py
@@ -16,6 +16,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.state import published as published_lib
+from lacewingwood.state import software_versions
 
 # A reachable gateway answers within milliseconds. The timeout leaves time to
 # ask the next gateway before a new configuration has to be in force.
@@ -36,6 +37,7 @@
         "_published",
         "_quarantine",
         "_replicas",
+        "_versions",
     )
 
     def __init__(
@@ -45,6 +47,7 @@
         fleet: load.Fleet,
         limits: shared.SharedLimits,
         quarantine: quarantines.Quarantine,
+        versions: software_versions.SoftwareVersions,
         presence: presence_lib.Presence,
         network: network_lib.Network,
         clock: clocks.Clock,
@@ -55,6 +58,7 @@
         self._fleet = fleet
         self._limits = limits
         self._quarantine = quarantine
+        self._versions = versions
         self._presence = presence
         self._network = network
         self._clock = clock
@@ -104,6 +108,7 @@
             self._limits.init_levels(answer.levels, self._clock.now_ms())
         now_ms = self._clock.now_ms()
         self._fleet.limits.note_limits(answer.replica_limits, now_ms)
+        self._versions.add_copy(answer.versions)
         if answer.crash_report is not None:
             self._quarantine.note_report(answer.crash_report, now_ms)
         return True
@@ -118,4 +123,5 @@
             self._limits.levels(),
             self._quarantine.copy(now_ms),
             self._fleet.limits.copy(now_ms),
+            self._versions.copy(),
         )
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -118,10 +118,11 @@
     step_ms: float = 10,
     events: int = 8,
     zone: str = "a",
+    version: str = "v1",
 ) -> None:
     """Starts a replica that streams events and registers in the store."""
     settings = stream_replica_module.Settings(
-        service, slots, step_ms, events, zone=zone
+        service, slots, step_ms, events, zone=zone, version=version
     )
     replica = stream_replica_module.StreamReplica(settings)
     _run(lambda: replica, bind, store)
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -76,6 +76,7 @@
         events: Number of events in each stream.
         queue: Number of requests that may wait for a slot.
         zone: Zone that the replica runs in.
+        version: Version of the replica's software.
     """
 
     service: str = "sabeel-lm"
@@ -84,6 +85,7 @@
     events: int = 8
     queue: int = 24
     zone: str = "a"
+    version: str = "v1"
 
 
 class StreamReplica:
@@ -117,7 +119,7 @@
             "service": self.settings.service,
             "address": address,
             "zone": self.settings.zone,
-            "version": "v1",
+            "version": self.settings.version,
             "slots": self.settings.slots,
             "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": 0,
@@ -202,7 +204,7 @@
         self.runs.append(run)
         answer = {
             **echoed,
-            _SEAL_HEADER: f"seal.{self.id}",
+            _SEAL_HEADER: f"seal.{self.id}.{self.settings.version}",
             "server-load": self._load_header(),
         }
         if show_fault and (faults.fail or faults.reject):
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -4,7 +4,9 @@
 import copy
 import math
 from collections.abc import AsyncIterator
+from collections.abc import Collection
 
+import msgspec
 import pytest
 import trio
 
@@ -17,6 +19,8 @@
 from lacewingwood.callers import http
 from lacewingwood.callers import progress
 from lacewingwood.routing import directory
+from lacewingwood.routing import load
+from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
@@ -30,6 +34,30 @@
     return [b"id: %d\ndata: p%d\n\n" % (n, n) for n in range(first, last + 1)]
 
 
+class Origins:
+    """Origins of streams in memory, as `stream_origins.StreamOrigins`.
+
+    Attributes:
+        known: Origins by the key of the stream.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[int, origins.Origin] = {}
+
+    async def note_begun(
+        self, key: int, replica: load.Replica, services: Collection[str]
+    ) -> origins.Origin:
+        """Records that a replica began a stream."""
+        self.known[key] = load.origin_of(replica)
+        return self.known[key]
+
+    async def find(
+        self, key: int, services: Collection[str], request_id: str
+    ) -> origins.Origin | None:
+        """Returns a recorded origin."""
+        return self.known.get(key)
+
+
 class Break(Exception):
     """Marks where the connection of a scripted run breaks."""
 
@@ -194,16 +222,27 @@
 
 
 def make_forwarder(
-    replicas: FakeReplicas, quarantine: quarantines.Quarantine | None = None
+    replicas: FakeReplicas,
+    quarantine: quarantines.Quarantine | None = None,
+    stream_origins: Origins | None = None,
+    versions: tuple[str, ...] = ("", ""),
 ) -> forwarding.Forwarder:
-    """Returns a forwarder over two replicas of two slots."""
+    """Returns a forwarder over replicas of two slots, two unless told."""
     clock = clocks.MonotonicClock()
+    dispatcher = test_dispatcher.make(replicas=len(versions), clock=clock)
+    fleet = dispatcher.fleet
+    for n, version in enumerate(versions):
+        listing = fleet.directory.get(f"r{n}")
+        assert listing is not None
+        fleet.directory.put(msgspec.structs.replace(listing, version=version))
+    fleet.refresh()
     return forwarding.Forwarder(
-        test_dispatcher.make(clock=clock),
+        dispatcher,
         replicas,
         clock,
         metrics_lib.Registry(),
         quarantine or quarantines.Quarantine(),
+        stream_origins or Origins(),
     )
 
 
@@ -516,3 +555,85 @@
         b"".join(stream(1, 3)),
     )
     assert not caller.complete
+
+
+async def test_broken_stream_goes_on_at_its_own_version_only() -> None:
+    """Guards against an answer that two software versions wrote."""
+    for _ in range(10):
+        caller = Caller()
+        replicas = FakeReplicas(
+            Script([*stream(1, 2), Break]), Script(stream(3, 4))
+        )
+        forwarder = make_forwarder(replicas, versions=("v1", "v1", "v2", "v2"))
+        await forwarder.run(make_call(caller))
+        assert caller.body == b"".join(stream(1, 4))
+        (first, _), (second, _) = replicas.sent
+        assert {first, second} in ({"r0", "r1"}, {"r2", "r3"})
+
+
+async def test_stream_whose_version_has_no_other_replica_stays_there() -> None:
+    """Guards against a stream that is given up, or goes on at another one."""
+    caller = Caller()
+    replicas = FakeReplicas(
+        Script([*stream(1, 2), Break]), Script(stream(3, 4))
+    )
+    forwarder = make_forwarder(replicas, versions=("v1", "v2"))
+    await forwarder.run(make_call(caller))
+    assert caller.body == b"".join(stream(1, 4))
+    (first, _), (second, _) = replicas.sent
+    assert first == second
+
+
+async def test_run_without_an_event_may_be_repeated_at_any_version() -> None:
+    """Guards against refusing a stream of which the caller has nothing."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([b"id: 1", Break]), Script(stream(1, 4)))
+    forwarder = make_forwarder(replicas, versions=("v1", "v2"))
+    await forwarder.run(make_call(caller))
+    assert caller.body == b"".join(stream(1, 4))
+
+
+async def _take_up(
+    stream_origins: Origins, versions: tuple[str, ...]
+) -> tuple[Caller, FakeReplicas, errors.CallerError | None]:
+    """Takes up, after its second event, the stream that `first` began."""
+    caller, replicas = Caller(), FakeReplicas(Script(stream(3, 4)))
+    forwarder = make_forwarder(
+        replicas, stream_origins=stream_origins, versions=versions
+    )
+    call = make_call(caller)
+    call.resume_after, call.resumes = 2, "first"
+    try:
+        await forwarder.run(call)
+    except errors.CallerError as exc:
+        return caller, replicas, exc
+    return caller, replicas, None
+
+
+async def test_stream_is_taken_up_at_the_version_that_began_it() -> None:
+    """Guards against a stream joined from two versions over two requests."""
+    known = Origins()
+    key = origins.stream_key("kaje", "first")
+    known.known[key] = origins.Origin("s", "v2")
+    for _ in range(10):
+        caller, replicas, _ = await _take_up(known, ("v1", "v1", "v1", "v2"))
+        assert caller.body == b"".join(stream(3, 4))
+        assert replicas.sent == [("r3", 2)]
+
+
+@pytest.mark.parametrize("begun_at", ["v9", None])
+async def test_stream_that_can_not_go_on_is_refused_at_once(
+    begun_at: str | None,
+) -> None:
+    """Guards against guessing, and against holding what can't be served."""
+    known = Origins()
+    if begun_at is not None:
+        key = origins.stream_key("kaje", "first")
+        known.known[key] = origins.Origin("s", begun_at)
+    started_s = trio.current_time()
+    _, replicas, exc = await _take_up(known, ("v1", "v2"))
+    assert exc is not None
+    assert (exc.status, exc.ran) == (503, base_errors.Ran.NOT_RUN)
+    assert exc.retry_after_ms
+    assert not replicas.sent
+    assert trio.current_time() - started_s < 0.2
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -14,6 +14,7 @@
 from lacewingwood.jobs import table as tables
 from lacewingwood.jobs import writer as writers
 from lacewingwood.log import compacted
+from lacewingwood.routing import origins
 from tests.jobs import fakes
 
 KEY = "kaje/job"
@@ -299,6 +300,7 @@
         running_task, done_task = old.tasks
         running_task.events.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
         running_task.output += [b"a", b"b"]
+        running_task.origin = origins.Origin("s", "v1")
         log.down = True
         old.complete(done_task, b"whole")
         await trio.sleep(0.01)
@@ -312,6 +314,7 @@
         (task,) = new.tasks
         assert task.events.last_id == 2
         assert task.output == [b"a", b"b"]
+        assert task.origin == running_task.origin
         await second.apply_progress(progress[-1])
         assert list(new.tasks) == [task]
         nursery.cancel_scope.cancel()
--- a/tests/jobs/test_ownership.py
+++ b/tests/jobs/test_ownership.py
@@ -7,6 +7,7 @@
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import ownership as ownerships
 from lacewingwood.log import compacted
+from lacewingwood.routing import origins
 from lacewingwood.upstreams import event_stream
 from tests.jobs import fakes
 
@@ -72,6 +73,7 @@
         (task,) = scheduler.tasks
         task.events = event_stream.Splitter(7)
         task.output = [b"seven events"]
+        task.origin = origins.Origin("s", "v1")
         first = ownership.owner(0)
         assert first is not None
         first.lost.set()
@@ -80,6 +82,7 @@
                 await trio.sleep(0.01)
         (resumed,) = scheduler.tasks
         assert resumed.output == [b"seven events"]
+        assert resumed.origin == task.origin
         assert ownership.owner(0) is not first
         nursery.cancel_scope.cancel()
 
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -12,8 +12,10 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import origins
 from lacewingwood.routing import outliers
 from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
 from tests.jobs import fakes
 
@@ -163,3 +165,25 @@
     result = await harness.run_at("r1")
     assert result is not None
     assert harness.replicas.fresh == [False, True]
+
+
+async def test_item_starts_again_at_another_version() -> None:
+    """Guards against a result that two software versions wrote."""
+    harness = RunnerHarness([200])
+    harness.task.events = event_stream.Splitter(5)
+    harness.task.add_output([b"old"])
+    harness.task.origin = origins.Origin("s", "earlier")
+    result = await harness.run_at("r0")
+    assert result is not None
+    assert result.output == b"x"
+
+
+async def test_item_goes_on_at_its_version() -> None:
+    """Guards against work that is done again for nothing."""
+    harness = RunnerHarness([200])
+    harness.task.events = event_stream.Splitter(0)
+    harness.task.add_output([b"old"])
+    harness.task.origin = origins.Origin("s", "")
+    result = await harness.run_at("r0")
+    assert result is not None
+    assert result.output == b"old\nx"
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -115,6 +115,7 @@
         clock,
         metrics,
         quarantines.Quarantine(),
+        test_forwarding.Origins(),
     )
 
 
