Show that a head that breaks off is no answer

Cause: operators report successes with an empty body after a replica stopped in the middle of an answer's head. Change: a test cuts a head at each of its bytes, for streams that may and may not be repeated.

--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -449,3 +449,31 @@
     """Guards against half a stream without a length that looks whole."""
     async with _scripted_server(_UNFRAMED_HEAD + body, reset=reset) as address:
         await _expect_failure(_make_forwarder(address))
+
+
+_STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s.1\r\n"
+    b"Content-Type: text/event-stream\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+async def test_head_that_breaks_off_is_no_answer(resumable: bool) -> None:
+    """Guards against a success with an empty or short body, framed as whole."""
+    lengths = iter(range(len(_STREAM_HEAD)))
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            # The forwarder also connects to see whether the replica has ended.
+            if await stream.receive_some():
+                await stream.send_all(_STREAM_HEAD[: next(lengths)])
+
+    async with _serving(serve) as address:
+        for _ in _STREAM_HEAD:
+            caller = test_forwarding.Caller()
+            call = _make_call(caller, resumable=resumable, max_attempts=1)
+            with pytest.raises(
+                (caller_errors.CallerError, forwarding.AbortError)
+            ):
+                await _make_forwarder(address).run(call)
+            assert caller.status == 0
