Pass over entries of replicas that are nested, too large or out of range

Gateways that read an odd entry of another writer would have ended, one after the other and again after each start.

Cause: deep nesting raises RecursionError, which is no error of the decoder and left the follower's task; numbers had no bound; an address could be a name, or have a port out of range, which fails each request that chooses the replica. Change: the adapter turns all of these into its own error, so that the entry is passed over; likewise for the configuration, for jobs and for the store. An entry without a version names no replica. The entry in test_published.py has got one.

--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -3,6 +3,8 @@
 The structures mirror the platform's JSON, whose field names they keep.
 """
 
+import ipaddress
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -83,19 +85,26 @@
     limits: _Limits = _Limits()
 
 
+_Name = Annotated[str, msgspec.Meta(max_length=200)]
+# Numbers beyond what any replica has are not taken for it: the product computes
+# with them, and sends them to other gateways.
+_Slots = Annotated[int, msgspec.Meta(le=100_000)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, lt=1 << 53)]
+
+
 class _ReplicaEntry(msgspec.Struct):
-    service: str
-    address: str
+    service: _Name
+    address: _Name
     state: str
-    zone: str = ""
     # Version of the replica's software, not of its weights.
-    version: str = ""
+    version: _Name
+    zone: _Name = ""
     # Requests that the replica runs at once.
-    slots: int = 1
+    slots: _Slots = 1
     # How much longer the replica is slow after its start.
     cold_remaining_ms: float = 0.0
     # Unix time of the replica's start in ms.
-    born: int = 0
+    born: _UnixMs = 0
 
 
 def decode_configuration(data: bytes) -> configuration.Configuration:
@@ -122,16 +131,11 @@
         DocumentError: The entry is malformed or its state is unknown.
     """
     entry = _decode(data, _ReplicaEntry)
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in ("ready", "draining") or not host:
-        raise DocumentError(
-            f"replica entry {replica_id}: unknown state {entry.state!r},"
-            " or an address without a host"
-        )
-    if not port.isdigit():
+    if entry.state not in ("ready", "draining"):
         raise DocumentError(
-            f"replica entry {replica_id}: no port in address {entry.address!r}"
+            f"replica entry {replica_id}: unknown state {entry.state[:20]!r}"
         )
+    _check_address(replica_id, entry.address)
     return directory.Listing(
         id=replica_id,
         service=entry.service,
@@ -145,10 +149,24 @@
     )
 
 
+def _check_address(replica_id: str, address: str) -> None:
+    """Raises DocumentError unless an address is an IPv4 number and a port."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as exc:
+        raise DocumentError(f"replica entry {replica_id}: {exc}") from exc
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 1 << 16:
+        raise DocumentError(
+            f"replica entry {replica_id}: no port in address {address!r}"
+        )
+
+
 def _decode(data: bytes, type_: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=type_)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        # The latter for values that are nested too deeply.
         raise DocumentError(str(exc)) from exc
 
 
--- a/lacewingwood/platform/jobs.py
+++ b/lacewingwood/platform/jobs.py
@@ -86,7 +86,7 @@
     try:
         lot = _decoder.decode(body)
         bodies = [base64.b64decode(i.body, validate=True) for i in lot.items]
-    except (msgspec.MsgspecError, binascii.Error) as exc:
+    except (msgspec.MsgspecError, RecursionError, binascii.Error) as exc:
         raise errors.InvalidJobError(str(exc)[:120]) from exc
     ids = {item.id for item in lot.items}
     if not lot.items or len(lot.items) > _MAX_ITEMS or len(ids) < len(bodies):
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -264,7 +264,7 @@
 def _decode(body: bytes, type_: Any) -> Any:
     try:
         return msgspec.json.decode(body, type=type_, strict=False)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise errors.UnavailableError(
             f"malformed response from the store: {exc}", True
         ) from exc
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -31,6 +31,7 @@
     "service": "x",
     "address": "10.0.0.1:80",
     "zone": "z",
+    "version": "v1",
     "slots": 8,
     "state": "ready",
     "cold_remaining_ms": 0,
@@ -111,3 +112,39 @@
     ):
         with contextlib.suppress(documents.DocumentError):
             decode(data)
+
+
+_NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"service":"s","x":' + _NESTED + b"}",
+        b'{"service":' + _NESTED + b"}",
+        b'{"service":' + b'{"a":' * 50_000 + b"1" + b"}" * 50_001,
+        _encode(_ENTRY)[:-1] + b',"slots":' + b"9" * 5_000 + b"}",
+        _encode({**_ENTRY, "slots": 10**30}),
+        _encode({**_ENTRY, "born": 10**30}),
+        _encode(_ENTRY)[:-1] + b',"cold_remaining_ms":1e999}',
+        _encode({**_ENTRY, "address": "10.0.0.1:65536"}),
+        _encode({**_ENTRY, "address": "10.0.0.1:0"}),
+        _encode({**_ENTRY, "address": "10.0.0.1:8²"}),
+        _encode({**_ENTRY, "address": "host.example:80"}),
+        _encode({**_ENTRY, "address": "10.0.0.1\r\nX: y:80"}),
+        _encode({k: v for k, v in _ENTRY.items() if k != "version"}),
+        _encode({**_ENTRY, "version": "v" * 10_000}),
+        b"\xff\xfe",
+        b"",
+    ],
+)
+def test_odd_entry_of_another_writer_is_passed_over(value: bytes) -> None:
+    """Guards against an entry at which each gateway that reads it ends."""
+    with pytest.raises(documents.DocumentError):
+        documents.decode_replica("i-1", value)
+
+
+def test_nested_configuration_is_passed_over() -> None:
+    """Guards against a document at which each gateway that reads it ends."""
+    with pytest.raises(documents.DocumentError):
+        documents.decode_configuration(b'{"version":1,"x":' + _NESTED + b"}")
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -22,7 +22,10 @@
 
 
 def _decode(items: object):  # type: ignore[no-untyped-def]
-    body = msgspec.json.encode({"items": items})
+    return _decode_body(msgspec.json.encode({"items": items}))
+
+
+def _decode_body(body: bytes):  # type: ignore[no-untyped-def]
     return jobs.decode_submission(
         body, "kaje", "j1", "h", "/p/j1", _ROUTE, 1_000
     )
@@ -66,6 +69,13 @@
         _decode(items)
 
 
+def test_nested_submission_is_refused() -> None:
+    """Guards against an internal error at a body that is nested too deeply."""
+    nested = b"[" * 100_000 + b"]" * 100_000
+    with pytest.raises(errors.InvalidJobError):
+        _decode_body(b'{"items":[],"x":' + nested + b"}")
+
+
 def test_results_name_the_next_position() -> None:
     """Guards against a position that makes readers skip a result."""
     page = gateway_messages.JobResults(
--- a/tests/state/test_published.py
+++ b/tests/state/test_published.py
@@ -7,7 +7,7 @@
 from lacewingwood.state import published
 
 _ENTRY = (
-    b'{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,'
+    b'{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,'
     b'"state":"ready"}'
 )
 
