Ignore what another replica at a reused address says of itself

Cause: a response with status 421 comes from the replica that has the address now. Its load was taken for that of the expected one, and so would be its limit and that it leaves. Conclusion: found by reading.

--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -99,10 +99,9 @@
             exchange.header(_NOT_EXECUTED_HEADER) is not None
             or self.misdirected
         )
-        self.notice = runs.Notice(
-            _parse_load(exchange.header(_LOAD_HEADER)),
-            _parse_rate_limit(exchange.header(_RATE_LIMIT_HEADER)),
-            exchange.header(_LEAVING_HEADER) == b"1",
+        # Another replica speaks of itself if it has this address now.
+        self.notice = (
+            runs.Notice() if self.misdirected else _decode_notice(exchange)
         )
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
@@ -231,6 +230,14 @@
     )
 
 
+def _decode_notice(exchange: http1.Exchange) -> runs.Notice:
+    return runs.Notice(
+        _parse_load(exchange.header(_LOAD_HEADER)),
+        _parse_rate_limit(exchange.header(_RATE_LIMIT_HEADER)),
+        exchange.header(_LEAVING_HEADER) == b"1",
+    )
+
+
 def _parse_load(load: bytes | None) -> int:
     """Returns how many requests a replica runs and queues, -1 if unknown."""
     parts = (load or b"").split(b",")
--- a/lacewingwood/routing/origins.py
+++ b/lacewingwood/routing/origins.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-# Streams whose beginning is remembered, some 5 MB of memory at most.
+# Streams whose beginning is remembered, in 2.4 MB of memory.
 _MAX_BEGINNINGS = 20_000
 
 
