Give up a stream once the last replica of its version has left

Cause: a stream that waited for a slot at its version waited until its deadline when the replicas of that version had left meanwhile. Change: the dispatcher ends the wait when no replica may run the request.

--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -294,6 +294,10 @@
                 await waiter.ready.wait()
             if not waiter.ready.is_set():
                 self.serve_waiting()
+            req = waiter.req
+            if req.version is not None and not self._usable(req):
+                # The last replica of its version has left.
+                return
 
     def assign(self, replica: load.Replica, work: load.WorkKind) -> Slot:
         """Returns a slot at a replica, whether or not one is free."""
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -361,6 +361,33 @@
     assert not dispatcher.fleet.recently_leaving(0)
 
 
+async def test_stream_is_given_up_once_its_version_has_no_replica(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against holding what can't be served until its deadline."""
+    clock = fleets.Clock()
+    dispatcher = make(replicas=2, slots=1, clock=clock)
+    fleet = dispatcher.fleet
+    old = fleet.get("r0")
+    assert old is not None
+    listing = msgspec.structs.replace(old.listing, version="v1")
+    fleet.directory.put(listing)
+    fleet.refresh()
+    while dispatcher.try_acquire(_request(version="v1")):
+        pass
+
+    async def leave() -> None:
+        await trio.sleep(1)
+        fleet.directory.put(msgspec.structs.replace(listing, leaving=True))
+        fleet.refresh()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leave)
+        req = _request(version="v1", deadline_ms=clock.now_ms() + 5_000)
+        assert await dispatcher.acquire(req) is None
+    assert trio.current_time() < 1.1
+
+
 def _limit(dispatcher: dispatchers.Dispatcher, name: str, rate: float) -> None:
     """Lets a replica name a limit, of which one request is left."""
     replica = dispatcher.fleet.get(name)
