--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -123,7 +123,12 @@
         """
 
     async def acquire(self, req: SlotRequest) -> Slot | None:
-        """Waits for a slot; returns None if the deadline passes first."""
+        """Waits for a slot.
+
+        Returns:
+            None if the deadline passes first, or if it is known before that no
+            replica can run the request in time.
+        """
 
     def release(self, slot: Slot) -> None:
         """Releases a slot; further calls have no effect."""
@@ -204,7 +209,12 @@
         return self.assign(replica, req.work)
 
     async def acquire(self, req: SlotRequest) -> Slot | None:
-        """Waits for a slot; returns None if the deadline passes first."""
+        """Waits for a slot.
+
+        Returns:
+            None if the deadline passes first, or if it is known before that no
+            replica can run the request in time.
+        """
         if not self._waiting and (slot := self.try_acquire(req)):
             return slot
         if self._is_hopeless(req):
