Take no grant of a coordinator at another software version

Cause: while gateways of two releases run in a large fleet, a coordinator of the earlier one does not read the version that a request asks for, and grants any replica. Change: a gateway gives such a grant back and asks again without that replica. A version that is an empty string is one, too. Conclusion: found by reading; batch items start again in that case.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -280,7 +280,7 @@
                 # The other replicas are all of other versions.
                 exclude = set()
         if not self._slots.has_replica(service, exclude=(), version=version):
-            progress.reason = "no_version" if version else "no_replica"
+            progress.reason = "no_replica" if version is None else "no_version"
             return None
         objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
         return await self._slots.acquire(
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -365,6 +365,9 @@
         batch = self._batch.pop(number, None)
         replica = self.fleet.get(replica_id)
         usable = replica is not None and not replica.leaving
+        if replica is not None and pending is not None:
+            # A coordinator of an earlier release grants any software version.
+            usable = pending.req.allows(replica)
         if not usable or (pending is None and batch is None):
             if pending is not None:
                 pending.req.exclude.add(replica_id)
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -4,11 +4,14 @@
 requests that need four fifths of all slots, with batch items between them.
 """
 
+import msgspec
 import trio
 from trio import testing as trio_testing
 
 from lacewingwood import errors as base_errors
 from lacewingwood.peers import errors as peer_errors
+from lacewingwood.peers import gateway_messages
+from lacewingwood.peers import messages
 from tests.routing import fleets
 
 # 37 replicas with 8 slots; a request holds one for 0.74 s.
@@ -275,3 +278,44 @@
         assert fleet.outcome.refused == 0
         assert fleet.outcome.share_within(fleets.OBJECTIVE_MS) >= 0.99
         nursery.cancel_scope.cancel()
+
+
+def _ignore_versions(gateway: fleets.Gateway) -> None:
+    """Makes a coordinator read messages as an earlier release does."""
+    handlers = gateway.network.handlers
+    handle = handlers[gateway_messages.SlotAsk]
+
+    async def handle_without_version(
+        message: messages.Message,
+    ) -> messages.Message:
+        assert isinstance(message, gateway_messages.SlotAsk)
+        return await handle(msgspec.structs.replace(message, version=None))
+
+    handlers[gateway_messages.SlotAsk] = handle_without_version
+
+
+async def test_grant_of_another_version_is_given_back(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against joined streams while gateways of two releases run.
+
+    A coordinator of the earlier release does not know of versions.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=8, zones=2)
+        gateway = fleet.gateways[0]
+        own = gateway.dispatcher.fleet
+        for n, listing in enumerate(fleet.listings):
+            version = "v1" if n < 2 else "v2"
+            own.directory.put(msgspec.structs.replace(listing, version=version))
+        own.refresh()
+        for other in fleet.gateways[1:]:
+            _ignore_versions(other)
+        for _ in range(20):
+            req = fleets.make_request()
+            req.version = "v1"
+            slot = await gateway.client.acquire(req)
+            assert slot is not None
+            assert slot.replica.listing.version == "v1"
+            gateway.client.release(slot)
+        nursery.cancel_scope.cancel()
--- a/tests/routing/test_coordinator.py
+++ b/tests/routing/test_coordinator.py
@@ -17,21 +17,22 @@
     now_ms: float,
     work: load.WorkKind = load.WorkKind.ONLINE,
     may_preempt: bool = False,
+    version: str | None = None,
 ) -> str:
     """Returns the replica that a new ticket is granted, empty if it waits."""
     req = dispatchers.SlotRequest(
-        "s", work, arrived_ms=now_ms, objective_ms=2_000
+        "s", work, arrived_ms=now_ms, objective_ms=2_000, version=version
     )
     ticket = coordinators.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
     return coordinator.ask(ticket, now_ms)[0]
 
 
 def _make(
-    limits: replica_limits.ReplicaLimits, replicas: int = 1
+    limits: replica_limits.ReplicaLimits, versions: tuple[str, ...] = ("v1",)
 ) -> coordinators.Coordinator:
     listings = [
-        directory.Listing(f"r{n}", "s", f"10.0.0.{n}:80", "z", 8)
-        for n in range(replicas)
+        directory.Listing(f"r{n}", "s", "10.0.0.1:80", "z", 8, version=version)
+        for n, version in enumerate(versions)
     ]
     listed = [load.Replica(listing) for listing in listings]
     return coordinators.Coordinator(
@@ -77,8 +78,17 @@
 def test_unlimited_replica_gets_what_a_limited_one_does_not_take() -> None:
     """Guards against a limit of one replica that slows its whole shard."""
     limits = replica_limits.ReplicaLimits()
-    coordinator = _make(limits, replicas=2)
+    coordinator = _make(limits, versions=("v1", "v1"))
     limits.note_response("r0/0", 1.0, 0)
     granted = [_ask(coordinator, number, 0) for number in range(8)]
     assert granted == ["r1"] * 8
     assert coordinator.free_slots(_SHARD, 0) == 0
+
+
+def test_stream_gets_a_slot_at_its_version_only() -> None:
+    """Guards against streams joined from two versions in a large fleet."""
+    coordinator = _make(replica_limits.ReplicaLimits(), versions=("v1", "v2"))
+    for number in range(8):
+        assert _ask(coordinator, number, 0, version="v2") == "r1"
+    assert not _ask(coordinator, 8, 0, version="v2")
+    assert _ask(coordinator, 9, 0) == "r0"
