--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -134,6 +134,7 @@
             self._store,
             cfg.host,
             lambda: len(self._roster.live_peers()) + 1,
+            cfg.partitions_per_topic,
             self._clock,
             _wall_ms,
             self._metrics,
--- a/lacewingwood/state/stream_journal.py
+++ b/lacewingwood/state/stream_journal.py
@@ -55,6 +55,7 @@
         log: compacted.CompactedLog,
         host: str,
         gateways: Callable[[], int],
+        partitions: int,
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
         metrics: metrics_lib.Registry,
@@ -65,6 +66,7 @@
             log: Log that keeps it.
             host: This gateway's host.
             gateways: Returns the number of gateways, which share the appends.
+            partitions: Partitions that the log has for each topic.
             clock: Source of monotonic time.
             wall_ms: Returns Unix time.
             metrics: Counts appends.
@@ -75,7 +77,8 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._metrics = metrics
-        number = zlib.crc32(host.encode()) % PARTITIONS
+        self._partitions = min(PARTITIONS, partitions)
+        number = zlib.crc32(host.encode()) % self._partitions
         self._partition = compacted.Partition(_TOPIC, number)
         self._queue: list[_Beginning] = []
         self._queued = trio.Event()
@@ -139,7 +142,7 @@
     async def _read_all(self) -> bool:
         failures: list[errors.LogError] = []
         async with trio.open_nursery() as nursery:
-            for number in range(PARTITIONS):
+            for number in range(self._partitions):
                 nursery.start_soon(self._read_partition, number, failures)
         return not failures
 
--- a/tests/state/test_stream_origins.py
+++ b/tests/state/test_stream_origins.py
@@ -51,7 +51,13 @@
             fleet.log, clock, fleet.wall_ms, metrics
         )
         self.journal = stream_journal.StreamJournal(
-            fleet.log, host, lambda: 3, clock, fleet.wall_ms, metrics
+            fleet.log,
+            host,
+            lambda: 3,
+            fleet.partitions,
+            clock,
+            fleet.wall_ms,
+            metrics,
         )
         self.origins = stream_origins.StreamOrigins(
             self.versions,
@@ -99,6 +105,7 @@
         self.log = fakes.MemoryLog()
         self.bus = fleets.Bus(nursery, delay_ms=1.0)
         self.gateways: dict[str, _Gateway] = {}
+        self.partitions = 8
         self._nursery = nursery
 
     def wall_ms(self) -> int:
@@ -161,6 +168,22 @@
         assert await new.find("r-3") is None
 
 
+async def test_log_may_have_a_single_partition_for_each_topic(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a journal on partitions that do not exist."""
+    async with _running_fleet() as fleet:
+        fleet.partitions = 1
+        for host in ("a", "b", "c", "d"):
+            gateway = await fleet.start(host, "v1", "v2")
+            await gateway.begin(f"r-{host}", 1)
+        assert fleet.appends("streams") == 4
+        assert fleet.log.core.partition("streams", 0).end == 4
+        fleet.kill("a", "b", "c", "d")
+        new = await fleet.start("e", "v1", "v2")
+        assert await new.find("r-c") == _V2
+
+
 async def test_stream_of_a_version_that_has_left_is_not_taken_for_the_new_one(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
