--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,31 +15,34 @@
 
 _ITEMS = 200
 _JOBS = 2
+# Gateways that are added, one after another.
+_ROUNDS = 3
 # Outputs of 40 KB.
 _EVENTS, _TEXT_BYTES, _STEP_S = 20, 2_000, 0.01
 # `platform_slow`: answers take 60 times as long, 4 ms each, for 4.5 s.
 _SLOW_MS, _SLOW_S = 240, 4.5
-_LEAD_S = 0.3
+# From the jobs' submission until the added gateway takes part.
+_LEAD_S = 0.85
 _GATEWAYS = 2
 _PARTITIONS = 24
 _FINISH_S = 18.0
 _CALM_S, _IDLE_S = 5.0, 3.0
 
 
-def _moving_jobs() -> list[str]:
-    """Returns ids of jobs whose partitions the added gateway will get.
+def _moving_jobs(gateways: int, first: int) -> list[str]:
+    """Returns ids of jobs whose partitions an added gateway will get.
 
-    The store deals the partitions in turn; a third of all jobs are in one that
-    goes to the third gateway.
+    The store deals the partitions in turn; with one more than `gateways`, the
+    jobs of each partition that the last one gets have such ids.
     """
-    names = (f"{n:016x}" for n in range(100))
+    names = (f"{n:016x}" for n in range(first, first + 1_000))
     moving = [
         name
         for name in names
         if xxhash.xxh64_intdigest(f"kaje/{name}".encode())
         % _PARTITIONS
-        % (_GATEWAYS + 1)
-        == _GATEWAYS
+        % (gateways + 1)
+        == gateways
     ]
     return moving[:_JOBS]
 
@@ -68,9 +71,23 @@
     )
     for replica in fleet.replicas:
         replica.quiet = True
+    started = time.monotonic()
     await fleet.add_gateways(_GATEWAYS)
+    start_s = time.monotonic() - started
     await asyncio.sleep(3.5)
-    jobs = {name: dict[int, str]() for name in _moving_jobs()}
+    for n in range(_ROUNDS):
+        if not await _add_gateway(fleet, trouble, start_s, n):
+            return False
+    return True
+
+
+async def _add_gateway(
+    fleet: h.Fleet, trouble: bool, start_s: float, n: int
+) -> bool:
+    """Adds a gateway while jobs run; returns whether the rules held."""
+    gateways = len(fleet.gateways)
+    names = _moving_jobs(gateways, n * 10_000)
+    jobs = {name: dict[int, str]() for name in names}
     for name in jobs:
         items = [f"{name}-{n}" for n in range(_ITEMS)]
         answer = await h.submit(fleet.gateways[0], name, items)
@@ -81,11 +98,11 @@
         asyncio.create_task(_read_forever(fleet, name, listed))
         for name, listed in jobs.items()
     ]
-    await asyncio.sleep(_LEAD_S)
+    await asyncio.sleep(max(0.0, _LEAD_S - start_s))
     if trouble:
         await fleet.set_store_faults(delay_ms=_SLOW_MS)
     fleet.record.note("a gateway is added")
-    added = fleet.make_gateway(f"front-{_GATEWAYS}", "zone-0")
+    added = fleet.make_gateway(f"front-{gateways}", "zone-0")
     added.start(fleet.seeds)
     await asyncio.sleep(_SLOW_S)
     await fleet.set_store_faults()
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -766,6 +766,12 @@
     record.note(f"TROUBLE={int(trouble)}")
 
     async def run() -> int:
+        # The processes are ended, too, if the script is told to stop.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         with tempfile.TemporaryDirectory() as name:
             fleet = Fleet(record, pathlib.Path(name))
             try:
@@ -773,7 +779,11 @@
                     await fleet.start_store()
                     held = await case(fleet, trouble)
                 return HELD if held else BROKEN
-            except (CouldNotRunError, TimeoutError) as exc:
+            except (
+                CouldNotRunError,
+                TimeoutError,
+                asyncio.CancelledError,
+            ) as exc:
                 record.note(f"could not run: {exc!r}")
                 return COULD_NOT_RUN
             finally:
