Review, case 2: keep the slow phase of the store inside its limit

The phase had lasted 4.504 to 4.512 s, and delayed answers came up to 0.24 s later; the limit is 4.5 s. It is 4.2 s now.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,8 +19,9 @@
 _ROUNDS = 3
 # Outputs of 40 KB.
 _EVENTS, _TEXT_BYTES, _STEP_S = 20, 2_000, 0.01
-# `platform_slow`: answers take 60 times as long, 4 ms each, for 4.5 s.
-_SLOW_MS, _SLOW_S = 240, 4.5
+# `platform_slow`: answers of 4 ms take 60 times as long, for 4.5 s at most. The
+# last delayed answers come 0.24 s after the phase.
+_SLOW_MS, _SLOW_S = 240, 4.2
 # From the jobs' submission until the added gateway takes part.
 _LEAD_S = 0.85
 _GATEWAYS = 2
