A request that was sent is never called not run at its deadline

Cause: `Progress.ran` changed when the head of an answer came or an attempt failed. An attempt that is cancelled at a deadline does neither, so between the first byte sent and the first byte of the answer the request counted as not run. Evidence: `request given up` said ran=not_run attempts=0 reason=timeout for each of them, without an `attempt failed` line.

Change: the client of the replicas reports the first byte it sends; from then on the attempt may have run until a replica refuses it or no connection was made. Such a request is answered 504. The log line has `pending`. Entries answered 503 with Retry-After to calls given up while they ran since the host can't check keys any more; they answer 502 now.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -320,14 +320,14 @@
             # The replica may have closed a pooled connection while it was
             # idle, and the last attempt can't be repeated if it is reset.
             fresh=not may_retry,
+            on_send=progress.note_sent,
         )
         async with opening as run:
             now_ms = self._clock.now_ms()
             self._slots.fleet.note_notice(slot.replica, run.notice, now_ms)
             if run.refused:
                 self._raise_refusal(call, slot, progress, run)
-            progress.attempts += 1
-            progress.ran = Ran.MAY_HAVE_RUN
+            progress.note_answered()
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
             if run.status >= _SERVER_ERROR:
                 body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
@@ -517,13 +517,15 @@
             errors.CallerError: The response was not started.
         """
         now_ms = self._clock.now_ms()
+        ran = progress.effect()
         _log.info(
             "request given up",
             request_id=call.work.request_id,
             route=call.route.name,
             customer=call.work.customer,
             reason=progress.reason,
-            ran=progress.ran.value,
+            ran=ran.value,
+            pending=progress.awaits_outcome,
             attempts=progress.attempts,
             refusals=progress.refusals,
             waited_ms=round(now_ms - call.arrived_ms),
@@ -532,7 +534,7 @@
         self._metrics.add("requests_given_up", reason=progress.reason)
         if call.req.started:
             raise AbortError
-        if progress.ran is Ran.NOT_RUN:
+        if ran is Ran.NOT_RUN:
             raise errors.unavailable(progress.reason, refusal, retry_after_ms)
         if status == _UNAVAILABLE:
             status = 502
@@ -540,7 +542,7 @@
             status,
             progress.reason,
             "the request may have run, but no response was received",
-            ran=progress.ran,
+            ran=ran,
         )
 
     async def _handle_end_of_replica(
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -59,7 +59,9 @@
         call: The call.
         attempts: Attempts that a replica may have run.
         refusals: Attempts that a replica did not run.
-        ran: Whether the request can have had an effect.
+        ran: Whether an attempt whose outcome is known can have had an effect.
+        awaits_outcome: True while an attempt has been sent and it is not known
+            whether the replica runs it.
         tried: Ids of replicas that must not be tried again.
         splitter: Splits the response into events, None if it is no stream.
         reason: Code of the last failure.
@@ -76,6 +78,7 @@
     attempts: int = 0
     refusals: int = 0
     ran: Ran = Ran.NOT_RUN
+    awaits_outcome: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
     splitter: event_stream.Splitter | None = None
     reason: str = "no_replica"
@@ -84,6 +87,20 @@
     origin: origins.Origin | None = None
     done: bool = False
 
+    def note_sent(self) -> None:
+        """Records that an attempt is about to be sent."""
+        self.awaits_outcome = True
+
+    def note_answered(self) -> None:
+        """Records that a replica answered an attempt and may have run it."""
+        self.awaits_outcome = False
+        self.ran = Ran.MAY_HAVE_RUN
+        self.attempts += 1
+
+    def effect(self) -> Ran:
+        """Returns whether any attempt, also a pending one, may have run."""
+        return Ran.MAY_HAVE_RUN if self.awaits_outcome else self.ran
+
     def attempts_left(self, begun: int = 0) -> bool:
         """Returns whether the route allows another attempt.
 
@@ -105,6 +122,7 @@
     ) -> None:
         """Records a failed attempt on a replica."""
         self.reason = exc.code
+        self.awaits_outcome = False
         self.tried.add(replica_id)
         if exc.ran is Ran.NOT_RUN:
             self.refusals += 1
--- a/lacewingwood/callers/running.py
+++ b/lacewingwood/callers/running.py
@@ -141,10 +141,8 @@
 
 def _stale_error() -> errors.CallerError:
     message = "this host can no longer check whether the API key is valid"
+    # No 503 and no Retry-After, which would ask the caller to send a request
+    # again that may have run.
     return errors.CallerError(
-        503,
-        "stale",
-        message,
-        ran=errors.Ran.MAY_HAVE_RUN,
-        retry_after_ms=1000,
+        502, "stale", message, ran=errors.Ran.MAY_HAVE_RUN
     )
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -3,6 +3,7 @@
 import contextlib
 import math
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 
 import h11
 import structlog
@@ -146,11 +147,13 @@
         resume_after: int | None = None,
         head_limit_ms: float = math.inf,
         fresh: bool = False,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Run]:
         """Sends a request and waits for its response head; see `runs`."""
         head = _encode(replica, work, remaining_ms, resume_after)
         pool = self._pools.pool(replica.address)
         async with pool.exchange(fresh, work.request_id) as exchange:
+            on_send()
             with trio.move_on_after(head_limit_ms / 1000) as limit:
                 await exchange.send_whole(head, work.body)
                 await exchange.receive_head()
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -89,6 +90,7 @@
         resume_after: int | None = None,
         head_limit_ms: float = math.inf,
         fresh: bool = False,
+        on_send: Callable[[], None] = lambda: None,
     ) -> contextlib.AbstractAsyncContextManager[Run]:
         """Sends a request and waits for the head of its response.
 
@@ -102,6 +104,8 @@
             resume_after: Id of the last event received by an earlier run.
             head_limit_ms: Longest wait for the head of the response.
             fresh: True to use a connection that nothing was sent on before.
+            on_send: Called right before the first byte is sent. If the context
+                is cancelled after that, the request may have run.
 
         Raises:
             errors.UpstreamError: No response; `ran` tells whether the request
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -203,11 +203,13 @@
     Attributes:
         sent: The requests that the service received.
         errors: Errors that the next requests raise.
+        silent: True if no response ever comes.
     """
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
         self.errors: list[Exception] = []
+        self.silent = False
 
     @contextlib.asynccontextmanager
     async def request(
@@ -226,6 +228,8 @@
         self.sent.append(Sent(address, method, path, dict(headers), got))
         if self.errors:
             raise self.errors.pop(0)
+        if self.silent:
+            await trio.sleep_forever()
 
         async def echo() -> AsyncIterator[bytes]:
             yield got
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -4,6 +4,7 @@
 import copy
 import math
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Collection
 
 import msgspec
@@ -70,6 +71,8 @@
         status: HTTP status.
         refused: True if the replica reports that it did not run the request.
         error: Raised instead of a response.
+        connects: False if no connection is ever made.
+        silent: True if no response ever comes.
     """
 
     def __init__(
@@ -78,11 +81,15 @@
         status: int = 200,
         refused: bool = False,
         error: upstream_errors.UpstreamError | None = None,
+        connects: bool = True,
+        silent: bool = False,
     ) -> None:
         self.chunks = list(chunks or [])
         self.status = status
         self.refused = refused
         self.error = error
+        self.connects = connects
+        self.silent = silent
 
 
 class _Run:
@@ -141,6 +148,7 @@
         resume_after: int | None = None,
         head_limit_ms: float = math.inf,
         fresh: bool = False,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[_Run]:
         """Yields the next scripted run."""
         self.sent.append((replica.id, resume_after))
@@ -148,6 +156,12 @@
         script = self._scripts.pop(0)
         try:
             await trio.lowlevel.checkpoint()
+            if not script.connects:
+                await trio.sleep_forever()
+            if not isinstance(script.error, upstream_errors.ConnectError):
+                on_send()
+            if script.silent:
+                await trio.sleep_forever()
             if script.error is not None:
                 raise script.error
             yield _Run(script)
@@ -464,6 +478,62 @@
     assert caught.value.status == 504
 
 
+@pytest.mark.parametrize(
+    ("script", "status", "ran"),
+    [
+        (Script(silent=True), 504, base_errors.Ran.MAY_HAVE_RUN),
+        (Script(connects=False), 503, base_errors.Ran.NOT_RUN),
+    ],
+)
+@pytest.mark.parametrize(
+    "kind",
+    [
+        configuration.RouteKind.NON_IDEMPOTENT,
+        configuration.RouteKind.STREAM,
+    ],
+)
+async def test_request_whose_answer_is_lost_is_not_reported_as_not_run(
+    kind: configuration.RouteKind,
+    script: Script,
+    status: int,
+    ran: base_errors.Ran,
+) -> None:
+    """Guards against a 503 at the deadline for a request that was sent.
+
+    The caller would take it for not run, and send it again.
+    """
+    call = make_call(Caller(), kind=kind, resumable=False, max_attempts=1)
+    call.deadline_ms = call.arrived_ms + 60
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(FakeReplicas(script)).run(call)
+    assert (caught.value.status, caught.value.ran) == (status, ran)
+
+
+async def test_refusal_after_a_lost_answer_does_not_hide_it() -> None:
+    """Guards against a 503 if only the last of the attempts did not run."""
+    replicas = FakeReplicas(
+        Script(error=upstream_errors.BrokenError("reset")),
+        Script(status=503, refused=True),
+    )
+    call = make_call(Caller(), max_attempts=2)
+    call.deadline_ms = call.arrived_ms + 200
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(call)
+    assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+    assert caught.value.status in (502, 504)
+
+
+async def test_request_refused_before_its_deadline_has_not_run() -> None:
+    """Guards against a 504 for a request that all replicas refused."""
+    refused = [Script(status=503, refused=True) for _ in range(2)]
+    replicas = FakeReplicas(*refused, Script(connects=False))
+    call = make_call(Caller(), max_attempts=1)
+    call.deadline_ms = call.arrived_ms + 100
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas, versions=("",) * 3).run(call)
+    assert caught.value.status == 503
+
+
 async def test_unstreamed_response_is_relayed_only_if_complete() -> None:
     """Guards against a truncated body that looks complete."""
     caller = Caller()
--- a/tests/callers/test_proxy.py
+++ b/tests/callers/test_proxy.py
@@ -156,6 +156,29 @@
     assert status == 200 or fakes.error(got)["ran"] == "may_have_run"
 
 
+async def test_call_given_up_while_it_runs_is_not_refused() -> None:
+    """Guards against a 503 that has a caller repeat a call that may have run.
+
+    The host gives up the call as it can't check keys any more.
+    """
+    world = _world()
+    world.plain.silent = True
+    responses = []
+    async with world.serve() as served, served.client() as client:
+
+        async def call() -> None:
+            responses.append(await client.call("POST", "/permits/7", b"x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await fakes.eventually(lambda: len(world.plain.sent) == 1)
+            world.state.is_fresh = False
+    (got,) = responses
+    assert got.status == 502
+    assert fakes.error(got)["ran"] == "may_have_run"
+    assert not fakes.header(got, b"retry-after")
+
+
 async def test_long_body_is_streamed_and_bounded() -> None:
     """Guards against buffering whole uploads and resending parts of them."""
     world = _world()
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -5,6 +5,7 @@
 
 from lacewingwood.platform import replicas
 from lacewingwood.routing import directory
+from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
 
 
@@ -31,6 +32,42 @@
     return notice
 
 
+async def test_caller_learns_that_its_request_is_sent() -> None:
+    """Guards against a request that counts as not run while it is running."""
+    sent: list[bytes] = []
+    arrived = trio.Event()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            sent.append(bytes(await stream.receive_some()))
+            arrived.set()
+            await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    listing = directory.Listing("r0", "s", f"127.0.0.1:{port}", "z", 8)
+    work = runs.Work("id-1", "POST", b"/x", [(b"host", b"h")], b"", "kaje")
+    notes: list[int] = []
+    client = replicas.Replicas()
+
+    async def send() -> None:
+        async with client.open(
+            listing, work, 1_000, on_send=lambda: notes.append(len(sent))
+        ):
+            pass
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        nursery.start_soon(send)
+        with trio.fail_after(1):
+            await arrived.wait()
+        nursery.cancel_scope.cancel()
+    assert notes == [0]
+    with pytest.raises(upstream_errors.ConnectError):
+        await send()
+    assert notes == [0]
+
+
 async def test_load_limit_and_leaving_are_decoded() -> None:
     """Guards against ignoring what a replica asks for."""
     head = (
