A new owner reads its whole partition before it writes results

Results are numbered by the number of those before them, so it wrote at positions that others had. The page did not say where the partition ends.

Change: a page has the partition's end, and `Follower.catch_up` reads up to it; the paths above use it. The stand-in for the store ends reads at `max_kb` and pages at 1 MB, as the store does.

--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -243,8 +243,8 @@
         return self._table
 
     async def refresh(self) -> int:
-        """Reads the log's end, see `admission.View`."""
-        await self._follower.poll(0)
+        """Reads to the log's end, see `admission.View`."""
+        await self._follower.catch_up()
         return self._follower.position
 
     async def apply_progress(
@@ -348,10 +348,15 @@
         await self._read_after_snapshot()
 
     async def _read_after_snapshot(self) -> None:
-        """Reads the records between the snapshot and the claim."""
+        """Reads the records between the snapshot and the claim.
+
+        All of them must be known before a result is written: results are
+        numbered by the number of those before them.
+        """
+        start = self._follower.position
         while True:
             try:
-                await self._follower.poll(0)
+                await self._follower.catch_up()
                 break
             except log_errors.LogError as exc:
                 self._metrics.add("claims_failed", code=exc.code)
@@ -364,6 +369,7 @@
             "partition loaded",
             partition=self.index,
             epoch=self.epoch,
+            after_snapshot=self._follower.position - start,
             jobs=len(list(entries)),
             items=len(self._tasks),
         )
--- a/lacewingwood/log/compacted.py
+++ b/lacewingwood/log/compacted.py
@@ -51,10 +51,18 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Records in offset order, and the offset to read on from."""
+    """Records in offset order, as many as the log returns at once.
+
+    Attributes:
+        records: The records.
+        next_offset: Offset to read on from.
+        end: Offset after the partition's last record. More records follow if
+            it is greater than `next_offset`.
+    """
 
     records: list[Record]
     next_offset: int
+    end: int
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -108,7 +116,7 @@
     async def read(
         self, partition: Partition, start: int, wait_ms: float
     ) -> Page:
-        """Returns the records from `start` on.
+        """Returns records from `start` on, not always all of them.
 
         Waits up to `wait_ms` for a record if there is none.
 
--- a/lacewingwood/log/follow.py
+++ b/lacewingwood/log/follow.py
@@ -96,28 +96,50 @@
             retry_ms = _MIN_RETRY_MS
             await self._clock.sleep_ms(self._pause_ms)
 
-    async def poll(self, wait_ms: float) -> None:
-        """Reads a snapshot if one is needed, otherwise new records.
+    async def catch_up(self) -> None:
+        """Reads all records that were appended before this call.
+
+        A single read returns only a part of them if they are many.
+
+        Raises:
+            errors.LogError: The log gave no usable answer. What it returned
+                until then has been passed on.
+        """
+        end = await self.poll(0)
+        while self.position < end:
+            before = self.position
+            await self.poll(0)
+            if self.position == before:
+                raise errors.UnavailableError(
+                    "a read returned no record before the end", False
+                )
+
+    async def poll(self, wait_ms: float) -> int:
+        """Reads a snapshot if one is needed, otherwise some new records.
 
         Args:
             wait_ms: How long to wait for a record if there is none.
 
+        Returns:
+            Offset after the partition's last record. The read has not reached
+            it if it is greater than `position`.
+
         Raises:
             errors.LogError: The log gave no usable answer.
         """
         if self.position < 0:
-            await self._read_snapshot()
-        else:
-            await self._read_records(wait_ms)
+            return await self._read_snapshot()
+        return await self._read_records(wait_ms)
 
-    async def _read_snapshot(self) -> None:
+    async def _read_snapshot(self) -> int:
         snapshot = await self._log.snapshot(self._partition)
         self._note_answer()
         self.position = snapshot.next_offset
         self._on_snapshot(snapshot.records)
         self.ready.set()
+        return snapshot.next_offset
 
-    async def _read_records(self, wait_ms: float) -> None:
+    async def _read_records(self, wait_ms: float) -> int:
         position = self.position
         try:
             page = await self._log.read(self._partition, position, wait_ms)
@@ -129,15 +151,15 @@
                 position=position,
             )
             self.position = -1
-            await self._read_snapshot()
-            return
+            return await self._read_snapshot()
         self._note_answer()
         if self.position < 0 or page.next_offset < self.position:
             # A concurrent read of this follower has already read further.
-            return
+            return page.end
         records = [r for r in page.records if r.offset >= self.position]
         self.position = page.next_offset
         self._on_records(records)
+        return page.end
 
     def _note_answer(self) -> None:
         now_ms = self._clock.now_ms()
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -108,7 +108,7 @@
     async def read(
         self, partition: compacted.Partition, start: int, wait_ms: float
     ) -> compacted.Page:
-        """Returns records from offset `start` on.
+        """Returns records from offset `start` on, at most 1 MB or one record.
 
         See `compacted.CompactedLog`.
         """
@@ -286,6 +286,7 @@
     position, offset = _PAGE_HEADER.size, start
     if len(body) < position:
         raise errors.UnavailableError("response to a read is too short", False)
+    end, _ = _PAGE_HEADER.unpack_from(body)
     while position + _RECORD_LENGTH.size <= len(body):
         (length,) = _RECORD_LENGTH.unpack_from(body, position)
         position += _RECORD_LENGTH.size
@@ -295,7 +296,7 @@
         position += length
         records.append(_decode_record(content, offset))
         offset += 1
-    return compacted.Page(records, offset)
+    return compacted.Page(records, offset, end)
 
 
 def _decode_record(content: bytes, offset: int) -> compacted.Record:
--- a/lacewingwood/state/software_versions.py
+++ b/lacewingwood/state/software_versions.py
@@ -117,7 +117,7 @@
     async def confirm(self) -> bool:
         """Reads the records up to now; returns whether the log answered."""
         try:
-            await self._follower.poll(0)
+            await self._follower.catch_up()
         except errors.LogError as exc:
             _log.info("versions not confirmed", code=exc.code)
             return False
--- a/lacewingwood/state/stream_journal.py
+++ b/lacewingwood/state/stream_journal.py
@@ -30,8 +30,6 @@
 # Beginnings that could not be appended in this time are dropped: streams are
 # taken up again within seconds.
 _MAX_QUEUED = 2_000
-# A read returns up to a megabyte; the next one follows if this much came.
-_FULL_PAGE_BYTES = 400_000
 
 
 class _Entry(msgspec.Struct, array_like=True):
@@ -160,18 +158,27 @@
             failures.append(exc)
 
     async def _read_on(self, partition: compacted.Partition) -> None:
-        position = self._positions.get(partition.number)
-        if position is None:
+        number = partition.number
+        if number not in self._positions:
             snapshot = await self._log.snapshot(partition)
             self._apply(snapshot.records)
-            self._positions[partition.number] = snapshot.next_offset
+            self._positions[number] = snapshot.next_offset
             return
-        size = _FULL_PAGE_BYTES
-        while size >= _FULL_PAGE_BYTES:
-            page = await self._log.read(partition, position, 0)
-            self._apply(page.records)
-            position = self._positions[partition.number] = page.next_offset
-            size = sum(len(record.value or b"") for record in page.records)
+        end = await self._read_page(partition)
+        while (position := self._positions[number]) < end:
+            await self._read_page(partition)
+            if self._positions[number] == position:
+                raise errors.UnavailableError(
+                    "a read returned no record before the end", False
+                )
+
+    async def _read_page(self, partition: compacted.Partition) -> int:
+        """Applies the next records; returns where the partition ends."""
+        start = self._positions[partition.number]
+        page = await self._log.read(partition, start, 0)
+        self._apply(page.records)
+        self._positions[partition.number] = page.next_offset
+        return page.end
 
     def _apply(self, records: list[compacted.Record]) -> None:
         now_ms = self._clock.now_ms()
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -20,6 +20,8 @@
 # Answers kept for each producer, for appends that it sends again.
 _ANSWERS_KEPT = 5
 _PAGE_RECORDS = 500
+_PAGE_BYTES = 1_000_000
+_DEFAULT_READ_KB = 1_024
 _READ_ONLY_TOPICS = ("keyed.op", "keyed.servers")
 
 
@@ -137,31 +139,37 @@
         self.append({"topic": topic, "part": "0"}, body, operator=True)
 
     def read(self, query: dict[str, str]) -> tuple[int, bytes]:
-        """Reads records from an offset on."""
+        """Reads records from an offset on, up to `max_kb` but at least one."""
         partition = self.partition(query["topic"], int(query["part"]))
         start = int(query["from"])
         if start < partition.first:
             return 410, msgspec.json.encode({"first": partition.first})
-        body = _PAGE_HEADER.pack(partition.end, partition.first)
+        limit = int(query.get("max_kb", _DEFAULT_READ_KB)) << 10
+        parts = [_PAGE_HEADER.pack(partition.end, partition.first)]
+        size = 0
         for record in partition.records[start - partition.first :]:
-            body += _RECORD_LENGTH.pack(len(record)) + record
-        return 200, body
+            size += _RECORD_LENGTH.size + len(record)
+            if size > limit and len(parts) > 1:
+                break
+            parts.append(_RECORD_LENGTH.pack(len(record)) + record)
+        return 200, b"".join(parts)
 
     def newest(self, query: dict[str, str]) -> tuple[int, bytes]:
-        """Returns the newest record of each key."""
+        """Returns a page of the newest records of all keys."""
         partition = self.partition(query["topic"], int(query["part"]))
         keys = sorted(k for k in partition.newest if k > query.get("after", ""))
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(partition.newest[key][1]).decode(),
-                "offset": partition.newest[key][0],
-            }
-            for key in keys[:_PAGE_RECORDS]
-        ]
+        items: list[dict[str, object]] = []
+        size = 0
+        for key in keys[:_PAGE_RECORDS]:
+            offset, value = partition.newest[key]
+            size += len(key) + len(value)
+            if items and size > _PAGE_BYTES:
+                break
+            text = base64.b64encode(value).decode()
+            items.append({"key": key, "value": text, "offset": offset})
         answer = {
             "items": items,
-            "more": len(keys) > _PAGE_RECORDS,
+            "more": len(keys) > len(items),
             "end": partition.end,
         }
         return 200, msgspec.json.encode(answer)
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -27,6 +27,7 @@
             having an unknown outcome and executed by `execute_delayed`.
         silent_appends: Number of the next appends that are executed, but
             never answered.
+        max_read_kb: Most that one read returns, if it is several records.
     """
 
     def __init__(self) -> None:
@@ -35,6 +36,7 @@
         self.lost_answers = 0
         self.delayed_appends = 0
         self.silent_appends = 0
+        self.max_read_kb = 1_024
         self._delayed: collections.deque[tuple[dict[str, str], bytes]]
         self._delayed = collections.deque()
 
@@ -65,6 +67,7 @@
             "topic": partition.topic,
             "part": str(partition.number),
             "from": str(start),
+            "max_kb": str(self.max_read_kb),
         }
         status, body = self.core.read(query)
         if status == 410:
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -143,6 +143,65 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_new_owner_knows_all_that_was_listed_before_its_claim() -> None:
+    """Guards against results written at positions that others have already.
+
+    The former owner appends more than one read returns between the snapshot
+    and the claim of the new one.
+    """
+    log = fakes.MemoryLog()
+    log.max_read_kb = 1
+    scheduler = fakes.FakeScheduler()
+    async with trio.open_nursery() as nursery:
+        former = make_owner(log, scheduler)
+        await start(nursery, former)
+        await submit(log, items=5)
+        await until(lambda: len(scheduler.tasks) == 5)
+        snapshot = log.snapshot
+
+        async def snapshot_before_results(*args):  # type: ignore[no-untyped-def]
+            found = await snapshot(*args)
+            for task in list(scheduler.tasks)[:4]:
+                scheduler.complete(task, bytes(700))
+            await until(lambda: len(owner_results(former)) == 4)
+            return found
+
+        log.snapshot = snapshot_before_results  # type: ignore[method-assign]
+        later_scheduler = fakes.FakeScheduler()
+        later = make_owner(log, later_scheduler, 2 * EPOCHS_PER_GENERATION)
+        await start(nursery, later)
+        listed = list(owner_results(former))
+        assert owner_results(later) == listed
+        (task,) = later_scheduler.tasks
+        later_scheduler.complete(task, b"x")
+        await until(lambda: len(owner_results(later)) == 5)
+        log.snapshot = snapshot  # type: ignore[method-assign]
+        entry = read_table(log).get(KEY)
+        assert entry is not None
+        assert entry.results[:4] == listed
+        assert {r.item for r in entry.results} == set(range(5))
+        nursery.cancel_scope.cancel()
+
+
+async def test_job_after_many_records_is_not_denied() -> None:
+    """Guards against a 404 for a job that one read of the log does not reach.
+
+    So answered an owner that had slept while others appended.
+    """
+    log = fakes.MemoryLog()
+    owner = make_owner(log, fakes.FakeScheduler())
+    async with trio.open_nursery() as nursery:
+        await start(nursery, owner)
+        log.max_read_kb = 1
+        other = fakes.make_job("other", items=60)
+        for job in (other, fakes.make_job()):
+            written = fakes.submission_records(job)
+            await log.append(fakes.PARTITION, written)
+        total, _, _ = await owner.read(KEY, 0, 0)
+        assert total == 3
+        nursery.cancel_scope.cancel()
+
+
 async def test_restarted_owner_takes_a_new_epoch() -> None:
     """Guards against appends taken for repeats of an earlier process.
 
--- a/tests/log/test_follow.py
+++ b/tests/log/test_follow.py
@@ -1,10 +1,12 @@
 """Tests of the follower of a partition."""
 
+import pytest
 import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.log import compacted
+from lacewingwood.log import errors
 from lacewingwood.log import follow
 from tests.jobs import fakes
 
@@ -74,6 +76,57 @@
     assert seen == {"a": b"1"}
 
 
+async def test_catching_up_reads_more_than_one_page() -> None:
+    """Guards against a reader that stops where one read of the log ends."""
+    log, seen = fakes.MemoryLog(), {}
+    follower = _make(log, seen)
+    await follower.poll(0)
+    log.max_read_kb = 1
+    for n in range(9):
+        await _append(log, f"key-{n}", bytes(400))
+    await follower.poll(0)
+    assert 0 < len(seen) < 9
+    await follower.catch_up()
+    assert len(seen) == 9
+    assert follower.position == 9
+
+
+async def test_catching_up_ends_while_records_are_appended() -> None:
+    """Guards against a reader that follows a busy log for ever."""
+    log, seen = fakes.MemoryLog(), {}
+    follower = _make(log, seen)
+    await follower.poll(0)
+    log.max_read_kb = 1
+    for n in range(4):
+        await _append(log, f"key-{n}", bytes(800))
+    read = log.read
+
+    async def read_while_it_grows(*args):  # type: ignore[no-untyped-def]
+        page = await read(*args)
+        await _append(log, "more", bytes(800))
+        return page
+
+    log.read = read_while_it_grows  # type: ignore[method-assign]
+    with trio.fail_after(1):
+        await follower.catch_up()
+    assert follower.position == 4
+
+
+async def test_catching_up_fails_if_the_log_returns_no_more() -> None:
+    """Guards against a reader that takes a part of the log for all of it."""
+    log, seen = fakes.MemoryLog(), {}
+    follower = _make(log, seen)
+    await follower.poll(0)
+    await _append(log, "a", b"1")
+
+    async def read_nothing(*_):  # type: ignore[no-untyped-def]
+        return compacted.Page([], 0, 1)
+
+    log.read = read_nothing  # type: ignore[method-assign]
+    with pytest.raises(errors.UnavailableError):
+        await follower.catch_up()
+
+
 async def test_poll_during_another_poll_is_up_to_date() -> None:
     """Guards against records dropped because a concurrent poll read first."""
     log, seen = fakes.MemoryLog(), {}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -49,6 +49,17 @@
         assert snapshot.next_offset == 3
 
 
+async def test_page_tells_whether_more_records_follow() -> None:
+    """Guards against readers that take 1 MB of records for all of them."""
+    async with _stores() as (_, store):
+        for n in range(6):
+            await store.append(_PARTITION, [_record(f"k{n}", bytes(250_000))])
+        page = await store.read(_PARTITION, 0, 0)
+        assert page.next_offset < page.end == 6
+        rest = await store.read(_PARTITION, page.next_offset, 0)
+        assert rest.next_offset == rest.end == 6
+
+
 async def test_snapshot_reads_all_pages() -> None:
     """Guards against missing keys beyond the first page."""
     async with _stores() as (_, store):
--- a/tests/state/test_stream_origins.py
+++ b/tests/state/test_stream_origins.py
@@ -294,6 +294,44 @@
         assert await later.find("r-1") == _V2
 
 
+async def test_long_journal_is_read_to_its_end(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a stream called unknown as others follow in the log.
+
+    One read of the log returns a part of the records only.
+    """
+    async with _running_fleet() as fleet:
+        new = await fleet.start("b", "v1", "v2")
+        assert await new.find("r-0") is None
+        old = await fleet.start("a", "v1", "v2")
+        for n in range(40):
+            await old.begin(f"r-{n}", n % 2)
+            await trio.sleep(0.01)
+        fleet.kill("a")
+        fleet.log.max_read_kb = 1
+        assert await new.find("r-39") == _V2
+
+
+async def test_many_versions_are_confirmed_to_the_last(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a version that is unknown as one read is too short."""
+    async with _running_fleet() as fleet:
+        gateway = await fleet.start("a", "v1")
+        fleet.log.max_read_kb = 1
+        names = [f"{n:050}" for n in range(40)]
+        fleet.gateways["b"] = _Gateway(fleet, "b", *names)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.gateways["b"].versions.run)
+            await trio.sleep(0.02)
+            assert await gateway.versions.confirm()
+            assert origins.Origin("s", names[-1]) in (
+                gateway.versions.of_services(_SERVICES)
+            )
+            nursery.cancel_scope.cancel()
+
+
 async def test_malformed_records_are_passed_over(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
