Jobs stay readable after their route was removed or moved

Cause: `Gateway.authenticate` refused every host that no route of the present configuration has, although a job is found by customer and id alone. A job that is sent again had the same fate: no route, hence 404.

Change: reads, bodies and ends need the key only, and the owner says whether the job exists. A POST without a route that repeats an accepted job is answered 202, 503 if the owner does not answer, else 404. `Configuration.has_host` is gone.

--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -14,6 +14,9 @@
 from lacewingwood.state import published
 from lacewingwood.upstreams import runs
 
+# Code of the error for a request that no route matches.
+NO_ROUTE = "no_route"
+
 # Retry-After of a gateway that has not received a configuration yet.
 _NO_CONFIGURATION_RETRY_AFTER_MS = 500.0
 # Applies if neither the caller nor the route sets a time limit.
@@ -106,23 +109,20 @@
         current = self._configuration()
         route = current.find_route(head.host, head.path)
         if route is None:
-            raise self._refusal(head, 404, "no_route", "no such route")
+            raise self._refusal(head, 404, NO_ROUTE, "no such route")
         if route.public or not current.has_customers:
             return Resolved(route, None)
         return Resolved(route, self._find_customer(current, head))
 
     def authenticate(self, head: Head) -> configuration.Customer:
-        """Returns the customer of a request that has no route of its own.
+        """Returns the customer of a request for a job that was accepted.
 
-        Only the host must be that of a configured route.
+        Such a request needs no route: the job outlives the one that took it.
 
         Raises:
-            errors.CallerError: The host or the API key is unknown.
+            errors.CallerError: The API key is unknown.
         """
-        current = self._configuration()
-        if not current.has_host(head.host):
-            raise self._refusal(head, 404, "no_route", "no such host")
-        return self._find_customer(current, head)
+        return self._find_customer(self._configuration(), head)
 
     async def forward(
         self,
--- a/lacewingwood/configuration.py
+++ b/lacewingwood/configuration.py
@@ -143,10 +143,6 @@
                 return route
         return None
 
-    def has_host(self, host: str) -> bool:
-        """Returns whether any route has this host."""
-        return _host_name(host) in self._by_host
-
     def limits_waiting_tokens(self, host: str) -> bool:
         """Returns whether a route of this host limits the waiting tokens."""
         routes = self._by_host.get(_host_name(host), ())
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -31,6 +31,8 @@
 # how often it looks. Callers wait longer than this for an answer.
 _OWNER_WAIT_MS = 1_000.0
 _OWNER_POLL_MS = 50.0
+# Position after all results of any job.
+_NO_RESULT = 1 << 31
 # Makes the request to the owner of a partition.
 MakeRequest = Callable[[int], messages.Message]
 
@@ -204,6 +206,24 @@
             raise errors.UnavailableError("the owner sent an unexpected answer")
         return answer
 
+    async def exists(self, job: JobName) -> bool:
+        """Returns whether a job was accepted; does not wait for an owner.
+
+        Raises:
+            errors.UnavailableError: The owner gave no usable answer.
+        """
+        try:
+            await self._ask_partitions(
+                job,
+                lambda index: gateway_messages.JobRead(
+                    job.customer, job.id, _NO_RESULT, 0.0, index
+                ),
+                0.0,
+            )
+        except errors.UnknownJobError:
+            return False
+        return True
+
     async def item_body(self, job: JobName, item_id: str) -> bytes:
         """Returns the body of an item that has no result yet.
 
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -113,7 +113,13 @@
     async def _handle_routed(
         self, req: "_Request", head: gateways.Head
     ) -> None:
-        resolved = self._gateway.resolve(head)
+        try:
+            resolved = self._gateway.resolve(head)
+        except errors.CallerError as exc:
+            if exc.code != gateways.NO_ROUTE or not await self._is_job(head):
+                raise
+            await self._confirm_job(req, head)
+            return
         body = await req.read_body(self._gateway.max_body_bytes)
         customer = resolved.customer
         if resolved.route.kind is not configuration.RouteKind.BATCH:
@@ -137,6 +143,28 @@
         await self._jobs.submit(submission, limit)
         await req.respond(202, b"{}")
 
+    async def _is_job(self, head: gateways.Head) -> bool:
+        """Returns whether a request without a route submits a job again.
+
+        Its route may have been removed after the job was accepted.
+
+        Raises:
+            job_errors.UnavailableError: This can't be found out now.
+        """
+        if head.method != "POST":
+            return False
+        try:
+            job = self._job_name(head, head.request_id)
+        except errors.CallerError:
+            # The key is unknown as well; the caller is told of the route.
+            return False
+        return await self._jobs.exists(job)
+
+    async def _confirm_job(self, req: "_Request", head: gateways.Head) -> None:
+        _log.info("job known, its route is removed", request_id=head.request_id)
+        await req.discard_body(self._gateway.max_body_bytes)
+        await req.respond(202, b"{}")
+
     async def _handle_job(self, req: "_Request", head: gateways.Head) -> None:
         job = self._find_job(head, _JOBS_PREFIX)
         await req.read_body(self._gateway.max_body_bytes)
@@ -164,9 +192,13 @@
         self, head: gateways.Head, prefix: str
     ) -> job_service.JobName:
         """Returns the job that a request names in its path after `prefix`."""
+        return self._job_name(head, head.path.removeprefix(prefix))
+
+    def _job_name(
+        self, head: gateways.Head, job_id: str
+    ) -> job_service.JobName:
         customer = self._gateway.authenticate(head).name
         limited = self._gateway.limits_waiting_tokens(head.host)
-        job_id = head.path.removeprefix(prefix)
         return job_service.JobName(customer, job_id, limited)
 
     async def _respond_error(
