A planned stop answers what it took and refuses what would be cut

Another operator's callers saw: requests that came late in the grace of a planned stop were passed on and cut at its end, also some that may run once.

Cause: drain and grace bounded connections, not requests. A request knew only its route's timeout and its caller's deadline, so a slow upload or a route with a longer timeout was taken whatever time was left, and cancelled from outside.

After the drain a request whose deadline lies beyond that is refused at once (503, Retry-After 0, not run).

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -16,6 +16,7 @@
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
 from lacewingwood.callers import progress as progress_lib
+from lacewingwood.callers import stopping
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
@@ -93,7 +94,11 @@
 
 
 class Forwarder:
-    """Runs calls on replicas, retries them and resumes broken streams."""
+    """Runs calls on replicas, retries them and resumes broken streams.
+
+    Attributes:
+        stop: Limits of calls while the process stops.
+    """
 
     __slots__ = (
         "_bodies",
@@ -104,6 +109,7 @@
         "_replicas",
         "_rng",
         "_slots",
+        "stop",
     )
 
     def __init__(
@@ -116,6 +122,7 @@
         stream_origins: Origins,
         rng: random.Random | None = None,
     ) -> None:
+        self.stop = stopping.Stop(clock)
         self._slots = slots
         self._replicas = replicas
         self._clock = clock
@@ -160,11 +167,11 @@
         service: str,
         progress: progress_lib.Progress,
     ) -> None:
-        remaining_ms = call.deadline_ms - self._clock.now_ms()
-        with trio.move_on_after(max(0.0, remaining_ms) / 1000) as scope:
+        with self.stop.limit(call.deadline_ms) as scope:
             await self._run_attempts(call, service, progress)
         if scope.cancelled_caught:
-            progress.reason = "timeout"
+            stopping_ = self.stop.cuts(call.deadline_ms)
+            progress.reason = "stopping" if stopping_ else "timeout"
             self._give_up(call, progress, 504)
 
     async def _cancel_on_disconnect(
--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -142,12 +142,13 @@
             http.DisconnectedError: The caller disconnected.
         """
         customer, route = resolved.customer, resolved.route
-        if customer is not None:
-            self._check_rate_limit(head, customer)
         timeouts_ms = [t for t in (head.timeout_ms, route.timeout_ms) if t]
         deadline_ms = head.arrived_ms + min(
             timeouts_ms, default=_DEFAULT_TIMEOUT_MS
         )
+        self._forwarder.stop.check(head.request_id, deadline_ms)
+        if customer is not None:
+            self._check_rate_limit(head, customer)
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -97,6 +97,7 @@
         self._load_settings = load_settings
         self._cfg = cfg = load_settings()
         self._started_ms = _wall_ms()
+        self._stop_times_ms = _stop_times_ms(cfg.grace_ms)
         self._clock = clock_lib.MonotonicClock()
         self._metrics = metrics_lib.Registry()
         self._shutdown = trio.Event()
@@ -218,7 +219,7 @@
             max_record_bytes=cfg.max_record_bytes,
             max_append_bytes=cfg.max_append_bytes,
         )
-        forwarder = forwarding.Forwarder(
+        self._forwarder = forwarder = forwarding.Forwarder(
             self._slots,
             replicas,
             self._clock,
@@ -282,16 +283,15 @@
         self._writer.flush()
 
     async def _serve(self) -> None:
-        cfg = self._cfg
-        host, port = addresses.split(cfg.bind)
-        drain_ms = min(_DRAIN_MS, cfg.grace_ms / 3)
+        host, port = addresses.split(self._cfg.bind)
+        drain_ms, grace_ms = self._stop_times_ms
         await server.serve(
             self._app,
             host,
             port,
             self._shutdown,
             drain_ms,
-            grace_ms=max(0.0, cfg.grace_ms - drain_ms - _LEAVE_TIMEOUT_MS),
+            grace_ms=grace_ms,
         )
 
     async def _start_admin(self, nursery: trio.Nursery) -> None:
@@ -324,6 +324,8 @@
                     self._reload()
                     continue
                 _log.info("stopping", signal=signal.Signals(signum).name)
+                if not self._shutdown.is_set():
+                    self._forwarder.stop.begin(*self._stop_times_ms)
                 self._shutdown.set()
 
     def _reload(self) -> None:
@@ -585,5 +587,16 @@
         }
 
 
+def _stop_times_ms(total_ms: float) -> tuple[float, float]:
+    """Divides the time between SIGTERM and SIGKILL.
+
+    Returns:
+        How long new requests are served as usual, and how long after that
+        until connections are closed.
+    """
+    drain_ms = min(_DRAIN_MS, total_ms / 3)
+    return drain_ms, max(0.0, total_ms - drain_ms - _LEAVE_TIMEOUT_MS)
+
+
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -24,6 +24,7 @@
         count: Number of coming runs that show the faults.
         fail: Answer 500 in place of a stream.
         mute: Send nothing after the first event.
+        silent: Send nothing at all.
         reject: Answer 422, which says that the request can never succeed.
         crash_part: Part of a prompt at which the process ends, empty for none;
             for all runs.
@@ -37,6 +38,7 @@
     count: int = 0
     fail: bool = False
     mute: bool = False
+    silent: bool = False
     reject: bool = False
     crash_part: str = ""
     rate_limit: float = 0.0
@@ -207,6 +209,8 @@
             _SEAL_HEADER: f"seal.{self.id}.{self.settings.version}",
             "server-load": self._load_header(),
         }
+        if show_fault and faults.silent:
+            await trio.sleep_forever()
         if show_fault and (faults.fail or faults.reject):
             await request.answer(422 if faults.reject else 500, b"", "", answer)
             return
--- a/tests/integration/test_gateways.py
+++ b/tests/integration/test_gateways.py
@@ -1,6 +1,7 @@
 """Tests of a fleet of gateways that run as separate processes."""
 
 import base64
+import http.client
 import json
 import pathlib
 import signal
@@ -8,6 +9,7 @@
 import sys
 import time
 from collections.abc import Iterator
+from concurrent import futures
 
 import pytest
 
@@ -276,6 +278,58 @@
     fleet.wait_ready()
 
 
+def test_planned_stop_answers_all_that_it_has_read(
+    fleet: fleets.Fleet,
+) -> None:
+    """Guards against requests that are cut as the grace of a stop ends.
+
+    One runs for longer than the grace and may run once only. The body of the
+    other comes after the drain; it could not end in time.
+    """
+    fleet.configure(timeout_ms=30_000)
+    time.sleep(1)
+    for replica in fleet.replicas:
+        fleet.set_faults(replica, silent=True, count=1)
+    stopped = fleet.gateways[0]
+    headers = {**_HEADERS, "Deadline-Ms": "30000"}
+    upload = http.client.HTTPConnection(stopped.address, timeout=10)
+    upload.putrequest("POST", "/o/x", skip_host=True)
+    late_headers = {**headers, "Request-Id": "r-late", "Content-Length": "2"}
+    for name, value in late_headers.items():
+        upload.putheader(name, value)
+    upload.endheaders()
+    with futures.ThreadPoolExecutor() as pool:
+        running = pool.submit(
+            fleets.call,
+            *(stopped.address, "POST", "/o/x", b"{}"),
+            headers={**headers, "Request-Id": "r-long"},
+            timeout_s=15,
+        )
+        deadline = time.monotonic() + 5
+        while not any(run["request_id"] == "r-long" for run in fleet.runs()):
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        stopped.signal(signal.SIGTERM)
+        time.sleep(4)
+        sent_s = time.monotonic()
+        upload.send(b"{}")
+        response = upload.getresponse()
+        body = response.read()
+        assert (response.status, time.monotonic() - sent_s < 0.5) == (503, True)
+        assert b'"stopping"' in body
+        assert response.getheader("Retry-After") == "0.00"
+        status, body = running.result()
+    upload.close()
+    assert (status, b'"stopping"' in body) == (504, True)
+    assert not any(run["request_id"] == "r-late" for run in fleet.runs())
+    assert stopped.wait() == 0
+    for replica in fleet.replicas:
+        fleet.set_faults(replica)
+    fleet.configure()
+    stopped.start()
+    fleet.wait_ready()
+
+
 def test_store_outage_does_not_affect_online_requests(
     fleet: fleets.Fleet,
 ) -> None:
