--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -5,6 +5,7 @@
 
 import base64
 import struct
+import urllib.parse
 from typing import Any
 
 import httpcore
@@ -88,13 +89,11 @@
         See `compacted.CompactedLog`.
         """
         records: list[compacted.Record] = []
-        query = (
-            f"topic={_TOPIC_PREFIX}{partition.topic}&part={partition.number}"
-        )
         end, after = -1, ""
         while True:
-            position = f"&after={after}" if after else ""
-            status, body = await self._call("GET", "newest", query + position)
+            position = {"after": after} if after else {}
+            query = _query(partition, **position)
+            status, body = await self._call("GET", "newest", query)
             _require_ok(status, body)
             page = _decode(body, _NewestResponse)
             # Records appended while later pages are read are at or after the
@@ -103,6 +102,11 @@
             records += [_to_record(item) for item in page.items]
             if not page.more or not page.items:
                 return compacted.Snapshot(records, end)
+            if page.items[-1].key <= after:
+                # The next pages would be the same.
+                raise errors.UnavailableError(
+                    f"a page after {after!r} does not go on", False
+                )
             after = page.items[-1].key
 
     async def read(
@@ -112,9 +116,9 @@
 
         See `compacted.CompactedLog`.
         """
-        query = (
-            f"topic={_TOPIC_PREFIX}{partition.topic}&part={partition.number}"
-            f"&from={start}&max_kb={_MAX_READ_KB}&wait_ms={int(wait_ms)}"
+        query = _query(
+            partition,
+            **{"from": start, "max_kb": _MAX_READ_KB, "wait_ms": int(wait_ms)},
         )
         status, body = await self._call("GET", "read", query, wait_ms=wait_ms)
         if status == _STATUS_GONE:
@@ -133,14 +137,14 @@
         expected_end: int | None = None,
     ) -> None:
         """Appends records, all or none; see `compacted.CompactedLog`."""
-        query = (
-            f"topic={_TOPIC_PREFIX}{partition.topic}&part={partition.number}"
-        )
+        conditions: dict[str, str | int] = {}
         if fence is not None:
-            query += f"&producer={fence.producer}&epoch={fence.epoch}"
-            query += f"&seq={fence.sequence}"
+            conditions["producer"] = fence.producer
+            conditions["epoch"] = fence.epoch
+            conditions["seq"] = fence.sequence
         if expected_end is not None:
-            query += f"&at={expected_end}"
+            conditions["at"] = expected_end
+        query = _query(partition, **conditions)
         body = b"".join([_encode_record(record) for record in records])
         status, response = await self._call("POST", "append", query, body)
         match status:
@@ -239,6 +243,13 @@
         return response.status, answer
 
 
+def _query(partition: compacted.Partition, **fields: str | int) -> str:
+    """Returns the query of a call; keys may hold any character."""
+    topic = _TOPIC_PREFIX + partition.topic
+    names = {"topic": topic, "part": partition.number, **fields}
+    return urllib.parse.urlencode(names, safe="/", quote_via=urllib.parse.quote)
+
+
 async def _read_answer(response: httpcore.Response) -> bytes:
     """Returns the body of an answer.
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,8 +3,10 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+import hypothesis
 import pytest
 import trio
+from hypothesis import strategies as st
 
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.log import compacted
@@ -69,6 +71,47 @@
         assert len(snapshot.records) == 1201
 
 
+@hypothesis.given(
+    st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1)
+)
+@hypothesis.example("permits&renewals")
+@hypothesis.example("a#b")
+@hypothesis.example("a+b c=d%41")
+def test_snapshot_goes_on_after_any_key(name: str) -> None:
+    """Guards against a snapshot without end, or without its later pages.
+
+    The next page begins after the last key of the one before, which holds the
+    id of a job.
+    """
+
+    async def check() -> None:
+        async with _stores() as (_, store):
+            key = f"r/kaje/{name[:100]}"
+            batch = [_record(f"{key}/{n:04}", b"v") for n in range(501)]
+            await store.append(_PARTITION, batch)
+            with trio.fail_after(5):
+                snapshot = await store.snapshot(_PARTITION)
+            assert snapshot.records[-1].key == f"{key}/0500"
+            assert len(snapshot.records) == 501
+
+    trio.run(check)
+
+
+async def test_snapshot_that_does_not_go_on_ends() -> None:
+    """Guards against a process that reads the same page for ever."""
+    async with _stores() as (standin, store):
+        batch = [_record(f"k{n:04}", b"v") for n in range(501)]
+        await store.append(_PARTITION, batch)
+        newest = standin.core.newest
+
+        def first_page(query: dict[str, str]) -> tuple[int, bytes]:
+            return newest({**query, "after": ""})
+
+        standin.core.newest = first_page  # type: ignore[method-assign]
+        with trio.fail_after(5), pytest.raises(errors.UnavailableError):
+            await store.snapshot(_PARTITION)
+
+
 async def test_read_waits_for_a_record() -> None:
     """Guards against polling instead of waiting for a record."""
     async with _stores() as (_, store), trio.open_nursery() as nursery:
