An item that can't be sent is refused, or given up, and ends no process

Cause: a submission was checked for its shape only, and what HTTP can't carry raised an error of the HTTP library in a task of the whole process. The same class: events' ids of over 4,300 digits, ids of replicas that no header can carry, and such numbers in callers' headers, which failed their connections.

Change: white space around values is dropped; other values, names, paths and ids that can't be sent get 400 with the item's position. Items of older releases are given up with a line in the log. Any other error of a run counts as a failed attempt of its item. The other odd values are malformed and passed over.

--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -184,6 +184,9 @@
         try:
             with task.scope:
                 result = await self._run_once(task, slot, route)
+        except Exception:
+            # One item must not end the process, which runs all others.
+            result = self._note_internal_error(task, route)
         finally:
             self._slots.release(slot)
             task.slot = task.scope = None
@@ -213,6 +216,15 @@
         last_id_before = task.events.last_id
         try:
             return await self._exchange(task, slot, route)
+        except upstream_errors.UnsendableError as exc:
+            # Submissions are checked, but the log may hold older ones.
+            _log.error(
+                "item can't be sent, given up",
+                request_id=task.item.id,
+                job=task.job.id,
+                detail=exc.message[:80],
+            )
+            return task.result(completed=False)
         except upstream_errors.UpstreamError as exc:
             now_ms = self._clock.now_ms()
             if isinstance(exc, upstream_errors.RefusedError):
@@ -291,6 +303,20 @@
         self._delay_next_run(task, _RETRY_DELAY_MS * 2**task.failures)
         return None
 
+    def _note_internal_error(
+        self, task: ItemTask, route: configuration.Route
+    ) -> records.Result | None:
+        """Counts a run that raised an unexpected error as a failed attempt."""
+        _log.exception(
+            "item run raised", request_id=task.item.id, job=task.job.id
+        )
+        self._metrics.add("item_runs_raised")
+        task.failures += 1
+        if self._should_give_up(task, max(1, route.max_attempts)):
+            return task.result(completed=False)
+        self._delay_next_run(task, _RETRY_DELAY_MS * 2**task.failures)
+        return None
+
     def _should_give_up(self, task: ItemTask, attempts: int) -> bool:
         """Returns whether an item has failed often enough to be given up.
 
@@ -322,18 +348,27 @@
 
 
 def _make_work(task: ItemTask) -> runs.Work:
+    """Returns the request of an item.
+
+    Raises:
+        upstream_errors.UnsendableError: It has characters beyond Latin-1.
+    """
     item = task.item
-    return runs.Work(
-        request_id=item.id,
-        method="POST",
-        target=item.target.encode("latin-1"),
-        headers=[
-            (b"host", task.job.host.encode("latin-1")),
-            *((n.encode(), v.encode("latin-1")) for n, v in item.headers),
-        ],
-        body=task.body,
-        customer=task.job.customer,
-    )
+    try:
+        item.id.encode("latin-1")
+        return runs.Work(
+            request_id=item.id,
+            method="POST",
+            target=item.target.encode("latin-1"),
+            headers=[
+                (b"host", task.job.host.encode("latin-1")),
+                *((n.encode(), v.encode("latin-1")) for n, v in item.headers),
+            ],
+            body=task.body,
+            customer=task.job.customer,
+        )
+    except UnicodeEncodeError as exc:
+        raise upstream_errors.UnsendableError(str(exc)) from exc
 
 
 def _outcome(task: ItemTask, result: records.Result | None) -> str:
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -4,6 +4,7 @@
 """
 
 import ipaddress
+import re
 from typing import Annotated
 from typing import Any
 
@@ -19,6 +20,9 @@
 REPLICAS_PARTITION = compacted.Partition("servers", 0)
 CONFIGURATION_KEY = "config"
 
+# A replica's id is sent in a header of each request to it.
+_REPLICA_ID = re.compile(r"[!-~]+")
+
 _KINDS = {
     "idempotent": configuration.RouteKind.IDEMPOTENT,
     "non_idempotent": configuration.RouteKind.NON_IDEMPOTENT,
@@ -136,6 +140,10 @@
             f"replica entry {replica_id}: unknown state {entry.state[:20]!r}"
         )
     _check_address(replica_id, entry.address)
+    if not _REPLICA_ID.fullmatch(replica_id):
+        raise DocumentError(
+            f"replica entry {replica_id!r}: the id is not valid"
+        )
     return directory.Listing(
         id=replica_id,
         service=entry.service,
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -38,6 +38,8 @@
 # Retry-After of a job that exceeds its customer's waiting tokens. Items take
 # some seconds, so a part of them has made room by then.
 _OVER_LIMIT_RETRY_AFTER_MS = 1_000.0
+# Longer numbers in headers are ignored.
+_MAX_DIGITS = 15
 # Most bytes of job outputs in one response.
 _MAX_RESULTS_BYTES = 900_000
 
@@ -294,8 +296,6 @@
     scheme, _, key = fields.get(b"authorization", b"").partition(b" ")
     if scheme.lower() != b"bearer":
         key = b""
-    timeout_ms = fields.get(b"deadline-ms", b"")
-    last_event_id = fields.get(b"last-event-id", b"")
     return gateways.Head(
         request_id=request_id or secrets.token_hex(8),
         method=scope["method"],
@@ -303,14 +303,21 @@
         path=raw_path.decode("latin-1"),
         target=raw_path + (b"?" + query if query else b""),
         api_key=key.strip().decode("latin-1"),
-        timeout_ms=float(timeout_ms) if timeout_ms.isdigit() else None,
-        resume_after=int(last_event_id) if last_event_id.isdigit() else None,
+        timeout_ms=_decode_number(fields.get(b"deadline-ms", b"")),
+        resume_after=_decode_number(fields.get(b"last-event-id", b"")),
         arrived_ms=now_ms,
         prompt=_decode_prompt(fields.get(b"prompt-prefix", b"")),
         resumes=fields.get(b"resumes", b"").decode("latin-1"),
     )
 
 
+def _decode_number(value: bytes) -> int | None:
+    """Returns a decimal number, None if a header holds none."""
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
+        return None
+    return int(value)
+
+
 def _decode_prompt(value: bytes) -> tuple[str, ...]:
     """Returns the ids of a prompt's parts; each is followed by its length."""
     if not value:
--- a/lacewingwood/platform/jobs.py
+++ b/lacewingwood/platform/jobs.py
@@ -5,6 +5,7 @@
 
 import base64
 import binascii
+import re
 
 import msgspec
 
@@ -32,6 +33,15 @@
 )
 
 
+# What HTTP allows in a request. White space around a value is not part of it.
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_HEADER_VALUE = re.compile(
+    r"(?:[!-~\x80-\xff](?:[\t -~\x80-\xff]*[!-~\x80-\xff])?)?"
+)
+_PATH = re.compile(r"/[!-~]*")
+_WHITE_SPACE = " \t"
+
+
 class _Item(msgspec.Struct):
     id: str
     path: str
@@ -101,7 +111,7 @@
         submitted_ms=now_ms,
         due_ms=now_ms + int(route.result_deadline_ms),
         expires_ms=now_ms + int(route.retention_ms),
-        items=[_to_item(item) for item in lot.items],
+        items=[_to_item(n, item) for n, item in enumerate(lot.items)],
     )
     return records.Submission(job, bodies)
 
@@ -121,14 +131,30 @@
     )
 
 
-def _to_item(item: _Item) -> records.Item:
-    if not item.id or not item.path.startswith("/"):
-        raise errors.InvalidJobError(
-            "an item has no id, or a path that does not start with a slash"
-        )
-    headers = [
-        (name.lower(), value)
-        for name, value in item.headers.items()
-        if name.lower() not in _DROPPED_HEADERS
-    ]
+def _to_item(position: int, item: _Item) -> records.Item:
+    """Returns an item as it is stored.
+
+    Raises:
+        errors.InvalidJobError: A part of it can't be sent in a request.
+    """
+    if not item.id or not _HEADER_VALUE.fullmatch(item.id):
+        raise _item_error(position, "id", item.id)
+    if not _PATH.fullmatch(item.path):
+        raise _item_error(position, "path", item.path)
+    headers: list[tuple[str, str]] = []
+    for name, text in item.headers.items():
+        if name.lower() in _DROPPED_HEADERS:
+            continue
+        value = text.strip(_WHITE_SPACE)
+        if not _HEADER_NAME.fullmatch(name):
+            raise _item_error(position, "name of a header", name)
+        if not _HEADER_VALUE.fullmatch(value):
+            raise _item_error(position, f"header {name}", value)
+        headers.append((name.lower(), value))
     return records.Item(item.id, item.path, headers, item.tokens)
+
+
+def _item_error(position: int, field: str, value: str) -> errors.JobError:
+    return errors.InvalidJobError(
+        f"item {position}: {field} can't be sent in a request: {value[:40]!r}"
+    )
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -198,6 +198,11 @@
     remaining_ms: float,
     resume_after: int | None,
 ) -> h11.Request:
+    """Returns the head of a request.
+
+    Raises:
+        errors.UnsendableError: It can't be written as HTTP.
+    """
     headers = [
         *work.headers,
         (b"request-id", work.request_id.encode("latin-1")),
@@ -210,7 +215,12 @@
         headers.append((b"last-event-id", b"%d" % resume_after))
     if work.body or work.method not in ("GET", "HEAD", "DELETE"):
         headers.append((b"content-length", b"%d" % len(work.body)))
-    return h11.Request(method=work.method, target=work.target, headers=headers)
+    try:
+        return h11.Request(
+            method=work.method, target=work.target, headers=headers
+        )
+    except h11.LocalProtocolError as exc:
+        raise errors.UnsendableError(str(exc)) from exc
 
 
 def _check_request_id(exchange: http1.Exchange, request_id: str) -> None:
--- a/lacewingwood/upstreams/errors.py
+++ b/lacewingwood/upstreams/errors.py
@@ -42,6 +42,15 @@
         self.body = body
 
 
+class UnsendableError(UpstreamError):
+    """The request can't be written in the upstream's protocol."""
+
+    code = "upstream_request_unsendable"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, errors.Ran.NOT_RUN)
+
+
 class BrokenError(UpstreamError):
     """The connection broke, or the upstream failed; the request may have run.
 
--- a/lacewingwood/upstreams/event_stream.py
+++ b/lacewingwood/upstreams/event_stream.py
@@ -12,6 +12,8 @@
 _EVENT_LIMIT_BYTES = 128 << 10
 # Blocks without an id, such as comments, that may come between two events.
 _MAX_UNNUMBERED_BLOCKS = 100
+# Longer numbers are no ids, and Python refuses to convert very long ones.
+_MAX_ID_DIGITS = 18
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data: ?([^\r\n]*)\r?$", re.MULTILINE)
@@ -80,6 +82,8 @@
         if any(map(_carries_data, event.splitlines())):
             raise errors.InvalidResponseError("an event has no id")
         return last_id
+    if len(match[1]) > _MAX_ID_DIGITS:
+        raise errors.InvalidResponseError("an event's id is too long")
     event_id = int(match[1])
     if last_id is not None and event_id != last_id + 1:
         raise errors.InvalidResponseError(
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -4,6 +4,8 @@
 import math
 from collections.abc import AsyncIterator
 
+import msgspec
+
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
@@ -187,3 +189,30 @@
     result = await harness.run_at("r0")
     assert result is not None
     assert result.output == b"old\nx"
+
+
+async def test_item_that_can_not_be_sent_is_given_up() -> None:
+    """Guards against records of older releases that end each process.
+
+    A submission of this kind is refused today.
+    """
+    harness = RunnerHarness([200])
+    job = harness.task.job
+    odd = records.Item("\u20ac", "/p", [], 1)
+    harness.task.job = msgspec.structs.replace(job, items=[odd])
+    result = await harness.run_at("r0")
+    assert result is not None
+    assert not result.completed
+    assert harness.replicas.statuses == [200]
+
+
+async def test_unexpected_error_ends_one_run_only() -> None:
+    """Guards against an item that ends the process, and all others with it."""
+    harness = RunnerHarness([])
+    results = [await harness.run_at("r0") for _ in range(6)]
+    assert results[:5] == [None] * 5
+    assert results[5] is not None
+    assert not results[5].completed
+    replica = harness.fleet.get("r0")
+    assert replica is not None
+    assert replica.own_counts[1] == 0
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -129,6 +129,7 @@
         _encode(_ENTRY)[:-1] + b',"cold_remaining_ms":1e999}',
         _encode({**_ENTRY, "address": "10.0.0.1:65536"}),
         _encode({**_ENTRY, "address": "10.0.0.1:0"}),
+        _encode({**_ENTRY, "address": "10.0.0.1:" + "8" * 5_000}),
         _encode({**_ENTRY, "address": "10.0.0.1:8²"}),
         _encode({**_ENTRY, "address": "host.example:80"}),
         _encode({**_ENTRY, "address": "10.0.0.1\r\nX: y:80"}),
@@ -144,6 +145,15 @@
         documents.decode_replica("i-1", value)
 
 
+@pytest.mark.parametrize("replica_id", ["", "i 1", "i\r\nX: y", "\u20ac"])
+def test_replica_whose_id_no_header_can_carry_is_passed_over(
+    replica_id: str,
+) -> None:
+    """Guards against an entry at which each request to the replica fails."""
+    with pytest.raises(documents.DocumentError):
+        documents.decode_replica(replica_id, _encode(_ENTRY))
+
+
 def test_nested_configuration_is_passed_over() -> None:
     """Guards against a document at which each gateway that reads it ends."""
     with pytest.raises(documents.DocumentError):
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -157,3 +157,16 @@
     """Guards against jobs of other customers, or invented ones."""
     answer = await _send(_Jobs(), method, path, key, request_id)
     assert answer.status == status
+
+
+@pytest.mark.parametrize("value", [b"9" * 5_000, b"x", b"-1", b"1.5", b""])
+def test_odd_number_in_a_header_is_ignored(value: bytes) -> None:
+    """Guards against a head that fails the requests beside it."""
+    scope = {
+        "method": "GET",
+        "raw_path": b"/a/x",
+        "query_string": b"",
+        "headers": [(b"deadline-ms", value), (b"last-event-id", value)],
+    }
+    head = ingress._decode_head(scope, 0.0)
+    assert (head.timeout_ms, head.resume_after) == (None, None)
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -2,13 +2,19 @@
 
 import base64
 
+import h11
+import hypothesis
 import msgspec
 import pytest
+from hypothesis import strategies as st
 
 from lacewingwood import configuration
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import running
 from lacewingwood.peers import gateway_messages
 from lacewingwood.platform import jobs
+from lacewingwood.platform import replicas
+from lacewingwood.routing import directory
 
 _ROUTE = configuration.Route(
     name="r",
@@ -92,3 +98,69 @@
         "completed",
         "dead_letter",
     ]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"headers": {"Length-Hint": "8\n0"}},
+        {"headers": {"Length-Hint": "8\x00"}},
+        {"headers": {"Length-Hint": "\u20ac"}},
+        {"headers": {"Length Hint": "80"}},
+        {"headers": {"": "80"}},
+        {"path": "/p/a b"},
+        {"path": "/p/\u00e9"},
+        {"id": "a\r\nb"},
+        {"id": " a"},
+        {"id": "\u20ac"},
+    ],
+)
+def test_item_that_can_not_be_sent_is_refused(
+    changes: dict[str, object],
+) -> None:
+    """Guards against accepting an item that no request can carry."""
+    with pytest.raises(errors.InvalidJobError, match="item 1: "):
+        _decode([_item(id="i0"), _item(**changes)])
+
+
+def test_white_space_around_a_header_is_no_part_of_it() -> None:
+    """Guards against refusing what HTTP allows."""
+    headers = {"Length-Hint": " \t 80 ", "Empty": "  ", "Two": "a  b"}
+    (item,) = _decode([_item(headers=headers)]).job.items
+    assert item.headers == [
+        ("length-hint", "80"),
+        ("empty", ""),
+        ("two", "a  b"),
+    ]
+
+
+_TEXT = st.text(max_size=6)
+
+
+@hypothesis.given(
+    _TEXT, _TEXT, st.dictionaries(_TEXT, _TEXT, max_size=3), st.binary()
+)
+@hypothesis.example("i", "/p", {"length-hint": "  80"}, b"")
+@hypothesis.example("i", "/p", {"x": "\x85"}, b"")
+@hypothesis.example("i\x1c", "/p\x1d", {"x": "\x0b"}, b"")
+def test_each_accepted_item_can_be_sent(
+    item_id: str, path: str, headers: dict[str, str], body: bytes
+) -> None:
+    """Guards against items that pass the check and fail when they run."""
+    item = {
+        "id": item_id,
+        "path": f"/{path}",
+        "headers": headers,
+        "body": base64.b64encode(body).decode(),
+    }
+    try:
+        submission = _decode([item])
+    except errors.InvalidJobError:
+        return
+    task = running.ItemTask(submission.job, 0, submission.bodies[0])
+    listing = directory.Listing("r0", "s", "10.0.0.1:80", "z", 8)
+    head = replicas._encode(listing, running._make_work(task), 1_000, None)
+    conn = h11.Connection(h11.SERVER)
+    wire = h11.Connection(h11.CLIENT)
+    conn.receive_data(wire.send(head) or b"")
+    assert isinstance(conn.next_event(), h11.Request)
--- a/tests/upstreams/test_event_stream.py
+++ b/tests/upstreams/test_event_stream.py
@@ -54,3 +54,9 @@
     """Guards against a result whose text differs from the stream's."""
     data = b"weight-versions: 3\nid: 1\ndata: a b\n\nid: 2\ndata: \n\n"
     assert event_stream.data_lines(data) == [b"a b", b""]
+
+
+def test_id_of_thousands_of_digits_is_malformed() -> None:
+    """Guards against an event of a faulty replica that ends the process."""
+    with pytest.raises(errors.InvalidResponseError):
+        event_stream.Splitter().feed(b"id: " + b"9" * 5_000 + b"\ndata: x\n\n")
