An end that the log refuses does not stop a job's items

Seen by the review: after a store outage a job whose end was refused (503) was open, and its items did not run until its partition changed hands.

Cause: `Owner.end` stopped the items before its record was on the log. Change: it stops them once the record is there.

Before: test_end_that_the_log_refuses_stops_nothing failed (no item was left). After: it passes.

--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -200,11 +200,12 @@
         entry = await self._find(key)
         if entry.ended:
             return
-        self._cancel_tasks(key)
         try:
             await self._append([records.end_record(key)])
         except log_errors.LogError as exc:
             raise errors.UnavailableError(exc.message) from exc
+        # Not before: the job is still open if the log refuses its end.
+        self._cancel_tasks(key)
         _log.info("job ended", job=key, epoch=self.epoch)
 
     async def admit(
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -335,6 +335,24 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_end_that_the_log_refuses_stops_nothing() -> None:
+    """Guards against an open job whose items do not run any more."""
+    log, scheduler = fakes.MemoryLog(), fakes.FakeScheduler()
+    owner = make_owner(log, scheduler)
+    async with trio.open_nursery() as nursery:
+        await start(nursery, owner)
+        await submit(log)
+        await until(lambda: len(scheduler.tasks) == 3)
+        log.down = True
+        with pytest.raises(errors.UnavailableError):
+            await owner.end(KEY)
+        assert len(scheduler.tasks) == 3
+        log.down = False
+        await owner.end(KEY)
+        assert not scheduler.tasks
+        nursery.cancel_scope.cancel()
+
+
 async def test_end_written_by_another_gateway_stops_the_items() -> None:
     """Guards against an ignored end record when the owner is unreachable."""
     log, scheduler = fakes.MemoryLog(), fakes.FakeScheduler()
