A customer that is dropped and set again keeps its count

Cause: the count of admissions began at 0 again, and peers took nothing from their buckets until it had passed the one they knew.

Change: a removed bucket's count goes on when it is set again; of the past ones 10,000 are kept.

--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -21,6 +21,8 @@
 # lost. Unchanged counts are left out: most customers send nothing to most
 # gateways.
 _REPORT_CHANGES_MS = 2_000.0
+# Several times the customers of a large deployment; some 100 bytes each.
+_MAX_REMOVED_COUNTS = 10_000
 # A customer is near its limit if its tokens last for less than this time at its
 # whole rate.
 _NEAR_LIMIT_S = 0.5
@@ -61,6 +63,7 @@
         "_burst_tolerance",
         "_counts_first_report",
         "_rate_tolerance",
+        "_removed_counts",
         "_reported",
         "levels_known",
         "share",
@@ -93,6 +96,9 @@
         self.share = 1.0
         self._buckets: dict[str, _Bucket] = {}
         self._reported: dict[str, tuple[int, dict[str, int]]] = {}
+        # Counts of removed buckets, the oldest first. Peers know them, and
+        # would take no lower count for new admissions.
+        self._removed_counts: dict[str, int] = {}
 
     def admit(self, customer: str, now_ms: float) -> float | None:
         """Admits a request, or returns after how many ms to retry it."""
@@ -143,13 +149,19 @@
         if bucket is None:
             initial_level = self._burst_tolerance * _TOLERANCE_SHARE
             bucket = _Bucket(rate, burst, initial_level, now_ms)
+            bucket.admitted = self._removed_counts.pop(name, 0)
             self._buckets[name] = bucket
         self._refill(bucket, now_ms)
         bucket.rate, bucket.burst = rate, burst
 
     def remove(self, name: str) -> None:
-        """Removes a bucket with its count."""
-        self._buckets.pop(name, None)
+        """Removes a bucket; its count goes on if it is set again."""
+        bucket = self._buckets.pop(name, None)
+        if bucket is None or not bucket.admitted:
+            return
+        self._removed_counts[name] = bucket.admitted
+        if len(self._removed_counts) > _MAX_REMOVED_COUNTS:
+            del self._removed_counts[next(iter(self._removed_counts))]
 
     def has_customer_near_limit(self) -> bool:
         """Returns whether a customer of this gateway is near its limit."""
--- a/tests/limits/test_shared.py
+++ b/tests/limits/test_shared.py
@@ -57,6 +57,33 @@
     assert _admit_until_refused(limits, 60_000) == 8
 
 
+def test_customer_that_is_dropped_and_set_again_has_one_limit() -> None:
+    """Guards against gateways that each admit the whole rate.
+
+    A version of the configuration drops the customer, and the next one has it
+    again; the peer knows the count of before.
+    """
+    here, peer = _make_limits(), _make_limits()
+    peer.note_report("here", 1, {"c": 0}, 0)
+    for start_ms, expected in ((60_000, 10), (120_000, 10)):
+        admitted = _admit_until_refused(here, start_ms)
+        counts = here.recent_admissions(start_ms)
+        peer.note_report("here", 1, counts, start_ms)
+        assert admitted + _admit_until_refused(peer, start_ms) == expected
+        for limits in (here, peer):
+            limits.configure({}, start_ms)
+            limits.configure({"c": (RATE, BURST)}, start_ms)
+
+
+def test_counts_of_removed_customers_are_bounded() -> None:
+    """Guards against memory that grows with each customer of the past."""
+    limits = shared.SharedLimits(burst_tolerance=100)
+    for n in range(10_500):
+        limits.configure({f"c{n}": (RATE, BURST)}, n)
+        assert limits.admit(f"c{n}", n) is None
+    assert len(limits._removed_counts) <= 10_000
+
+
 def test_outdated_report_changes_nothing() -> None:
     """Guards against a late report that is taken for a restart."""
     limits = _make_limits()
