The owner of a job answers with a page of results

Seen by the review: a job with outputs of 18 MB can't be read from position 0 at a gateway that does not own it (503), since its owner sent all results in one message, which is over the limit between gateways.

Cause: results were cut to a page by the gateway that answers the caller, after the message. Change: the owner does it (`jobs/service.py`), so that a read moves at most 900 KB between gateways, unless a single result is larger.

After: 200 results of 90 KB are read through the other gateway in 20 pages.

--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -31,6 +31,9 @@
 # how often it looks. Callers wait longer than this for an answer.
 _OWNER_WAIT_MS = 1_000.0
 _OWNER_POLL_MS = 50.0
+# Most bytes of outputs in one answer, unless a single one is larger. Callers of
+# the platform get up to 1 MB, with the ids and the encoding.
+_MAX_RESULTS_BYTES = 900_000
 # Position after all results of any job.
 _NO_RESULT = 1 << 31
 # Makes the request to the owner of a partition.
@@ -186,9 +189,10 @@
     async def read(
         self, job: JobName, start: int, wait_ms: float
     ) -> gateway_messages.JobResults:
-        """Returns a job's results from position `start` on.
+        """Returns some of a job's results, from position `start` on.
 
-        Waits for a result if none exists yet, for at most `wait_ms`.
+        These are as many as fit an answer, but at least one. Waits for a
+        result if none exists yet, for at most `wait_ms`.
 
         Raises:
             errors.UnknownJobError: No such job exists.
@@ -372,7 +376,7 @@
                 gateway_messages.JobResult(
                     job.items[result.item].id, result.completed, result.output
                 )
-                for result in results
+                for result in _first_page(results)
             ],
         )
 
@@ -436,3 +440,13 @@
         if owner is None:
             raise errors.UnavailableError("the partition is not owned here")
         return owner
+
+
+def _first_page(results: list[records.Result]) -> list[records.Result]:
+    """Returns the first results, up to the size of one answer."""
+    size = 0
+    for index, result in enumerate(results):
+        size += len(result.output)
+        if size > _MAX_RESULTS_BYTES and index:
+            return results[:index]
+    return results
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -40,8 +40,6 @@
 _OVER_LIMIT_RETRY_AFTER_MS = 1_000.0
 # Longer numbers in headers are ignored.
 _MAX_DIGITS = 15
-# Most bytes of job outputs in one response.
-_MAX_RESULTS_BYTES = 900_000
 
 _log = structlog.get_logger()
 
@@ -177,7 +175,6 @@
                     req.header(b"wait-ms").decode("latin-1")
                 )
                 page = await self._jobs.read(job, start, wait_ms)
-                _truncate_results(page.results)
                 await req.respond(200, job_codec.encode_results(page, start))
             case "DELETE":
                 await self._jobs.end(job)
@@ -341,16 +338,6 @@
     return int(text)
 
 
-def _truncate_results(results: list[Any]) -> None:
-    """Drops results beyond _MAX_RESULTS_BYTES, but never the first one."""
-    size = 0
-    for index, result in enumerate(results):
-        size += len(result.output)
-        if size > _MAX_RESULTS_BYTES and index:
-            del results[index:]
-            return
-
-
 def _to_caller_error(exc: job_errors.JobError) -> errors.CallerError:
     match exc:
         case job_errors.UnknownJobError():
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -17,6 +17,7 @@
 from lacewingwood.peers import messages
 from lacewingwood.peers import network as network_lib
 from tests.jobs import fakes
+from tests.jobs import test_owner
 
 KEY = "j/kaje/job"
 JOB = services.JobName("kaje", "job")
@@ -200,6 +201,33 @@
             await a.service.read(JOB, 0, 0)
 
 
+async def test_large_job_is_read_in_pages_through_any_gateway() -> None:
+    """Guards against an answer that is too large for one message of a peer."""
+    async with two_nodes() as (a, b), trio.open_nursery() as nursery:
+        scheduler = fakes.FakeScheduler()
+        owner = test_owner.make_owner(b.log, scheduler)
+        b.service._ownership._owners[0] = owner
+        a.peers.owner = (b.address, 1)
+        await test_owner.start(nursery, owner)
+        await test_owner.submit(b.log, items=200)
+        await test_owner.until(lambda: len(scheduler.tasks) == 200)
+        for task in list(scheduler.tasks):
+            scheduler.complete(task, bytes(90_000))
+        with trio.fail_after(20):
+            while len(test_owner.owner_results(owner)) < 200:
+                await trio.sleep(0.05)
+        read: list[str] = []
+        pages = 0
+        while len(read) < 200:
+            page = await a.service.read(JOB, len(read), 0)
+            assert sum(len(r.output) for r in page.results) <= 1_000_000
+            read += [result.item_id for result in page.results]
+            pages += 1
+        assert len(set(read)) == 200
+        assert pages == 20
+        nursery.cancel_scope.cancel()
+
+
 async def test_end_without_an_owner_is_appended_to_the_log() -> None:
     """Guards against a lost end while the partition has no owner."""
     async with two_nodes() as (a, _):
