Attempts whose answer is lost before its head count against the limit

Cause: an attempt that failed before the head of its answer was counted only if none had been counted before. Change: each attempt counts that was sent and not refused; one is still forgiven if its replica ended.

Before: test_lost_answers_count_as_attempts failed (the request was sent on). After: it passes.

--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -334,7 +334,7 @@
             self._slots.fleet.note_notice(slot.replica, run.notice, now_ms)
             if run.refused:
                 self._raise_refusal(call, slot, progress, run)
-            progress.note_answered()
+            progress.count_attempt()
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
             if run.status >= _SERVER_ERROR:
                 body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -91,8 +91,8 @@
         """Records that an attempt is about to be sent."""
         self.awaits_outcome = True
 
-    def note_answered(self) -> None:
-        """Records that a replica answered an attempt and may have run it."""
+    def count_attempt(self) -> None:
+        """Counts an attempt that was answered, or failed after it was sent."""
         self.awaits_outcome = False
         self.ran = Ran.MAY_HAVE_RUN
         self.attempts += 1
@@ -122,13 +122,12 @@
     ) -> None:
         """Records a failed attempt on a replica."""
         self.reason = exc.code
-        self.awaits_outcome = False
         self.tried.add(replica_id)
         if exc.ran is Ran.NOT_RUN:
+            self.awaits_outcome = False
             self.refusals += 1
-        elif self.ran is Ran.NOT_RUN or self.attempts == 0:
-            self.ran = Ran.MAY_HAVE_RUN
-            self.attempts = max(1, self.attempts)
+        elif self.awaits_outcome:
+            self.count_attempt()
 
     def may_discount_attempt(self) -> bool:
         """Returns whether an attempt is not counted if its replica ended."""
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -346,6 +346,21 @@
     assert caught.value.retry_after_ms is not None
 
 
+async def test_lost_answers_count_as_attempts() -> None:
+    """Guards against a request that runs on one replica after another.
+
+    Each replica runs it, and its answer is lost before the head.
+    """
+    lost = [Script(error=upstream_errors.BrokenError("x")) for _ in range(4)]
+    broken = Script([*stream(1, 2), Break])
+    for scripts in ([broken, *lost], lost):
+        replicas = FakeReplicas(*scripts)
+        call = make_call(Caller(), max_attempts=2)
+        with pytest.raises((errors.CallerError, forwarding.AbortError)):
+            await make_forwarder(replicas, versions=("",) * 6).run(call)
+        assert len(replicas.sent) == 2
+
+
 async def test_attempts_are_bounded() -> None:
     """Guards against a request that breaks one replica after another."""
     caller = Caller()
