--- a/lacewingwood/callers/stopping.py
+++ b/lacewingwood/callers/stopping.py
@@ -16,9 +16,8 @@
 from lacewingwood import clock as clocks
 from lacewingwood.callers import errors
 
-# Time to send the answers that are still due to callers. It covers the encoding
-# of some hundred error responses, and a slow link.
-ANSWER_MARGIN_MS = 150.0
+# Time to send the answers that are still due before connections are closed.
+_ANSWER_MARGIN_MS = 150.0
 # Retry-After of a refused request: another host can serve it at once.
 _RETRY_AFTER_MS = 0.0
 
@@ -48,7 +47,7 @@
         now_ms = self._clock.now_ms()
         end_ms = now_ms + drain_ms + grace_ms
         self._drained_ms = now_ms + drain_ms
-        self._answer_by_ms = max(now_ms, end_ms - ANSWER_MARGIN_MS)
+        self._answer_by_ms = max(now_ms, end_ms - _ANSWER_MARGIN_MS)
         limit = self._to_trio_time(self._answer_by_ms)
         for scope in self._scopes:
             scope.deadline = min(scope.deadline, limit)
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -90,6 +90,7 @@
         """
         records: list[compacted.Record] = []
         end, after = -1, ""
+        starts: set[str] = set()
         while True:
             position = {"after": after} if after else {}
             query = _query(partition, **position)
@@ -102,12 +103,13 @@
             records += [_to_record(item) for item in page.items]
             if not page.more or not page.items:
                 return compacted.Snapshot(records, end)
-            if page.items[-1].key <= after:
-                # The next pages would be the same.
+            after = page.items[-1].key
+            if after in starts:
+                # The next pages would be the same again.
                 raise errors.UnavailableError(
-                    f"a page after {after!r} does not go on", False
+                    f"the pages after {after!r} repeat themselves", False
                 )
-            after = page.items[-1].key
+            starts.add(after)
 
     async def read(
         self, partition: compacted.Partition, start: int, wait_ms: float
