Refuse requests without a route at once unless they can submit a job again

Callers would have seen: a POST on an unknown route was answered 503 instead of 404 while the job's partition had no owner, as right after a start.

--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -116,7 +116,9 @@
         try:
             resolved = self._gateway.resolve(head)
         except errors.CallerError as exc:
-            if exc.code != gateways.NO_ROUTE or not await self._is_job(head):
+            if exc.code != gateways.NO_ROUTE:
+                raise
+            if not await self._is_known_job(req, head):
                 raise
             await self._confirm_job(req, head)
             return
@@ -143,15 +145,21 @@
         await self._jobs.submit(submission, limit)
         await req.respond(202, b"{}")
 
-    async def _is_job(self, head: gateways.Head) -> bool:
+    async def _is_known_job(self, req: "_Request", head: gateways.Head) -> bool:
         """Returns whether a request without a route submits a job again.
 
-        Its route may have been removed after the job was accepted.
+        Its route may have been removed after the job was accepted. Jobs are
+        submitted as JSON, with the job's id as that of the request.
 
         Raises:
             job_errors.UnavailableError: This can't be found out now.
         """
-        if head.method != "POST":
+        content_types = req.header_values(b"content-type")
+        if (
+            head.method != "POST"
+            or _JSON_CONTENT[1] not in content_types
+            or not req.header_values(b"request-id")
+        ):
             return False
         try:
             job = self._job_name(head, head.request_id)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,7 +7,6 @@
 import trio
 
 from lacewingwood import clock as clocks
-from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import errors as job_errors
 from lacewingwood.jobs import service as job_service
@@ -72,12 +71,10 @@
     path: str,
     key: str = "k1",
     request_id: str = "7c41",
-    current: configuration.Configuration | None = None,
+    content_type: str = "application/json",
 ) -> _Answer:
     """Sends a request to a gateway without a route for the job's host."""
-    gateway = test_gateway._make(
-        current or test_gateway._configuration(2, "/a/")
-    )
+    gateway = test_gateway._make(test_gateway._configuration(2, "/a/"))
     app = ingress.Ingress(
         gateway,
         jobs,  # type: ignore[arg-type]
@@ -94,7 +91,8 @@
         "headers": [
             (b"host", b"night.example"),
             (b"authorization", b"Bearer " + key.encode()),
-            (b"request-id", request_id.encode()),
+            (b"content-type", content_type.encode()),
+            *([(b"request-id", request_id.encode())] if request_id else []),
         ],
     }
     answer = _Answer()
@@ -140,6 +138,20 @@
     assert (await _send(_Jobs(reachable=False), "POST", path)).status == 503
 
 
+@pytest.mark.parametrize(
+    ("request_id", "content_type"),
+    [("", "application/json"), ("7c41", "application/octet-stream")],
+)
+async def test_request_that_submits_no_job_is_refused_at_once(
+    request_id: str, content_type: str
+) -> None:
+    """Guards against 503 on an unknown route while jobs have no owner."""
+    answer = await _send(
+        _Jobs(reachable=False), "POST", "/b/x", "k1", request_id, content_type
+    )
+    assert answer.status == 404
+
+
 @pytest.mark.parametrize(
     ("method", "path", "key", "request_id", "status"),
     [
