--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -26,7 +26,6 @@
 from lacewingwood.limits import replica_limits
 from lacewingwood.limits import shared
 from lacewingwood.log import compacted
-from lacewingwood.log import follow
 from lacewingwood.operators import admin
 from lacewingwood.peers import errors as peer_errors
 from lacewingwood.peers import gateway_messages
@@ -38,6 +37,8 @@
 from lacewingwood.platform import replicas as replica_client
 from lacewingwood.platform import settings as platform_settings
 from lacewingwood.platform import store as store_lib
+from lacewingwood.roles import gateway_followers
+from lacewingwood.roles import gateway_reports
 from lacewingwood.routing import coordinator_links
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
@@ -52,15 +53,6 @@
 from lacewingwood.state import stream_journal
 from lacewingwood.state import stream_origins
 
-# A read of the store waits for a change for this share of the time within which
-# the change must take effect, and the next read follows after a pause. If the
-# connection has gone silent, the next read is late by some 1.5 s.
-_CONFIGURATION_READ_WAIT_SHARE = 0.45
-_CONFIGURATION_READ_PAUSE_MS = 50.0
-# Replicas renew their entries all the time, so the pause decides how many reads
-# are made.
-_REPLICAS_READ_WAIT_MS = 500.0
-_REPLICAS_READ_PAUSE_SHARE = 0.2
 # Each round of upkeep wakes an otherwise idle process, and a deployment has
 # hundreds of them.
 _UPKEEP_INTERVAL_MS = 400.0
@@ -140,7 +132,14 @@
             _wall_ms,
             self._metrics,
         )
-        self._followers = self._make_followers()
+        self._followers = gateway_followers.make(
+            cfg,
+            self._store,
+            self._published,
+            self._replica_list,
+            self._clock,
+            self._metrics,
+        )
         self._peer_copy = peer_copy.PeerCopy(
             self._published,
             self._replica_list,
@@ -250,6 +249,22 @@
         self._slots.on_preempt = self._scheduler.preempt_one
         self._fleet.on_replicas = self._update_replicas
         self._published.on_change = self._apply_configuration
+        self._reports = gateway_reports.Reports(
+            cfg,
+            self._started_ms,
+            self._published,
+            self._fleet,
+            self._limits,
+            self._quarantine,
+            self._ownership,
+            self._scheduler,
+            self._roster,
+            self._clock,
+            self._log_age_ms,
+        )
+        self._presence.on_report = self._reports.apply
+        self._presence.on_digest = self._reports.apply_digest
+        self._presence.is_urgent = self._reports.has_urgent_news
         self._add_gauges()
 
     async def run(self) -> None:
@@ -361,42 +376,6 @@
             await self._replicas.keep_only(listed)
             await self._clock.sleep_ms(_UPKEEP_INTERVAL_MS)
 
-    def _make_followers(self) -> list[follow.Follower]:
-        def make(
-            partition: compacted.Partition,
-            on_snapshot: Callable[[list[compacted.Record]], None],
-            on_records: Callable[[list[compacted.Record]], None],
-            wait_ms: float,
-            pause_ms: float,
-        ) -> follow.Follower:
-            return follow.Follower(
-                self._store,
-                partition,
-                on_snapshot,
-                on_records,
-                self._clock,
-                self._metrics,
-                wait_ms=wait_ms,
-                pause_ms=pause_ms,
-            )
-
-        return [
-            make(
-                documents.OPERATOR_PARTITION,
-                self._apply_documents,
-                self._apply_documents,
-                self._cfg.apply_ms * _CONFIGURATION_READ_WAIT_SHARE,
-                _CONFIGURATION_READ_PAUSE_MS,
-            ),
-            make(
-                documents.REPLICAS_PARTITION,
-                self._replica_list.apply_snapshot,
-                self._replica_list.apply_changes,
-                _REPLICAS_READ_WAIT_MS,
-                self._cfg.leave_ms * _REPLICAS_READ_PAUSE_SHARE,
-            ),
-        ]
-
     def _make_presence(self) -> presence_lib.Presence:
         cfg = self._cfg
         presence = presence_lib.Presence(
@@ -410,20 +389,11 @@
             self._metrics,
             self._started_ms,
         )
-        presence.on_report = self._apply_report
-        presence.on_digest = self._apply_digest
         self._roster.on_peer_lost = self._fleet.forget
-        presence.is_urgent = self._has_urgent_news
         return presence
 
-    def _has_urgent_news(self) -> bool:
-        """Returns whether other gateways need this one's report at once."""
-        now_ms = self._clock.now_ms()
-        return (
-            self._limits.has_customer_near_limit()
-            or self._quarantine.is_urgent(now_ms)
-            or self._fleet.limits.is_urgent(now_ms)
-        )
+    def _make_report(self) -> gateway_messages.GatewayReport:
+        return self._reports.make()
 
     def _make_owner(
         self, index: int, partition: compacted.Partition, epoch: int
@@ -454,11 +424,6 @@
         self._shards.update(listed)
         self._versions.update(listed)
 
-    def _apply_documents(self, records: list[compacted.Record]) -> None:
-        for record in records:
-            if record.key == documents.CONFIGURATION_KEY and record.value:
-                self._published.apply_if_newer(record.value, "store")
-
     def _apply_configuration(self, new: configuration.Configuration) -> None:
         rates = {
             name: (customer.rate, customer.burst)
@@ -467,65 +432,6 @@
         self._limits.configure(rates, self._clock.now_ms())
         self._presence.schedule_report()
 
-    def _apply_report(self, report: gateway_messages.GatewayReport) -> None:
-        now_ms = self._clock.now_ms()
-        self._fleet.note_report(
-            report.host,
-            report.running,
-            now_ms,
-            report.outcomes,
-            same_zone=self._roster.is_in_zone(report.host),
-        )
-        self._limits.note_report(
-            report.host, report.started_ms, report.admitted, now_ms
-        )
-        self._fleet.limits.note_limits(report.replica_limits, now_ms)
-        self._fleet.note_leaving(report.leaving_replicas, now_ms)
-        self._fleet.limits.note_report(
-            report.host, report.started_ms, report.sent, now_ms
-        )
-        if report.crash_report is not None:
-            self._quarantine.note_report(report.crash_report, now_ms)
-
-    def _apply_digest(self, digest: gateway_messages.ZoneDigest) -> None:
-        now_ms = self._clock.now_ms()
-        self._fleet.note_report(
-            f"zone {digest.zone}",
-            digest.running,
-            now_ms,
-            digest.outcomes,
-            same_zone=False,
-        )
-        self._fleet.limits.note_limits(digest.replica_limits, now_ms)
-        self._fleet.note_leaving(digest.leaving_replicas, now_ms)
-        for counts in digest.hosts:
-            host, started_ms = counts.host, counts.started_ms
-            self._limits.note_report(host, started_ms, counts.admitted, now_ms)
-            self._fleet.limits.note_report(
-                host, started_ms, counts.sent, now_ms
-            )
-        if digest.crash_report is not None:
-            self._quarantine.note_report(digest.crash_report, now_ms)
-
-    def _make_report(self) -> gateway_messages.GatewayReport:
-        now_ms = self._clock.now_ms()
-        return gateway_messages.GatewayReport(
-            host=self._cfg.host,
-            address=self._cfg.peer_address,
-            started_ms=self._started_ms,
-            version=self._published.version,
-            running=self._fleet.own_counts(),
-            outcomes=self._fleet.own_outcomes(now_ms),
-            admitted=self._limits.recent_admissions(now_ms),
-            owned=self._ownership.epochs(),
-            log_age_ms=self._log_age_ms(),
-            waiting=self._scheduler.counts[0],
-            crash_report=self._quarantine.report(now_ms),
-            replica_limits=self._fleet.limits.report(now_ms),
-            sent=self._fleet.limits.recently_sent(now_ms),
-            leaving_replicas=self._fleet.recently_leaving(now_ms),
-        )
-
     def _stagger_s(self) -> float:
         position, count = self._roster.rank()
         return replica_limits.stagger_s(position, count, _wall_ms())
