--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -26,21 +26,26 @@
 # Below the ports that the system gives to outgoing connections, which would
 # take a free port before the process that it was meant for.
 _PORT_RANGE = (10_000, 32_000)
+# Ports that were returned before. The process that was given one may not
+# listen yet; with 18 gateways, one fleet in ten had a port twice.
+_assigned_ports: set[int] = set()
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports on loopback that are not in use."""
+    """Returns ports on loopback that are not in use, none of them twice."""
     ports: list[int] = []
     while len(ports) < count:
         port = random.SystemRandom().randrange(*_PORT_RANGE)
+        if port in _assigned_ports:
+            continue
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        _assigned_ports.add(port)
+        ports.append(port)
     return ports
 
 
