--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -8,20 +8,21 @@
 import urllib.parse
 from typing import Any
 
-import httpcore
+import h11
 import msgspec
 import trio
 
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.log import compacted
 from lacewingwood.log import errors
+from lacewingwood.upstreams import errors as upstream_errors
+from lacewingwood.upstreams import http1
 
 # A call normally takes about 4 ms. The timeout still covers the usual
 # slowdown of the store by a factor of 60.
 _CALL_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.5
 _MAX_CONNECTIONS = 64
-_KEEPALIVE_S = 10.0
 _MAX_READ_KB = 1024
 # A page of the newest records holds 1 MB in base64, and a read as much.
 _MAX_ANSWER_BYTES = 4 << 20
@@ -73,13 +74,9 @@
     """Client of the compacted topics and the groups of the store."""
 
     def __init__(self, address: str, metrics: metrics_lib.Registry) -> None:
-        self._base = f"http://{address}"
+        self._host = address.encode()
         self._metrics = metrics
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS,
-            max_keepalive_connections=_MAX_CONNECTIONS,
-            keepalive_expiry=_KEEPALIVE_S,
-        )
+        self._pool = http1.Pool(address, _MAX_CONNECTIONS, _CONNECT_TIMEOUT_S)
 
     async def snapshot(
         self, partition: compacted.Partition
@@ -205,44 +202,38 @@
     ) -> tuple[int, bytes]:
         self._metrics.add("store_calls", call=call)
         timeout_s = _CALL_TIMEOUT_S + wait_ms / 1000
-        timeouts = {
-            "connect": _CONNECT_TIMEOUT_S,
-            "read": timeout_s,
-            "write": timeout_s,
-            "pool": timeout_s,
-        }
-        url = f"{self._base}/-/log-{call}" + (f"?{query}" if query else "")
-        headers = [("content-type", "application/json")] if body else []
-        content = body if method == "POST" else None
+        head = self._encode_head(method, call, query, body)
         try:
-            # The timeouts of the pool bound each read; an answer that comes
-            # byte by byte is bounded here.
+            # An answer whose head came may take the time of another call.
             with trio.fail_after(timeout_s + _CALL_TIMEOUT_S):
-                async with self._pool.stream(
-                    method,
-                    url,
-                    headers=headers,
-                    content=content,
-                    extensions={"timeout": timeouts},
-                ) as response:
-                    answer = await _read_answer(response)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+                async with self._pool.exchange() as exchange:
+                    with trio.fail_after(timeout_s):
+                        await exchange.send_whole(head, body)
+                        await exchange.receive_head()
+                    answer = await _read_answer(exchange)
+        except upstream_errors.ConnectError as exc:
             self._metrics.add("store_errors", call=call, cause="connect")
-            raise errors.UnavailableError(str(exc), False) from exc
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            trio.TooSlowError,
-        ) as exc:
+            raise errors.UnavailableError(exc.message, False) from exc
+        except (upstream_errors.UpstreamError, trio.TooSlowError) as exc:
             cause = type(exc).__name__
             self._metrics.add("store_errors", call=call, cause=cause)
             raise errors.UnavailableError(f"{cause}: {exc}", True) from exc
-        if response.status != _STATUS_OK:
+        if exchange.status != _STATUS_OK:
             self._metrics.add(
-                "store_refusals", call=call, status=str(response.status)
+                "store_refusals", call=call, status=str(exchange.status)
             )
-        return response.status, answer
+        return exchange.status, answer
+
+    def _encode_head(
+        self, method: str, call: str, query: str, body: bytes
+    ) -> h11.Request:
+        target = f"/-/log-{call}" + (f"?{query}" if query else "")
+        headers = [(b"host", self._host)]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        if method == "POST":
+            headers.append((b"content-length", b"%d" % len(body)))
+        return h11.Request(method=method, target=target, headers=headers)
 
 
 def _query(partition: compacted.Partition, **fields: str | int) -> str:
@@ -252,7 +243,7 @@
     return urllib.parse.urlencode(names, safe="/", quote_via=urllib.parse.quote)
 
 
-async def _read_answer(response: httpcore.Response) -> bytes:
+async def _read_answer(exchange: http1.Exchange) -> bytes:
     """Returns the body of an answer.
 
     Raises:
@@ -260,7 +251,7 @@
     """
     chunks: list[bytes] = []
     size = 0
-    async for chunk in response.aiter_stream():
+    while chunk := await exchange.next_chunk():
         chunks.append(chunk)
         size += len(chunk)
         if size > _MAX_ANSWER_BYTES:
