--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -1,17 +1,19 @@
-"""HTTP/1.1 connections to upstreams: h11 over httpcore's network backend.
+"""HTTP/1.1 connections to upstreams: h11 over trio's sockets.
 
-httpcore's own connection pool adds about half to the cost of each response
-chunk, hides trailers, and does not tell whether a request was sent.
+httpcore's connection pool adds about half to the cost of each response chunk,
+hides trailers, and does not tell whether a request was sent.
 """
 
 import collections
 import contextlib
+import ipaddress
 import os
+import select
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
 import h11
-import httpcore
 import trio
 
 from lacewingwood import errors as base_errors
@@ -31,7 +33,6 @@
 # Refusals after which a connection is closed, as it has to remember them.
 _MAX_REFUSED = 64
 _BODILESS_STATUSES = (204, 304)
-_BACKEND = httpcore.TrioBackend()
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -55,13 +56,13 @@
         "reused",
     )
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
         self.idle_since_s = 0.0
         self.reused = False
         self.refused: set[str] = set()
         self._write_complete = True
         self._stream = stream
-        self._fd: int = stream.get_extra_info("socket").fileno()
+        self._fd = stream.socket.fileno()
         self._h11 = h11.Connection(h11.CLIENT)
 
     async def send(self, *events: Any) -> None:
@@ -73,8 +74,8 @@
         data = b"".join([self._h11.send(event) or b"" for event in events])
         self._write_complete = False
         try:
-            await self._stream.write(data)
-        except httpcore.WriteError as exc:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise errors.BrokenError(str(exc)) from exc
         self._write_complete = True
 
@@ -100,10 +101,16 @@
         try:
             return os.read(self._fd, _READ_BYTES)
         except BlockingIOError:
-            return await self._stream.read(_READ_BYTES)
+            return await self._receive_some()
         except OSError as exc:
             raise errors.BrokenError(str(exc)) from exc
 
+    async def _receive_some(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(_READ_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise errors.BrokenError(str(exc)) from exc
+
     def recycle(self) -> bool:
         """Prepares for another exchange; returns False if impossible."""
         if not self._write_complete:
@@ -128,9 +135,13 @@
 
     def usable(self) -> bool:
         """Returns whether an idle connection may be used again."""
-        # An idle connection is readable only if the peer closed it.
-        readable = self._stream.get_extra_info("is_readable")
-        return not self.expired() and not readable
+        return not self.expired() and not self._is_readable()
+
+    def _is_readable(self) -> bool:
+        """Returns whether an idle connection was closed, or has odd data."""
+        poller = select.poll()
+        poller.register(self._fd, select.POLLIN)
+        return bool(poller.poll(0))
 
     async def close(self) -> None:
         """Closes the connection."""
@@ -406,10 +417,9 @@
 
     async def _connect(self) -> Connection:
         try:
-            stream = await _BACKEND.connect_tcp(
-                self._host, self._port, timeout=self._connect_timeout_s
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            with trio.fail_after(self._connect_timeout_s):
+                stream = await _open_stream(self._host, self._port)
+        except (OSError, trio.TooSlowError) as exc:
             raise errors.ConnectError(
                 f"{self._host}:{self._port}: {exc}"
             ) from exc
@@ -468,3 +478,31 @@
         """Closes all idle connections."""
         for address in list(self._pools):
             await self.forget(address)
+
+
+async def _open_stream(host: str, port: int) -> trio.SocketStream:
+    """Connects to an address.
+
+    Replicas are listed by IPv4 address, for which the search of trio's
+    `open_tcp_stream` among several addresses costs more than the connection.
+
+    Raises:
+        OSError: The connection could not be made.
+    """
+    if not _is_ipv4(host):
+        return await trio.open_tcp_stream(host, port)
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+        return trio.SocketStream(sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def _is_ipv4(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/tests/upstreams/test_http1.py
+++ b/tests/upstreams/test_http1.py
@@ -1,10 +1,9 @@
 """Tests of HTTP/1.1 connections to upstreams."""
 
 import socket
-from typing import Any
+from typing import cast
 
 import h11
-import httpcore
 import pytest
 import trio
 
@@ -13,23 +12,24 @@
 _RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """A network stream whose writes may block for ever."""
+class _Stream:
+    """A socket stream whose writes may block for ever."""
 
     def __init__(self, sock: socket.socket, blocked: bool) -> None:
-        self._sock = sock
+        self.socket = sock
         self._blocked = blocked
 
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+    async def send_all(self, data: bytes) -> None:
         await trio.lowlevel.checkpoint()
         if self._blocked:
             await trio.sleep_forever()
 
     async def aclose(self) -> None:
-        trio.lowlevel.notify_closing(self._sock)
+        trio.lowlevel.notify_closing(self.socket)
 
-    def get_extra_info(self, info: str) -> Any:
-        return self._sock
+
+def _connection(sock: socket.socket, blocked: bool) -> http1.Connection:
+    return http1.Connection(cast(trio.SocketStream, _Stream(sock, blocked)))
 
 
 @pytest.mark.parametrize("blocked", [False, True])
@@ -39,7 +39,7 @@
     """Guards against a request appended to one that was partly sent."""
     near, far = socket.socketpair()
     with near, far:
-        connection = http1.Connection(_Stream(near, blocked))
+        connection = _connection(near, blocked)
         head = h11.Request(method="GET", target="/", headers=[("host", "x")])
         with trio.move_on_after(0.01 if blocked else 60):
             await connection.send(head, h11.EndOfMessage())
@@ -53,7 +53,7 @@
     """Guards against a response that is taken for the next request's."""
     near, far = socket.socketpair()
     with near, far:
-        connection = http1.Connection(_Stream(near, False))
+        connection = _connection(near, False)
         head = h11.Request(method="GET", target="/", headers=[("host", "x")])
         await connection.send(head, h11.EndOfMessage())
         far.sendall(_RESPONSE + _RESPONSE)
