--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -1,5 +1,6 @@
 """A gateway process: serves routed requests and runs batch jobs."""
 
+import gc
 import signal
 import time
 from collections.abc import Callable
@@ -68,6 +69,10 @@
 # from those of earlier processes on the host.
 _TICKET_BITS = 20
 
+# Objects that are allocated between two collections of the youngest ones. With
+# the interpreter's 700, a busy gateway collects several times for each request.
+_COLLECTION_THRESHOLD = 5_000
+
 LoadSettings = Callable[[], gateway_settings.GatewaySettings]
 
 _log = structlog.get_logger()
@@ -79,7 +84,9 @@
     Args:
         load_settings: Returns the settings; called again on SIGHUP.
     """
-    trio.run(Gateway(load_settings).run)
+    gateway = Gateway(load_settings)
+    _exclude_loaded_code_from_collections()
+    trio.run(gateway.run)
 
 
 class Gateway:
@@ -493,6 +500,17 @@
         }
 
 
+def _exclude_loaded_code_from_collections() -> None:
+    """Spares the collector the objects that live as long as the process.
+
+    A full collection of the 42,000 objects of the loaded modules took 22 ms on
+    a fast core, in which no request is served.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECTION_THRESHOLD)
+
+
 def _stop_times_ms(total_ms: float) -> tuple[float, float]:
     """Divides the time between SIGTERM and SIGKILL.
 
