--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -69,8 +69,8 @@
 # from those of earlier processes on the host.
 _TICKET_BITS = 20
 
-# Objects that are allocated between two collections of the youngest ones. With
-# the interpreter's 700, a busy gateway collects several times for each request.
+# Allocations between two collections of the youngest objects. Most objects of a
+# request are in no cycle, so that few of them wait for a collection.
 _COLLECTION_THRESHOLD = 5_000
 
 LoadSettings = Callable[[], gateway_settings.GatewaySettings]
