--- a/lacewingwood/peers/connection.py
+++ b/lacewingwood/peers/connection.py
@@ -1,5 +1,7 @@
 """HTTP/2 connection that carries one bidirectional gRPC stream."""
 
+import math
+import os
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -86,9 +88,10 @@
         self._deframer = wire.Deframer()
         self._stream_id: int | None = None
         self._outbox = bytearray()
-        # HTTP/2 frames that wait to be written in response to received ones,
-        # such as acknowledgements.
-        self._control_data = b""
+        # Bytes that the socket did not take at once.
+        self._unsent = b""
+        # True while the writer waits for `_wake`.
+        self._writer_idle = False
         self._wake = trio.Event()
         self._end_requested = False
         self._ended = False
@@ -108,7 +111,7 @@
             return False
         self._outbox += frame
         self._liveness.note_message()
-        self._wake.set()
+        self._flush()
         return True
 
     def finish(self) -> None:
@@ -136,15 +139,27 @@
         scope.cancel()
 
     async def _read(self) -> None:
-        while data := await self._stream.receive_some(_READ_BYTES):
+        while data := await self._receive():
             if self._ended:
                 continue
             self._liveness.note_received()
             for event in self._h2.receive_data(data):
                 self._handle_event(event)
-            self._control_data += self._h2.data_to_send()
-            if self._control_data or self._outbox:
-                self._wake.set()
+            self._flush()
+
+    async def _receive(self) -> bytes:
+        """Returns received bytes, empty at the end of the connection.
+
+        trio's own receive first tries a read, which mostly fails.
+        """
+        fd = self._stream.socket.fileno()
+        await trio.lowlevel.wait_readable(fd)
+        try:
+            return os.read(fd, _READ_BYTES)
+        except BlockingIOError:
+            return bytes(await self._stream.receive_some(_READ_BYTES))
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
 
     def _handle_event(self, event: h2.events.Event) -> None:
         match event:
@@ -193,20 +208,53 @@
         self.ready.set()
 
     async def _write(self) -> None:
-        while not self._ended:
+        while True:
             self._wake = trio.Event()
-            self._send_queued()
-            data = self._control_data + self._h2.data_to_send()
-            self._control_data = b""
-            if data:
+            while data := self._take_unsent():
                 self._metrics.add("peer_bytes_sent", len(data))
                 await self._stream.send_all(data)
-            if not self._ended:
-                await self._wake.wait()
+            if self._ended:
+                break
+            self._writer_idle = True
+            await self._wake.wait()
+            self._writer_idle = False
         self.ended_cleanly = self._end_requested
         await self._stream.send_eof()
         await trio.sleep(_LINGER_MS / 1000)
 
+    def _flush(self) -> None:
+        """Writes what the socket takes at once; the writer sends the rest.
+
+        Most messages are small and fit. The writer's turn costs more than the
+        write.
+        """
+        if not self._writer_idle:
+            self._wake.set()
+            return
+        try:
+            data = self._take_unsent()
+        except h2.exceptions.ProtocolError:
+            # The same error ends the writer, and so the connection.
+            self._wake.set()
+            return
+        if data:
+            try:
+                written = os.write(self._stream.socket.fileno(), data)
+            except OSError:
+                # The writer's attempt reports the error.
+                written = 0
+            self._metrics.add("peer_bytes_sent", written)
+            self._unsent = data[written:]
+        if self._unsent or self._ended:
+            self._wake.set()
+
+    def _take_unsent(self) -> bytes:
+        """Returns the bytes to write next."""
+        self._send_queued()
+        data = self._unsent + self._h2.data_to_send()
+        self._unsent = b""
+        return data
+
     def _start_http2(self) -> None:
         self._h2.initiate_connection()
         self._h2.update_settings(
@@ -271,7 +319,11 @@
         stays silent, and ends an idle connection.
         """
         while True:
-            await trio.sleep(_TICK_MS / 1000)
+            # All connections have their ticks at the same times, so that they
+            # do not wake the process one after another.
+            tick_s = _TICK_MS / 1000
+            ticks = math.floor(trio.current_time() / tick_s)
+            await trio.sleep_until((ticks + 1) * tick_s)
             if self._in_use():
                 self._liveness.expect_response()
             match self._liveness.tick():
@@ -281,7 +333,7 @@
                 case liveness.Verdict.PING:
                     self._metrics.add("peer_pings")
                     self._h2.ping(b"silence?")
-                    self._wake.set()
+                    self._flush()
                 case liveness.Verdict.IDLE:
                     self.finish()
 
