--- a/tests/callers/test_stopping.py
+++ b/tests/callers/test_stopping.py
@@ -90,7 +90,7 @@
     replicas = test_forwarding.FakeReplicas(
         test_forwarding.Script(test_forwarding.stream(1, 2))
     )
-    forwarder._replicas = replicas
+    forwarder._attempts._replicas = replicas
     forwarder.stop.begin(drain_ms, grace_ms=5_000)
     head = test_gateway._head("/open/x")
     head.timeout_ms = timeout_ms
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -185,7 +185,7 @@
             await forwarder.run(call)
         assert caller.body.startswith(_EVENT)
         assert not caller.complete
-        assert "attempt_failures" in forwarder._metrics.render()
+        assert "attempt_failures" in forwarder._endings._metrics.render()
 
 
 async def test_slow_stream_is_not_cut() -> None:
