--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -4,6 +4,9 @@
 from collections.abc import Collection
 from typing import Protocol
 
+import structlog
+import trio
+
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
@@ -34,12 +37,17 @@
 _MAX_BODY_BYTES = 16 << 20
 # A replica's error response is short, and no larger one is relayed.
 _MAX_ERROR_BODY_BYTES = 64 << 10
+# Most bytes of a stream that are held while another run may still answer. An
+# event has at most half of them, and comments before it are short.
+_MAX_HELD_BYTES = 256 << 10
 # Reads of events after which a run counts as begun. The first event may have
 # been sent before the replica crashed.
 _READS_TO_BEGIN = 2
 
 _SERVER_ERROR = 500
 
+_log = structlog.get_logger()
+
 
 class ErrorResponse(Exception):
     """A replica answered with a 5xx status; another replica may succeed."""
@@ -101,8 +109,7 @@
     async def run(
         self,
         call: progress_lib.Call,
-        slot: dispatchers.Slot,
-        progress: progress_lib.Progress,
+        attempt: progress_lib.Attempt,
     ) -> None:
         """Runs a call on the replica of a slot and relays the response.
 
@@ -110,30 +117,32 @@
             upstream_errors.UpstreamError: The run failed.
             ErrorResponse: The replica answered with a 5xx status.
         """
+        slot, progress = attempt.slot, attempt.progress
         listing = slot.replica.listing
         sent_ms = self._clock.now_ms()
         repeatable = call.route.repeatable
         splitter = progress.splitter
         resume_after = splitter.last_id if splitter else call.resume_after
         may_retry = repeatable and progress.attempts_left(begun=1)
-        progress.begun = False
         opening = self._replicas.open(
             listing,
             call.work,
             call.deadline_ms - sent_ms,
             resume_after,
-            head_limit_ms=self._first_event_timeout_ms(call, may_retry),
+            head_limit_ms=_first_event_limit_ms(attempt, may_retry),
             # The replica may have closed a pooled connection while it was
             # idle, and the last attempt can't be repeated if it is reset.
             fresh=not may_retry,
-            on_send=progress.note_sent,
+            on_send=attempt.note_sent,
         )
         async with opening as run:
             now_ms = self._clock.now_ms()
             self._slots.fleet.note_notice(slot.replica, run.notice, now_ms)
             if run.refused:
-                self._raise_refusal(call, slot, progress, run)
-            progress.count_attempt()
+                self._raise_refusal(slot, run)
+            attempt.count()
+            if attempt.race is not None:
+                attempt.race.note_head(attempt)
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
             if run.status >= _SERVER_ERROR:
                 body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
@@ -145,64 +154,61 @@
             if call.route.kind is configuration.RouteKind.STREAM and (
                 run.status < 300
             ):
-                await self._relay_stream(call, run, slot, progress, may_retry)
+                await self._relay_stream(call, run, attempt)
             else:
-                await self._relay_whole_response(call, run)
+                await self._relay_whole_response(call, run, attempt)
             slot.replica.note_success(self._clock.now_ms())
-            self._note_begun(call, progress)
-            self._endings.record_success(call, slot, progress)
-
-    def _first_event_timeout_ms(
-        self, call: progress_lib.Call, may_retry: bool
-    ) -> float:
-        if not may_retry:
-            return math.inf
-        objective_ms = call.route.objective_ms or DEFAULT_OBJECTIVE_MS
-        return objective_ms * _FIRST_EVENT_TIMEOUT_OBJECTIVES
+            self._note_begun(attempt)
+            self._endings.record_success(call, attempt)
 
     async def _relay_stream(
         self,
         call: progress_lib.Call,
         run: runs.Run,
-        slot: dispatchers.Slot,
-        progress: progress_lib.Progress,
-        may_retry: bool,
+        attempt: progress_lib.Attempt,
     ) -> None:
         """Relays a stream of events; sends only complete events."""
-        if progress.splitter is None:
-            progress.splitter = event_stream.Splitter(call.resume_after)
-        else:
-            progress.splitter.restart()
+        progress = attempt.progress
+        earlier = progress.splitter
+        splitter = event_stream.Splitter(
+            earlier.last_id if earlier else call.resume_after
+        )
+        reader = event_reader.EventReader(run, splitter, self._clock)
+        events = b""
+        if attempt.race is not None:
+            events = await _read_first_event(reader, splitter)
+            await _claim(attempt)
+        progress.splitter = splitter
+        may_retry = call.route.repeatable and progress.attempts_left()
         gap_timeout_ms = math.inf
         if may_retry and call.route.gap_objective_ms:
             gap_timeout_ms = call.route.gap_objective_ms * _RESUME_GAP_FRACTION
-        reader = event_reader.EventReader(run, progress.splitter, self._clock)
-        timeout_ms = self._first_event_timeout_ms(call, may_retry)
+        timeout_ms = _first_event_limit_ms(attempt, may_retry)
         reads = 0
-        while events := await reader.next_events(timeout_ms):
+        while events := events or await reader.next_events(timeout_ms):
             timeout_ms = gap_timeout_ms
             reads += 1
             if reads == _READS_TO_BEGIN:
-                self._note_begun(call, progress)
+                self._note_begun(attempt)
             if progress.origin is None and call.route.repeatable:
                 progress.origin = await self._origins.note_begun(
                     origins.stream_key(
                         call.work.customer, call.work.request_id
                     ),
-                    slot.replica,
+                    attempt.slot.replica,
                     call.services,
                 )
             await self._start_response(call, run)
             await call.req.write(events)
+            events = b""
         await self._start_response(call, run)
         await call.req.end()
 
-    def _note_begun(
-        self, call: progress_lib.Call, progress: progress_lib.Progress
-    ) -> None:
-        if not progress.begun:
-            progress.begun = True
-            self._quarantine.note_begun(call.work, self._clock.now_ms())
+    def _note_begun(self, attempt: progress_lib.Attempt) -> None:
+        if not attempt.begun:
+            attempt.begun = True
+            work = attempt.progress.call.work
+            self._quarantine.note_begun(work, self._clock.now_ms())
 
     async def _start_response(
         self, call: progress_lib.Call, run: runs.Run
@@ -214,11 +220,65 @@
         await call.req.start(run.status, run.headers)
 
     async def _relay_whole_response(
-        self, call: progress_lib.Call, run: runs.Run
+        self,
+        call: progress_lib.Call,
+        run: runs.Run,
+        attempt: progress_lib.Attempt,
     ) -> None:
         body = await self._bodies.read(run, _MAX_BODY_BYTES)
+        if attempt.race is not None:
+            await _claim(attempt)
         await _respond(call, run.status, run.headers, body)
 
+    async def note_failure(
+        self,
+        call: progress_lib.Call,
+        attempt: progress_lib.Attempt,
+        exc: upstream_errors.UpstreamError | ErrorResponse,
+    ) -> None:
+        """Records that an attempt failed."""
+        if isinstance(exc, upstream_errors.UpstreamError):
+            self._endings.record_failure(call, attempt, exc)
+            await self._handle_end_of_replica(attempt, exc)
+            return
+        slot, progress = attempt.slot, attempt.progress
+        slot.replica.note_failure(self._clock.now_ms())
+        slot.failed = True
+        progress.reason = f"status_{exc.status}"
+        progress.tried.add(slot.replica.listing.id)
+
+    async def _handle_end_of_replica(
+        self,
+        attempt: progress_lib.Attempt,
+        exc: upstream_errors.UpstreamError,
+    ) -> None:
+        """Finds out whether a replica ended while it ran a call.
+
+        The call is a suspect unless its run had begun. Its attempt is
+        discounted if it was the last: the run has ended, too, so that the
+        request can't be running twice when it is sent again.
+        """
+        progress = attempt.progress
+        discount = not progress.may_retry() and progress.may_discount_attempt()
+        if not isinstance(exc, upstream_errors.BrokenError) or (
+            attempt.begun and not discount
+        ):
+            return
+        listing = attempt.slot.replica.listing
+        work = progress.call.work
+        if not await self._replicas.has_stopped(listing):
+            return
+        if not attempt.begun:
+            self._quarantine.note_crash(listing, work, self._clock.now_ms())
+        if discount:
+            progress.discount_attempt()
+            _log.info(
+                "attempt forgiven",
+                request_id=work.request_id,
+                replica=listing.id,
+                attempts=progress.attempts,
+            )
+
     async def relay_error_response(
         self,
         call: progress_lib.Call,
@@ -234,13 +294,7 @@
             self._endings.give_up(call, progress, 502)
         await _respond(call, exc.status, exc.headers, exc.body)
 
-    def _raise_refusal(
-        self,
-        call: progress_lib.Call,
-        slot: dispatchers.Slot,
-        progress: progress_lib.Progress,
-        run: runs.Run,
-    ) -> None:
+    def _raise_refusal(self, slot: dispatchers.Slot, run: runs.Run) -> None:
         """Records that a replica did not run the request.
 
         Raises:
@@ -256,6 +310,43 @@
         raise upstream_errors.RefusedError("not run", run.status, b"")
 
 
+def first_event_timeout_ms(route: configuration.Route) -> float:
+    """Returns the timeout for the first event if another run may follow."""
+    objective_ms = route.objective_ms or DEFAULT_OBJECTIVE_MS
+    return objective_ms * _FIRST_EVENT_TIMEOUT_OBJECTIVES
+
+
+def _first_event_limit_ms(
+    attempt: progress_lib.Attempt, may_retry: bool
+) -> float:
+    # A race limits its attempts itself: what they are allowed changes with
+    # what becomes of the other.
+    if not may_retry or attempt.race is not None:
+        return math.inf
+    return first_event_timeout_ms(attempt.progress.call.route)
+
+
+async def _read_first_event(
+    reader: event_reader.EventReader, splitter: event_stream.Splitter
+) -> bytes:
+    """Returns all up to the first numbered event, or up to the end."""
+    held = b""
+    while splitter.last_id is None:
+        events = await reader.next_events(math.inf)
+        if not events:
+            break
+        held += events
+        if len(held) > _MAX_HELD_BYTES:
+            raise upstream_errors.InvalidResponseError("too many comments")
+    return held
+
+
+async def _claim(attempt: progress_lib.Attempt) -> None:
+    """Returns if an attempt may answer; else waits to be cancelled."""
+    if attempt.race is not None and not attempt.race.claim(attempt):
+        await trio.sleep_forever()
+
+
 async def _respond(
     call: progress_lib.Call, status: int, headers: runs.Headers, body: bytes
 ) -> None:
--- a/lacewingwood/callers/endings.py
+++ b/lacewingwood/callers/endings.py
@@ -7,7 +7,6 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.callers import errors
 from lacewingwood.callers import progress as progress_lib
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.upstreams import errors as upstream_errors
 
 Ran = base_errors.Ran
@@ -72,7 +71,7 @@
             customer=call.work.customer,
             reason=progress.reason,
             ran=ran.value,
-            pending=progress.awaits_outcome,
+            pending=bool(progress.pending),
             attempts=progress.attempts,
             refusals=progress.refusals,
             waited_ms=round(now_ms - call.arrived_ms),
@@ -109,13 +108,13 @@
     def record_failure(
         self,
         call: progress_lib.Call,
-        slot: dispatchers.Slot,
-        progress: progress_lib.Progress,
+        attempt: progress_lib.Attempt,
         exc: upstream_errors.UpstreamError,
     ) -> None:
         """Records a failed attempt."""
+        progress, slot = attempt.progress, attempt.slot
         replica = slot.replica
-        progress.record_failure(replica.listing.id, exc)
+        attempt.record_failure(exc)
         now_ms = self._clock.now_ms()
         slow = isinstance(exc, upstream_errors.TimeoutError)
         if slow and replica.in_flight(now_ms) > replica.slots:
@@ -143,10 +142,10 @@
     def record_success(
         self,
         call: progress_lib.Call,
-        slot: dispatchers.Slot,
-        progress: progress_lib.Progress,
+        attempt: progress_lib.Attempt,
     ) -> None:
         """Records a call that was completed."""
+        progress, slot = attempt.progress, attempt.slot
         now_ms = self._clock.now_ms()
         total_ms = now_ms - call.arrived_ms
         self._metrics.histogram("request").record_ms(total_ms)
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -42,7 +42,6 @@
         "_endings",
         "_origins",
         "_quarantine",
-        "_replicas",
         "_rng",
         "_slots",
         "stop",
@@ -60,7 +59,6 @@
     ) -> None:
         self.stop = stopping.Stop(clock)
         self._slots = slots
-        self._replicas = replicas
         self._clock = clock
         self._endings = endings_lib.Endings(clock, metrics)
         self._quarantine = quarantine
@@ -149,25 +147,38 @@
             try:
                 # The cause may have been found while the call waited.
                 self._check_quarantine(call, progress)
-                await self._attempts.run(call, slot, progress)
-                return
-            except upstream_errors.UpstreamError as exc:
-                self._endings.record_failure(call, slot, progress, exc)
-                await self._handle_end_of_replica(slot, progress, exc)
-            except attempts_lib.ErrorResponse as exc:
-                slot.replica.note_failure(self._clock.now_ms())
-                slot.failed = True
-                progress.reason = f"status_{exc.status}"
-                progress.tried.add(slot.replica.listing.id)
-                if not progress.may_retry():
-                    await self._attempts.relay_error_response(
-                        call, exc, progress
-                    )
-                    return
+                attempt = progress_lib.Attempt(progress, slot)
+                failure = await self._run_attempt(call, attempt)
             finally:
                 self._slots.release(slot)
-            if not progress.may_retry():
-                self._endings.give_up(call, progress, 502)
+            if failure is None:
+                return
+            if progress.may_retry():
+                continue
+            if isinstance(failure, attempts_lib.ErrorResponse):
+                await self._attempts.relay_error_response(
+                    call, failure, progress
+                )
+                return
+            self._endings.give_up(call, progress, 502)
+
+    async def _run_attempt(
+        self, call: progress_lib.Call, attempt: progress_lib.Attempt
+    ) -> Exception | None:
+        """Runs an attempt, with a second one if that is worth it.
+
+        Returns:
+            Why the call was not completed, None if it was.
+        """
+        try:
+            await self._attempts.run(call, attempt)
+        except (
+            upstream_errors.UpstreamError,
+            attempts_lib.ErrorResponse,
+        ) as exc:
+            await self._attempts.note_failure(call, attempt, exc)
+            return exc
+        return None
 
     async def _find_origin(
         self, call: progress_lib.Call, progress: progress_lib.Progress
@@ -252,35 +263,3 @@
                 version=version,
             )
         )
-
-    async def _handle_end_of_replica(
-        self,
-        slot: dispatchers.Slot,
-        progress: progress_lib.Progress,
-        exc: upstream_errors.UpstreamError,
-    ) -> None:
-        """Finds out whether a replica ended while it ran a call.
-
-        The call is a suspect unless its run had begun. Its attempt is
-        discounted if it was the last: the run has ended, too, so that the
-        request can't be running twice when it is sent again.
-        """
-        discount = not progress.may_retry() and progress.may_discount_attempt()
-        if not isinstance(exc, upstream_errors.BrokenError) or (
-            progress.begun and not discount
-        ):
-            return
-        listing = slot.replica.listing
-        work = progress.call.work
-        if not await self._replicas.has_stopped(listing):
-            return
-        if not progress.begun:
-            self._quarantine.note_crash(listing, work, self._clock.now_ms())
-        if discount:
-            progress.discount_attempt()
-            _log.info(
-                "attempt forgiven",
-                request_id=work.request_id,
-                replica=listing.id,
-                attempts=progress.attempts,
-            )
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -1,10 +1,12 @@
 """Routed calls and the state of their attempts."""
 
 import dataclasses
+from typing import Protocol
 
 from lacewingwood import configuration
 from lacewingwood import errors as base_errors
 from lacewingwood.callers import http
+from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import origins
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
@@ -60,14 +62,13 @@
         attempts: Attempts that a replica may have run.
         refusals: Attempts that a replica did not run.
         ran: Whether an attempt whose outcome is known can have had an effect.
-        awaits_outcome: True while an attempt has been sent and it is not known
-            whether the replica runs it.
+        pending: Attempts that have been sent, and of which it is not known
+            whether the replica runs them.
         tried: Ids of replicas that must not be tried again.
         splitter: Splits the response into events, None if it is no stream.
         reason: Code of the last failure.
         discounted_attempts: Attempts that are not counted because their
             replica ended.
-        begun: True if the last run had begun to answer.
         origin: Service and software version that began the stream; its other
             runs must be there. None before its first event.
         done: True once the call has ended other than by its caller's
@@ -78,28 +79,17 @@
     attempts: int = 0
     refusals: int = 0
     ran: Ran = Ran.NOT_RUN
-    awaits_outcome: bool = False
+    pending: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     splitter: event_stream.Splitter | None = None
     reason: str = "no_replica"
     discounted_attempts: int = 0
-    begun: bool = False
     origin: origins.Origin | None = None
     done: bool = False
 
-    def note_sent(self) -> None:
-        """Records that an attempt is about to be sent."""
-        self.awaits_outcome = True
-
-    def count_attempt(self) -> None:
-        """Counts an attempt that was answered, or failed after it was sent."""
-        self.awaits_outcome = False
-        self.ran = Ran.MAY_HAVE_RUN
-        self.attempts += 1
-
     def effect(self) -> Ran:
         """Returns whether any attempt, also a pending one, may have run."""
-        return Ran.MAY_HAVE_RUN if self.awaits_outcome else self.ran
+        return Ran.MAY_HAVE_RUN if self.pending else self.ran
 
     def attempts_left(self, begun: int = 0) -> bool:
         """Returns whether the route allows another attempt.
@@ -117,18 +107,6 @@
             return True
         return self.call.route.repeatable and self.attempts_left()
 
-    def record_failure(
-        self, replica_id: str, exc: upstream_errors.UpstreamError
-    ) -> None:
-        """Records a failed attempt on a replica."""
-        self.reason = exc.code
-        self.tried.add(replica_id)
-        if exc.ran is Ran.NOT_RUN:
-            self.awaits_outcome = False
-            self.refusals += 1
-        elif self.awaits_outcome:
-            self.count_attempt()
-
     def may_discount_attempt(self) -> bool:
         """Returns whether an attempt is not counted if its replica ended."""
         repeatable = self.call.route.repeatable
@@ -140,3 +118,71 @@
         """Stops counting the last attempt."""
         self.discounted_attempts += 1
         self.attempts -= 1
+
+
+class Race(Protocol):
+    """Two attempts of one call, of which one answers; see `racing`."""
+
+    def note_head(self, attempt: "Attempt") -> None:
+        """Records that a replica has begun to respond to an attempt."""
+
+    def claim(self, attempt: "Attempt") -> bool:
+        """Returns whether an attempt may answer its caller.
+
+        Called once its first event, or its whole response, is complete.
+        """
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One run of a call at the replica of a slot.
+
+    Attributes:
+        progress: The state of all attempts of the call.
+        slot: The slot.
+        race: Decides whether it may answer, None if it is the only run.
+        awaits_outcome: True while it has been sent and it is not known whether
+            the replica runs it.
+        counted: True if it counts as an attempt that may have run.
+        begun: True if the replica had begun to answer.
+    """
+
+    progress: Progress
+    slot: dispatchers.Slot
+    race: Race | None = None
+    awaits_outcome: bool = False
+    counted: bool = False
+    begun: bool = False
+
+    def note_sent(self) -> None:
+        """Records that it is about to be sent."""
+        if not self.awaits_outcome:
+            self.awaits_outcome = True
+            self.progress.pending += 1
+
+    def count(self) -> None:
+        """Counts it: it was answered, failed after it was sent, or was cut."""
+        self._settle()
+        self.counted = True
+        self.progress.ran = Ran.MAY_HAVE_RUN
+        self.progress.attempts += 1
+
+    def abandon(self) -> None:
+        """Counts it if it was sent and is cancelled without an outcome."""
+        if self.awaits_outcome:
+            self.count()
+
+    def record_failure(self, exc: upstream_errors.UpstreamError) -> None:
+        """Records that it failed."""
+        self.progress.reason = exc.code
+        self.progress.tried.add(self.slot.replica.listing.id)
+        if exc.ran is Ran.NOT_RUN:
+            self._settle()
+            self.progress.refusals += 1
+        elif self.awaits_outcome:
+            self.count()
+
+    def _settle(self) -> None:
+        if self.awaits_outcome:
+            self.awaits_outcome = False
+            self.progress.pending -= 1
