--- a/lacewingwood/configuration.py
+++ b/lacewingwood/configuration.py
@@ -54,6 +54,8 @@
             items may be given up.
         max_waiting_tokens: Most tokens of one customer's unfinished batch
             items, over all gateways; 0 for no limit.
+        second_attempt_percent: Second attempts against slow responses, as a
+            percentage of the requests; None for the gateway's setting.
     """
 
     name: str
@@ -71,6 +73,7 @@
     result_deadline_ms: float = 0.0
     retention_ms: float = 0.0
     max_waiting_tokens: int = 0
+    second_attempt_percent: float | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -40,6 +40,9 @@
     code = "platform_document"
 
 
+_Percent = Annotated[float, msgspec.Meta(ge=0, le=100)]
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -68,6 +71,8 @@
     # Tokens of a tenant that may wait on a batch route, 0 for no limit. The
     # name also stands for other limits, in the services' engines.
     cap: float = 0.0
+    # Absent for the gateway's setting.
+    second_attempt_percent: _Percent | None = None
 
 
 class _Tenant(msgspec.Struct):
@@ -197,6 +202,7 @@
         result_deadline_ms=route.result_deadline_ms,
         retention_ms=route.retention_s * 1000,
         max_waiting_tokens=int(route.cap),
+        second_attempt_percent=route.second_attempt_percent,
     )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -73,11 +73,33 @@
     assert route.gap_objective_ms == 200
     assert route.repeatable
     assert route.max_waiting_tokens == 2_600_000
+    assert route.second_attempt_percent is None
     customer = decoded.customer_by_key("k2")
     assert customer is not None
     assert (customer.rate, customer.burst, customer.priority) == (24, 30, 1)
 
 
+@pytest.mark.parametrize("percent", [0, 2.5, 100])
+def test_second_attempts_of_a_route_are_decoded(percent: float) -> None:
+    """Guards against a route that loses its own limit, also one of none."""
+    route = {**_ROUTE, "second_attempt_percent": percent}
+    data = _encode({"version": 1, "routes": [route]})
+    (decoded,) = documents.decode_configuration(data).routes
+    assert decoded.second_attempt_percent == percent
+
+
+@pytest.mark.parametrize("percent", [-1, 101, "5"])
+def test_second_attempts_beyond_all_requests_are_refused(
+    percent: object,
+) -> None:
+    """Guards against a limit by which every request might run twice or more."""
+    route = {**_ROUTE, "second_attempt_percent": percent}
+    with pytest.raises(documents.DocumentError):
+        documents.decode_configuration(
+            _encode({"version": 1, "routes": [route]})
+        )
+
+
 def test_entry_is_decoded_to_a_listing() -> None:
     """Guards against treating a draining replica as ready."""
     listing = documents.decode_replica("i-1", _encode(_ENTRY))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,9 @@
     path.write_text(_FILE, encoding="utf-8")
     assert settings.load(str(path)).admin_bind == "10.1.0.21:7361"
     named = settings.load(str(path), metrics_port=9464)
+    assert named.second_attempt_percent == 0
+    hedged = settings.load(str(path), second_attempt_percent=2.5)
+    assert hedged.second_attempt_percent == 2.5
     assert named.admin_bind == "10.1.0.21:9464"
 
 
