--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -123,7 +123,8 @@
         repeatable = call.route.repeatable
         splitter = progress.splitter
         resume_after = splitter.last_id if splitter else call.resume_after
-        may_retry = repeatable and progress.attempts_left(begun=1)
+        begun = 1 + progress.pending
+        may_retry = repeatable and progress.attempts_left(begun)
         opening = self._replicas.open(
             listing,
             call.work,
@@ -169,10 +170,11 @@
     ) -> None:
         """Relays a stream of events; sends only complete events."""
         progress = attempt.progress
-        earlier = progress.splitter
-        splitter = event_stream.Splitter(
-            earlier.last_id if earlier else call.resume_after
-        )
+        splitter = progress.splitter
+        if splitter is None or attempt.race is not None:
+            splitter = event_stream.Splitter(call.resume_after)
+        else:
+            splitter.restart()
         reader = event_reader.EventReader(run, splitter, self._clock)
         events = b""
         if attempt.race is not None:
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -13,6 +13,8 @@
 from lacewingwood.callers import errors
 from lacewingwood.callers import http
 from lacewingwood.callers import progress as progress_lib
+from lacewingwood.callers import racing
+from lacewingwood.callers import second_attempts
 from lacewingwood.callers import stopping
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
@@ -42,7 +44,9 @@
         "_endings",
         "_origins",
         "_quarantine",
+        "_racer",
         "_rng",
+        "_second_attempts",
         "_slots",
         "stop",
     )
@@ -56,7 +60,20 @@
         quarantine: quarantines.Quarantine,
         stream_origins: attempts_lib.Origins,
         rng: random.Random | None = None,
+        second_attempt_percent: float = 0.0,
     ) -> None:
+        """Creates a forwarder.
+
+        Args:
+            slots: Gives slots at replicas.
+            replicas: Client of the replicas.
+            clock: Source of monotonic time.
+            metrics: Registry of counters.
+            quarantine: What crashes replicas.
+            stream_origins: Where streams began.
+            rng: Chooses among the targets of a route.
+            second_attempt_percent: Second attempts of routes that set none.
+        """
         self.stop = stopping.Stop(clock)
         self._slots = slots
         self._clock = clock
@@ -73,6 +90,17 @@
             stream_origins,
             self._endings,
         )
+        self._second_attempts = second_attempts.SecondAttempts(
+            second_attempt_percent
+        )
+        self._racer = racing.Racer(
+            self._second_attempts,
+            self._attempts,
+            slots,
+            quarantine,
+            clock,
+            metrics,
+        )
 
     async def run(self, call: progress_lib.Call) -> None:
         """Runs a call and sends its response.
@@ -84,6 +112,7 @@
             http.DisconnectedError: The caller disconnected.
         """
         service = self._pick_service(call.route)
+        self._second_attempts.note_request(call.route)
         progress = progress_lib.Progress(call)
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
@@ -170,6 +199,8 @@
         Returns:
             Why the call was not completed, None if it was.
         """
+        if self._racer.applies(call, attempt.progress):
+            return await self._racer.run(call, attempt)
         try:
             await self._attempts.run(call, attempt)
         except (
--- a/lacewingwood/cli/main.py
+++ b/lacewingwood/cli/main.py
@@ -63,6 +63,14 @@
         str,
         cyclopts.Parameter(help="Address at which gateways reach this one."),
     ] = "",
+    second_attempt_percent: Annotated[
+        float,
+        cyclopts.Parameter(
+            help="Second attempts against slow responses, as a percentage of "
+            "the requests of each route that sets none.",
+            validator=cyclopts.validators.Number(gte=0, lte=100),
+        ),
+    ] = 0.0,
 ) -> None:
     """Runs a gateway process: serves routed requests and runs batch jobs.
 
@@ -72,7 +80,7 @@
     """
     from lacewingwood.cli import gateway as command  # noqa: PLC0415
 
-    command.run(config, metrics_port, peer_address)
+    command.run(config, metrics_port, peer_address, second_attempt_percent)
 
 
 def main() -> None:
--- a/lacewingwood/gateway_settings.py
+++ b/lacewingwood/gateway_settings.py
@@ -35,6 +35,8 @@
         job_status_ms: How long a job stays readable after its submission.
         rate_tolerance: Fraction by which a customer may exceed its rate.
         burst_tolerance: Requests by which a customer may exceed its burst.
+        second_attempt_percent: Second attempts against slow responses, as a
+            percentage of the requests of each route that sets none.
     """
 
     host: str
@@ -59,3 +61,4 @@
     job_status_ms: float = 120_000.0
     rate_tolerance: float = 0.0
     burst_tolerance: float = 0.0
+    second_attempt_percent: float = 0.0
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -84,7 +84,10 @@
 
 
 def load(
-    path: str, metrics_port: int = 0, peer_address: str = ""
+    path: str,
+    metrics_port: int = 0,
+    peer_address: str = "",
+    second_attempt_percent: float = 0.0,
 ) -> gateway_settings.GatewaySettings:
     """Reads a settings file.
 
@@ -94,6 +97,7 @@
             of the file's `port_range`.
         peer_address: Address at which other gateways reach this one, empty
             for the address that it listens on.
+        second_attempt_percent: Second attempts of routes that set none.
 
     Raises:
         SettingsError: The file can't be read, or a value is missing or
@@ -103,7 +107,9 @@
         with open(path, "rb") as file:
             raw = tomllib.load(file)
         file_ = msgspec.convert(raw, _File, strict=False)
-        return _to_settings(file_, metrics_port, peer_address)
+        cfg = _to_settings(file_, metrics_port, peer_address)
+        cfg.second_attempt_percent = second_attempt_percent
+        return cfg
     except (OSError, tomllib.TOMLDecodeError) as exc:
         raise SettingsError(f"{path}: {exc}") from exc
     except msgspec.ValidationError as exc:
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -239,6 +239,7 @@
                 self._clock,
                 self._metrics,
             ),
+            second_attempt_percent=cfg.second_attempt_percent,
         )
         gateway = gateways.Gateway(
             self._published,
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -29,6 +29,9 @@
 _RESERVED_SLOTS = 0
 _LAGGING_RESERVED_SLOTS = 2
 _LAGGING_URGENT_RESERVED_SLOTS = 1
+# Slots that a request which must slow no other leaves free on its replica, for
+# the next request.
+_SPARE_SLOTS = 1
 # Typical time from sending a request to its first event. It decides which
 # waiting requests can still meet their objective; the others are served last.
 _EXPECTED_FIRST_EVENT_MS = 80.0
@@ -62,6 +65,9 @@
         urgent: True for batch work that may take the last free slots.
         repeatable: True if it may be retried on another replica if it fails.
         version: Software version that must run it, None for any.
+        spare: True if it must slow no other request: it never waits, and uses
+            a slot only if more than that are free and no request waits.
+        avoid_zone: Zone whose replicas are used only if no other has a slot.
     """
 
     service: str
@@ -74,6 +80,8 @@
     urgent: bool = False
     repeatable: bool = True
     version: str | None = None
+    spare: bool = False
+    avoid_zone: str | None = None
 
     def allows(self, replica: load.Replica) -> bool:
         """Returns whether a replica may run it, its load aside."""
@@ -215,6 +223,9 @@
             None if the deadline passes first, or if it is known before that no
             replica can run the request in time.
         """
+        if req.spare:
+            others = (waiter.req.service for waiter in self._waiting)
+            return None if req.service in others else self.try_acquire(req)
         if not self._waiting and (slot := self.try_acquire(req)):
             return slot
         if self._is_hopeless(req):
@@ -343,6 +354,10 @@
         ]
         if not available:
             return None
+        if req.avoid_zone is not None:
+            available = [
+                r for r in available if r.listing.zone != req.avoid_zone
+            ] or available
         if self.counts_lag():
             available = self._draw_candidates(available, req.work)
         return min(available, key=lambda r: self._load_key(r, now_ms))
@@ -437,6 +452,9 @@
     replica: load.Replica, req: SlotRequest, reserve: int, now_ms: float
 ) -> bool:
     total = replica.in_flight(now_ms)
+    if req.spare:
+        sound = replica.standing(now_ms) is outliers.Standing.SOUND
+        return sound and total + _SPARE_SLOTS < replica.slots
     if req.work is load.WorkKind.ONLINE:
         # Batch items are preempted for online requests, so one may be queued on
         # a full replica unless online requests alone fill it.
--- a/lacewingwood/routing/quarantine.py
+++ b/lacewingwood/routing/quarantine.py
@@ -97,6 +97,21 @@
                 return Verdict(name, cause.until_ms - now_ms)
         return None
 
+    def is_suspect(self, work: runs.Work) -> bool:
+        """Returns whether a request may be one that crashes replicas.
+
+        It, or a part of its prompt, was a suspect of a crash and has not begun
+        anywhere since.
+        """
+        if not self._last_crash_ms:
+            return False
+        never_ms = float("-inf")
+        return any(
+            self._last_crash_ms.get(name, never_ms)
+            > self._begun_ms.get(name, never_ms)
+            for name in (*_shared_parts(work), _digest(work))
+        )
+
     def note_begun(self, work: runs.Work, now_ms: float) -> None:
         """Records that a replica answers a request and has not crashed."""
         self._runs += 1
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -219,13 +219,14 @@
     async def _ask_until_granted(self, pending: _Pending) -> bool:
         """Asks shards in turn; returns False if no coordinator answers.
 
-        A shard without a free slot is asked to stop batch items only if the
+        A request for a spare slot asks each shard once, and does not wait. A
+        shard without a free slot is asked to stop batch items only if the
         other shards have no free slot either.
         """
         while True:
             shards = self._shards_for(pending.req)
             answered = False
-            for may_preempt in (False, True):
+            for may_preempt in (False,) if pending.req.spare else (False, True):
                 for shard in shards:
                     if await self._ask(pending, shard, may_preempt):
                         answered = True
@@ -233,6 +234,8 @@
                         return True
             if not answered:
                 return False
+            if pending.req.spare:
+                return True
             with trio.move_on_after(_WAIT_MS / 1000):
                 await pending.ready.wait()
             if pending.ready.is_set():
@@ -309,8 +312,11 @@
         def order(shard: str) -> tuple[bool, bool, int]:
             free, at_ms = self._hints.get(shard, (1, 0.0))
             known = now_ms - at_ms < _HINT_TTL_MS
-            is_here = shards_lib.zone_of(shard) == self._roster.zone
-            return known and free <= 0, not is_here, -free if known else 0
+            zone = shards_lib.zone_of(shard)
+            far = zone != self._roster.zone
+            if req.avoid_zone is not None:
+                far = zone == req.avoid_zone
+            return known and free <= 0, far, -free if known else 0
 
         return sorted(shards, key=order)[:_MAX_SHARDS]
 
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -183,6 +183,12 @@
     """Guards against a traceback, or a port that is silently ignored."""
     done = _run("gateway", env={"LACEWINGWOOD_METRICS_PORT": "many"})
     _assert_failed(done, 2, "LACEWINGWOOD_METRICS_PORT", "many")
+    name = "LACEWINGWOOD_SECOND_ATTEMPT_PERCENT"
+    for value in ("many", "-1", "101", "nan"):
+        done = _run("gateway", env={name: value})
+        _assert_failed(done, 2, name, value)
+    done = _run("gateway", "--second-attempt-percent", "101")
+    _assert_failed(done, 2, "second-attempt-percent")
     done = _run("gateway", env={"LACEWINGWOOD_CONFIG": "/nowhere.toml"})
     _assert_failed(done, 1, "platform_settings", "/nowhere.toml")
 
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -319,3 +319,35 @@
             assert slot.replica.listing.version == "v1"
             gateway.client.release(slot)
         nursery.cancel_scope.cancel()
+
+
+async def test_request_for_a_spare_slot_slows_no_other(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against second attempts that wait for slots, or stop items.
+
+    A free slot is taken in another zone, with a coordinator and without one.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=2, slots=2)
+        client = fleet.gateways[0].client
+        req = fleets.make_request()
+        req.spare, req.avoid_zone = True, "z0"
+        for fleet.coordinated in (False, True):
+            slot = await client.acquire(req)
+            assert slot is not None
+            assert slot.replica.listing.zone == "z1"
+            client.release(slot)
+        fleet.gateways[1].want(1)
+        await trio.sleep(0.1)
+        for _ in range(3):
+            assert await fleet.gateways[2].client.acquire(fleets.make_request())
+        started = trio.current_time()
+        assert await client.acquire(req) is None
+        assert trio.current_time() - started < 0.1
+        await trio.sleep(0.1)
+        assert fleet.outcome.items_cut == 0
+        for gateway in fleet.gateways:
+            counts = gateway.server.dump().values()
+            assert not any(waiting for waiting, _ in counts)
+        nursery.cancel_scope.cancel()
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -266,3 +266,18 @@
     (crash,) = report.crashes
     assert list(crash.suspects.values()) == [["start", "part-1"]]
     assert len(first.copy(3.0).crashes[0].suspects) == 2
+
+
+def test_suspect_of_a_crash_is_one_until_it_begins() -> None:
+    """Guards against a second run beside one that crashes its replica."""
+    quarantine = quarantines.Quarantine()
+    work, other = _work(1, "start", "rare"), _work(2, "start", "other")
+    assert not quarantine.is_suspect(work)
+    quarantine.note_begun(other, 0.5)
+    _crash(quarantine, 1, work, at_ms=1.0)
+    assert quarantine.is_suspect(work)
+    quarantine.note_begun(other, 2.0)
+    assert quarantine.is_suspect(work)
+    assert not quarantine.is_suspect(other)
+    quarantine.note_begun(work, 3.0)
+    assert not quarantine.is_suspect(work)
