--- a/lacewingwood/callers/racing.py
+++ b/lacewingwood/callers/racing.py
@@ -124,6 +124,8 @@
     Attributes:
         attempt: The attempt.
         started_ms: When it was started.
+        progress_ms: When it was started, or the head of its response arrived;
+            the timeout begins then.
         scope: Cancelled when it has lost, or by its time limit.
         done: True once it has ended.
         failure: Why it failed.
@@ -131,12 +133,16 @@
 
     attempt: progress_lib.Attempt
     started_ms: float
+    progress_ms: float = dataclasses.field(init=False)
     scope: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope
     )
     done: bool = False
     failure: Failure | None = None
 
+    def __post_init__(self) -> None:
+        self.progress_ms = self.started_ms
+
 
 class _Race:
     """The attempts of one call that run at once; implements `Race`."""
@@ -184,7 +190,8 @@
 
     def note_head(self, attempt: progress_lib.Attempt) -> None:
         """Records that a replica has begun to respond; see `Race`."""
-        del attempt  # Limits depend on which attempts have been counted.
+        entry = next(e for e in self._entries if e.attempt is attempt)
+        entry.progress_ms = self._racer.clock.now_ms()
         self._limit_times()
 
     def claim(self, attempt: progress_lib.Attempt) -> bool:
@@ -275,7 +282,7 @@
         for entry in running:
             left_ms = math.inf
             if more and (streams or not entry.attempt.counted):
-                left_ms = entry.started_ms + timeout_ms - now_ms
+                left_ms = entry.progress_ms + timeout_ms - now_ms
             if entry is not self._first and len(running) > 1:
                 overlap_ms = now_ms - entry.started_ms
                 left_ms = min(left_ms, _MAX_OVERLAP_MS - overlap_ms)
--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -262,6 +262,7 @@
         Script([250.0, test_forwarding.Break]),
         Script(status=503, refused=True),
         *[Script(status=503, refused=True) for _ in range(6)],
+        percent=2.0,
     )
     setup.learn_times()
     with pytest.raises(errors.CallerError) as caught:
@@ -269,6 +270,10 @@
     assert caught.value.status == 502
     assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
     assert setup.wasted("refused") == 1
+    # What did not run is no extra work.
+    now_ms = setup.clock.now_ms()
+    decisions = setup.forwarder._second_attempts
+    assert decisions.check(setup.call.route, 5_000, now_ms) is None
 
 
 async def test_lost_response_ends_after_the_usual_timeout(
@@ -289,6 +294,34 @@
     assert setup.clock.now_ms() - setup.call.arrived_ms < 1_100
 
 
+async def test_pause_of_the_last_run_is_not_cut(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against cutting the winner as if the loser were still to come."""
+    chunks = [*stream(1, 1), 400.0, *stream(2, 2)]
+    setup = _Setup(Script(silent=True), Script(chunks))
+    setup.learn_times()
+    await setup.run()
+    assert setup.caller.body == b"".join(stream(1, 2))
+
+
+async def test_second_attempt_goes_to_another_replica(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against two runs at the replica that is slow."""
+    setup = _Setup(Script([400.0, *stream(1, 2)]))
+    for name in ("r1", "r2"):
+        listing = setup.dispatcher.fleet.directory.get(name)
+        assert listing is not None
+        setup.dispatcher.fleet.directory.put(
+            msgspec.structs.replace(listing, leaving=True)
+        )
+    setup.dispatcher.fleet.refresh()
+    setup.learn_times()
+    await setup.run()
+    assert setup.held_back("no_slot") == 1
+
+
 async def test_last_attempt_is_not_cut(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
