--- a/lacewingwood/cli/operator.py
+++ b/lacewingwood/cli/operator.py
@@ -21,6 +21,7 @@
 from lacewingwood.state import records
 
 _SECRET_BYTES = 32
+_EXIT_USAGE = 2
 
 customer_app = cyclopts.App(name="customer", help="Manages customers.")
 key_app = cyclopts.App(name="key", help="Manages customers' API keys.")
@@ -267,8 +268,40 @@
 
 
 @config_app.command(name="check")
-def config_check(file: pathlib.Path, /, *, cfg: LogSettings) -> None:
-    """Checks a configuration file against the published configuration."""
+def config_check(
+    file: pathlib.Path,
+    /,
+    *,
+    against: str = "",
+    config: str = "",
+    json: bool = False,
+    cfg: LogSettings | None = None,
+) -> None:
+    """Checks a configuration file, TOML for entries or JSON for gateways.
+
+    A file for entries is checked against the published configuration, which
+    takes `--log-url`. Exit codes for a file for gateways: 0 if it has no
+    errors, 1 if it has, 2 if the check can't be made.
+
+    Args:
+        file: The file.
+        against: For gateways, the version in force to compare the file with,
+            or `current`.
+        config: Settings file that names the gateways' store; the default is
+            the path in LACEWINGWOOD_CONFIG.
+        json: For gateways, print JSON.
+        cfg: Where the log is.
+    """
+    if cfg is None or file.suffix == ".json":
+        from lacewingwood.cli import config_check  # noqa: PLC0415
+
+        text = config_check.read(file)
+        if config_check.is_document(text):
+            sys.exit(config_check.run(text, against, config, json))
+    if cfg is None:
+        message = "lacewingwood: error: a file for entries takes --log-url"
+        print(message, file=sys.stderr)
+        sys.exit(_EXIT_USAGE)
     document = documents.parse(_read(file))
 
     async def work(session: session_lib.Session) -> Any:
