--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -87,6 +87,8 @@
             burst; 0 for no limit.
         limited_rate: Rate and burst of `LIMITED_CUSTOMER`.
         ready_s: Time within which all gateways must become ready.
+        process_limits: Table `limits` of the gateways' settings files.
+        client_limits: Table `limits` of the configuration.
     """
 
     gateways: int = 3
@@ -96,6 +98,8 @@
     rate: float = 0.0
     limited_rate: float = 10.0
     ready_s: float = 20.0
+    process_limits: dict[str, int] = dataclasses.field(default_factory=dict)
+    client_limits: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Gateway:
@@ -107,7 +111,12 @@
     """
 
     def __init__(
-        self, name: str, zone: str, store: str, log_dir: pathlib.Path
+        self,
+        name: str,
+        zone: str,
+        store: str,
+        log_dir: pathlib.Path,
+        limits: dict[str, int],
     ) -> None:
         self.name = name
         self.command = [sys.executable, "-m", "lacewingwood"]
@@ -119,6 +128,7 @@
         self.peer_address = f"127.0.0.1:{control_port}"
         self.admin_address = f"127.0.0.1:{admin_port}"
         self.log_path = log_dir / f"{name}.log"
+        limit_lines = [f"{key} = {value}\n" for key, value in limits.items()]
         self._settings = log_dir / f"{name}.toml"
         self._settings.write_text(
             f'node = "{name}"\nip = "127.0.0.1"\nzone = "{zone}"\n'
@@ -128,7 +138,8 @@
             f'ready = "{self.ready_address}"\n'
             f'control = "{self.peer_address}"\n'
             "[bounds]\ngrace_s = 8\nquota_overage = 0.1\nquota_slack = 20\n"
-            f'[platform_settings]\naddress = "{store}"\n',
+            f'[platform_settings]\naddress = "{store}"\n'
+            f"[limits]\n{''.join(limit_lines)}",
             encoding="utf-8",
         )
         self.process: subprocess.Popen[bytes] | None = None
@@ -217,7 +228,9 @@
                 the store's own.
         """
         store = store or self.store_address
-        gateway = Gateway(name, zone, store, self._log_dir)
+        gateway = Gateway(
+            name, zone, store, self._log_dir, self.shape.process_limits
+        )
         self.gateways.append(gateway)
         return gateway
 
@@ -293,6 +306,7 @@
                     "burst": self.shape.limited_rate,
                 },
             ],
+            "limits": self.shape.client_limits,
         }
         body = json.dumps(document).encode()
         path = "/put?topic=keyed.op&key=config"
