--- a/lacewingwood/callers/connection.py
+++ b/lacewingwood/callers/connection.py
@@ -99,6 +99,9 @@
             await self.protocol.initiate()
             await self.idle_task.restart(task_group, self._idle_timeout)
             await self._read_data()
+            # The task that waits for the idle timeout would keep the
+            # connection, which the caller has closed, until that timeout.
+            await self.idle_task.stop()
 
 
 class _Protocol(protocols.ProtocolWrapper):
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -126,3 +126,20 @@
         await stream.aclose()
         got = await client.call("GET", "/v1/models")
         assert got.status == 200
+
+
+async def test_connection_that_its_caller_closed_is_released() -> None:
+    """Guards against descriptors that are kept in CLOSE_WAIT.
+
+    The task that waits for an idle connection's timeout kept the connection.
+    """
+    world = fakes.World()
+    async with world.serve() as served:
+        stream = await trio.open_tcp_stream("127.0.0.1", served.port)
+        await stream.send_all(b"GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert await stream.receive_some()
+        await stream.send_eof()
+        with trio.fail_after(5):
+            while await stream.receive_some():
+                pass
+        await stream.aclose()
