--- a/lacewingwood/callers/app.py
+++ b/lacewingwood/callers/app.py
@@ -89,6 +89,8 @@
         except Exception:
             _log.exception("request failed", request_id=req.request_id)
             await self._send_error(req, _internal_error())
+        finally:
+            req.release()
 
     async def _dispatch(self, req: http.Request) -> None:
         self._check_headers(req)
@@ -152,7 +154,8 @@
         elif req.started:
             raise _AbortError
         else:
-            await _discard_body(req)
+            if not req.closing:
+                await _discard_body(req)
             if not req.disconnected:
                 await req.send_error(exc)
 
--- a/lacewingwood/callers/connection.py
+++ b/lacewingwood/callers/connection.py
@@ -3,7 +3,8 @@
 Hypercorn terminates the whole server when a connection fails with an
 unexpected error, raises such an error on HTTP/2 data for a stream whose
 response is complete, never resets an HTTP/2 stream that the application
-aborted, and waits indefinitely for a caller that does not read.
+aborted, waits indefinitely for a caller that does not read, and has a task for
+the timeout of each idle connection.
 """
 
 import collections
@@ -22,20 +23,37 @@
 from hypercorn import utils
 from hypercorn.protocol import events as stream_events
 from hypercorn.protocol import h2 as http2
-from hypercorn.protocol import h11 as http1
+from hypercorn.protocol import h11 as h11_protocol
 from hypercorn.trio import task_group as task_groups
 from hypercorn.trio import tcp_server
 from hypercorn.trio import worker_context
 
+from lacewingwood.callers import client_limits
+from lacewingwood.callers import connection_table
+from lacewingwood.callers import http1
+
 # The connection is closed if the caller reads nothing for this long.
 _WRITE_TIMEOUT_S = 120
 # Data that a caller may send on an HTTP/2 stream after the response ended.
 _MAX_DISCARDED_BYTES = 64 << 20
+# Bytes that are read from the socket at once. All connections together may hold
+# as much each before it is counted.
+_MAX_RECEIVED_BYTES = 16 << 10
+_HEADER_TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 
 class Connection(tcp_server.TCPServer):
     """A caller's connection, without TLS."""
 
+    def __init__(self, enforcer: client_limits.Enforcer, *args: Any) -> None:
+        super().__init__(*args)
+        self._enforcer = enforcer
+        self._entry = enforcer.add(self.end)
+        self._reading = trio.CancelScope()
+
     async def run(self) -> None:
         """Serves the connection until it ends."""
         try:
@@ -43,8 +61,28 @@
         except OSError:
             pass
         finally:
+            self._enforcer.remove(self._entry)
             await self._close()
 
+    def end(self, cause: connection_table.End | None = None) -> None:
+        """Closes the connection.
+
+        Args:
+            cause: The limit that it exceeds, None at a planned shutdown.
+        """
+        if (
+            cause is connection_table.End.HEADER_TIMEOUT
+            and not self.send_lock.locked()
+            and isinstance(self.protocol.protocol, http1.Http1)
+        ):
+            self._write_now(_HEADER_TIMEOUT_RESPONSE)
+        self._reading.cancel()
+
+    def end_if_idle(self) -> None:
+        """Closes the connection unless it has a request."""
+        if self._entry.phase is not connection_table.Phase.BUSY:
+            self.end()
+
     async def announce_shutdown(self) -> None:
         """Asks an HTTP/2 caller to use another connection from now on."""
         protocol = getattr(self, "protocol", None)
@@ -53,6 +91,9 @@
 
     async def protocol_send(self, event: server_events.Event) -> None:
         """Sends an event's data; closes the connection on a write timeout."""
+        if isinstance(event, server_events.Updated):
+            self._note_update(event.idle)
+            return
         if not isinstance(event, server_events.RawData):
             await super().protocol_send(event)
             return
@@ -96,17 +137,50 @@
                 server,
                 self.protocol_send,
             )
+            self.protocol.protocol.max_fields = (
+                self._enforcer.settings.max_fields
+            )
             await self.protocol.initiate()
-            await self.idle_task.restart(task_group, self._idle_timeout)
             await self._read_data()
-            # The task that waits for the idle timeout would keep the
-            # connection, which the caller has closed, until that timeout.
-            await self.idle_task.stop()
+
+    async def _read_data(self) -> None:
+        with self._reading:
+            while True:
+                try:
+                    data = await self.stream.receive_some(_MAX_RECEIVED_BYTES)
+                except (trio.ClosedResourceError, trio.BrokenResourceError):
+                    break
+                if data:
+                    self._note_data()
+                await self.protocol.handle(server_events.RawData(bytes(data)))
+                if not data:
+                    break
+        await self.protocol.handle(server_events.Closed())
+
+    def _note_data(self) -> None:
+        # Frames of HTTP/2 that begin no request don't make it busy.
+        if not isinstance(self.protocol.protocol, _Http2):
+            enforcer = self._enforcer
+            now_ms = enforcer.clock.now_ms()
+            enforcer.connections.note_data(self._entry, now_ms)
+
+    def _note_update(self, idle: bool) -> None:
+        connections = self._enforcer.connections
+        if not idle:
+            connections.note_busy(self._entry)
+            return
+        connections.note_idle(self._entry, self._enforcer.clock.now_ms())
+        if self.context.terminated.is_set():
+            self.end()
 
 
 class _Protocol(protocols.ProtocolWrapper):
     """HTTP/1.1, switched to HTTP/2 by prior knowledge or upgrade."""
 
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.protocol: Any = http1.Http1(*args)
+
     async def announce_shutdown(self) -> None:
         if isinstance(self.protocol, _Http2):
             await self.protocol.announce_shutdown()
@@ -114,11 +188,13 @@
     async def handle(self, event: server_events.Event) -> None:
         try:
             await self.protocol.handle(event)
-        except http1.H2ProtocolAssumedError as exc:
+        except h11_protocol.H2ProtocolAssumedError as exc:
             self.protocol = self._make_http2()
+            # It has no request until the first stream begins.
+            await self.send(server_events.Updated(idle=True))
             await self.protocol.initiate()
             await self._handle_remaining_data(exc.data)
-        except http1.H2CProtocolRequiredError as exc:
+        except h11_protocol.H2CProtocolRequiredError as exc:
             self.protocol = self._make_http2()
             await self.protocol.initiate(exc.headers, exc.settings)
             await self._handle_remaining_data(exc.data)
--- a/lacewingwood/callers/http.py
+++ b/lacewingwood/callers/http.py
@@ -1,14 +1,17 @@
 """HTTP requests and responses over ASGI."""
 
+import contextlib
 import math
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 import trio
 
+from lacewingwood.callers import client_limits
 from lacewingwood.callers import errors
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -17,6 +20,9 @@
     (b"content-type", b"text/event-stream; charset=utf-8"),
     (b"cache-control", b"no-cache"),
 )
+# Smaller parts of a body are joined as they arrive. Each part takes 40 bytes
+# more than its content.
+_PART_BYTES = 16 << 10
 
 
 class DisconnectedError(Exception):
@@ -35,14 +41,18 @@
         started: True once the response's status was sent.
         streams_events: True once the response is a stream of events.
         body_read: Set once the whole body of the request was read.
+        closing: True if the connection is closed after the response, which
+            does not wait for the rest of the request.
         disconnected: True once the caller is known to have disconnected.
     """
 
     __slots__ = (
+        "_body",
         "_receive",
         "_send",
         "_trailers",
         "body_read",
+        "closing",
         "disconnected",
         "headers",
         "method",
@@ -68,7 +78,9 @@
         self.started = False
         self.streams_events = False
         self.body_read = trio.Event()
+        self.closing = False
         self.disconnected = False
+        self._body: client_limits.Body | None = None
         self._trailers = False
         self._receive = receive
         self._send = send
@@ -106,27 +118,73 @@
         return message.get("body", b"")
 
     async def read_body(self, limit: int) -> bytes:
-        """Returns the whole body.
+        """Returns the whole body, which counts as held until `release`.
 
         Raises:
-            errors.CallerError: The body is longer than `limit` bytes.
+            errors.CallerError: The body is longer than `limit` bytes, arrives
+                too slowly, or there is no memory for it.
             DisconnectedError: The caller disconnected.
         """
         self.check_length(limit)
-        chunks: list[bytes] = []
-        size = 0
-        while (chunk := await self.next_chunk()) is not None:
-            size += len(chunk)
-            if size > limit:
-                raise body_too_large_error(limit)
-            chunks.append(chunk)
-        return b"".join(chunks)
+        parts = _Parts()
+        with self._receiving() as body:
+            while (chunk := await self.next_chunk()) is not None:
+                parts.add(chunk)
+                if parts.size > limit:
+                    raise body_too_large_error(limit)
+                if body is not None:
+                    await body.receive(len(chunk))
+        if body is not None and (exc := body.error()) is not None:
+            # The traceback would keep the parts until the error was sent.
+            parts.clear()
+            self._close_after_response()
+            raise exc
+        return parts.join()
 
     async def discard_body(self, limit: int) -> None:
-        """Reads and drops the body, until its end or beyond `limit` bytes."""
+        """Reads and drops the body, until its end or beyond `limit` bytes.
+
+        Ends early if the body arrives too slowly.
+        """
         size = 0
-        while size <= limit and (chunk := await self.next_chunk()) is not None:
-            size += len(chunk)
+        with self._receiving() as body:
+            while (
+                size <= limit and (chunk := await self.next_chunk()) is not None
+            ):
+                size += len(chunk)
+                if body is not None:
+                    await body.receive(len(chunk), kept=False)
+        if not self.body_read.is_set():
+            self._close_after_response()
+
+    def release(self) -> None:
+        """Stops counting the body, which is no longer held."""
+        if self._body is not None:
+            self._body.release()
+            self._body = None
+
+    @contextlib.contextmanager
+    def _receiving(self) -> Iterator[client_limits.Body | None]:
+        """Limits the receiving of the body; yields what counts it, if any."""
+        state = self.scope.get("state") or {}
+        enforcer: client_limits.Enforcer | None = state.get("enforcer")
+        if enforcer is None:
+            yield None
+            return
+        self.release()
+        body = self._body = enforcer.open_body()
+        try:
+            with body.scope:
+                yield body
+        except BaseException:
+            self.release()
+            raise
+        body.complete()
+
+    def _close_after_response(self) -> None:
+        self.closing = True
+        if "state" in self.scope:
+            self.scope["state"]["close"] = True
 
     def check_length(self, limit: int) -> None:
         """Raises errors.CallerError if Content-Length exceeds `limit`."""
@@ -235,6 +293,39 @@
         await self.end(b"data: " + exc.body() + b"\n\n")
 
 
+class _Parts:
+    """Parts of a body."""
+
+    __slots__ = ("_parts", "_tail", "size")
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._parts: list[bytes] = []
+        self._tail = bytearray()
+
+    def add(self, data: bytes) -> None:
+        """Adds a part."""
+        self.size += len(data)
+        if not self._tail and len(data) >= _PART_BYTES:
+            self._parts.append(data)
+            return
+        self._tail += data
+        if len(self._tail) >= _PART_BYTES:
+            self._parts.append(bytes(self._tail))
+            self._tail.clear()
+
+    def clear(self) -> None:
+        """Drops everything."""
+        self._parts.clear()
+        self._tail = bytearray()
+
+    def join(self) -> bytes:
+        """Returns the whole body."""
+        if not self._parts:
+            return bytes(self._tail)
+        return b"".join((*self._parts, self._tail))
+
+
 def body_too_large_error(
     limit: int, ran: errors.Ran = errors.Ran.NOT_RUN
 ) -> errors.CallerError:
--- a/lacewingwood/callers/server.py
+++ b/lacewingwood/callers/server.py
@@ -13,14 +13,14 @@
 from hypercorn import typing as server_typing
 from hypercorn.trio import worker_context
 
+from lacewingwood.callers import client_limits
 from lacewingwood.callers import connection
 
-_MAX_INCOMPLETE_HEADER_BYTES = 128 << 10
 _MAX_STREAMS_PER_CONNECTION = 1000
 _BACKLOG = 1024
-# Longer than load balancers usually keep idle connections, so that they close
-# them first and send no request on a connection that is being closed here.
-_KEEP_ALIVE_TIMEOUT_S = 300
+# Most messages of a request's body that wait for the application. The bodies
+# are counted once it takes them.
+_MAX_QUEUED_MESSAGES = 2
 # The longest time limit that a request may have, plus a margin.
 _DEFAULT_GRACE_MS = 3_700_000.0
 
@@ -45,6 +45,7 @@
     drain_ms: float,
     *,
     grace_ms: float = _DEFAULT_GRACE_MS,
+    enforcer: client_limits.Enforcer | None = None,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves until `shutdown_event`, then shuts down gracefully.
@@ -58,12 +59,15 @@
             while callers are asked to use other connections. After it, no
             connection is accepted.
         grace_ms: Maximum time after that for running requests to complete.
+        enforcer: Limits of connections and bodies; None for the defaults.
         task_status: Reports the port that the server listens on.
     """
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
-    server = _Server(app)
+    enforcer = enforcer or client_limits.make_unlimited()
+    server = _Server(app, enforcer)
     async with trio.open_nursery() as background:
         background.start_soon(app.run_forever)
+        background.start_soon(enforcer.run)
         await server.run(
             listeners, shutdown_event, drain_ms, grace_ms, task_status
         )
@@ -73,7 +77,8 @@
 class _Server:
     """The server's configuration and its open connections."""
 
-    def __init__(self, app: App) -> None:
+    def __init__(self, app: App, enforcer: client_limits.Enforcer) -> None:
+        self._enforcer = enforcer
         self._app = app_wrappers.ASGIWrapper(cast(Any, app))
         self._config = _make_config()
         self._context = worker_context.WorkerContext(None)
@@ -103,15 +108,26 @@
                 await trio.sleep(drain_ms / 1000)
                 accepting.cancel_scope.cancel()
             await self._context.terminated.set()
+            for conn in list(self._connections):
+                conn.end_if_idle()
             deadline = trio.current_time() + grace_ms / 1000
             connections.cancel_scope.deadline = deadline
 
     async def _serve(self, stream: trio.SocketStream) -> None:
+        if not self._enforcer.admit():
+            await trio.aclose_forcefully(stream)
+            return
+        max_head_bytes = self._enforcer.limits.max_header_bytes
+        self._config.h11_max_incomplete_size = max_head_bytes
+        self._config.h2_max_header_list_size = max_head_bytes
         conn = connection.Connection(
+            self._enforcer,
             self._app,
             self._config,
             self._context,
-            server_typing.ConnectionState({}),
+            server_typing.ConnectionState(
+                server_typing.LifespanState({"enforcer": self._enforcer})
+            ),
             cast(Any, stream),
         )
         self._connections.add(conn)
@@ -135,9 +151,7 @@
     config.errorlog = None
     config.accesslog = None
     config.include_server_header = False
-    config.h11_max_incomplete_size = _MAX_INCOMPLETE_HEADER_BYTES
-    config.h2_max_header_list_size = _MAX_INCOMPLETE_HEADER_BYTES
     config.h2_max_concurrent_streams = _MAX_STREAMS_PER_CONNECTION
     config.keep_alive_max_requests = sys.maxsize
-    config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
+    config.max_app_queue_size = _MAX_QUEUED_MESSAGES
     return config
--- a/lacewingwood/configuration.py
+++ b/lacewingwood/configuration.py
@@ -98,6 +98,23 @@
     priority: int | None = None
 
 
+class ClientLimits(msgspec.Struct, frozen=True):
+    """Limits of callers' connections.
+
+    Attributes:
+        max_header_bytes: Longest head of a request.
+        header_timeout_ms: Time limit for a request's head.
+        idle_timeout_ms: Time limit for a connection without a request. The
+            default is longer than load balancers usually keep idle connections,
+            so that they close them first and send no request on a connection
+            that is being closed here.
+    """
+
+    max_header_bytes: int = 128 << 10
+    header_timeout_ms: float = 60_000.0
+    idle_timeout_ms: float = 300_000.0
+
+
 class Configuration:
     """One version of the whole configuration, with indexes for look-ups.
 
@@ -107,11 +124,13 @@
         customers: Customers by name.
         has_customers: False if no route requires a key.
         max_body_bytes: Longest request body that is accepted.
+        client_limits: Limits of callers' connections.
     """
 
     __slots__ = (
         "_by_host",
         "_by_key",
+        "client_limits",
         "customers",
         "has_customers",
         "max_body_bytes",
@@ -125,10 +144,12 @@
         routes: list[Route],
         customers: list[Customer],
         max_body_bytes: int = 4 << 20,
+        client_limits: ClientLimits | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.max_body_bytes = max_body_bytes
+        self.client_limits = client_limits or ClientLimits()
         self.customers = {c.name: c for c in customers}
         self.has_customers = bool(customers)
         self._by_key = {key: c for c in customers for key in c.keys}
--- a/lacewingwood/gateway_settings.py
+++ b/lacewingwood/gateway_settings.py
@@ -35,6 +35,13 @@
         job_status_ms: How long a job stays readable after its submission.
         rate_tolerance: Fraction by which a customer may exceed its rate.
         burst_tolerance: Requests by which a customer may exceed its burst.
+        memory_bytes: Memory of the host.
+        max_descriptors: Most open file descriptors of the process.
+        max_header_fields: Most fields of a request's head.
+        first_byte_ms: Time limit for the first byte of a connection.
+        body_stall_ms: Longest time in which a request's body gets no byte.
+        body_rate_window_ms: Time over which a body's rate is measured.
+        body_bytes_per_s: Lowest rate of a body over that time.
     """
 
     host: str
@@ -59,3 +66,10 @@
     job_status_ms: float = 120_000.0
     rate_tolerance: float = 0.0
     burst_tolerance: float = 0.0
+    memory_bytes: int = 256 << 20
+    max_descriptors: int = 1_024
+    max_header_fields: int = 256
+    first_byte_ms: float = 60_000.0
+    body_stall_ms: float = 10_000.0
+    body_rate_window_ms: float = 30_000.0
+    body_bytes_per_s: float = 100.0
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -78,8 +78,17 @@
     burst: float = 0.0
 
 
+# A limit of 0 or below is malformed: it would refuse every caller.
+_Bytes = Annotated[int, msgspec.Meta(ge=1)]
+_Ms = Annotated[float, msgspec.Meta(ge=1)]
+_DEFAULTS = configuration.ClientLimits()
+
+
 class _Limits(msgspec.Struct, frozen=True):
     max_body_bytes: int = 4 << 20
+    max_header_bytes: _Bytes = _DEFAULTS.max_header_bytes
+    header_timeout_ms: _Ms = _DEFAULTS.header_timeout_ms
+    idle_timeout_ms: _Ms = _DEFAULTS.idle_timeout_ms
 
 
 class _Document(msgspec.Struct):
@@ -125,6 +134,11 @@
         [_to_route(route) for route in document.routes if route.kind in _KINDS],
         [_to_customer(tenant) for tenant in document.tenants],
         document.limits.max_body_bytes,
+        configuration.ClientLimits(
+            document.limits.max_header_bytes,
+            document.limits.header_timeout_ms,
+            document.limits.idle_timeout_ms,
+        ),
     )
 
 
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -86,6 +86,7 @@
             _log.info("caller left", request_id=head.request_id)
         finally:
             self.active_requests -= 1
+            req.release()
 
     async def _answer(self, req: "_Request", head: gateways.Head) -> None:
         try:
@@ -225,7 +226,7 @@
         if exc.retry_after_ms is not None:
             seconds = f"{exc.retry_after_ms / 1000:.2f}"
             headers.append((b"retry-after", seconds.encode()))
-        if not req.body_read.is_set():
+        if not (req.body_read.is_set() or req.closing):
             await req.discard_body(self._gateway.max_body_bytes)
         body = msgspec.json.encode({"error": exc.message, "code": exc.code})
         await req.respond(exc.status, body, headers)
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -5,6 +5,7 @@
 
 import os
 import tomllib
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -30,9 +31,19 @@
     control: str = ""
 
 
+_Ms = Annotated[float, msgspec.Meta(ge=1)]
+
+
 class _Limits(msgspec.Struct, frozen=True):
-    memory_mb: float = 256.0
-    max_fds: int = 1024
+    # Memory of the host in MiB, and most descriptors of the process.
+    memory_mb: Annotated[float, msgspec.Meta(ge=1)] = 256.0
+    max_fds: Annotated[int, msgspec.Meta(ge=1)] = 1024
+    # The platform doesn't set these; operators may.
+    max_header_fields: Annotated[int, msgspec.Meta(ge=1)] = 256
+    first_byte_ms: _Ms = 60_000.0
+    body_stall_ms: _Ms = 10_000.0
+    body_rate_window_ms: _Ms = 30_000.0
+    body_bytes_per_s: Annotated[float, msgspec.Meta(ge=0)] = 100.0
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -118,7 +129,7 @@
 def _to_settings(
     file: _File, metrics_port: int, peer_address: str
 ) -> gateway_settings.GatewaySettings:
-    store, bounds = file.platform_settings, file.bounds
+    store, bounds, limits = file.platform_settings, file.bounds, file.limits
     first_port = file.port_range[0] if file.port_range else 0
     # The platform means `control` for calls from outside, but nothing makes
     # such calls. Its address is used as the peer listener because `seeds`
@@ -147,4 +158,11 @@
         job_status_ms=bounds.status_s * 1000,
         rate_tolerance=bounds.quota_overage,
         burst_tolerance=bounds.quota_slack,
+        memory_bytes=int(limits.memory_mb * (1 << 20)),
+        max_descriptors=limits.max_fds,
+        max_header_fields=limits.max_header_fields,
+        first_byte_ms=limits.first_byte_ms,
+        body_stall_ms=limits.body_stall_ms,
+        body_rate_window_ms=limits.body_rate_window_ms,
+        body_bytes_per_s=limits.body_bytes_per_s,
     )
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -16,6 +16,7 @@
 from lacewingwood import gateway_settings
 from lacewingwood import logs
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import client_limits
 from lacewingwood.callers import forwarding
 from lacewingwood.callers import gateway as gateways
 from lacewingwood.callers import server
@@ -314,6 +315,12 @@
             self._shutdown,
             drain_ms,
             grace_ms=grace_ms,
+            enforcer=client_limits.Enforcer(
+                self._clock,
+                self._metrics,
+                client_limits.make_settings(self._cfg),
+                self._client_limits,
+            ),
         )
 
     async def _start_admin(self, nursery: trio.Nursery) -> None:
@@ -451,6 +458,12 @@
         current = self._published.current
         return current.find_route(host, path) if current else None
 
+    def _client_limits(self) -> configuration.ClientLimits:
+        current = self._published.current
+        return (
+            current.client_limits if current else configuration.ClientLimits()
+        )
+
     def _unready(self) -> str | None:
         """Returns why the process should get no connections, or None."""
         if self._shutdown.is_set():
