--- a/lacewingwood/callers/client_limits.py
+++ b/lacewingwood/callers/client_limits.py
@@ -127,6 +127,7 @@
     def complete(self) -> None:
         """Ends the receiving; the body is held until `release`."""
         self._enforcer.budget.complete(self._state)
+        self._enforcer.admit_waiting()
 
     def release(self) -> None:
         """Stops counting the body."""
@@ -257,8 +258,15 @@
         self._released_bytes += state.held_bytes
         self.budget.release(state)
         self._bodies.pop(state, None)
-        if self.room and not self.budget.short:
-            self.room.unpark_all()
+        self.admit_waiting()
+
+    def admit_waiting(self) -> None:
+        """Lets bodies that are held back decide anew whether to go on.
+
+        While memory is short only the oldest may, which waits the longest.
+        """
+        if self.room:
+            self.room.unpark(count=1 if self.budget.short else math.inf)
 
     def _sweep(self) -> None:
         now_ms = self.clock.now_ms()
--- a/lacewingwood/callers/connection.py
+++ b/lacewingwood/callers/connection.py
@@ -12,6 +12,7 @@
 import os
 from typing import Any
 
+import h11
 import priority
 import trio
 from h2 import errors as h2_errors
@@ -36,6 +37,9 @@
 _WRITE_TIMEOUT_S = 120
 # Data that a caller may send on an HTTP/2 stream after the response ended.
 _MAX_DISCARDED_BYTES = 64 << 20
+# How long, and up to how many bytes, the rest of a refused request is dropped.
+_LINGERING_S = 1.0
+_MAX_LINGERING_BYTES = 8 << 20
 # Bytes that are read from the socket at once. All connections together may hold
 # as much each before it is counted.
 _MAX_RECEIVED_BYTES = 16 << 10
@@ -53,6 +57,8 @@
         self._enforcer = enforcer
         self._entry = enforcer.add(self.end)
         self._reading = trio.CancelScope()
+        self._lingering = False
+        self._lingering_bytes = _MAX_LINGERING_BYTES
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
@@ -94,6 +100,10 @@
         if isinstance(event, server_events.Updated):
             self._note_update(event.idle)
             return
+        if isinstance(event, server_events.Closed) and self._may_linger():
+            await self._linger()
+            await self.protocol.handle(event)
+            return
         if not isinstance(event, server_events.RawData):
             await super().protocol_send(event)
             return
@@ -150,6 +160,11 @@
                     data = await self.stream.receive_some(_MAX_RECEIVED_BYTES)
                 except (trio.ClosedResourceError, trio.BrokenResourceError):
                     break
+                if self._lingering:
+                    self._lingering_bytes -= len(data)
+                    if not data or self._lingering_bytes < 0:
+                        break
+                    continue
                 if data:
                     self._note_data()
                 await self.protocol.handle(server_events.RawData(bytes(data)))
@@ -157,6 +172,27 @@
                     break
         await self.protocol.handle(server_events.Closed())
 
+    def _may_linger(self) -> bool:
+        protocol = self.protocol.protocol
+        if self._lingering or not isinstance(protocol, http1.Http1):
+            return False
+        return protocol.connection.their_state in (h11.SEND_BODY, h11.ERROR)
+
+    async def _linger(self) -> None:
+        """Ends the response, and drops the rest of the request for a while.
+
+        Closing a connection with unread data resets it, so that the caller
+        could lose the response that says that its request has not run.
+        """
+        self._lingering = True
+        self._reading.deadline = trio.current_time() + _LINGERING_S
+        with contextlib.suppress(
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            await self.stream.send_eof()
+
     def _note_data(self) -> None:
         # Frames of HTTP/2 that begin no request don't make it busy.
         if not isinstance(self.protocol.protocol, _Http2):
--- a/lacewingwood/callers/http.py
+++ b/lacewingwood/callers/http.py
@@ -127,19 +127,21 @@
         """
         self.check_length(limit)
         parts = _Parts()
-        with self._receiving() as body:
-            while (chunk := await self.next_chunk()) is not None:
-                parts.add(chunk)
-                if parts.size > limit:
-                    raise body_too_large_error(limit)
-                if body is not None:
-                    await body.receive(len(chunk))
-        if body is not None and (exc := body.error()) is not None:
-            # The traceback would keep the parts until the error was sent.
+        try:
+            with self._receiving() as body:
+                while (chunk := await self.next_chunk()) is not None:
+                    parts.add(chunk)
+                    if parts.size > limit:
+                        raise body_too_large_error(limit)
+                    if body is not None:
+                        await body.receive(len(chunk))
+            if body is not None and (exc := body.error()) is not None:
+                self._close_after_response()
+                raise exc
+            return parts.join()
+        finally:
+            # The traceback of an error would keep the parts.
             parts.clear()
-            self._close_after_response()
-            raise exc
-        return parts.join()
 
     async def discard_body(self, limit: int) -> None:
         """Reads and drops the body, until its end or beyond `limit` bytes.
--- a/lacewingwood/callers/memory.py
+++ b/lacewingwood/callers/memory.py
@@ -14,6 +14,9 @@
 
 # Fraction of the budget from which on bodies are held back.
 _SHORT = 0.75
+# Fraction to which bodies are ended that are in the way while memory is short.
+# With the former, each made room for a few kilobytes of the others only.
+_ROOMY = 0.6
 # Fraction up to which large bodies may fill it. The rest is for small ones.
 _FULL = 0.9
 # Ordinary requests are smaller, so that bodies of this size are never held back
@@ -70,6 +73,7 @@
         "_held_since_ms",
         "_last_ms",
         "_started_ms",
+        "_waited_ms",
         "_window_bytes",
         "_window_ms",
         "held_bytes",
@@ -83,7 +87,7 @@
         self.reason: Reason | None = None
         self._started_ms = self._last_ms = self._window_ms = now_ms
         self._window_bytes = 0
-        self._byte_ms = 0.0
+        self._byte_ms = self._waited_ms = 0.0
         self._held_since_ms: float | None = None
 
     def note_received(self, size: int, now_ms: float) -> None:
@@ -103,7 +107,7 @@
         if self._held_since_ms is None:
             return
         self._byte_ms = self._byte_ms_until(now_ms)
-        self._started_ms += now_ms - self._held_since_ms
+        self._waited_ms += now_ms - self._held_since_ms
         self._held_since_ms = None
         self._last_ms = self._window_ms = now_ms
         self._window_bytes = 0
@@ -129,10 +133,10 @@
         return now_ms - self._last_ms > _STALLED_MS
 
     def held_back_ms(self, now_ms: float) -> float:
-        """Returns for how long the body has been held back."""
+        """Returns for how long the body was held back; 0 if it isn't now."""
         if self._held_since_ms is None:
             return 0.0
-        return now_ms - self._held_since_ms
+        return self._waited_ms + now_ms - self._held_since_ms
 
     def cost(self, now_ms: float) -> tuple[bool, bool, float]:
         """Returns a key that is greater for less progress for its age.
@@ -140,7 +144,9 @@
         The memory that a body took up to now, in bytes times ms, orders those
         that stall, those that are slow, and the others.
         """
-        age_ms = (self._held_since_ms or now_ms) - self._started_ms
+        age_ms = now_ms - self._started_ms - self._waited_ms
+        if self._held_since_ms is not None:
+            age_ms -= now_ms - self._held_since_ms
         slow = age_ms > _STALLED_MS and (
             self.received_bytes * 1000 < _SLOW_BYTES_PER_S * age_ms
         )
@@ -258,21 +264,15 @@
         ]
         if not self.short:
             return ended
-        by_cost = sorted(
+        for body in sorted(
             self._open, key=lambda body: body.cost(now_ms), reverse=True
-        )
-        for body in by_cost:
-            if not (self.short and body.is_stalled(now_ms)):
+        ):
+            if self.held_bytes <= _ROOMY * self.limit_bytes:
                 break
-            if body.received_bytes > _LARGE_BYTES:
+            stalled = body.is_stalled(now_ms)
+            waits = body.held_back_ms(now_ms) > _HELD_BACK_MS
+            if (stalled or waits) and body.received_bytes > _LARGE_BYTES:
                 ended.append(self._end(body, Reason.MEMORY))
-        waiting = [
-            body
-            for body in by_cost
-            if body.reason is None and body.held_back_ms(now_ms) > _HELD_BACK_MS
-        ]
-        if self.short and waiting:
-            ended.append(self._end(waiting[0], Reason.MEMORY))
         return ended
 
     def _oldest_large(self, now_ms: float) -> Body | None:
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -15,6 +15,7 @@
 from lacewingwood import clock as clocks
 from lacewingwood import metrics
 from lacewingwood.callers import app as apps
+from lacewingwood.callers import client_limits
 from lacewingwood.callers import dependencies
 from lacewingwood.callers import server
 from lacewingwood.hostlist import types as host_types
@@ -295,7 +296,11 @@
         )
 
     @contextlib.asynccontextmanager
-    async def serve(self, drain_ms: float = 0) -> AsyncIterator["Served"]:
+    async def serve(
+        self,
+        drain_ms: float = 0,
+        enforcer: client_limits.Enforcer | None = None,
+    ) -> AsyncIterator["Served"]:
         """Serves on a loopback port until the block ends."""
         app = apps.make_app(self.deps)
         shutdown = trio.Event()
@@ -310,6 +315,7 @@
                     0,
                     shutdown,
                     drain_ms,
+                    enforcer=enforcer,
                     task_status=task_status,
                 )
 
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -8,6 +8,11 @@
 import pytest
 import trio
 
+from lacewingwood import clock
+from lacewingwood import configuration
+from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import client_limits
+from lacewingwood.callers import memory
 from tests.callers import fakes
 
 
@@ -143,3 +148,106 @@
             while await stream.receive_some():
                 pass
         await stream.aclose()
+
+
+def _make_enforcer(memory_bytes: float = 1e9) -> client_limits.Enforcer:
+    """Returns limits that tests exceed within a second."""
+    limits = configuration.ClientLimits(
+        max_header_bytes=4_096, header_timeout_ms=300, idle_timeout_ms=10_000
+    )
+    settings = client_limits.Settings(
+        memory_bytes=memory_bytes,
+        max_connections=2,
+        max_fields=50,
+        pace=memory.Pace(stall_ms=300),
+    )
+    return client_limits.Enforcer(
+        clock.MonotonicClock(),
+        metrics_lib.Registry(),
+        settings,
+        lambda: limits,
+    )
+
+
+async def _status_of(port: int, data: bytes) -> int:
+    """Returns the status that data get; checks that the connection closes."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    got = b""
+    with trio.fail_after(5), contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(data)
+        while part := await stream.receive_some():
+            got += part
+    await stream.aclose()
+    return int(got.split()[1])
+
+
+_POST = (
+    f"POST {fakes.CHAT} HTTP/1.1\r\nHost: a\r\n"
+    f"Authorization: Bearer {fakes.SECRET}\r\n"
+).encode()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nX: a", 408),
+        (b"GET / HTTP/1.1\r\nX: " + b"a" * 5_000, 431),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 5_000 + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n" + b"X: a\r\n" * 60 + b"\r\n", 431),
+        (b"\r\n" * 100, 400),
+        (_POST + b"Content-Length: 9\r\n\r\n{", 408),
+        (
+            _POST
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + (b"1;" + b"a" * 2_000 + b"\r\nx\r\n") * 50,
+            400,
+        ),
+    ],
+    ids=["slow", "endless", "long", "fields", "lines", "stall", "extensions"],
+)
+async def test_request_beyond_a_limit_is_refused(
+    data: bytes, status: int
+) -> None:
+    """Guards against requests that never end or grow without bound."""
+    world = fakes.World()
+    async with world.serve(enforcer=_make_enforcer()) as served:
+        assert await _status_of(served.port, data) == status
+        async with served.client() as client:
+            got = await client.call("GET", "/v1/models")
+            assert got.status == 200
+
+
+async def test_body_that_memory_does_not_suffice_for_is_refused() -> None:
+    """Guards against a refusal of a request that ran, and a count that leaks.
+
+    The body is larger than the whole budget.
+    """
+    world = fakes.World()
+    enforcer = _make_enforcer(memory_bytes=500_000)
+    async with world.serve(enforcer=enforcer) as served:
+        head = _POST + b"Content-Length: 2000000\r\n\r\n"
+        status = await _status_of(served.port, head + b" " * 1_999_999)
+        assert status == 503
+        async with served.client() as client:
+            got = await client.call("POST", fakes.CHAT, fakes.body())
+            assert got.status == 200
+        await fakes.eventually(lambda: enforcer.connections.open == 0)
+    assert enforcer.budget.held_bytes == 0
+    assert len(world.engines.seen) == 1
+
+
+async def test_idle_connection_makes_room_for_a_new_one() -> None:
+    """Guards against idle connections that lock out new callers."""
+    world = fakes.World()
+    enforcer = _make_enforcer()
+    async with world.serve(enforcer=enforcer) as served:
+        for _ in range(4):
+            async with served.client() as client:
+                kept = await trio.open_tcp_stream("127.0.0.1", served.port)
+                await kept.send_all(
+                    b"GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n"
+                )
+                assert await kept.receive_some()
+                got = await client.call("GET", "/v1/models")
+                assert got.status == 200
+        assert enforcer.connections.open <= 2
