--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -280,7 +280,10 @@
                 self._send_release(host, number)
             return False
         self._hints[shard] = answer.free, self._clock.now_ms()
-        if answer.replica:
+        if answer.replica and req.spare and answer.free <= 0:
+            # The next online request would find no slot.
+            self._forget_ticket(pending, number)
+        elif answer.replica:
             self._take(number, answer.replica, shard)
         return True
 
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -338,6 +338,14 @@
             assert slot is not None
             assert slot.replica.listing.zone == "z1"
             client.release(slot)
+        # The last free slot of each zone is left to the next request.
+        others = [gateway.client for gateway in fleet.gateways[2:4]]
+        held = [await o.acquire(fleets.make_request()) for o in others]
+        assert await client.acquire(req) is None
+        for other, slot in zip(others, held, strict=True):
+            assert slot is not None
+            other.release(slot)
+        await trio.sleep(0.1)
         fleet.gateways[1].want(1)
         await trio.sleep(0.1)
         for _ in range(3):
