--- a/lacewingwood/configuration.py
+++ b/lacewingwood/configuration.py
@@ -80,6 +80,21 @@
         return self.kind in (RouteKind.IDEMPOTENT, RouteKind.BATCH)
 
 
+class Service(msgspec.Struct, frozen=True):
+    """A service whose replicas are cold after their start.
+
+    Attributes:
+        name: Unique name.
+        cold_ms: How long a replica is cold after its start.
+        cold_rate: Requests a second that a cold replica takes, 0 if its
+            replicas need no care.
+    """
+
+    name: str
+    cold_ms: float = 0.0
+    cold_rate: float = 0.0
+
+
 class Customer(msgspec.Struct, frozen=True):
     """A customer, its keys and its rate limit.
 
@@ -107,6 +122,7 @@
         customers: Customers by name.
         has_customers: False if no route requires a key.
         max_body_bytes: Longest request body that is accepted.
+        services: Services that have settings of their own.
     """
 
     __slots__ = (
@@ -116,6 +132,7 @@
         "has_customers",
         "max_body_bytes",
         "routes",
+        "services",
         "version",
     )
 
@@ -125,10 +142,12 @@
         routes: list[Route],
         customers: list[Customer],
         max_body_bytes: int = 4 << 20,
+        services: list[Service] | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.max_body_bytes = max_body_bytes
+        self.services = services or []
         self.customers = {c.name: c for c in customers}
         self.has_customers = bool(customers)
         self._by_key = {key: c for c in customers for key in c.keys}
--- a/lacewingwood/gateway_settings.py
+++ b/lacewingwood/gateway_settings.py
@@ -35,6 +35,11 @@
         job_status_ms: How long a job stays readable after its submission.
         rate_tolerance: Fraction by which a customer may exceed its rate.
         burst_tolerance: Requests by which a customer may exceed its burst.
+        cold_overage: Factor by which requests to a cold replica may exceed its
+            rate in any second.
+        cold_slack: Requests to a cold replica allowed on top of that.
+        evacuation_ms: Time from an acknowledged evacuation until the zone gets
+            no requests.
     """
 
     host: str
@@ -59,3 +64,6 @@
     job_status_ms: float = 120_000.0
     rate_tolerance: float = 0.0
     burst_tolerance: float = 0.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
+    evacuation_ms: float = 5_000.0
--- a/lacewingwood/limits/replica_limits.py
+++ b/lacewingwood/limits/replica_limits.py
@@ -2,16 +2,21 @@
 
 A replica in trouble names a limit in its responses. Gateways tell each other
 the newest limit that they know and how many requests they have sent, so that
-all together keep to it (`shared`). Replicas are named by their incarnations.
+all together keep to it (`shared`). A replica that may be cold has a bound on
+each second (`cold_replicas`), for which the same counts are exchanged. Replicas
+are named by their incarnations.
 """
 
 import dataclasses
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import structlog
 
+from lacewingwood.limits import cold_replicas
 from lacewingwood.limits import shared
 from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import directory
 
 # A replica that takes nothing still gets a request in this time, since only a
 # response tells that its limit has ended.
@@ -58,15 +63,18 @@
     """Limits that replicas have named, and what was sent under them.
 
     Attributes:
+        cold: Bounds of replicas that may be cold.
         share: Share of the limits that belongs to this gateway and the peers
             whose reports arrive.
     """
 
-    __slots__ = ("_limits", "_sent")
+    __slots__ = ("_limits", "_sent", "cold")
 
     def __init__(self) -> None:
         self._limits: dict[str, _Limit] = {}
         self._sent = shared.SharedLimits(counts_first_report=True)
+        self.cold = cold_replicas.ColdReplicas()
+        self._sent.on_reported = self.cold.note_reported
 
     @property
     def share(self) -> float:
@@ -75,7 +83,19 @@
 
     @share.setter
     def share(self, share: float) -> None:
-        self._sent.share = share
+        self._sent.share = self.cold.share = share
+
+    def update_replicas(
+        self, listings: Iterable[directory.Listing], now_ms: float
+    ) -> None:
+        """Sets the listed replicas, with what their entries tell of them."""
+        self._sent.count(self.cold.update(listings, now_ms), now_ms)
+
+    def has_limit(self, replica: str, now_ms: float) -> bool:
+        """Returns whether the requests to a replica are limited now."""
+        return self.rate(replica) is not None or self.cold.has_limit(
+            replica, now_ms
+        )
 
     def rate(self, replica: str) -> float | None:
         """Returns a replica's limit in requests a second, None if it has none.
@@ -93,6 +113,7 @@
         now_ms: float,
         batch: bool = False,
         stagger_s: float = 0.0,
+        cautious: bool = False,
     ) -> bool:
         """Returns whether a replica takes another request now.
 
@@ -102,7 +123,38 @@
             batch: True for batch work.
             stagger_s: How much longer than others this gateway waits for each
                 request, so that gateways do not use the same one.
+            cautious: True if another gateway may have granted requests that
+                are not known here.
         """
+        if not self.cold.may_send(replica, now_ms, batch, stagger_s, cautious):
+            return False
+        return self._may_send_by_rate(replica, now_ms, batch, stagger_s)
+
+    def may_send_alone(
+        self,
+        replica: str,
+        now_ms: float,
+        batch: bool,
+        stagger_s: float,
+        turn: tuple[int, int, int],
+    ) -> bool:
+        """Returns whether a gateway without a coordinator may send a request.
+
+        Args:
+            replica: The replica.
+            now_ms: Present time.
+            batch: True for batch work.
+            stagger_s: How much longer than others this gateway waits.
+            turn: Position and number of gateways, and the Unix time; see
+                `cold_replicas.ColdReplicas.may_send_alone`.
+        """
+        if not self.cold.may_send_alone(replica, now_ms, *turn):
+            return False
+        return self._may_send_by_rate(replica, now_ms, batch, stagger_s)
+
+    def _may_send_by_rate(
+        self, replica: str, now_ms: float, batch: bool, stagger_s: float
+    ) -> bool:
         rate = self.rate(replica)
         if rate is None:
             return True
@@ -114,20 +166,33 @@
 
         It is 0 for a replica without a limit, and above 1 if too much was sent.
         """
+        cold = self.cold.used_share(replica, now_ms)
         rate = self.rate(replica)
         if rate is None:
-            return 0.0
-        return 1 - self._level(replica, now_ms) / _burst(rate)
+            return cold
+        return max(cold, 1 - self._level(replica, now_ms) / _burst(rate))
 
     def expected(self, replica: str, now_ms: float, within_ms: float) -> float:
         """Returns how many requests a limited replica takes within a time."""
-        rate = self.rate(replica) or 0.0
-        return max(0.0, self._level(replica, now_ms)) + rate * within_ms / 1000
+        cold = self.cold.expected(replica, now_ms, within_ms)
+        rate = self.rate(replica)
+        if rate is None:
+            return cold
+        level = max(0.0, self._level(replica, now_ms))
+        return min(cold, level + rate * within_ms / 1000)
 
-    def note_sent(self, replica: str, now_ms: float) -> None:
-        """Counts a request that is sent to a replica."""
-        if replica in self._limits:
-            self._sent.note_admission(replica, now_ms)
+    def note_sent(
+        self, replica: str, now_ms: float, alone: bool = False
+    ) -> None:
+        """Counts a request that is sent to a replica.
+
+        Args:
+            replica: The replica.
+            now_ms: Present time.
+            alone: True if no coordinator granted it.
+        """
+        self._sent.note_admission(replica, now_ms)
+        self.cold.note_sent(replica, now_ms, alone)
 
     def note_response(
         self, replica: str, rate: float | None, now_ms: float
@@ -185,7 +250,11 @@
 
     def recently_sent(self, now_ms: float) -> dict[str, int]:
         """Returns recently changed counts of requests sent, for the peers."""
-        return self._sent.recent_admissions(now_ms)
+        return {
+            replica: count
+            for replica, count in self._sent.recent_admissions(now_ms).items()
+            if replica in self._limits or self.cold.reports(replica, now_ms)
+        }
 
     def is_urgent(self, now_ms: float) -> bool:
         """Returns whether other gateways need to hear of a limit at once.
@@ -204,7 +273,7 @@
         for replica, limit in list(self._limits.items()):
             if limit.learned_ms < oldest_ms:
                 del self._limits[replica]
-                self._sent.remove(replica)
+                self._sent.end_rate(replica, now_ms)
 
     def dump(self, now_ms: float) -> dict[str, tuple[float | None, float]]:
         """Returns each replica's limit and the requests that it takes now."""
--- a/lacewingwood/limits/shared.py
+++ b/lacewingwood/limits/shared.py
@@ -8,6 +8,8 @@
 """
 
 import dataclasses
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 # Share of the tolerances that is used; the rest covers requests that peers
@@ -39,6 +41,7 @@
         updated_ms: Time of the newest update of `level`.
         admitted: Requests admitted here since the start of the process.
         admitted_ms: Time of the newest of these admissions.
+        counted: True if admissions are counted also without a rate.
     """
 
     rate: float
@@ -47,6 +50,7 @@
     updated_ms: float
     admitted: int = 0
     admitted_ms: float = float("-inf")
+    counted: bool = False
 
 
 class SharedLimits:
@@ -54,6 +58,8 @@
 
     Attributes:
         levels_known: True once the levels were initialized from a peer.
+        on_reported: Called with a name, the number of admissions that a peer
+            reports anew, and the time.
         share: Share of the rate that belongs to this gateway and the peers
             whose reports arrive.
     """
@@ -66,6 +72,7 @@
         "_removed_counts",
         "_reported",
         "levels_known",
+        "on_reported",
         "share",
     )
 
@@ -93,6 +100,8 @@
         self._burst_tolerance = burst_tolerance * _TOLERANCE_SHARE
         self._counts_first_report = counts_first_report
         self.levels_known = False
+        self.on_reported: Callable[[str, int, float], None]
+        self.on_reported = lambda name, count, now_ms: None
         self.share = 1.0
         self._buckets: dict[str, _Bucket] = {}
         self._reported: dict[str, tuple[int, dict[str, int]]] = {}
@@ -115,11 +124,26 @@
     def note_admission(self, name: str, now_ms: float) -> None:
         """Takes a token for a request that was admitted."""
         bucket = self._buckets.get(name)
-        if bucket is not None and bucket.rate > 0:
+        if bucket is None:
+            return
+        if bucket.rate > 0:
             self._refill(bucket, now_ms)
             bucket.level -= 1
-            bucket.admitted += 1
-            bucket.admitted_ms = now_ms
+        elif not bucket.counted:
+            return
+        bucket.admitted += 1
+        bucket.admitted_ms = now_ms
+
+    def count(self, names: Iterable[str], now_ms: float) -> None:
+        """Counts admissions under exactly these names also without a rate."""
+        wanted = set(names)
+        for name, bucket in list(self._buckets.items()):
+            was_counted, bucket.counted = bucket.counted, name in wanted
+            if was_counted and not bucket.counted and bucket.rate <= 0:
+                self.remove(name)
+        for name in wanted - self._buckets.keys():
+            self.set_rate(name, 0.0, 0.0, now_ms)
+            self._buckets[name].counted = True
 
     def configure(
         self, rates: Mapping[str, tuple[float, float]], now_ms: float
@@ -163,6 +187,14 @@
         if len(self._removed_counts) > _MAX_REMOVED_COUNTS:
             del self._removed_counts[next(iter(self._removed_counts))]
 
+    def end_rate(self, name: str, now_ms: float) -> None:
+        """Ends a limit; its bucket is kept while admissions are counted."""
+        bucket = self._buckets.get(name)
+        if bucket is not None and bucket.counted:
+            self.set_rate(name, 0.0, 0.0, now_ms)
+        else:
+            self.remove(name)
+
     def has_customer_near_limit(self) -> bool:
         """Returns whether a customer of this gateway is near its limit."""
         return any(
@@ -240,6 +272,8 @@
             known_counts[customer] = max(count, known_count)
             new_admissions = count - known_count
             bucket = self._buckets.get(customer)
+            if new_admissions > 0:
+                self.on_reported(customer, new_admissions, now_ms)
             if new_admissions > 0 and bucket is not None:
                 self._refill(bucket, now_ms)
                 min_level = -bucket.rate * _MAX_DEBT_S
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -40,6 +40,10 @@
     code = "platform_document"
 
 
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=3_600)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -70,6 +74,14 @@
     cap: float = 0.0
 
 
+class _Service(msgspec.Struct):
+    name: str
+    # How long a replica is cold after its start, and how many requests a second
+    # it takes then; 0 for a service without cold replicas.
+    cold_start_s: _Duration = 0.0
+    cold_per_s: _Rate = 0.0
+
+
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
@@ -86,6 +98,7 @@
     version: int
     routes: list[_Route] = []
     tenants: list[_Tenant] = []
+    services: list[_Service] = []
     limits: _Limits = _Limits()
 
 
@@ -125,6 +138,12 @@
         [_to_route(route) for route in document.routes if route.kind in _KINDS],
         [_to_customer(tenant) for tenant in document.tenants],
         document.limits.max_body_bytes,
+        [
+            configuration.Service(
+                service.name, service.cold_start_s * 1000, service.cold_per_s
+            )
+            for service in document.services
+        ],
     )
 
 
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -47,6 +47,12 @@
     quota_overage: float = 0.0
     # Requests by which a customer may exceed its burst.
     quota_slack: float = 0.0
+    # Factor by which requests to a cold replica may exceed its rate, and
+    # requests on top of that, in any second.
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
+    # Time from an acknowledged evacuation until the zone gets no requests.
+    evacuation_ms: float = 5000.0
     # How long a job stays readable after its submission.
     status_s: float = 120.0
     cancel_ms: float = 3000.0
@@ -147,4 +153,7 @@
         job_status_ms=bounds.status_s * 1000,
         rate_tolerance=bounds.quota_overage,
         burst_tolerance=bounds.quota_slack,
+        cold_overage=bounds.cold_overage,
+        cold_slack=bounds.cold_slack,
+        evacuation_ms=bounds.evacuation_ms,
     )
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -24,6 +24,7 @@
 from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.jobs import service as job_service
+from lacewingwood.limits import cold_replicas
 from lacewingwood.limits import replica_limits
 from lacewingwood.limits import shared
 from lacewingwood.log import compacted
@@ -251,6 +252,7 @@
         self._dispatcher.on_change = self._presence.schedule_report
         self._dispatcher.counts_lag = lambda: self._presence.uses_hubs
         self._dispatcher.stagger_s = self._stagger_s
+        self._dispatcher.turn = lambda: (*self._roster.rank(), _wall_ms())
         self._slots.coordinated = lambda: self._presence.uses_hubs
         self._slots.on_batch_slot = self._scheduler.start_one
         self._slots.on_preempt = self._scheduler.preempt_one
@@ -428,6 +430,9 @@
 
     def _update_replicas(self, replicas: Iterable[load.Replica]) -> None:
         listed = list(replicas)
+        self._fleet.limits.update_replicas(
+            [replica.listing for replica in listed], self._clock.now_ms()
+        )
         self._shards.update(listed)
         self._versions.update(listed)
 
@@ -437,6 +442,11 @@
             for name, customer in new.customers.items()
         }
         self._limits.configure(rates, self._clock.now_ms())
+        bounds = cold_replicas.bounds(
+            new.services, self._cfg.cold_overage, self._cfg.cold_slack
+        )
+        self._fleet.limits.cold.configure(bounds)
+        self._update_replicas(self._fleet.all())
         self._presence.schedule_report()
 
     def _stagger_s(self) -> float:
@@ -486,6 +496,7 @@
             "coordinated": self._slot_server.dump(),
             "quarantined": self._quarantine.dump(now_ms),
             "replica_limits": self._fleet.limits.dump(now_ms),
+            "cold_replicas": self._fleet.limits.cold.dump(now_ms),
             "replicas": {
                 replica.listing.id: {
                     "own": list(replica.own_counts),
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -118,6 +118,10 @@
 class Coordinator:
     """Grants slots; performs no I/O.
 
+    Attributes:
+        is_settled: Returns whether this gateway is the only coordinator of a
+            shard; see `coordinator_links`.
+
     Each method returns the decisions that concern earlier tickets, which the
     caller has to send.
     """
@@ -130,6 +134,7 @@
         "_rng",
         "_shards",
         "_tickets",
+        "is_settled",
     )
 
     def __init__(
@@ -145,6 +150,7 @@
             limits: Rates at which replicas take requests.
             rng: Breaks ties between replicas.
         """
+        self.is_settled: Callable[[str], bool] = lambda shard: True
         self._replicas_of = replicas_of
         self._limits = limits or replica_limits.ReplicaLimits()
         self._rng = rng or random.Random()
@@ -170,7 +176,7 @@
         slots = sum(
             replica.slots
             for replica in replicas
-            if self._may_send(replica, now_ms)
+            if self._may_send(replica, shard, now_ms)
         )
         return slots - online
 
@@ -352,7 +358,7 @@
             replica
             for replica in self._usable(replicas, now_ms)
             if req.allows(replica)
-            and self._may_send(replica, now_ms, ticket.is_batch)
+            and self._may_send(replica, ticket.shard, now_ms, ticket.is_batch)
         ]
         if ticket.is_batch and not req.urgent:
             free = sum(
@@ -394,11 +400,20 @@
         ] or staying
 
     def _may_send(
-        self, replica: load.Replica, now_ms: float, batch: bool = False
+        self,
+        replica: load.Replica,
+        shard: str,
+        now_ms: float,
+        batch: bool = False,
     ) -> bool:
         """Returns whether a replica's own limit allows another request."""
         incarnation = replica.listing.incarnation
-        return self._limits.may_send(incarnation, now_ms, batch)
+        if not self._limits.has_limit(incarnation, now_ms):
+            return True
+        cautious = not self.is_settled(shard)
+        return self._limits.may_send(
+            incarnation, now_ms, batch, cautious=cautious
+        )
 
     def _is_paused(self, replica_id: str, now_ms: float) -> bool:
         return self._paused_ms.get(replica_id, 0.0) > now_ms
@@ -418,7 +433,7 @@
         usable = {
             r.listing.id
             for r in self._usable(replicas, now_ms)
-            if ticket.req.allows(r) and self._may_send(r, now_ms)
+            if ticket.req.allows(r) and self._may_send(r, ticket.shard, now_ms)
         }
         candidates = [
             t
--- a/lacewingwood/routing/coordinator_links.py
+++ b/lacewingwood/routing/coordinator_links.py
@@ -1,5 +1,8 @@
 """Reaches the coordinators of shards, at other gateways or at this one."""
 
+import dataclasses
+from collections.abc import Callable
+
 import structlog
 
 from lacewingwood import clock as clocks
@@ -18,6 +21,9 @@
 _SUSPECT_MS = 1_000.0
 # How long a coordinator is kept before the live gateways are looked at again.
 _ELECTION_TTL_MS = 100.0
+# A new coordinator keeps to half of the replicas' bounds for this long,
+# in which the gateways learn of it.
+_SETTLING_MS = 1_500.0
 
 # Messages that a gateway sends without waiting for an answer.
 OneWay = (
@@ -29,17 +35,34 @@
 _log = structlog.get_logger()
 
 
+@dataclasses.dataclass(slots=True)
+class _Tenure:
+    """Whether this gateway coordinates a shard, by the reports of the others.
+
+    Attributes:
+        is_own: True if it does.
+        since_ms: When this last changed.
+        checked_ms: When it was last worked out.
+    """
+
+    is_own: bool
+    since_ms: float
+    checked_ms: float
+
+
 class CoordinatorLinks:
     """Finds each shard's coordinator and carries messages to it."""
 
     __slots__ = (
         "_clock",
+        "_created_ms",
         "_elected",
         "_metrics",
         "_network",
         "_roster",
         "_server",
         "_suspects",
+        "_tenures",
     )
 
     def __init__(
@@ -68,6 +91,9 @@
         self._suspects: dict[str, float] = {}
         # The coordinator of each shard, and when it was worked out.
         self._elected: dict[str, tuple[str | None, float]] = {}
+        self._tenures: dict[str, _Tenure] = {}
+        self._created_ms = clock.now_ms()
+        server.set_settled(self.is_settled)
 
     def coordinator_of(self, shard: str) -> str | None:
         """Returns the host of a shard's coordinator, None if none is usable."""
@@ -78,6 +104,31 @@
             self._elected[shard] = elected
         return elected[0]
 
+    def is_settled(self, shard: str) -> bool:
+        """Returns whether no other gateway has granted slots of a shard lately.
+
+        It is False while the others that are heard include the coordinator,
+        which some gateways pass over as it did not answer them, and for a while
+        after this gateway took its place. A coordinator that is lost was silent
+        for longer than that.
+        """
+        now_ms = self._clock.now_ms()
+        tenure = self._tenures.get(shard)
+        if tenure is None or now_ms - tenure.checked_ms > _ELECTION_TTL_MS:
+            self._elect(shard, now_ms)
+            tenure = self._tenures[shard]
+        return tenure.is_own and now_ms - tenure.since_ms > _SETTLING_MS
+
+    def _note_tenure(self, shard: str, is_own: bool, now_ms: float) -> None:
+        tenure = self._tenures.get(shard)
+        if tenure is None:
+            # The gateways learn one after another that this one has started.
+            tenure = _Tenure(is_own, self._created_ms, now_ms)
+            self._tenures[shard] = tenure
+        elif is_own != tenure.is_own:
+            tenure.is_own, tenure.since_ms = is_own, now_ms
+        tenure.checked_ms = now_ms
+
     async def ask(
         self, host: str, message: gateway_messages.SlotAsk
     ) -> gateway_messages.SlotAnswer | None:
@@ -128,7 +179,17 @@
         return None
 
     def _elect(self, shard: str, now_ms: float) -> str | None:
-        """Returns the host that coordinates a shard, one of its zone if any."""
+        """Returns the host that coordinates a shard, of those that answer."""
+        first = self._rank(shard, lambda host: True)
+        self._note_tenure(shard, first == self._roster.host, now_ms)
+        if self._suspects.get(first or "", 0.0) <= now_ms:
+            return first
+        return self._rank(
+            shard, lambda host: self._suspects.get(host, 0.0) <= now_ms
+        )
+
+    def _rank(self, shard: str, usable: Callable[[str], bool]) -> str | None:
+        """Returns the first usable host of a shard, one of its zone if any."""
         live = self._roster.live_peers()
         zone = shards_lib.zone_of(shard)
         hosts = [peer.host for peer in live if peer.zone == zone]
@@ -136,8 +197,4 @@
             hosts.append(self._roster.host)
         if not hosts:
             hosts = [peer.host for peer in live] + [self._roster.host]
-        return shards_lib.elect(
-            shard,
-            hosts,
-            lambda host: self._suspects.get(host, 0.0) <= now_ms,
-        )
+        return shards_lib.elect(shard, hosts, usable)
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -150,11 +150,14 @@
         counts_lag: Returns whether peers' counts may be some requests behind.
         stagger_s: Returns how much longer than others this gateway waits for
             each request to a replica that limits them.
+        turn: Returns this gateway's position among those that run, their number
+            and the Unix time; see `cold_replicas`.
     """
 
     __slots__ = (
         "_clock",
         "_metrics",
+        "_order",
         "_rng",
         "_waiting",
         "_zone",
@@ -162,6 +165,7 @@
         "fleet",
         "on_change",
         "stagger_s",
+        "turn",
     )
 
     def __init__(
@@ -176,10 +180,14 @@
         self.on_change = lambda: None
         self.counts_lag: Callable[[], bool] = lambda: False
         self.stagger_s: Callable[[], float] = lambda: 0.0
+        self.turn: Callable[[], tuple[int, int, int]] = lambda: (0, 1, 0)
         self._zone = zone
         self._clock = clock
         self._metrics = metrics
         self._rng = rng or random.Random()
+        # Time of the last look at the order of the gateways, `stagger_s`, and
+        # `turn`: one look serves for all replicas.
+        self._order = (float("-inf"), 0.0, (0, 1, 0))
         self._waiting: collections.deque[_Waiter] = collections.deque()
 
     @property
@@ -205,7 +213,9 @@
         if replica is None:
             return None
         now_ms = self._clock.now_ms()
-        self.fleet.limits.note_sent(replica.listing.incarnation, now_ms)
+        self.fleet.limits.note_sent(
+            replica.listing.incarnation, now_ms, alone=self.counts_lag()
+        )
         return self.assign(replica, req.work)
 
     async def acquire(self, req: SlotRequest) -> Slot | None:
@@ -285,7 +295,9 @@
         now_ms = self._clock.now_ms()
         limits = self.fleet.limits
         usable = [r.listing.incarnation for r in self._usable(req)]
-        if not usable or any(limits.rate(name) is None for name in usable):
+        if not usable or not all(
+            limits.has_limit(name, now_ms) for name in usable
+        ):
             return False
         left_ms = req.deadline_ms - now_ms
         key = waiting_key(req, now_ms)
@@ -353,11 +365,16 @@
         """Returns whether a replica's own limit allows another request."""
         limits = self.fleet.limits
         incarnation = replica.listing.incarnation
-        if limits.rate(incarnation) is None:
+        if not limits.has_limit(incarnation, now_ms):
             return True
-        lag = self.counts_lag()
-        stagger_s = _LAGGING_STAGGER_S if lag else self.stagger_s()
         batch = req.work is load.WorkKind.BATCH
+        if self._order[0] != now_ms:
+            self._order = now_ms, self.stagger_s(), self.turn()
+        _, stagger_s, turn = self._order
+        if self.counts_lag():
+            return limits.may_send_alone(
+                incarnation, now_ms, batch, _LAGGING_STAGGER_S, turn
+            )
         return limits.may_send(incarnation, now_ms, batch, stagger_s)
 
     def _reserve(self, req: SlotRequest) -> int:
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -1,5 +1,7 @@
 """Coordinates shards of replicas for the gateways that ask this one."""
 
+from collections.abc import Callable
+
 import structlog
 import trio
 
@@ -52,6 +54,10 @@
         network.handle(gateway_messages.SlotRelease, self._handle_release)
         network.handle(gateway_messages.SlotsHeld, self._handle_held)
 
+    def set_settled(self, is_settled: Callable[[str], bool]) -> None:
+        """Sets what tells whether another gateway may coordinate a shard."""
+        self._coordinator.is_settled = is_settled
+
     def dump(self) -> dict[str, tuple[int, int]]:
         """Returns the numbers of waiting and granted tickets by shard."""
         return self._coordinator.counts()
--- a/lacewingwood/state/published.py
+++ b/lacewingwood/state/published.py
@@ -144,7 +144,8 @@
         # Put even if unchanged: the entry may have been held after its removal
         # during an outage, and would be dropped when the hold expires.
         self._fleet.directory.put(listing)
-        if old == listing:
+        # A replica that stays cold may say the same time again.
+        if old == listing and listing.warming_ms <= 0:
             return False
         if old is None or old.leaving != listing.leaving:
             _log.info(
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -4,12 +4,14 @@
 Replicas run as many requests as they have slots and queue the others.
 """
 
+import bisect
 import collections
 import dataclasses
 import math
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import trio
 
@@ -148,13 +150,26 @@
     def __init__(self, slots: int) -> None:
         self.limiter = trio.CapacityLimiter(slots)
         self.most_queued = 0
+        self.sent_ms: list[float] = []
 
     async def run(self, duration_ms: float, started: trio.Event) -> None:
         """Runs a request; `started` is set once it has a slot."""
+        self.sent_ms.append(trio.current_time() * 1000)
         async with self.limiter:
             started.set()
             await trio.sleep(duration_ms / 1000)
 
+    def most_sent(self, window_ms: float = 1_000.0) -> int:
+        """Returns the most requests that it got in any period."""
+        times = sorted(self.sent_ms)
+        return max(
+            (
+                bisect.bisect_left(times, t + window_ms) - n
+                for n, t in enumerate(times)
+            ),
+            default=0,
+        )
+
     def note_queue(self) -> None:
         """Records the length of the queue."""
         waiting = self.limiter.statistics().tasks_waiting
@@ -168,7 +183,9 @@
         clock, metrics = Clock(), metrics_lib.Registry()
         own = load.Fleet()
         shard_map = shards_lib.ShardMap()
-        own.on_replicas = shard_map.update
+        own.on_replicas = self._update_replicas
+        self._shard_map = shard_map
+        self._own = own
         for listing in fleet.listings:
             own.directory.put(listing)
         own.refresh()
@@ -214,6 +231,12 @@
         self._fleet = fleet
         self._items: dict[dispatchers.Slot, trio.CancelScope] = {}
 
+    def _update_replicas(self, replicas: Iterable[load.Replica]) -> None:
+        listed = list(replicas)
+        self._shard_map.update(listed)
+        now_ms = trio.current_time() * 1000
+        self._own.limits.update_replicas([r.listing for r in listed], now_ms)
+
     async def serve_online(self, duration_ms: float) -> None:
         """Serves one online request and records when it began to run."""
         outcome = self._fleet.outcome
