--- a/lacewingwood/limits/cold_replicas.py
+++ b/lacewingwood/limits/cold_replicas.py
@@ -44,30 +44,27 @@
         rate: Requests a second that a cold replica takes.
         cold_ms: How long a replica is cold after its start.
         most: Most requests in any second, over all gateways.
+        alone: Part of `most` for gateways whose coordinators do not answer.
+        warm: Limit of a replica that is believed warm. A second may touch
+            `alone` + 1 turns of gateways without a coordinator.
+        cold: Limit of a replica that is known to be cold.
     """
 
     rate: float
     cold_ms: float
     most: int
+    alone: int = dataclasses.field(init=False)
+    warm: int = dataclasses.field(init=False)
+    cold: int = dataclasses.field(init=False)
 
-    @property
-    def alone(self) -> int:
-        """Part of `most` for gateways whose coordinators do not answer."""
-        return max(1, self.most // _PARTS_PER_ALONE)
-
-    @property
-    def warm(self) -> int:
-        """Limit of a replica that is believed warm.
-
-        One turn of a gateway without a coordinator may begin and end within the
-        second, so `alone` + 1 of them fit into it.
-        """
-        return max(1, self.most - self.alone - 1)
-
-    @property
-    def cold(self) -> int:
-        """Limit of a replica that is known to be cold."""
-        return max(1, min(self.warm, math.floor(self.rate)))
+    def __post_init__(self) -> None:
+        """Derives the parts of the bound."""
+        alone = max(1, self.most // _PARTS_PER_ALONE)
+        warm = max(1, self.most - alone - 1)
+        object.__setattr__(self, "alone", alone)
+        object.__setattr__(self, "warm", warm)
+        cold = max(1, min(warm, math.floor(self.rate)))
+        object.__setattr__(self, "cold", cold)
 
 
 def bounds(
@@ -204,7 +201,9 @@
     def has_limit(self, name: str, now_ms: float) -> bool:
         """Returns whether a replica's requests are bounded now."""
         replica = self._replicas.get(name)
-        return replica is not None and replica.limit(now_ms) < math.inf
+        return replica is not None and (
+            replica.bound is not None or replica.limit(now_ms) < math.inf
+        )
 
     def is_cold(self, name: str, now_ms: float) -> bool:
         """Returns whether a replica is known to be cold."""
@@ -293,6 +292,12 @@
             if alone:
                 replica.alone_ms = now_ms
 
+    def note_unsent(self, name: str, noted_ms: float) -> None:
+        """Takes back a count; nothing was sent after all."""
+        replica = self._replicas.get(name)
+        if replica is not None and noted_ms in replica.sent_ms:
+            replica.sent_ms.remove(noted_ms)
+
     def note_reported(self, name: str, count: int, now_ms: float) -> None:
         """Counts requests that another gateway has sent, as sent now."""
         replica = self._replicas.get(name)
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -404,12 +404,14 @@
         ticket: Its number.
         refused: True if the replica refused the request as full.
         failed: True if the request failed at the replica.
+        unused: True if nothing was sent under it.
     """
 
     host: str
     ticket: int
     refused: bool = False
     failed: bool = False
+    unused: bool = False
 
 
 class SlotPreempt(messages.Message, tag="slot_preempt"):
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -48,11 +48,13 @@
         DONE: It was completed, or its caller gave it up.
         REFUSED: The replica refused it as full.
         FAILED: The replica failed it.
+        UNUSED: Its gateway did not need the slot, and sent nothing.
     """
 
     DONE = 0
     REFUSED = 1
     FAILED = 2
+    UNUSED = 3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -220,7 +222,10 @@
             shard.waiting.remove(ticket)
             return []
         del shard.granted[ticket.id]
-        self._note_end(ticket.replica_id, end, now_ms)
+        if end is End.UNUSED:
+            self._note_unsent(ticket)
+        else:
+            self._note_end(ticket.replica_id, end, now_ms)
         self._settle_preemption(shard, ticket)
         return self._serve(ticket.shard, now_ms)
 
@@ -312,6 +317,9 @@
             return []
         decisions: list[Decision] = []
         replicas = self._replicas_of(name)
+        if not any(self._may_send(r, name, now_ms) for r in replicas):
+            # Spares a look at each waiting ticket, which may be hundreds.
+            return []
         busy = self._busy_slots(shard)
         shard.waiting.sort(key=lambda ticket: _waiting_key(ticket, now_ms))
         for ticket in list(shard.waiting):
@@ -330,6 +338,8 @@
             self._limits.note_sent(replica.listing.incarnation, now_ms)
             busy[replica.listing.id] = busy.get(replica.listing.id, 0) + 1
             decisions.append(Grant(ticket))
+            if not any(self._may_send(r, name, now_ms) for r in replicas):
+                break
         return decisions
 
     def _grant(self, ticket: Ticket, replica_id: str, now_ms: float) -> None:
@@ -415,6 +425,18 @@
             incarnation, now_ms, batch, cautious=cautious
         )
 
+    def _note_unsent(self, ticket: Ticket) -> None:
+        """Takes back what was counted for a ticket that was not used.
+
+        A request asks several shards, and may be granted a slot in each.
+        """
+        replicas = self._replicas_of(ticket.shard)
+        replica = self._find(replicas, ticket.replica_id)
+        if replica is not None:
+            self._limits.cold.note_unsent(
+                replica.listing.incarnation, ticket.granted_ms
+            )
+
     def _is_paused(self, replica_id: str, now_ms: float) -> bool:
         return self._paused_ms.get(replica_id, 0.0) > now_ms
 
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -94,6 +94,7 @@
             a slot that was taken without one.
         refused: True if the replica refused the request as full.
         failed: True if the request failed at the replica.
+        unused: True if nothing was sent to the replica.
     """
 
     replica: load.Replica
@@ -102,6 +103,7 @@
     ticket: int = 0
     refused: bool = False
     failed: bool = False
+    unused: bool = False
 
 
 class Slots(Protocol):
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -172,7 +172,11 @@
         self._dispatcher.release(slot)
         if slot.ticket and self._held.pop(slot.ticket, None) is not None:
             shard = self._shard_map.of_replica(slot.replica)
-            self._end_ticket(slot.ticket, shard, slot.refused, slot.failed)
+            host = self._links.coordinator_of(shard) if shard else None
+            if host is not None:
+                self._send_release(
+                    host, slot.ticket, slot.refused, slot.failed, slot.unused
+                )
 
     def want_batch(self, service: str, count: int, urgent: bool) -> None:
         """Sets how many slots batch items of a service wait for.
@@ -274,7 +278,7 @@
             if pending.shards.pop(number, None) is not None:
                 # It may still grant the ticket.
                 del self._pending[number]
-                self._send_release(host, number)
+                self._send_release(host, number, unused=True)
             return False
         self._hints[shard] = answer.free, self._clock.now_ms()
         if answer.replica:
@@ -390,6 +394,7 @@
     def _take_batch(self, number: int, replica: load.Replica) -> None:
         slot = self._hold(number, replica, load.WorkKind.BATCH)
         if not self.on_batch_slot(slot):
+            slot.unused = True
             self.release(slot)
 
     def _hold(
@@ -410,15 +415,10 @@
         self._pending.pop(number, None)
         self._end_ticket(number, shard)
 
-    def _end_ticket(
-        self,
-        number: int,
-        shard: str,
-        refused: bool = False,
-        failed: bool = False,
-    ) -> None:
+    def _end_ticket(self, number: int, shard: str) -> None:
+        """Ends a ticket under which nothing was sent."""
         if host := self._links.coordinator_of(shard) if shard else None:
-            self._send_release(host, number, refused, failed)
+            self._send_release(host, number, unused=True)
 
     def _send_release(
         self,
@@ -426,9 +426,10 @@
         number: int,
         refused: bool = False,
         failed: bool = False,
+        unused: bool = False,
     ) -> None:
         message = gateway_messages.SlotRelease(
-            self._roster.host, number, refused, failed
+            self._roster.host, number, refused, failed, unused
         )
         self._links.send(host, message)
 
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -105,6 +105,8 @@
             end = coordinators.End.REFUSED
         elif message.failed:
             end = coordinators.End.FAILED
+        elif message.unused:
+            end = coordinators.End.UNUSED
         self._send(self._coordinator.release(ticket_id, now_ms, end))
 
     def note_held(self, message: gateway_messages.SlotsHeld) -> None:
--- a/tests/routing/test_coordinator.py
+++ b/tests/routing/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import random
 
+from lacewingwood.limits import cold_replicas
 from lacewingwood.limits import replica_limits
 from lacewingwood.routing import coordinator as coordinators
 from lacewingwood.routing import directory
@@ -92,3 +93,23 @@
         assert _ask(coordinator, number, 0, version="v2") == "r1"
     assert not _ask(coordinator, 8, 0, version="v2")
     assert _ask(coordinator, 9, 0) == "r0"
+
+
+def test_ticket_that_was_not_used_does_not_count() -> None:
+    """Guards against capacity that is lost to requests that asked twice.
+
+    A request asks several shards and uses the first grant. Counted in each, the
+    requests that wait grow in number until all replicas look used up.
+    """
+    limits = replica_limits.ReplicaLimits()
+    coordinator = _make(limits)
+    limits.cold.configure({"s": cold_replicas.Bound(1.0, 1_000.0, 6)})
+    listing = directory.Listing("r0", "s", "10.0.0.1:80", "z", 8, version="v1")
+    limits.update_replicas([listing], 0)
+    for number in range(20):
+        assert _ask(coordinator, number, number)
+        coordinator.release(
+            (f"g{number}", number), number, coordinators.End.UNUSED
+        )
+    granted = [bool(_ask(coordinator, n, n)) for n in range(20, 30)]
+    assert sum(granted) == 4
