--- a/lacewingwood/gateway_settings.py
+++ b/lacewingwood/gateway_settings.py
@@ -44,6 +44,11 @@
         body_stall_ms: Longest time in which a request's body gets no byte.
         body_rate_window_ms: Time over which a body's rate is measured.
         body_bytes_per_s: Lowest rate of a body over that time.
+        cold_overage: Factor by which requests to a cold replica may exceed its
+            rate in any second.
+        cold_slack: Requests to a cold replica allowed on top of that.
+        evacuation_ms: Time from an acknowledged evacuation until the zone gets
+            no requests.
     """
 
     host: str
@@ -76,3 +81,6 @@
     body_stall_ms: float = 10_000.0
     body_rate_window_ms: float = 30_000.0
     body_bytes_per_s: float = 100.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
+    evacuation_ms: float = 5_000.0
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -41,6 +41,8 @@
 
 
 _Percent = Annotated[float, msgspec.Meta(ge=0, le=100)]
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=3_600)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
 class _Split(msgspec.Struct):
@@ -75,6 +77,14 @@
     second_attempt_percent: _Percent | None = None
 
 
+class _Service(msgspec.Struct):
+    name: str
+    # How long a replica is cold after its start, and how many requests a second
+    # it takes then; 0 for a service without cold replicas.
+    cold_start_s: _Duration = 0.0
+    cold_per_s: _Rate = 0.0
+
+
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
@@ -100,6 +110,7 @@
     version: int
     routes: list[_Route] = []
     tenants: list[_Tenant] = []
+    services: list[_Service] = []
     limits: _Limits = _Limits()
 
 
@@ -144,6 +155,12 @@
             document.limits.header_timeout_ms,
             document.limits.idle_timeout_ms,
         ),
+        [
+            configuration.Service(
+                service.name, service.cold_start_s * 1000, service.cold_per_s
+            )
+            for service in document.services
+        ],
     )
 
 
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -48,11 +48,13 @@
         DONE: It was completed, or its caller gave it up.
         REFUSED: The replica refused it as full.
         FAILED: The replica failed it.
+        UNUSED: Its gateway did not need the slot, and sent nothing.
     """
 
     DONE = 0
     REFUSED = 1
     FAILED = 2
+    UNUSED = 3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -118,6 +120,10 @@
 class Coordinator:
     """Grants slots; performs no I/O.
 
+    Attributes:
+        is_settled: Returns whether this gateway is the only coordinator of a
+            shard; see `coordinator_links`.
+
     Each method returns the decisions that concern earlier tickets, which the
     caller has to send.
     """
@@ -130,6 +136,7 @@
         "_rng",
         "_shards",
         "_tickets",
+        "is_settled",
     )
 
     def __init__(
@@ -145,6 +152,7 @@
             limits: Rates at which replicas take requests.
             rng: Breaks ties between replicas.
         """
+        self.is_settled: Callable[[str], bool] = lambda shard: True
         self._replicas_of = replicas_of
         self._limits = limits or replica_limits.ReplicaLimits()
         self._rng = rng or random.Random()
@@ -170,7 +178,7 @@
         slots = sum(
             replica.slots
             for replica in replicas
-            if self._may_send(replica, now_ms)
+            if self._may_send(replica, shard, now_ms)
         )
         return slots - online
 
@@ -214,7 +222,10 @@
             shard.waiting.remove(ticket)
             return []
         del shard.granted[ticket.id]
-        self._note_end(ticket.replica_id, end, now_ms)
+        if end is End.UNUSED:
+            self._note_unsent(ticket)
+        else:
+            self._note_end(ticket.replica_id, end, now_ms)
         self._settle_preemption(shard, ticket)
         return self._serve(ticket.shard, now_ms)
 
@@ -306,6 +317,9 @@
             return []
         decisions: list[Decision] = []
         replicas = self._replicas_of(name)
+        if not any(self._may_send(r, name, now_ms) for r in replicas):
+            # Spares a look at each waiting ticket, which may be hundreds.
+            return []
         busy = self._busy_slots(shard)
         shard.waiting.sort(key=lambda ticket: _waiting_key(ticket, now_ms))
         for ticket in list(shard.waiting):
@@ -324,6 +338,8 @@
             self._limits.note_sent(replica.listing.incarnation, now_ms)
             busy[replica.listing.id] = busy.get(replica.listing.id, 0) + 1
             decisions.append(Grant(ticket))
+            if not any(self._may_send(r, name, now_ms) for r in replicas):
+                break
         return decisions
 
     def _grant(self, ticket: Ticket, replica_id: str, now_ms: float) -> None:
@@ -352,7 +368,7 @@
             replica
             for replica in self._usable(replicas, now_ms)
             if req.allows(replica)
-            and self._may_send(replica, now_ms, ticket.is_batch)
+            and self._may_send(replica, ticket.shard, now_ms, ticket.is_batch)
         ]
         if ticket.is_batch and not req.urgent:
             free = sum(
@@ -394,11 +410,32 @@
         ] or staying
 
     def _may_send(
-        self, replica: load.Replica, now_ms: float, batch: bool = False
+        self,
+        replica: load.Replica,
+        shard: str,
+        now_ms: float,
+        batch: bool = False,
     ) -> bool:
         """Returns whether a replica's own limit allows another request."""
         incarnation = replica.listing.incarnation
-        return self._limits.may_send(incarnation, now_ms, batch)
+        if not self._limits.has_limit(incarnation, now_ms):
+            return True
+        cautious = not self.is_settled(shard)
+        return self._limits.may_send(
+            incarnation, now_ms, batch, cautious=cautious
+        )
+
+    def _note_unsent(self, ticket: Ticket) -> None:
+        """Takes back what was counted for a ticket that was not used.
+
+        A request asks several shards, and may be granted a slot in each.
+        """
+        replicas = self._replicas_of(ticket.shard)
+        replica = self._find(replicas, ticket.replica_id)
+        if replica is not None:
+            self._limits.cold.note_unsent(
+                replica.listing.incarnation, ticket.granted_ms
+            )
 
     def _is_paused(self, replica_id: str, now_ms: float) -> bool:
         return self._paused_ms.get(replica_id, 0.0) > now_ms
@@ -418,7 +455,7 @@
         usable = {
             r.listing.id
             for r in self._usable(replicas, now_ms)
-            if ticket.req.allows(r) and self._may_send(r, now_ms)
+            if ticket.req.allows(r) and self._may_send(r, ticket.shard, now_ms)
         }
         candidates = [
             t
