--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -312,7 +312,7 @@
         progress: progress_lib.Progress,
     ) -> None:
         listing = slot.replica.listing
-        sent_ms = self._clock.now_ms()
+        sent_ms = slot.sent_ms = self._clock.now_ms()
         repeatable = call.route.repeatable
         splitter = progress.splitter
         resume_after = splitter.last_id if splitter else call.resume_after
@@ -395,6 +395,13 @@
                 )
             await self._start_response(call, run)
             await call.req.write(events)
+        slot.deviation = self._slots.fleet.compare_run(
+            slot.replica,
+            run.notice,
+            slot.sent_ms,
+            reader.timing,
+            self._clock.now_ms(),
+        )
         await self._start_response(call, run)
         await call.req.end()
 
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -249,6 +249,7 @@
         slot: dispatchers.Slot,
         route: configuration.Route,
     ) -> records.Result | None:
+        slot.sent_ms = self._clock.now_ms()
         async with self._replicas.open(
             slot.replica.listing,
             _make_work(task),
@@ -269,18 +270,25 @@
                 return self._note_failed_attempt(task, slot, run.status, route)
             completed = run.status != _UNPROCESSABLE_STATUS
             if completed:
-                await self._collect(task, run, slot.replica)
+                await self._collect(task, run, slot)
             slot.replica.note_success(self._clock.now_ms())
             return task.result(completed)
 
     async def _collect(
-        self, task: ItemTask, run: runs.Run, replica: load.Replica
+        self, task: ItemTask, run: runs.Run, slot: dispatchers.Slot
     ) -> None:
         task.events.restart()
         reader = event_reader.EventReader(run, task.events, self._clock)
         while events := await reader.next_events(_EVENT_GAP_TIMEOUT_MS):
-            task.origin = load.origin_of(replica)
+            task.origin = load.origin_of(slot.replica)
             task.add_output(event_stream.data_lines(events))
+        slot.deviation = self._slots.fleet.compare_run(
+            slot.replica,
+            run.notice,
+            slot.sent_ms,
+            reader.timing,
+            self._clock.now_ms(),
+        )
 
     def _note_failed_attempt(
         self,
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -5,6 +5,11 @@
 
 from lacewingwood.peers import gateway_messages
 
+# Replicas of a digest whose speeds are told. The coordinators of their own zone
+# hear of all, and other zones need a summary; 24 of 20 bytes each, from seven
+# zones and twice a second, are 6.7 KB/s for each hub.
+_MAX_SPEEDS = 24
+
 
 def make(
     zone: str,
@@ -29,6 +34,7 @@
     crash_report = gateway_messages.CrashReport([], {})
     limits: dict[str, gateway_messages.ReplicaLimit] = {}
     leaving: set[str] = set()
+    speeds: dict[str, gateway_messages.ReplicaSpeed] = {}
     urgent = False
     for report in reports:
         urgent |= report.urgent
@@ -48,6 +54,7 @@
             if replica not in limits or limit.age_ms < limits[replica].age_ms:
                 limits[replica] = limit
         leaving.update(report.leaving_replicas)
+        _add_speeds(speeds, report.speeds)
         _add_counts(running, report.running)
         _add_counts(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
@@ -62,6 +69,7 @@
         crash_report if crash_report.begun or crash_report.crashes else None,
         limits,
         sorted(leaving),
+        _most_unusual(speeds),
     )
 
 
@@ -74,6 +82,38 @@
         total.begun[name] = min(age_ms, total.begun.get(name, age_ms))
 
 
+def _add_speeds(
+    totals: dict[str, gateway_messages.ReplicaSpeed],
+    speeds: Mapping[str, gateway_messages.ReplicaSpeed],
+) -> None:
+    """Pools the runs of several gateways at the same replicas."""
+    for replica, told in speeds.items():
+        total = totals.get(replica)
+        if total is None:
+            totals[replica] = told
+            continue
+        weight = total.runs + told.runs
+        if weight <= 0:
+            continue
+        deviation = total.runs * total.deviation + told.runs * told.deviation
+        totals[replica] = gateway_messages.ReplicaSpeed(
+            weight, deviation / weight, min(total.age_ms, told.age_ms)
+        )
+
+
+def _most_unusual(
+    speeds: dict[str, gateway_messages.ReplicaSpeed],
+) -> dict[str, gateway_messages.ReplicaSpeed]:
+    """Returns the evidence that matters most, within the size of a digest."""
+    if len(speeds) <= _MAX_SPEEDS:
+        return speeds
+    order = sorted(
+        speeds,
+        key=lambda name: -abs(speeds[name].deviation * speeds[name].runs),
+    )
+    return {name: speeds[name] for name in order[:_MAX_SPEEDS]}
+
+
 def _add_counts(
     totals: dict[str, tuple[int, int]], counts: Mapping[str, tuple[int, int]]
 ) -> None:
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -46,6 +46,21 @@
     age_ms: float
 
 
+class ReplicaSpeed(msgspec.Struct, array_like=True):
+    """Evidence on a replica's speed from the runs of one or more gateways.
+
+    Attributes:
+        runs: Number of recent runs; the older count less.
+        deviation: Mean logarithm of their times relative to those that are
+            usual in the service.
+        age_ms: Time since the newest of them.
+    """
+
+    runs: float
+    deviation: float
+    age_ms: float = 0.0
+
+
 class GatewayReport(messages.Message, tag="gateway_report", omit_defaults=True):
     """State of a gateway that it reports to its peers at short intervals.
 
@@ -75,6 +90,7 @@
             replicas whose count changed recently.
         leaving_replicas: Replicas, by replica and start, that told it recently
             that they take no new work.
+        speeds: What runs that it knows at first hand tell of replicas' speeds.
     """
 
     host: str
@@ -95,6 +111,7 @@
     replica_limits: dict[str, ReplicaLimit] = {}
     sent: dict[str, int] = {}
     leaving_replicas: list[str] = []
+    speeds: dict[str, ReplicaSpeed] = {}
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -136,6 +153,7 @@
         replica_limits: Limits that replicas named to the zone recently.
         leaving_replicas: Replicas that told the zone recently that they take no
             new work.
+        speeds: What the zone's runs tell of replicas' speeds.
     """
 
     zone: str
@@ -149,6 +167,7 @@
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
     leaving_replicas: list[str] = []
+    speeds: dict[str, ReplicaSpeed] = {}
 
 
 class ZoneReports(messages.Message, tag="zone_reports"):
@@ -396,7 +415,7 @@
     shard: str
 
 
-class SlotRelease(messages.Message, tag="slot_release"):
+class SlotRelease(messages.Message, tag="slot_release", omit_defaults=True):
     """Ends a ticket.
 
     Attributes:
@@ -404,12 +423,16 @@
         ticket: Its number.
         refused: True if the replica refused the request as full.
         failed: True if the request failed at the replica.
+        deviation: Logarithm of the run's times relative to usual ones.
+        weight: Weight of the deviation, 0 if there is none.
     """
 
     host: str
     ticket: int
     refused: bool = False
     failed: bool = False
+    deviation: float = 0.0
+    weight: float = 0.0
 
 
 class SlotPreempt(messages.Message, tag="slot_preempt"):
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -26,7 +26,9 @@
 _REQUEST_ID_HEADER = b"request-id"
 # Present if the replica refused the request without running it.
 _NOT_EXECUTED_HEADER = b"not-executed"
-# Numbers of running and of queued requests, separated by a comma.
+# Numbers of running and of queued requests and of slots, separated by commas,
+# and optionally how long work takes on the replica's host at this moment, with
+# 100 as usual.
 _LOAD_HEADER = b"server-load"
 # Requests a second, a decimal number, that the replica takes from all gateways
 # together; absent while it takes any number.
@@ -244,10 +246,12 @@
 
 
 def _decode_notice(exchange: http1.Exchange) -> runs.Notice:
+    load = exchange.header(_LOAD_HEADER)
     return runs.Notice(
-        _parse_load(exchange.header(_LOAD_HEADER)),
+        _parse_load(load),
         _parse_rate_limit(exchange.header(_RATE_LIMIT_HEADER)),
         exchange.header(_LEAVING_HEADER) == b"1",
+        _parse_slowness(load),
     )
 
 
@@ -260,6 +264,18 @@
         return -1
 
 
+def _parse_slowness(load: bytes | None) -> float | None:
+    """Returns how long work takes on a replica's host, None if not known."""
+    parts = (load or b"").split(b",")
+    if len(parts) < 4:
+        return None
+    try:
+        slowness = float(parts[3]) / 100
+    except ValueError:
+        return None
+    return slowness if math.isfinite(slowness) and slowness > 0 else None
+
+
 def _parse_rate_limit(value: bytes | None) -> float | None:
     """Returns a limit in requests a second, None if there is none."""
     if value is None:
--- a/lacewingwood/roles/gateway_reports.py
+++ b/lacewingwood/roles/gateway_reports.py
@@ -52,6 +52,7 @@
             now_ms,
             report.outcomes,
             same_zone=self._roster.is_in_zone(report.host),
+            speeds=report.speeds,
         )
         self._limits.note_report(
             report.host, report.started_ms, report.admitted, now_ms
@@ -73,6 +74,7 @@
             now_ms,
             digest.outcomes,
             same_zone=False,
+            speeds=digest.speeds,
         )
         self._fleet.limits.note_limits(digest.replica_limits, now_ms)
         self._fleet.note_leaving(digest.leaving_replicas, now_ms)
@@ -103,6 +105,7 @@
             replica_limits=self._fleet.limits.report(now_ms),
             sent=self._fleet.limits.recently_sent(now_ms),
             leaving_replicas=self._fleet.recently_leaving(now_ms),
+            speeds=self._fleet.speeds.report(now_ms),
         )
 
     def has_urgent_news(self) -> bool:
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -19,6 +19,8 @@
 from lacewingwood.limits import replica_limits
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import ranking
+from lacewingwood.routing import speeds
 
 # A gateway repeats what it holds and waits for several times in this period. A
 # ticket that was not repeated is dropped, since its gateway has probably ended.
@@ -197,7 +199,11 @@
         return known.replica_id, others
 
     def release(
-        self, ticket_id: TicketId, now_ms: float, end: End = End.DONE
+        self,
+        ticket_id: TicketId,
+        now_ms: float,
+        end: End = End.DONE,
+        deviation: speeds.Deviation = speeds.NO_DEVIATION,
     ) -> list[Decision]:
         """Ends a ticket, granted or not.
 
@@ -205,6 +211,7 @@
             ticket_id: The ticket.
             now_ms: Current time.
             end: How its request ended.
+            deviation: How much slower than usual its run was.
         """
         ticket = self._tickets.pop(ticket_id, None)
         if ticket is None:
@@ -215,6 +222,9 @@
             return []
         del shard.granted[ticket.id]
         self._note_end(ticket.replica_id, end, now_ms)
+        replica = self._find(self._replicas_of(ticket.shard), ticket.replica_id)
+        if replica is not None and deviation[1]:
+            replica.speed.note_deviation(*deviation, now_ms)
         self._settle_preemption(shard, ticket)
         return self._serve(ticket.shard, now_ms)
 
@@ -366,17 +376,23 @@
                 return None
         for tier in dispatchers.tiers(usable, req, now_ms):
             free_replicas = [
-                r for r in tier if busy.get(r.listing.id, 0) < r.slots
+                r
+                for r in tier
+                if busy.get(r.listing.id, 0) < _usable_slots(r, ticket, now_ms)
             ]
             if free_replicas:
                 return min(
                     free_replicas,
                     key=lambda r: (
-                        max(
-                            busy.get(r.listing.id, 0) / r.slots,
-                            self._limits.used_share(
-                                r.listing.incarnation, now_ms
+                        ranking.finish(
+                            r,
+                            max(
+                                busy.get(r.listing.id, 0) / r.slots,
+                                self._limits.used_share(
+                                    r.listing.incarnation, now_ms
+                                ),
                             ),
+                            now_ms,
                         ),
                         self._rng.random(),
                     ),
@@ -453,6 +469,16 @@
         return next((r for r in replicas if r.listing.id == replica_id), None)
 
 
+def _usable_slots(replica: load.Replica, ticket: Ticket, now_ms: float) -> int:
+    """Returns how many requests a replica may run for a ticket's to start."""
+    if ticket.is_batch:
+        return replica.slots
+    req = ticket.req
+    return ranking.usable_slots(
+        replica, req.arrived_ms, req.objective_ms, now_ms
+    )
+
+
 def _waiting_key(
     ticket: Ticket, now_ms: float
 ) -> tuple[bool, bool, int, float]:
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -17,6 +17,8 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.routing import load
 from lacewingwood.routing import outliers
+from lacewingwood.routing import ranking
+from lacewingwood.routing import speeds
 
 # Online requests that may wait in a replica's own queue. A queued request takes
 # a freed slot at once, and with so short a queue a stale count does not make
@@ -94,6 +96,8 @@
             a slot that was taken without one.
         refused: True if the replica refused the request as full.
         failed: True if the request failed at the replica.
+        sent_ms: When the request was sent.
+        deviation: How much slower than usual the run was.
     """
 
     replica: load.Replica
@@ -102,6 +106,8 @@
     ticket: int = 0
     refused: bool = False
     failed: bool = False
+    sent_ms: float = 0.0
+    deviation: speeds.Deviation = speeds.NO_DEVIATION
 
 
 class Slots(Protocol):
@@ -244,6 +250,11 @@
             return
         slot.held = False
         slot.replica.own_counts[slot.work.value] -= 1
+        deviation, weight = slot.deviation
+        if weight and not slot.ticket:
+            # The coordinator learns it from the end of a ticket.
+            now_ms = self._clock.now_ms()
+            slot.replica.speed.note_deviation(deviation, weight, now_ms)
         self.on_change()
         self.serve_waiting()
 
@@ -403,7 +414,8 @@
         limits = self.fleet.limits
         used = limits.used_share(replica.listing.incarnation, now_ms)
         is_far = replica.listing.zone != self._zone
-        return max(busy, used), is_far, self._rng.random()
+        finish = ranking.finish(replica, max(busy, used), now_ms)
+        return finish, is_far, self._rng.random()
 
 
 def tiers(
@@ -440,10 +452,13 @@
     if req.work is load.WorkKind.ONLINE:
         # Batch items are preempted for online requests, so one may be queued on
         # a full replica unless online requests alone fill it.
-        if total < replica.slots:
+        usable = ranking.usable_slots(
+            replica, req.arrived_ms, req.objective_ms, now_ms
+        )
+        if total < usable:
             return True
         return (
-            replica.online() < replica.slots
+            replica.online() < usable
             and total < replica.slots + _MAX_QUEUED_ONLINE
         )
     return total + reserve < replica.slots
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -9,9 +9,11 @@
 import structlog
 
 from lacewingwood.limits import replica_limits
+from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import directory
 from lacewingwood.routing import origins
 from lacewingwood.routing import outliers
+from lacewingwood.routing import speeds as speeds_lib
 from lacewingwood.upstreams import runs
 
 # A peer's report is dropped if no newer one arrives within this time.
@@ -67,6 +69,7 @@
         zone_outcomes: Recent outcomes reported by other gateways of this zone.
         other_zone_outcomes: Recent outcomes reported by gateways of other
             zones.
+        speed: How fast it works.
     """
 
     listing: directory.Listing
@@ -86,6 +89,9 @@
     other_zone_outcomes: list[int] = dataclasses.field(
         default_factory=lambda: [0, 0]
     )
+    speed: speeds_lib.Speed = dataclasses.field(
+        default_factory=speeds_lib.Speed
+    )
 
     @property
     def leaving(self) -> bool:
@@ -97,6 +103,10 @@
         """Number of requests that it runs concurrently."""
         return self.listing.slots
 
+    def slowness(self, now_ms: float) -> float:
+        """Returns how long work takes there now, 1.0 as usual."""
+        return self.speed.slowness(now_ms)
+
     def online(self) -> int:
         """Returns the number of online requests in flight."""
         return self.own_counts[0] + self.peer_counts[0]
@@ -186,6 +196,7 @@
     counts: Mapping[str, Counts]
     outcomes: Mapping[str, outliers.Counts]
     same_zone: bool
+    speeds: Mapping[str, gateway_messages.ReplicaSpeed]
 
 
 class Fleet:
@@ -194,6 +205,7 @@
     Attributes:
         directory: Directory that provides the listings.
         limits: Rates at which replicas take requests.
+        speeds: How fast the replicas work.
         on_replicas: Called with all replicas when one was added, removed or
             listed anew.
     """
@@ -206,6 +218,7 @@
         "directory",
         "limits",
         "on_replicas",
+        "speeds",
     )
 
     def __init__(self) -> None:
@@ -213,6 +226,7 @@
         self.on_replicas = lambda replicas: None
         self.directory = directory.Directory()
         self.limits = replica_limits.ReplicaLimits()
+        self.speeds = speeds_lib.Speeds()
         self._replicas: dict[str, Replica] = {}
         # When the replicas, by incarnation, said that they leave. Kept while
         # they are not listed, since an entry may lapse and come back.
@@ -225,10 +239,14 @@
         listed = {x.id: x for x in self.directory.replicas()}
         for replica_id in [i for i in self._replicas if i not in listed]:
             del self._replicas[replica_id]
+            self.speeds.forget(replica_id)
         for replica_id, listing in listed.items():
             replica = self._replicas.get(replica_id)
             if replica is None or _restarted(replica.listing, listing):
-                replica = self._replicas[replica_id] = Replica(listing)
+                self.speeds.forget(replica_id)
+                speed = self.speeds.of(replica_id, listing.service)
+                replica = Replica(listing, speed=speed)
+                self._replicas[replica_id] = replica
                 self._apply_all_reports(replica)
             replica.listing = listing
         self._mark_leaving()
@@ -256,6 +274,8 @@
         """Records what a replica says of itself with a response."""
         if notice.in_flight >= 0:
             replica.note_reported_load(notice.in_flight, now_ms)
+        if notice.slowness is not None:
+            replica.speed.note_figure(notice.slowness, now_ms)
         incarnation = replica.listing.incarnation
         self.limits.note_response(incarnation, notice.rate_limit, now_ms)
         if notice.leaving and incarnation not in self._leaving:
@@ -282,6 +302,30 @@
             if now_ms - at_ms < _LEAVING_REPORT_MS
         ]
 
+    def compare_run(
+        self,
+        replica: Replica,
+        notice: runs.Notice,
+        sent_ms: float,
+        timing: runs.Timing,
+        now_ms: float,
+    ) -> speeds_lib.Deviation:
+        """Compares a run that has ended well with what is usual.
+
+        Args:
+            replica: The replica that ran it.
+            notice: What the replica said of itself when the run began.
+            sent_ms: When the request was sent.
+            timing: When its events came.
+            now_ms: Current time.
+        """
+        running = notice.in_flight
+        if running < 0:
+            running = replica.in_flight(now_ms)
+        return speeds_lib.deviation_of(
+            replica.speed, running / replica.slots, sent_ms, timing, now_ms
+        )
+
     def own_counts(self) -> dict[str, Counts]:
         """Returns this gateway's requests in flight, to report to its peers."""
         return {
@@ -324,6 +368,7 @@
         now_ms: float,
         outcomes: Mapping[str, outliers.Counts] | None = None,
         same_zone: bool = True,
+        speeds: Mapping[str, gateway_messages.ReplicaSpeed] | None = None,
     ) -> None:
         """Applies the report of one peer, or of all peers of another zone.
 
@@ -334,9 +379,16 @@
             now_ms: Current time.
             outcomes: Recent outcomes of their requests at each replica.
             same_zone: True for peers of this zone.
+            speeds: What their runs tell of each replica's speed.
         """
-        self.forget(node)
-        report = _Report(now_ms, counts, outcomes or {}, same_zone)
+        before = self._reports.get(node)
+        self.speeds.note_report(
+            node, speeds or {}, before.speeds if before else (), now_ms
+        )
+        self._forget_counts(node)
+        report = _Report(
+            now_ms, counts, outcomes or {}, same_zone, speeds or {}
+        )
         self._reports[node] = report
         self._apply_report(report, 1)
 
@@ -356,7 +408,13 @@
                 replica.said_leaving = True
 
     def forget(self, node: str) -> None:
-        """Drops the report of a peer that has stopped."""
+        """Drops the report of a peer that has stopped.
+
+        What its runs told of replicas' speeds fades by itself.
+        """
+        self._forget_counts(node)
+
+    def _forget_counts(self, node: str) -> None:
         report = self._reports.pop(node, None)
         if report is not None:
             self._apply_report(report, -1)
--- /dev/null
+++ b/lacewingwood/routing/ranking.py
@@ -0,0 +1,73 @@
+"""Orders replicas by the expected finish of a request.
+
+This answers load on replicas that differ in speed; see `speeds`. Among replicas
+whose speed is as usual the order is that of their load.
+"""
+
+import math
+
+from lacewingwood.routing import load
+
+# Growth of a request's duration, as a logarithm, from an idle to a full replica
+# if it is not known, and the bounds of what is taken from runs. Without the
+# lower one all requests would go to the quicker replicas until these are full,
+# and the choice would rest on small errors of the speeds.
+_SLOPE = 0.5
+_MIN_SLOPE = 0.3
+_MAX_SLOPE = 1.5
+# A slow replica runs at least this share of its slots, so that a wrong speed
+# costs little capacity.
+_MIN_SHARE = 0.25
+
+
+def finish(replica: load.Replica, busy_share: float, now_ms: float) -> float:
+    """Returns a sort key by the expected finish of a request.
+
+    It is the used share of a replica of usual speed at which a request would
+    finish at the same time.
+
+    Args:
+        replica: The replica.
+        busy_share: Used share of its slots, or of its own limit.
+        now_ms: Current time.
+    """
+    slowness = replica.slowness(now_ms)
+    if slowness == 1.0:
+        return busy_share
+    return busy_share + math.log(slowness) / _slope(replica)
+
+
+def usable_slots(
+    replica: load.Replica,
+    arrived_ms: float,
+    objective_ms: float,
+    now_ms: float,
+) -> int:
+    """Returns how many online requests a replica may run at once.
+
+    At a replica that is slower than usual this is the number at which the first
+    event still comes within the objective. A request that is late already may
+    use all slots: waiting would only make it later.
+    """
+    slots = replica.slots
+    slowness = replica.slowness(now_ms)
+    if (
+        slowness <= 1.0
+        or objective_ms <= 0
+        or now_ms > arrived_ms + objective_ms
+    ):
+        return slots
+    usual = replica.speed.service.first_event
+    if not usual.known or usual.slope < _MIN_SLOPE:
+        # Fewer requests at once would not bring the first event earlier.
+        return slots
+    left = math.log(objective_ms / slowness) - usual.at(0.0)
+    count = math.floor(slots * left / usual.slope)
+    return min(slots, max(count, math.ceil(slots * _MIN_SHARE)))
+
+
+def _slope(replica: load.Replica) -> float:
+    usual = replica.speed.service.gaps
+    if not usual.known:
+        return _SLOPE
+    return max(_MIN_SLOPE, min(_MAX_SLOPE, usual.slope))
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -24,6 +24,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_server
+from lacewingwood.routing import spillover
 
 # What is held and waited for is repeated at this interval; see
 # `coordinator.TICKET_TTL_MS`.
@@ -116,6 +117,7 @@
         self._metrics = metrics
         self._numbers = itertools.count(first_ticket)
         self._rng = rng or random.Random()
+        self._spillover = spillover.Spillover(rng)
         self._pending: dict[int, _Pending] = {}
         self._batch: dict[int, _BatchTicket] = {}
         self._held: dict[int, dispatchers.Slot] = {}
@@ -172,7 +174,7 @@
         self._dispatcher.release(slot)
         if slot.ticket and self._held.pop(slot.ticket, None) is not None:
             shard = self._shard_map.of_replica(slot.replica)
-            self._end_ticket(slot.ticket, shard, slot.refused, slot.failed)
+            self._end_ticket(slot.ticket, shard, slot)
 
     def want_batch(self, service: str, count: int, urgent: bool) -> None:
         """Sets how many slots batch items of a service wait for.
@@ -293,7 +295,7 @@
         return slot
 
     def _shards_for(self, req: dispatchers.SlotRequest) -> list[str]:
-        """Returns the shards to ask, those of this zone first.
+        """Returns the shards to ask, usually those of this zone first.
 
         Shards that were full a moment ago come last.
         """
@@ -305,15 +307,40 @@
             or any(map(req.allows, self._shard_map.replicas(shard)))
         ]
         self._rng.shuffle(shards)
+        home = self._roster.zone
+        first = self._first_zone(req.service, shards, now_ms)
+        if first != home:
+            self._metrics.add("requests_sent_out_of_zone")
 
-        def order(shard: str) -> tuple[bool, bool, int]:
+        def order(shard: str) -> tuple[bool, bool, bool, int]:
             free, at_ms = self._hints.get(shard, (1, 0.0))
             known = now_ms - at_ms < _HINT_TTL_MS
-            is_here = shards_lib.zone_of(shard) == self._roster.zone
-            return known and free <= 0, not is_here, -free if known else 0
+            zone = shards_lib.zone_of(shard)
+            return (
+                known and free <= 0,
+                zone != first,
+                zone != home,
+                -free if known else 0,
+            )
 
         return sorted(shards, key=order)[:_MAX_SHARDS]
 
+    def _first_zone(
+        self, service: str, shards: list[str], now_ms: float
+    ) -> str:
+        """Returns the zone whose shards a request asks first."""
+        replicas: dict[str, list[load.Replica]] = {}
+        for shard in shards:
+            zone = shards_lib.zone_of(shard)
+            replicas.setdefault(zone, []).extend(
+                self._shard_map.replicas(shard)
+            )
+        durations = {
+            zone: spillover.duration(members, now_ms)
+            for zone, members in replicas.items()
+        }
+        return self._spillover.zone(service, self._roster.zone, durations)
+
     def _batch_shards(self, shards: list[str], count: int) -> list[str]:
         """Returns the shards of `count` new tickets for batch items."""
         if count <= 0:
@@ -414,22 +441,21 @@
         self,
         number: int,
         shard: str,
-        refused: bool = False,
-        failed: bool = False,
+        slot: dispatchers.Slot | None = None,
     ) -> None:
         if host := self._links.coordinator_of(shard) if shard else None:
-            self._send_release(host, number, refused, failed)
+            self._send_release(host, number, slot)
 
     def _send_release(
         self,
         host: str,
         number: int,
-        refused: bool = False,
-        failed: bool = False,
+        slot: dispatchers.Slot | None = None,
     ) -> None:
-        message = gateway_messages.SlotRelease(
-            self._roster.host, number, refused, failed
-        )
+        message = gateway_messages.SlotRelease(self._roster.host, number)
+        if slot is not None:
+            message.refused, message.failed = slot.refused, slot.failed
+            message.deviation, message.weight = slot.deviation
         self._links.send(host, message)
 
     def _tell_held(self) -> None:
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -99,7 +99,8 @@
             end = coordinators.End.REFUSED
         elif message.failed:
             end = coordinators.End.FAILED
-        self._send(self._coordinator.release(ticket_id, now_ms, end))
+        deviation = message.deviation, message.weight
+        self._send(self._coordinator.release(ticket_id, now_ms, end, deviation))
 
     def note_held(self, message: gateway_messages.SlotsHeld) -> None:
         """Takes over what a gateway holds."""
--- a/lacewingwood/upstreams/event_reader.py
+++ b/lacewingwood/upstreams/event_reader.py
@@ -12,9 +12,12 @@
     Only a numbered event is progress. A replica that sends a byte or a comment
     now and then has stalled, while one whose events come slowly has not. The
     time that the reader's caller takes between two calls does not count.
+
+    Attributes:
+        timing: When the events came.
     """
 
-    __slots__ = ("_clock", "_run", "_splitter", "_stalled_ms")
+    __slots__ = ("_clock", "_run", "_splitter", "_stalled_ms", "timing")
 
     def __init__(
         self,
@@ -26,6 +29,7 @@
         self._splitter = splitter
         self._clock = clock
         self._stalled_ms = 0.0
+        self.timing = runs.Timing()
 
     async def next_events(self, timeout_ms: float) -> bytes:
         """Returns the next complete events, empty at the end of the stream.
@@ -45,13 +49,26 @@
             )
             if not chunk:
                 break
-            self._stalled_ms += self._clock.now_ms() - started_ms
+            now_ms = self._clock.now_ms()
+            self._stalled_ms += now_ms - started_ms
             last_id = self._splitter.last_id
             events = self._splitter.feed(chunk)
             if self._splitter.last_id != last_id:
                 self._stalled_ms = 0.0
+                self._note_events(last_id, started_ms, now_ms)
             if events:
                 return events
         if not self._splitter.between_events:
             raise errors.BrokenError("the stream ended within an event")
         return b""
+
+    def _note_events(
+        self, before: int | None, started_ms: float, now_ms: float
+    ) -> None:
+        timing = self.timing
+        if not timing.first_ms:
+            timing.first_ms = timing.last_ms = now_ms
+            return
+        timing.gaps += (self._splitter.last_id or 0) - (before or 0)
+        timing.paused_ms += max(0.0, started_ms - timing.last_ms)
+        timing.last_ms = now_ms
--- a/lacewingwood/upstreams/runs.py
+++ b/lacewingwood/upstreams/runs.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import dataclasses
 import math
 from collections.abc import Callable
 from typing import Protocol
@@ -46,11 +47,32 @@
         rate_limit: Requests a second that it takes from all gateways together,
             None if it names no limit.
         leaving: True if it is about to end and takes no new work.
+        slowness: How long work takes on its host at this moment, 1.0 as usual,
+            None if it does not say.
     """
 
     in_flight: int = -1
     rate_limit: float | None = None
     leaving: bool = False
+    slowness: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Timing:
+    """When the events of a run came.
+
+    Attributes:
+        first_ms: Time of the first numbered event, 0 before it.
+        last_ms: Time of the last numbered event.
+        gaps: Number of numbered events after those that came first.
+        paused_ms: Time since the first event that its receiver spent on other
+            than waiting for events.
+    """
+
+    first_ms: float = 0.0
+    last_ms: float = 0.0
+    gaps: int = 0
+    paused_ms: float = 0.0
 
 
 class Run(Protocol):
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -80,10 +80,29 @@
 
 async def test_another_replicas_response_tells_nothing() -> None:
     """Guards against a limit that a replica at a reused address names."""
-    head = b"421 Misdirected\r\nServer-Limit: 2.5\r\nServer-Leaving: 1\r\n"
+    head = (
+        b"421 Misdirected\r\nServer-Load: 1,0,8,300\r\nServer-Limit: 2.5\r\n"
+        b"Server-Leaving: 1\r\n"
+    )
     assert await _notice(head) == runs.Notice()
 
 
+async def test_slowness_of_a_host_is_decoded() -> None:
+    """Guards against ignoring the fourth figure, or the others because of it.
+
+    It is absent in older replicas.
+    """
+    head = b"200 OK\r\nServer-Load: 3,1,8,130\r\n"
+    assert await _notice(head) == runs.Notice(4, slowness=1.3)
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"0", b"nan", b"1e999"])
+async def test_malformed_slowness_is_ignored(value: bytes) -> None:
+    """Guards against a figure that makes a replica look useless or free."""
+    head = b"200 OK\r\nServer-Load: 3,1,8," + value + b"\r\n"
+    assert await _notice(head) == runs.Notice(4)
+
+
 @pytest.mark.parametrize("value", [b"", b"x", b"-1", b"nan", b"inf", b"1e999"])
 async def test_malformed_limit_is_ignored(value: bytes) -> None:
     """Guards against a limit that stops all requests, or a failed request."""
