--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -465,6 +465,10 @@
         gauge = self._metrics.gauge
         gauge("callers_running", lambda: self._app.active_requests)
         gauge("requests_waiting", lambda: self._dispatcher.waiting)
+        gauge(
+            "replicas_of_unusual_speed",
+            lambda: sum(r.last_unusual for r in self._fleet.all()),
+        )
         gauge("items_waiting", lambda: self._scheduler.counts[0])
         gauge("items_running", lambda: self._scheduler.counts[1])
         gauge("peers_heard", lambda: len(self._roster.live_peers()))
@@ -493,6 +497,7 @@
                     "leaving": replica.leaving,
                     "failures": replica.failures,
                     "standing": replica.standing(now_ms).name.lower(),
+                    "slowness": round(replica.slowness(now_ms), 2),
                 }
                 for replica in self._fleet.all()
             },
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -62,6 +62,7 @@
         paused_until_ms: Before this time it is used only if no other replica
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
+        last_unusual: True if its lasting speed was not as usual then.
         said_leaving: True if a response of it told that it takes no new work.
         version_pending: True until the log knows its software version; used
             only if no other replica can be.
@@ -80,6 +81,7 @@
     failures: int = 0
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
+    last_unusual: bool = False
     said_leaving: bool = False
     version_pending: bool = False
     outcomes: outliers.Outcomes = dataclasses.field(
@@ -335,8 +337,17 @@
         }
 
     def log_standings(self, now_ms: float) -> None:
-        """Logs each change of a replica's standing with its outcomes."""
+        """Logs each change of a replica's standing or lasting speed."""
         for replica in self._replicas.values():
+            unusual = replica.speed.is_unusual(now_ms)
+            if unusual is not replica.last_unusual:
+                replica.last_unusual = unusual
+                _log.info(
+                    "replica speed",
+                    replica=replica.listing.id,
+                    unusual=unusual,
+                    **replica.speed.describe(now_ms),
+                )
             standing = replica.standing(now_ms)
             if standing is replica.last_standing:
                 continue
--- a/lacewingwood/routing/ranking.py
+++ b/lacewingwood/routing/ranking.py
@@ -14,7 +14,10 @@
 # and the choice would rest on small errors of the speeds.
 _SLOPE = 0.5
 _MIN_SLOPE = 0.3
-_MAX_SLOPE = 1.5
+_MAX_SLOPE = 1.25
+# How much the load counts: a request that is added also lengthens those that
+# run beside it, by about as much in sum as itself.
+_LOAD_WEIGHT = 2.0
 # A slow replica runs at least this share of its slots, so that a wrong speed
 # costs little capacity.
 _MIN_SHARE = 0.25
@@ -23,8 +26,8 @@
 def finish(replica: load.Replica, busy_share: float, now_ms: float) -> float:
     """Returns a sort key by the expected finish of a request.
 
-    It is the used share of a replica of usual speed at which a request would
-    finish at the same time.
+    It is the used share of a replica of usual speed at which one more request
+    costs as much time, its own and that of those beside it.
 
     Args:
         replica: The replica.
@@ -34,7 +37,8 @@
     slowness = replica.slowness(now_ms)
     if slowness == 1.0:
         return busy_share
-    return busy_share + math.log(slowness) / _slope(replica)
+    weight = _LOAD_WEIGHT * _slope(replica)
+    return busy_share + math.log(slowness) / weight
 
 
 def usable_slots(
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -336,7 +336,7 @@
                 self._shard_map.replicas(shard)
             )
         durations = {
-            zone: spillover.duration(members, now_ms)
+            zone: spillover.duration(members, now_ms, zone == self._roster.zone)
             for zone, members in replicas.items()
         }
         return self._spillover.zone(service, self._roster.zone, durations)
--- a/lacewingwood/routing/speeds.py
+++ b/lacewingwood/routing/speeds.py
@@ -20,16 +20,23 @@
 # Bounds of a replica's slowness.
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 8.0
-# Half-life of runs as evidence. In this time the deployments in use make about
-# ten runs at a replica; without new ones a speed is forgotten within 15 s.
-_HALF_LIFE_MS = 3_000.0
+# Half-life of runs as evidence. In this time the deployments in use make some
+# twenty runs at a replica.
+_HALF_LIFE_MS = 6_000.0
+# Without a new run, a lasting speed is forgotten after this time, so that a
+# replica that gets no requests for its speed is tried again.
+_TTL_MS = 10_000.0
 # A lasting speed starts from the replica's own figure, which counts as much as
 # this many runs.
 _PRIOR_RUNS = 2.0
-# A lasting deviation counts from this size on, and if it is this many times its
-# standard error. Noise must not change the choice among equal replicas.
+# A lasting deviation counts from this size on, and if it is this many times the
+# standard error of as many independent runs. Noise must not change the choice
+# among equal replicas, and runs that overlap share the load's ups and downs:
+# with 6, equal replicas that were chosen by late counts seemed slow. Once it
+# counts, half of that keeps it.
 _MIN_DEVIATION = 0.08
-_MIN_Z = 4.0
+_MIN_Z = 8.0
+_KEPT_SHARE = 0.5
 # Evidence is told to other gateways from this weight and mean deviation on.
 _MIN_REPORTED_RUNS = 0.3
 _MIN_REPORTED_DEVIATION = 0.05
@@ -41,8 +48,9 @@
 # moment, since it may be wrong.
 _MAX_FIGURE_DEVIATION = math.log(1.5)
 _MAX_MOMENT_DEVIATION = math.log(2.0)
-# A figure changes several times a second.
+# A figure changes several times a second; its mean lasts longer.
 _FIGURE_HALF_LIFE_MS = 100.0
+_MEAN_FIGURE_HALF_LIFE_MS = 2_000.0
 # Events after the first from which on the time between them is used.
 _MIN_GAPS = 4
 # Share of a stream's time spent on a slow caller from which on the time between
@@ -113,6 +121,7 @@
         "_figure",
         "_figure_ms",
         "_figures",
+        "_found",
         "_heard",
         "_pooled",
         "own",
@@ -125,6 +134,8 @@
         # Evidence by gateway or zone that told it, and the sum of all.
         self._heard: dict[str, Evidence] = {}
         self._pooled: Evidence | None = None
+        # True if the pooled evidence has shown an unusual speed.
+        self._found = False
         # The newest figure, and decaying sums of all.
         self._figure = 0.0
         self._figure_ms = 0.0
@@ -150,8 +161,12 @@
     ) -> None:
         """Records a run by its deviation."""
         deviation = _clip(deviation, _MAX_RUN_DEVIATION)
+        known = 0.0
+        if self._pooled is not None:
+            before = self._pooled.weight(now_ms)
+            known = self._pooled.mean() * before / (before + _PRIOR_RUNS)
+        self.service.note_deviation(deviation - known, weight, now_ms)
         self.own.add(deviation, weight, now_ms)
-        self.service.note_deviation(deviation, weight, now_ms)
         self._pool(now_ms)
 
     def note_heard(
@@ -165,37 +180,58 @@
         self._pool(now_ms)
 
     def is_unusual(self, now_ms: float) -> bool:
-        """Returns whether the replica's lasting speed is not as usual."""
-        return bool(self._lasting(now_ms))
+        """Returns whether runs show a lasting speed that is not as usual."""
+        return self._pooled is not None and bool(self._from_runs(now_ms)[0])
+
+    def describe(self, now_ms: float) -> dict[str, float]:
+        """Returns the slowness and what it rests on, for the log."""
+        weight = self._pooled.weight(now_ms) if self._pooled else 0.0
+        return {
+            "slowness": round(self.slowness(now_ms), 2),
+            "runs": round(weight, 1),
+            "own_runs": round(self.own.weight(now_ms), 1),
+            "spread": round(min(99.0, self.service.spread), 3),
+        }
 
     def _pool(self, now_ms: float) -> None:
         pooled = Evidence(at_ms=now_ms)
         for evidence in (self.own, *self._heard.values()):
             weight = evidence.weight(now_ms)
-            pooled.add(evidence.mean(), weight, now_ms)
+            age_ms = now_ms - evidence.newest_ms
+            pooled.add(evidence.mean(), weight, now_ms, age_ms)
         self._pooled = pooled if pooled.runs else None
+        self._found = bool(self._from_runs(now_ms)[0])
 
     def _lasting(self, now_ms: float) -> float:
-        deviation = weight = 0.0
-        if self._pooled is not None:
-            weight = self._pooled.weight(now_ms)
-            mean = self._pooled.mean()
-            deviation = mean * weight / (weight + _PRIOR_RUNS)
-            needed = _MIN_Z * self.service.spread
-            if (
-                abs(deviation) < _MIN_DEVIATION
-                or abs(mean) * math.sqrt(weight) < needed
-            ):
-                deviation = 0.0
+        deviation, weight = self._from_runs(now_ms)
         figure = self._mean_figure(now_ms)
         return deviation + figure * _PRIOR_RUNS / (weight + _PRIOR_RUNS)
 
+    def _from_runs(self, now_ms: float) -> tuple[float, float]:
+        """Returns the lasting deviation that runs show, and their weight."""
+        if self._pooled is None or now_ms - self._pooled.newest_ms > _TTL_MS:
+            return 0.0, 0.0
+        weight = self._pooled.weight(now_ms)
+        mean = self._pooled.mean()
+        deviation = mean * weight / (weight + _PRIOR_RUNS)
+        share = _KEPT_SHARE if self._found else 1.0
+        needed = share * _MIN_Z * self.service.spread
+        if (
+            abs(deviation) < share * _MIN_DEVIATION
+            or abs(mean) * math.sqrt(weight) < needed
+        ):
+            deviation = 0.0
+        return deviation, weight
+
     def _mean_figure(self, now_ms: float) -> float:
         if self._figures is None:
             return 0.0
         weight = self._figures.weight(now_ms)
         mean = self._figures.mean() * weight / (weight + 1.0)
-        return _clip(mean, _MAX_FIGURE_DEVIATION)
+        age_ms = now_ms - self._figure_ms
+        return _clip(mean, _MAX_FIGURE_DEVIATION) * _decay(
+            age_ms, _MEAN_FIGURE_HALF_LIFE_MS
+        )
 
     def _momentary(self, now_ms: float) -> float:
         if self._figures is None:
@@ -326,6 +362,6 @@
         _clip(told.deviation, _MAX_RUN_DEVIATION),
         min(told.runs, _MAX_REPORTED_RUNS),
         now_ms,
-        told.age_ms,
+        max(0.0, told.age_ms),
     )
     return evidence
--- a/lacewingwood/routing/spillover.py
+++ b/lacewingwood/routing/spillover.py
@@ -69,11 +69,19 @@
         return best if self._rng.random() < min(_MAX_SHARE, gain) else home
 
 
-def duration(replicas: Iterable[load.Replica], now_ms: float) -> float:
+def duration(
+    replicas: Iterable[load.Replica], now_ms: float, home: bool
+) -> float:
     """Returns the expected duration of a request at a group of replicas.
 
     It is relative to an idle group of usual speed, and grows with the load only
-    as far as runs have shown it to.
+    as far as runs have shown it to. A load within the usual spread of its
+    number, the square root, does not count against the home zone.
+
+    Args:
+        replicas: The group.
+        now_ms: Current time.
+        home: True if the group is of the request's own zone.
     """
     staying = [replica for replica in replicas if not replica.leaving]
     if not staying:
@@ -83,6 +91,8 @@
     usual = staying[0].speed.service.first_event
     if not usual.known or usual.slope < _MIN_SLOPE:
         return slots / speed
-    in_flight = sum(replica.in_flight(now_ms) for replica in staying)
+    in_flight = float(sum(r.in_flight(now_ms) for r in staying))
+    spread = math.sqrt(in_flight)
+    in_flight += -spread if home else spread
     share = min(1.0, in_flight / slots)
     return math.exp(min(_MAX_SLOPE, usual.slope) * share) * slots / speed
--- a/lacewingwood/routing/usual_times.py
+++ b/lacewingwood/routing/usual_times.py
@@ -3,8 +3,8 @@
 import math
 
 # Half-life of the runs, and how many it takes to know what is usual.
-_HALF_LIFE_MS = 60_000.0
-_MIN_RUNS = 16.0
+_HALF_LIFE_MS = 30_000.0
+_MIN_RUNS = 24.0
 _MIN_DEVIATIONS = 16.0
 # Keeps the slope near 0 while the load has hardly varied.
 _RIDGE = 0.02
@@ -78,7 +78,7 @@
 
     @property
     def spread(self) -> float:
-        """Standard deviation of runs, infinite while it is not known."""
+        """Standard deviation of a replica's runs, infinite if not known."""
         if self._weight < _MIN_DEVIATIONS:
             return math.inf
         return max(_MIN_SPREAD, math.sqrt(self._squares / self._weight))
@@ -86,7 +86,7 @@
     def note_deviation(
         self, deviation: float, weight: float, now_ms: float
     ) -> None:
-        """Adds a run's deviation to the spread."""
+        """Adds how much a run differs from others at its replica."""
         factor = _decay(now_ms - self._at_ms)
         self._at_ms = now_ms
         self._weight = self._weight * factor + weight
