--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -119,7 +119,7 @@
         """
         slot, progress = attempt.slot, attempt.progress
         listing = slot.replica.listing
-        sent_ms = self._clock.now_ms()
+        sent_ms = slot.sent_ms = self._clock.now_ms()
         repeatable = call.route.repeatable
         splitter = progress.splitter
         resume_after = splitter.last_id if splitter else call.resume_after
@@ -203,6 +203,14 @@
             await self._start_response(call, run)
             await call.req.write(events)
             events = b""
+        slot = attempt.slot
+        slot.deviation = self._slots.fleet.compare_run(
+            slot.replica,
+            run.notice,
+            slot.sent_ms,
+            reader.timing,
+            self._clock.now_ms(),
+        )
         await self._start_response(call, run)
         await call.req.end()
 
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -24,6 +24,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_server
+from lacewingwood.routing import spillover
 
 # What is held and waited for is repeated at this interval; see
 # `coordinator.TICKET_TTL_MS`.
@@ -116,6 +117,7 @@
         self._metrics = metrics
         self._numbers = itertools.count(first_ticket)
         self._rng = rng or random.Random()
+        self._spillover = spillover.Spillover(rng)
         self._pending: dict[int, _Pending] = {}
         self._batch: dict[int, _BatchTicket] = {}
         self._held: dict[int, dispatchers.Slot] = {}
@@ -174,9 +176,7 @@
             shard = self._shard_map.of_replica(slot.replica)
             host = self._links.coordinator_of(shard) if shard else None
             if host is not None:
-                self._send_release(
-                    host, slot.ticket, slot.refused, slot.failed, slot.unused
-                )
+                self._send_release(host, slot.ticket, slot)
 
     def want_batch(self, service: str, count: int, urgent: bool) -> None:
         """Sets how many slots batch items of a service wait for.
@@ -281,7 +281,7 @@
             if pending.shards.pop(number, None) is not None:
                 # It may still grant the ticket.
                 del self._pending[number]
-                self._send_release(host, number, unused=True)
+                self._send_release(host, number)
             return False
         self._hints[shard] = answer.free, self._clock.now_ms()
         if answer.replica and req.spare and answer.free <= 0:
@@ -303,7 +303,7 @@
         return slot
 
     def _shards_for(self, req: dispatchers.SlotRequest) -> list[str]:
-        """Returns the shards to ask, those of this zone first.
+        """Returns the shards to ask, usually those of this zone first.
 
         Shards that were full a moment ago come last.
         """
@@ -315,18 +315,43 @@
             or any(map(req.allows, self._shard_map.replicas(shard)))
         ]
         self._rng.shuffle(shards)
+        home = self._roster.zone
+        first = self._first_zone(req.service, shards, now_ms)
+        if first != home:
+            self._metrics.add("requests_sent_out_of_zone")
 
-        def order(shard: str) -> tuple[bool, bool, int]:
+        def order(shard: str) -> tuple[bool, bool, bool, int]:
             free, at_ms = self._hints.get(shard, (1, 0.0))
             known = now_ms - at_ms < _HINT_TTL_MS
             zone = shards_lib.zone_of(shard)
-            far = zone != self._roster.zone
+            preferred, near = zone == first, zone == home
             if req.avoid_zone is not None:
-                far = zone == req.avoid_zone
-            return known and free <= 0, far, -free if known else 0
+                preferred = near = zone != req.avoid_zone
+            return (
+                known and free <= 0,
+                not preferred,
+                not near,
+                -free if known else 0,
+            )
 
         return sorted(shards, key=order)[:_MAX_SHARDS]
 
+    def _first_zone(
+        self, service: str, shards: list[str], now_ms: float
+    ) -> str:
+        """Returns the zone whose shards a request asks first."""
+        replicas: dict[str, list[load.Replica]] = {}
+        for shard in shards:
+            zone = shards_lib.zone_of(shard)
+            replicas.setdefault(zone, []).extend(
+                self._shard_map.replicas(shard)
+            )
+        durations = {
+            zone: spillover.duration(members, now_ms, zone == self._roster.zone)
+            for zone, members in replicas.items()
+        }
+        return self._spillover.zone(service, self._roster.zone, durations)
+
     def _batch_shards(self, shards: list[str], count: int) -> list[str]:
         """Returns the shards of `count` new tickets for batch items."""
         if count <= 0:
@@ -427,19 +452,28 @@
     def _end_ticket(self, number: int, shard: str) -> None:
         """Ends a ticket under which nothing was sent."""
         if host := self._links.coordinator_of(shard) if shard else None:
-            self._send_release(host, number, unused=True)
+            self._send_release(host, number)
 
     def _send_release(
         self,
         host: str,
         number: int,
-        refused: bool = False,
-        failed: bool = False,
-        unused: bool = False,
+        slot: dispatchers.Slot | None = None,
     ) -> None:
-        message = gateway_messages.SlotRelease(
-            self._roster.host, number, refused, failed, unused
-        )
+        """Ends a ticket at a coordinator.
+
+        Args:
+            host: Host of the coordinator.
+            number: Number of the ticket.
+            slot: Slot under which a request was sent, None if none was.
+        """
+        message = gateway_messages.SlotRelease(self._roster.host, number)
+        if slot is None:
+            message.unused = True
+        else:
+            message.refused, message.failed = slot.refused, slot.failed
+            message.unused = slot.unused
+            message.deviation, message.weight = slot.deviation
         self._links.send(host, message)
 
     def _tell_held(self) -> None:
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -107,7 +107,8 @@
             end = coordinators.End.FAILED
         elif message.unused:
             end = coordinators.End.UNUSED
-        self._send(self._coordinator.release(ticket_id, now_ms, end))
+        deviation = message.deviation, message.weight
+        self._send(self._coordinator.release(ticket_id, now_ms, end, deviation))
 
     def note_held(self, message: gateway_messages.SlotsHeld) -> None:
         """Takes over what a gateway holds."""
