--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -428,7 +428,7 @@
         for replica in self._dispatcher.fleet.all():
             if not replica.own_counts[load.WorkKind.BATCH.value]:
                 continue
-            if replica.leaving or self._preempted_recently(replica):
+            if not replica.takes_work or self._preempted_recently(replica):
                 continue
             preempted = self._preempt_on_replica(replica, urgent=False)
             self._preempt_on_replica(
--- a/lacewingwood/limits/cold_replicas.py
+++ b/lacewingwood/limits/cold_replicas.py
@@ -168,8 +168,8 @@
 
     def update(
         self, listings: Iterable[directory.Listing], now_ms: float
-    ) -> list[str]:
-        """Sets the listed replicas; returns the bounded ones."""
+    ) -> None:
+        """Sets the listed replicas."""
         listed = {x.incarnation: x for x in listings}
         for name in [n for n in self._replicas if n not in listed]:
             del self._replicas[name]
@@ -186,7 +186,14 @@
             replica.listing = listing
             if listing.warming_ms > 0 and bound is not None:
                 self._note_cold(replica, listing.warming_ms, now_ms)
-        return [n for n, r in self._replicas.items() if r.bound is not None]
+
+    def counted(self, now_ms: float) -> list[str]:
+        """Returns the replicas whose requests have to be counted."""
+        return [
+            name
+            for name, replica in self._replicas.items()
+            if replica.bound is not None or replica.is_warming(now_ms)
+        ]
 
     def note_returned(
         self, listings: Iterable[directory.Listing], now_ms: float
--- a/lacewingwood/limits/replica_limits.py
+++ b/lacewingwood/limits/replica_limits.py
@@ -89,7 +89,15 @@
         self, listings: Iterable[directory.Listing], now_ms: float
     ) -> None:
         """Sets the listed replicas, with what their entries tell of them."""
-        self._sent.count(self.cold.update(listings, now_ms), now_ms)
+        self.cold.update(listings, now_ms)
+        self._sent.count(self.cold.counted(now_ms), now_ms)
+
+    def note_returned(
+        self, listings: Iterable[directory.Listing], now_ms: float
+    ) -> None:
+        """Lets load return gradually to replicas whose zone was evacuated."""
+        self.cold.note_returned(listings, now_ms)
+        self._sent.count(self.cold.counted(now_ms), now_ms)
 
     def has_limit(self, replica: str, now_ms: float) -> bool:
         """Returns whether the requests to a replica are limited now."""
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import evacuation
 
 
 def make(
@@ -29,6 +30,7 @@
     crash_report = gateway_messages.CrashReport([], {})
     limits: dict[str, gateway_messages.ReplicaLimit] = {}
     leaving: set[str] = set()
+    evacuations: dict[str, evacuation.Mark] = {}
     urgent = False
     for report in reports:
         urgent |= report.urgent
@@ -48,6 +50,7 @@
             if replica not in limits or limit.age_ms < limits[replica].age_ms:
                 limits[replica] = limit
         leaving.update(report.leaving_replicas)
+        evacuation.merge(evacuations, report.evacuations)
         _add_counts(running, report.running)
         _add_counts(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
@@ -62,6 +65,7 @@
         crash_report if crash_report.begun or crash_report.crashes else None,
         limits,
         sorted(leaving),
+        evacuations,
     )
 
 
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -75,6 +75,8 @@
             replicas whose count changed recently.
         leaving_replicas: Replicas, by replica and start, that told it recently
             that they take no new work.
+        evacuations: Position of the newest change of each zone that was ever
+            evacuated, and whether it is; see `routing.evacuation`.
     """
 
     host: str
@@ -95,6 +97,7 @@
     replica_limits: dict[str, ReplicaLimit] = {}
     sent: dict[str, int] = {}
     leaving_replicas: list[str] = []
+    evacuations: dict[str, tuple[int, bool]] = {}
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -136,6 +139,7 @@
         replica_limits: Limits that replicas named to the zone recently.
         leaving_replicas: Replicas that told the zone recently that they take no
             new work.
+        evacuations: What the zone's gateways know of evacuated zones.
     """
 
     zone: str
@@ -149,6 +153,7 @@
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
     leaving_replicas: list[str] = []
+    evacuations: dict[str, tuple[int, bool]] = {}
 
 
 class ZoneReports(messages.Message, tag="zone_reports"):
@@ -204,6 +209,7 @@
         crash_report: What the gateway knows of crashes of replicas.
         replica_limits: The limits of replicas that it knows.
         versions: The software versions on the log, and when each was recorded.
+        evacuations: What the gateway knows of evacuated zones.
     """
 
     document: bytes
@@ -212,6 +218,7 @@
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
     versions: list[tuple[origins.Origin, int]] = []
+    evacuations: dict[str, tuple[int, bool]] = {}
 
 
 class JobRead(messages.Message, tag="job_read"):
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -19,6 +19,8 @@
 OPERATOR_PARTITION = compacted.Partition("op", 0)
 REPLICAS_PARTITION = compacted.Partition("servers", 0)
 CONFIGURATION_KEY = "config"
+# Followed by the zone that is evacuated while the key has a value.
+_EVACUATION_PREFIX = "evacuate/"
 
 # A replica's id is sent in a header of each request to it.
 _REPLICA_ID = re.compile(r"[!-~]+")
@@ -124,6 +126,18 @@
     born: _UnixMs = 0
 
 
+def decode_evacuations(
+    records: list[compacted.Record],
+) -> dict[str, tuple[int, bool]]:
+    """Returns the zones that records evacuate or revoke, with their offsets."""
+    return {
+        zone: (record.offset, record.value is not None)
+        for record in records
+        if record.key.startswith(_EVACUATION_PREFIX)
+        and (zone := record.key[len(_EVACUATION_PREFIX) :])
+    }
+
+
 def decode_configuration(data: bytes) -> configuration.Configuration:
     """Decodes the operator's document.
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -44,6 +44,7 @@
 from lacewingwood.routing import coordinator_links
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import evacuation
 from lacewingwood.routing import load
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.routing import shards as shards_lib
@@ -115,6 +116,7 @@
             cfg.rate_tolerance, cfg.burst_tolerance
         )
         self._quarantine = quarantines.Quarantine()
+        self._evacuations = evacuation.Evacuations(self._evacuate)
         self._dispatcher = dispatchers.Dispatcher(
             self._fleet, cfg.zone, self._clock, self._metrics
         )
@@ -145,6 +147,7 @@
             self._store,
             self._published,
             self._replica_list,
+            self._evacuations,
             self._clock,
             self._metrics,
         )
@@ -155,6 +158,7 @@
             self._limits,
             self._quarantine,
             self._versions,
+            self._evacuations,
             self._presence,
             self._network,
             self._clock,
@@ -265,6 +269,7 @@
             self._fleet,
             self._limits,
             self._quarantine,
+            self._evacuations,
             self._ownership,
             self._scheduler,
             self._roster,
@@ -449,6 +454,10 @@
         self._update_replicas(self._fleet.all())
         self._presence.schedule_report()
 
+    def _evacuate(self, zones: frozenset[str]) -> None:
+        self._fleet.evacuate(zones, self._clock.now_ms())
+        self._presence.schedule_report()
+
     def _stagger_s(self) -> float:
         position, count = self._roster.rank()
         return replica_limits.stagger_s(position, count, _wall_ms())
@@ -479,6 +488,7 @@
         gauge("items_running", lambda: self._scheduler.counts[1])
         gauge("peers_heard", lambda: len(self._roster.live_peers()))
         gauge("configuration_version", lambda: self._published.version)
+        gauge("zones_evacuated", lambda: len(self._evacuations.zones))
         gauge("log_lines_dropped", lambda: self._writer.dropped)
 
     def _dump(self) -> dict[str, Any]:
@@ -496,12 +506,14 @@
             "coordinated": self._slot_server.dump(),
             "quarantined": self._quarantine.dump(now_ms),
             "replica_limits": self._fleet.limits.dump(now_ms),
+            "evacuated": sorted(self._evacuations.zones),
             "cold_replicas": self._fleet.limits.cold.dump(now_ms),
             "replicas": {
                 replica.listing.id: {
                     "own": list(replica.own_counts),
                     "others": list(replica.peer_counts),
                     "leaving": replica.leaving,
+                    "evacuated": replica.evacuated,
                     "failures": replica.failures,
                     "standing": replica.standing(now_ms).name.lower(),
                 }
--- a/lacewingwood/roles/gateway_followers.py
+++ b/lacewingwood/roles/gateway_followers.py
@@ -7,6 +7,7 @@
 from lacewingwood.log import follow
 from lacewingwood.platform import documents
 from lacewingwood.platform import store as store_lib
+from lacewingwood.routing import evacuation
 from lacewingwood.state import published
 
 # A read of the store waits for a change for this share of the time within which
@@ -25,6 +26,7 @@
     store: store_lib.Store,
     published_: published.PublishedConfiguration,
     replica_list: published.ReplicaList,
+    evacuations: evacuation.Evacuations,
     clock: clocks.Clock,
     metrics: metrics_lib.Registry,
 ) -> list[follow.Follower]:
@@ -35,12 +37,20 @@
             if record.key == documents.CONFIGURATION_KEY and record.value:
                 published_.apply_if_newer(record.value, "store")
 
+    def apply_changes(records: list[compacted.Record]) -> None:
+        apply_documents(records)
+        evacuations.apply_changes(documents.decode_evacuations(records))
+
+    def apply_snapshot(records: list[compacted.Record]) -> None:
+        apply_documents(records)
+        evacuations.apply_snapshot(documents.decode_evacuations(records))
+
     return [
         follow.Follower(
             store,
             documents.OPERATOR_PARTITION,
-            apply_documents,
-            apply_documents,
+            apply_snapshot,
+            apply_changes,
             clock,
             metrics,
             wait_ms=cfg.apply_ms * _CONFIGURATION_READ_WAIT_SHARE,
--- a/lacewingwood/roles/gateway_reports.py
+++ b/lacewingwood/roles/gateway_reports.py
@@ -9,6 +9,7 @@
 from lacewingwood.limits import shared
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import roster as roster_lib
+from lacewingwood.routing import evacuation
 from lacewingwood.routing import load
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.state import published
@@ -25,6 +26,7 @@
         fleet: load.Fleet,
         limits: shared.SharedLimits,
         quarantine: quarantines.Quarantine,
+        evacuations: evacuation.Evacuations,
         ownership: ownerships.Ownership,
         scheduler: schedulers.Scheduler,
         roster: roster_lib.Roster,
@@ -37,6 +39,7 @@
         self._fleet = fleet
         self._limits = limits
         self._quarantine = quarantine
+        self._evacuations = evacuations
         self._ownership = ownership
         self._scheduler = scheduler
         self._roster = roster
@@ -58,6 +61,7 @@
         )
         self._fleet.limits.note_limits(report.replica_limits, now_ms)
         self._fleet.note_leaving(report.leaving_replicas, now_ms)
+        self._evacuations.apply_copy(report.evacuations)
         self._fleet.limits.note_report(
             report.host, report.started_ms, report.sent, now_ms
         )
@@ -76,6 +80,7 @@
         )
         self._fleet.limits.note_limits(digest.replica_limits, now_ms)
         self._fleet.note_leaving(digest.leaving_replicas, now_ms)
+        self._evacuations.apply_copy(digest.evacuations)
         for counts in digest.hosts:
             host, started_ms = counts.host, counts.started_ms
             self._limits.note_report(host, started_ms, counts.admitted, now_ms)
@@ -103,6 +108,7 @@
             replica_limits=self._fleet.limits.report(now_ms),
             sent=self._fleet.limits.recently_sent(now_ms),
             leaving_replicas=self._fleet.recently_leaving(now_ms),
+            evacuations=self._evacuations.marks(),
         )
 
     def has_urgent_news(self) -> bool:
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -403,7 +403,7 @@
         self, replicas: list[load.Replica], now_ms: float
     ) -> list[load.Replica]:
         """Returns the replicas that are not paused, or all if all are."""
-        staying = [r for r in replicas if not r.leaving]
+        staying = [r for r in replicas if r.takes_work]
         staying = [r for r in staying if not r.version_pending] or staying
         return [
             r for r in staying if not self._is_paused(r.listing.id, now_ms)
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -77,7 +77,7 @@
 
     def allows(self, replica: load.Replica) -> bool:
         """Returns whether a replica may run it, its load aside."""
-        if replica.leaving or replica.listing.id in self.exclude:
+        if not replica.takes_work or replica.listing.id in self.exclude:
             return False
         return self.version in (None, replica.listing.version)
 
@@ -322,6 +322,8 @@
             if req.version is not None and not self._usable(req):
                 # The last replica of its version has left.
                 return
+            if self.fleet.is_evacuated(req.service):
+                return
 
     def assign(self, replica: load.Replica, work: load.WorkKind) -> Slot:
         """Returns a slot at a replica, whether or not one is free."""
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -61,6 +61,7 @@
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
         said_leaving: True if a response of it told that it takes no new work.
+        evacuated: True while the operator evacuates its zone.
         version_pending: True until the log knows its software version; used
             only if no other replica can be.
         outcomes: Recent outcomes of this gateway's requests.
@@ -78,6 +79,7 @@
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
     said_leaving: bool = False
+    evacuated: bool = False
     version_pending: bool = False
     outcomes: outliers.Outcomes = dataclasses.field(
         default_factory=outliers.Outcomes
@@ -92,6 +94,11 @@
         """True if it takes no new work, by its entry or its own responses."""
         return self.listing.leaving or self.said_leaving
 
+    @property
+    def takes_work(self) -> bool:
+        """True if new requests may be sent to it."""
+        return not (self.leaving or self.evacuated)
+
     @property
     def slots(self) -> int:
         """Number of requests that it runs concurrently."""
@@ -194,6 +201,7 @@
     Attributes:
         directory: Directory that provides the listings.
         limits: Rates at which replicas take requests.
+        evacuated: Zones to whose replicas nothing more is sent.
         on_replicas: Called with all replicas when one was added, removed or
             listed anew.
     """
@@ -204,6 +212,7 @@
         "_replicas",
         "_reports",
         "directory",
+        "evacuated",
         "limits",
         "on_replicas",
     )
@@ -213,6 +222,7 @@
         self.on_replicas = lambda replicas: None
         self.directory = directory.Directory()
         self.limits = replica_limits.ReplicaLimits()
+        self.evacuated: frozenset[str] = frozenset()
         self._replicas: dict[str, Replica] = {}
         # When the replicas, by incarnation, said that they leave. Kept while
         # they are not listed, since an entry may lapse and come back.
@@ -231,6 +241,7 @@
                 replica = self._replicas[replica_id] = Replica(listing)
                 self._apply_all_reports(replica)
             replica.listing = listing
+            replica.evacuated = listing.zone in self.evacuated
         self._mark_leaving()
         self._by_service = {}
         for replica in self._replicas.values():
@@ -238,6 +249,28 @@
             self._by_service.setdefault(service, []).append(replica)
         self.on_replicas(self._replicas.values())
 
+    def evacuate(self, zones: frozenset[str], now_ms: float) -> None:
+        """Sets the evacuated zones; load returns gradually to the others."""
+        returned = self.evacuated - zones
+        self.evacuated = zones
+        for replica in self._replicas.values():
+            replica.evacuated = replica.listing.zone in zones
+        self.limits.note_returned(
+            [
+                replica.listing
+                for replica in self._replicas.values()
+                if replica.listing.zone in returned
+            ],
+            now_ms,
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether an evacuation leaves a service without replicas."""
+        replicas = self.of_service(service)
+        return any(r.evacuated for r in replicas) and not any(
+            r.takes_work for r in replicas
+        )
+
     def get(self, replica_id: str) -> Replica | None:
         """Returns a replica, or None if it is not listed."""
         return self._replicas.get(replica_id)
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -186,7 +186,11 @@
             count: Number of waiting items.
             urgent: True if one of them may take the last free slots.
         """
-        shards = self._shard_map.of_service(service)
+        shards = [
+            shard
+            for shard in self._shard_map.of_service(service)
+            if shards_lib.zone_of(shard) not in self.fleet.evacuated
+        ]
         mine: list[int] = []
         for number, ticket in list(self._batch.items()):
             if ticket.service != service:
@@ -227,6 +231,8 @@
         other shards have no free slot either.
         """
         while True:
+            if self.fleet.is_evacuated(pending.req.service):
+                return True
             shards = self._shards_for(pending.req)
             answered = False
             for may_preempt in (False, True):
@@ -305,7 +311,7 @@
         shards = [
             shard
             for shard in self._shard_map.of_service(req.service)
-            if req.version is None
+            if (req.version is None and not self.fleet.evacuated)
             or any(map(req.allows, self._shard_map.replicas(shard)))
         ]
         self._rng.shuffle(shards)
@@ -368,7 +374,7 @@
         pending = self._pending.get(number)
         batch = self._batch.pop(number, None)
         replica = self.fleet.get(replica_id)
-        usable = replica is not None and not replica.leaving
+        usable = replica is not None and replica.takes_work
         if replica is not None and pending is not None:
             # A coordinator of an earlier release grants any software version.
             usable = pending.req.allows(replica)
--- a/lacewingwood/state/peer_copy.py
+++ b/lacewingwood/state/peer_copy.py
@@ -13,6 +13,7 @@
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
+from lacewingwood.routing import evacuation
 from lacewingwood.routing import load
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.state import published as published_lib
@@ -29,6 +30,7 @@
 
     __slots__ = (
         "_clock",
+        "_evacuations",
         "_fleet",
         "_limits",
         "_metrics",
@@ -48,6 +50,7 @@
         limits: shared.SharedLimits,
         quarantine: quarantines.Quarantine,
         versions: software_versions.SoftwareVersions,
+        evacuations: evacuation.Evacuations,
         presence: presence_lib.Presence,
         network: network_lib.Network,
         clock: clocks.Clock,
@@ -59,6 +62,7 @@
         self._limits = limits
         self._quarantine = quarantine
         self._versions = versions
+        self._evacuations = evacuations
         self._presence = presence
         self._network = network
         self._clock = clock
@@ -109,6 +113,7 @@
         now_ms = self._clock.now_ms()
         self._fleet.limits.note_limits(answer.replica_limits, now_ms)
         self._versions.add_copy(answer.versions)
+        self._evacuations.apply_copy(answer.evacuations)
         if answer.crash_report is not None:
             self._quarantine.note_report(answer.crash_report, now_ms)
         return True
@@ -124,4 +129,5 @@
             self._quarantine.copy(now_ms),
             self._fleet.limits.copy(now_ms),
             self._versions.copy(),
+            self._evacuations.marks(),
         )
