--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Collection
@@ -37,6 +38,13 @@
 _BATCH_TICKETS_PER_SHARD = 2
 # A shard that had no free slot at its last answer is asked last for this long.
 _HINT_TTL_MS = 150.0
+# A grant that is older was held up, as by a stop of this process: it no longer
+# fits the bounds of the replicas or the evacuated zones. Waiting requests ask
+# again within half of this time, which tells that a grant is newer.
+_MAX_GRANT_AGE_MS = 1_000.0
+# A request to replicas with a limit that gets no slot by this gateway's own
+# picture within this time asks the coordinators again.
+_ALONE_MS = 500.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -48,12 +56,16 @@
         shards: Shard of each ticket, by number.
         slot: The slot, None until one ticket was granted.
         ready: Set once it was.
+        asked_ms: When a coordinator was last asked.
+        taken_ms: When the slot was taken.
     """
 
     req: dispatchers.SlotRequest
     shards: dict[int, str] = dataclasses.field(default_factory=dict)
     slot: dispatchers.Slot | None = None
     ready: trio.Event = dataclasses.field(default_factory=trio.Event)
+    asked_ms: float = 0.0
+    taken_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,11 +162,14 @@
         remaining_ms = req.deadline_ms - started_ms
         try:
             with trio.move_on_after(max(0.0, remaining_ms) / 1000):
-                answered = await self._ask_until_granted(pending)
-                # Tickets of shards that answered before may still be granted.
-                self._forget(pending)
-                if not answered and pending.slot is None:
-                    return await self._acquire_alone(req)
+                while not await self._ask_until_granted(pending):
+                    # Tickets of shards that answered before may be granted.
+                    self._forget(pending)
+                    if pending.slot is not None:
+                        break
+                    slot, ended = await self._acquire_alone(req)
+                    if ended:
+                        return slot
         except BaseException:
             if pending.slot is not None:
                 self.release(pending.slot)
@@ -163,7 +178,12 @@
             self._forget(pending)
         waited_ms = self._clock.now_ms() - started_ms
         self._metrics.histogram("slot_wait").record_ms(waited_ms)
-        return pending.slot
+        slot = pending.slot
+        if slot is not None and self._is_old(pending.taken_ms):
+            slot.unused = True
+            self.release(slot)
+            return await self.acquire(req)
+        return slot
 
     def release(self, slot: dispatchers.Slot) -> None:
         """Releases a slot; further calls have no effect."""
@@ -263,7 +283,7 @@
             number = next(self._numbers)
             pending.shards[number] = shard
             self._pending[number] = pending
-        now_ms = self._clock.now_ms()
+        now_ms = pending.asked_ms = self._clock.now_ms()
         req = pending.req
         message = gateway_messages.SlotAsk(
             host=self._roster.host,
@@ -293,14 +313,27 @@
 
     async def _acquire_alone(
         self, req: dispatchers.SlotRequest
-    ) -> dispatchers.Slot | None:
-        """Takes a slot by this gateway's own picture of the replicas."""
+    ) -> tuple[dispatchers.Slot | None, bool]:
+        """Takes a slot by this gateway's own picture of the replicas.
+
+        Returns:
+            The slot, and False if the coordinators have to be asked again.
+        """
         self._metrics.add("slots_uncoordinated")
-        slot = await self._dispatcher.acquire(req)
+        now_ms = self._clock.now_ms()
+        limits = self.fleet.limits
+        limited = any(
+            limits.has_limit(replica.listing.incarnation, now_ms)
+            for replica in self.fleet.of_service(req.service)
+        )
+        slot = None
+        wait_s = _ALONE_MS / 1000 if limited else math.inf
+        with trio.move_on_after(wait_s) as scope:
+            slot = await self._dispatcher.acquire(req)
         if slot is not None:
             slot.ticket = next(self._numbers)
             self._held[slot.ticket] = slot
-        return slot
+        return slot, not scope.cancelled_caught
 
     def _shards_for(self, req: dispatchers.SlotRequest) -> list[str]:
         """Returns the shards to ask, those of this zone first.
@@ -374,6 +407,14 @@
         pending = self._pending.get(number)
         batch = self._batch.pop(number, None)
         replica = self.fleet.get(replica_id)
+        waiting = pending or batch
+        if waiting is not None and self._is_old(waiting.asked_ms):
+            self._metrics.add("slot_grants_too_old")
+            if pending is not None:
+                self._forget_ticket(pending, number)
+            else:
+                self._end_ticket(number, shard)
+            return
         usable = replica is not None and replica.takes_work
         if replica is not None and pending is not None:
             # A coordinator of an earlier release grants any software version.
@@ -394,9 +435,13 @@
                 return
             del pending.shards[number]
             del self._pending[number]
+            pending.taken_ms = self._clock.now_ms()
             pending.slot = self._hold(number, replica, load.WorkKind.ONLINE)
             pending.ready.set()
 
+    def _is_old(self, since_ms: float) -> bool:
+        return self._clock.now_ms() - since_ms > _MAX_GRANT_AGE_MS
+
     def _take_batch(self, number: int, replica: load.Replica) -> None:
         slot = self._hold(number, replica, load.WorkKind.BATCH)
         if not self.on_batch_slot(slot):
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -319,3 +319,39 @@
             assert slot.replica.listing.version == "v1"
             gateway.client.release(slot)
         nursery.cancel_scope.cancel()
+
+
+async def test_grant_that_was_held_up_is_not_used(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against requests sent under a grant from before a stop.
+
+    The coordinator counted it in a second that has passed, and the zone may be
+    evacuated by now. A gateway that runs repeats its request meanwhile.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=1, zones=1, slots=1)
+        first = fleet.gateways[0].client
+        blocker = await first.acquire(fleets.make_request())
+        assert blocker is not None
+        asker = next(g for g in fleet.gateways[1:] if not g.server.dump())
+        slots: list[object] = []
+
+        async def wait() -> None:
+            slots.append(await asker.client.acquire(fleets.make_request()))
+
+        nursery.start_soon(wait)
+        await trio.sleep(0.1)
+        ask = asker.client._ask
+        asker.client._ask = trio.sleep_forever  # type: ignore[assignment]
+        (pending,) = {id(p): p for p in asker.client._pending.values()}.values()
+        pending.asked_ms -= 1_200
+        first.release(blocker)
+        await trio.sleep(0.1)
+        assert not slots
+        assert not asker.client._held
+        asker.client._ask = ask  # type: ignore[method-assign]
+        await trio.sleep(1)
+        assert len(slots) == 1
+        assert slots[0] is not None
+        nursery.cancel_scope.cancel()
