--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import evacuation
 
 # Replicas of a digest whose speeds are told. The coordinators of their own zone
 # hear of all, and other zones need a summary; 24 of 20 bytes each, from seven
@@ -35,6 +36,7 @@
     limits: dict[str, gateway_messages.ReplicaLimit] = {}
     leaving: set[str] = set()
     speeds: dict[str, gateway_messages.ReplicaSpeed] = {}
+    evacuations: dict[str, evacuation.Mark] = {}
     urgent = False
     for report in reports:
         urgent |= report.urgent
@@ -55,6 +57,7 @@
                 limits[replica] = limit
         leaving.update(report.leaving_replicas)
         _add_speeds(speeds, report.speeds)
+        evacuation.merge(evacuations, report.evacuations)
         _add_counts(running, report.running)
         _add_counts(outcomes, report.outcomes)
     return gateway_messages.ZoneDigest(
@@ -70,6 +73,7 @@
         limits,
         sorted(leaving),
         _most_unusual(speeds),
+        evacuations,
     )
 
 
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -91,6 +91,8 @@
         leaving_replicas: Replicas, by replica and start, that told it recently
             that they take no new work.
         speeds: What runs that it knows at first hand tell of replicas' speeds.
+        evacuations: Position of the newest change of each zone that was ever
+            evacuated, and whether it is; see `routing.evacuation`.
     """
 
     host: str
@@ -112,6 +114,7 @@
     sent: dict[str, int] = {}
     leaving_replicas: list[str] = []
     speeds: dict[str, ReplicaSpeed] = {}
+    evacuations: dict[str, tuple[int, bool]] = {}
 
 
 class HostCounts(msgspec.Struct, array_like=True):
@@ -154,6 +157,7 @@
         leaving_replicas: Replicas that told the zone recently that they take no
             new work.
         speeds: What the zone's runs tell of replicas' speeds.
+        evacuations: What the zone's gateways know of evacuated zones.
     """
 
     zone: str
@@ -168,6 +172,7 @@
     replica_limits: dict[str, ReplicaLimit] = {}
     leaving_replicas: list[str] = []
     speeds: dict[str, ReplicaSpeed] = {}
+    evacuations: dict[str, tuple[int, bool]] = {}
 
 
 class ZoneReports(messages.Message, tag="zone_reports"):
@@ -223,6 +228,7 @@
         crash_report: What the gateway knows of crashes of replicas.
         replica_limits: The limits of replicas that it knows.
         versions: The software versions on the log, and when each was recorded.
+        evacuations: What the gateway knows of evacuated zones.
     """
 
     document: bytes
@@ -231,6 +237,7 @@
     crash_report: CrashReport | None = None
     replica_limits: dict[str, ReplicaLimit] = {}
     versions: list[tuple[origins.Origin, int]] = []
+    evacuations: dict[str, tuple[int, bool]] = {}
 
 
 class JobRead(messages.Message, tag="job_read"):
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -64,6 +64,7 @@
         last_standing: Its standing at the last call of `Fleet.log_standings`.
         last_unusual: True if its lasting speed was not as usual then.
         said_leaving: True if a response of it told that it takes no new work.
+        evacuated: True while the operator evacuates its zone.
         version_pending: True until the log knows its software version; used
             only if no other replica can be.
         outcomes: Recent outcomes of this gateway's requests.
@@ -83,6 +84,7 @@
     last_standing: outliers.Standing = outliers.Standing.SOUND
     last_unusual: bool = False
     said_leaving: bool = False
+    evacuated: bool = False
     version_pending: bool = False
     outcomes: outliers.Outcomes = dataclasses.field(
         default_factory=outliers.Outcomes
@@ -100,6 +102,11 @@
         """True if it takes no new work, by its entry or its own responses."""
         return self.listing.leaving or self.said_leaving
 
+    @property
+    def takes_work(self) -> bool:
+        """True if new requests may be sent to it."""
+        return not (self.leaving or self.evacuated)
+
     @property
     def slots(self) -> int:
         """Number of requests that it runs concurrently."""
@@ -208,6 +215,7 @@
         directory: Directory that provides the listings.
         limits: Rates at which replicas take requests.
         speeds: How fast the replicas work.
+        evacuated: Zones to whose replicas nothing more is sent.
         on_replicas: Called with all replicas when one was added, removed or
             listed anew.
     """
@@ -218,6 +226,7 @@
         "_replicas",
         "_reports",
         "directory",
+        "evacuated",
         "limits",
         "on_replicas",
         "speeds",
@@ -229,6 +238,7 @@
         self.directory = directory.Directory()
         self.limits = replica_limits.ReplicaLimits()
         self.speeds = speeds_lib.Speeds()
+        self.evacuated: frozenset[str] = frozenset()
         self._replicas: dict[str, Replica] = {}
         # When the replicas, by incarnation, said that they leave. Kept while
         # they are not listed, since an entry may lapse and come back.
@@ -251,6 +261,7 @@
                 self._replicas[replica_id] = replica
                 self._apply_all_reports(replica)
             replica.listing = listing
+            replica.evacuated = listing.zone in self.evacuated
         self._mark_leaving()
         self._by_service = {}
         for replica in self._replicas.values():
@@ -258,6 +269,28 @@
             self._by_service.setdefault(service, []).append(replica)
         self.on_replicas(self._replicas.values())
 
+    def evacuate(self, zones: frozenset[str], now_ms: float) -> None:
+        """Sets the evacuated zones; load returns gradually to the others."""
+        returned = self.evacuated - zones
+        self.evacuated = zones
+        for replica in self._replicas.values():
+            replica.evacuated = replica.listing.zone in zones
+        self.limits.note_returned(
+            [
+                replica.listing
+                for replica in self._replicas.values()
+                if replica.listing.zone in returned
+            ],
+            now_ms,
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether an evacuation leaves a service without replicas."""
+        replicas = self.of_service(service)
+        return any(r.evacuated for r in replicas) and not any(
+            r.takes_work for r in replicas
+        )
+
     def get(self, replica_id: str) -> Replica | None:
         """Returns a replica, or None if it is not listed."""
         return self._replicas.get(replica_id)
