--- a/lacewingwood/routing/speeds.py
+++ b/lacewingwood/routing/speeds.py
@@ -29,6 +29,8 @@
 # A lasting speed starts from the replica's own figure, which counts as much as
 # this many runs.
 _PRIOR_RUNS = 2.0
+# Number of figures from which on their mean counts more than half.
+_PRIOR_FIGURES = 4.0
 # A lasting deviation counts from this size on, and if it is this many times the
 # standard error of as many independent runs. Noise must not change the choice
 # among equal replicas, and runs that overlap share the load's ups and downs:
@@ -37,9 +39,10 @@
 _MIN_DEVIATION = 0.08
 _MIN_Z = 8.0
 _KEPT_SHARE = 0.5
-# Evidence is told to other gateways from this weight and mean deviation on.
-_MIN_REPORTED_RUNS = 0.3
+# Evidence is told to other gateways from this mean deviation and number of
+# standard errors on, so that reports hold hardly any while replicas are equal.
 _MIN_REPORTED_DEVIATION = 0.05
+_MIN_REPORTED_Z = 2.0
 # Most weight of one gateway's or zone's report.
 _MAX_REPORTED_RUNS = 60.0
 # Most that one run counts as slower or quicker than usual.
@@ -227,7 +230,7 @@
         if self._figures is None:
             return 0.0
         weight = self._figures.weight(now_ms)
-        mean = self._figures.mean() * weight / (weight + 1.0)
+        mean = self._figures.mean() * weight / (weight + _PRIOR_FIGURES)
         age_ms = now_ms - self._figure_ms
         return _clip(mean, _MAX_FIGURE_DEVIATION) * _decay(
             age_ms, _MEAN_FIGURE_HALF_LIFE_MS
@@ -272,9 +275,11 @@
         for replica_id, speed in self._speeds.items():
             own = speed.own
             weight = own.weight(now_ms)
-            if weight >= _MIN_REPORTED_RUNS and (
-                abs(own.mean()) >= _MIN_REPORTED_DEVIATION
-                or speed.is_unusual(now_ms)
+            mean = abs(own.mean())
+            needed = _MIN_REPORTED_Z * speed.service.spread
+            if (
+                mean >= _MIN_REPORTED_DEVIATION
+                and mean * math.sqrt(weight) >= needed
             ):
                 report[replica_id] = gateway_messages.ReplicaSpeed(
                     round(weight, 2),
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -442,6 +442,8 @@
             await trio.sleep(-math.log(1 - self.rng.random()) / per_s)
             zone = self.rng.choices(names, weights)[0]
             gateway = self.rng.choice(by_zone[zone])
+            if gateway.host in self.bus.silent:
+                continue
             length_ms = _STREAM_MS * self.rng.uniform(0.9, 1.1)
             self.nursery.start_soon(gateway.serve_stream, length_ms)
 
