--- a/lacewingwood/callers/racing.py
+++ b/lacewingwood/callers/racing.py
@@ -29,10 +29,7 @@
 # Rank of a second attempt at coordinators: after that of any request.
 _LAST_RANK = 1_000_000
 
-_KINDS = (
-    configuration.RouteKind.STREAM,
-    configuration.RouteKind.IDEMPOTENT,
-)
+_KINDS = configuration.RouteKind.STREAM, configuration.RouteKind.IDEMPOTENT
 
 Failure = upstream_errors.UpstreamError | attempts_lib.ErrorResponse
 
@@ -98,14 +95,15 @@
         delay_ms = self.decisions.delay_ms(call.route, objective_ms, now_ms)
         race = _Race(self, call, attempt)
         if delay_ms is None:
-            self._count_held_back(second_attempts_lib.HeldBack.NO_TIMES)
+            cause = second_attempts_lib.HeldBack.NO_TIMES
+            self.metrics.add("second_attempts_held_back", cause=cause.value)
         return await race.run(delay_ms)
 
     def hold_back(
         self, call: progress_lib.Call, cause: second_attempts_lib.HeldBack
     ) -> None:
         """Records that a slow request gets no second attempt."""
-        self._count_held_back(cause)
+        self.metrics.add("second_attempts_held_back", cause=cause.value)
         _log.info(
             "second attempt held back",
             request_id=call.work.request_id,
@@ -113,9 +111,6 @@
             cause=cause.value,
         )
 
-    def _count_held_back(self, cause: second_attempts_lib.HeldBack) -> None:
-        self.metrics.add("second_attempts_held_back", cause=cause.value)
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Entry:
@@ -205,16 +200,24 @@
         self._winner = entry
         entry.scope.deadline = math.inf
         self._start.cancel()
-        for entry in self._entries:
-            if entry is not self._winner and not entry.done:
-                # Counted at once: what the winner may do depends on it.
-                entry.attempt.abandon()
-                entry.scope.cancel()
+        for other in self._entries:
+            if other is not entry and not other.done:
+                self._lose(other)
         # If the second attempt wins, the first one would have taken longer
         # than this, which is beyond the quantile anyway.
         self._note_time()
         return True
 
+    def _lose(self, entry: _Entry) -> None:
+        # Counted at once: what the winner may do depends on it.
+        entry.attempt.abandon()
+        entry.scope.cancel()
+        if entry is self._first:
+            # Its run has no outcome of its own, and a replica that is slow each
+            # time would go on to get requests.
+            slot = entry.attempt.slot
+            slot.failed = slot.replica.note_outrun(self._racer.clock.now_ms())
+
     async def _run(self, entry: _Entry) -> None:
         attempt = entry.attempt
         attempts = self._racer.attempts
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -23,6 +23,10 @@
 _PAUSE_MS = 500.0
 _MAX_PAUSE_MS = 8_000.0
 _MAX_DOUBLINGS = 4
+# A replica fails from this many requests in a row on that others answered
+# sooner. One is chance; without a limit, a replica that is always slow would go
+# on to get requests, since their runs are cancelled and have no outcome.
+_OUTRUNS_TO_FAIL = 2
 # Pause of a replica after it refused a request because it is full.
 _REFUSAL_PAUSE_MS = 60.0
 # Peers are told for this long of a replica that leaves. It is remembered for
@@ -57,6 +61,8 @@
             replica's own count.
         self_reported_ms: When the replica last reported its count.
         failures: Consecutive failures of this gateway's requests.
+        outruns: Requests of this gateway in a row that second attempts at other
+            replicas answered sooner.
         paused_until_ms: Before this time it is used only if no other replica
             can be.
         last_standing: Its standing at the last call of `Fleet.log_standings`.
@@ -75,6 +81,7 @@
     self_reported_others: int = 0
     self_reported_ms: float = float("-inf")
     failures: int = 0
+    outruns: int = 0
     paused_until_ms: float = 0.0
     last_standing: outliers.Standing = outliers.Standing.SOUND
     said_leaving: bool = False
@@ -162,6 +169,7 @@
     def note_success(self, now_ms: float) -> None:
         """Records a successful request and ends a pause."""
         self.failures = 0
+        self.outruns = 0
         self.paused_until_ms = 0.0
         self.outcomes.note(failed=False, now_ms=now_ms)
 
@@ -173,6 +181,20 @@
         self.failures += 1
         self.paused_until_ms = now_ms + pause_ms
 
+    def note_outrun(self, now_ms: float) -> bool:
+        """Records a request that another replica answered sooner.
+
+        Returns:
+            True if that counts as a failure, since it has happened repeatedly
+            without a success.
+        """
+        self.outruns += 1
+        if self.outruns < _OUTRUNS_TO_FAIL:
+            self.outcomes.note_outrun(now_ms)
+            return False
+        self.note_failure(now_ms)
+        return True
+
     def note_full(self, now_ms: float) -> None:
         """Pauses the replica after it refused a request because it is full."""
         self.paused_until_ms = max(
--- a/lacewingwood/routing/outliers.py
+++ b/lacewingwood/routing/outliers.py
@@ -23,6 +23,10 @@
 # it to be on probation, when it gets only requests that can be retried.
 _MIN_FAILURES_FAILING = 1.5
 _MIN_FAILURES_PROBATION = 0.4
+# A request that was answered sooner by a second attempt at another replica
+# counts as this part of a failure: one alone must not bring a replica on
+# probation, while one that is slow each time has to be avoided.
+_OUTRUN_FAILURES = 0.35
 # Counts are sent to other gateways as integers in units of 1/100 of a request.
 UNITS = 100
 
@@ -69,6 +73,11 @@
         else:
             self.succeeded += 1
 
+    def note_outrun(self, now_ms: float) -> None:
+        """Adds a request that another replica answered sooner."""
+        self._decay(now_ms)
+        self.failed += _OUTRUN_FAILURES
+
     def counts(self, now_ms: float) -> Counts:
         """Returns the decayed counts of successes and failures, in `UNITS`."""
         self._decay(now_ms)
--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -20,6 +20,7 @@
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
+from lacewingwood.routing import outliers
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
@@ -129,6 +130,21 @@
             decisions.note_request(self.call.route)
             decisions.note_time(self.call.route, _USUAL_MS, self.clock.now_ms())
 
+    def remove(self, name: str) -> None:
+        """Lets a replica leave."""
+        fleet = self.dispatcher.fleet
+        listing = fleet.directory.get(name)
+        assert listing is not None
+        fleet.directory.put(msgspec.structs.replace(listing, leaving=True))
+        fleet.refresh()
+
+    def again(self) -> None:
+        """Prepares the same call of another caller."""
+        self.caller = test_forwarding.Caller()
+        self.call.req = self.caller.req
+        self.call.arrived_ms = self.clock.now_ms()
+        self.call.deadline_ms = self.call.arrived_ms + 5_000
+
     async def run(self) -> None:
         """Runs the call; afterwards no slot may be held."""
         try:
@@ -179,6 +195,29 @@
     assert setup.wasted("first_won") == 1
 
 
+async def test_replica_that_is_outrun_each_time_is_avoided(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against second attempts that hide a replica which is always slow.
+
+    A trial had sent 95 of 400 requests to such a replica first, and 3 without
+    second attempts. One slow response alone changes nothing.
+    """
+    slow, quick = Script([400.0, *stream(1, 1)]), Script(stream(1, 1))
+    setup = _Setup(slow, quick, slow, quick, quick)
+    setup.learn_times()
+    setup.remove("r1")
+    replica = setup.dispatcher.fleet.get("r0")
+    assert replica is not None
+    for standing in (outliers.Standing.SOUND, outliers.Standing.DEAD):
+        await setup.run()
+        assert replica.standing(setup.clock.now_ms()) is standing
+        setup.again()
+    await setup.run()
+    used = [span[0] for span in setup.replicas.spans]
+    assert used == ["r0", "r2", "r0", "r2", "r2"]
+
+
 async def test_runs_overlap_for_a_limited_time(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
@@ -310,13 +349,8 @@
 ) -> None:
     """Guards against two runs at the replica that is slow."""
     setup = _Setup(Script([400.0, *stream(1, 2)]))
-    for name in ("r1", "r2"):
-        listing = setup.dispatcher.fleet.directory.get(name)
-        assert listing is not None
-        setup.dispatcher.fleet.directory.put(
-            msgspec.structs.replace(listing, leaving=True)
-        )
-    setup.dispatcher.fleet.refresh()
+    setup.remove("r1")
+    setup.remove("r2")
     setup.learn_times()
     await setup.run()
     assert setup.held_back("no_slot") == 1
