--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -21,6 +21,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
+from lacewingwood.routing import run_times
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -395,7 +396,7 @@
                 )
             await self._start_response(call, run)
             await call.req.write(events)
-        slot.deviation = self._slots.fleet.compare_run(
+        slot.deviation = run_times.compare(
             slot.replica,
             run.notice,
             slot.sent_ms,
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -15,6 +15,7 @@
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
+from lacewingwood.routing import run_times
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -282,7 +283,7 @@
         while events := await reader.next_events(_EVENT_GAP_TIMEOUT_MS):
             task.origin = load.origin_of(slot.replica)
             task.add_output(event_stream.data_lines(events))
-        slot.deviation = self._slots.fleet.compare_run(
+        slot.deviation = run_times.compare(
             slot.replica,
             run.notice,
             slot.sent_ms,
--- a/lacewingwood/routing/load.py
+++ b/lacewingwood/routing/load.py
@@ -13,11 +13,10 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import origins
 from lacewingwood.routing import outliers
+from lacewingwood.routing import peer_reports
 from lacewingwood.routing import speeds as speeds_lib
 from lacewingwood.upstreams import runs
 
-# A peer's report is dropped if no newer one arrives within this time.
-_REPORT_TTL_MS = 2_000.0
 # A replica's own count of its requests is used for this long; later on, it no
 # longer tells what other gateways run there.
 _SELF_REPORT_TTL_MS = 300.0
@@ -40,8 +39,7 @@
     BATCH = 1
 
 
-Counts = tuple[int, int]
-_NONE: Counts = (0, 0)
+Counts = peer_reports.Counts
 
 _log = structlog.get_logger()
 
@@ -192,15 +190,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class _Report:
-    at_ms: float
-    counts: Mapping[str, Counts]
-    outcomes: Mapping[str, outliers.Counts]
-    same_zone: bool
-    speeds: Mapping[str, gateway_messages.ReplicaSpeed]
-
-
 class Fleet:
     """All replicas with their load.
 
@@ -234,7 +223,7 @@
         # they are not listed, since an entry may lapse and come back.
         self._leaving: dict[str, float] = {}
         self._by_service: dict[str, list[Replica]] = {}
-        self._reports: dict[str, _Report] = {}
+        self._reports = peer_reports.PeerReports()
 
     def refresh(self) -> None:
         """Updates the replicas from the directory."""
@@ -249,7 +238,7 @@
                 speed = self.speeds.of(replica_id, listing.service)
                 replica = Replica(listing, speed=speed)
                 self._replicas[replica_id] = replica
-                self._apply_all_reports(replica)
+                self._reports.apply_to(replica_id, replica)
             replica.listing = listing
         self._mark_leaving()
         self._by_service = {}
@@ -304,30 +293,6 @@
             if now_ms - at_ms < _LEAVING_REPORT_MS
         ]
 
-    def compare_run(
-        self,
-        replica: Replica,
-        notice: runs.Notice,
-        sent_ms: float,
-        timing: runs.Timing,
-        now_ms: float,
-    ) -> speeds_lib.Deviation:
-        """Compares a run that has ended well with what is usual.
-
-        Args:
-            replica: The replica that ran it.
-            notice: What the replica said of itself when the run began.
-            sent_ms: When the request was sent.
-            timing: When its events came.
-            now_ms: Current time.
-        """
-        running = notice.in_flight
-        if running < 0:
-            running = replica.in_flight(now_ms)
-        return speeds_lib.deviation_of(
-            replica.speed, running / replica.slots, sent_ms, timing, now_ms
-        )
-
     def own_counts(self) -> dict[str, Counts]:
         """Returns this gateway's requests in flight, to report to its peers."""
         return {
@@ -396,12 +361,10 @@
         self.speeds.note_report(
             node, speeds or {}, before.speeds if before else (), now_ms
         )
-        self._forget_counts(node)
-        report = _Report(
+        report = peer_reports.Report(
             now_ms, counts, outcomes or {}, same_zone, speeds or {}
         )
-        self._reports[node] = report
-        self._apply_report(report, 1)
+        self._reports.replace(node, report, self._replicas)
 
     def expire(self, now_ms: float) -> None:
         """Drops reports and limits that have not been renewed in time."""
@@ -409,9 +372,7 @@
         for incarnation, at_ms in list(self._leaving.items()):
             if now_ms - at_ms > _LEAVING_RETENTION_MS:
                 del self._leaving[incarnation]
-        limit_ms = now_ms - _REPORT_TTL_MS
-        for node in [n for n, r in self._reports.items() if r.at_ms < limit_ms]:
-            self.forget(node)
+        self._reports.expire(now_ms, self._replicas)
 
     def _mark_leaving(self) -> None:
         for replica in self._replicas.values():
@@ -423,43 +384,7 @@
 
         What its runs told of replicas' speeds fades by itself.
         """
-        self._forget_counts(node)
-
-    def _forget_counts(self, node: str) -> None:
-        report = self._reports.pop(node, None)
-        if report is not None:
-            self._apply_report(report, -1)
-
-    def _apply_report(self, report: _Report, sign: int) -> None:
-        for replica_id, counts in report.counts.items():
-            if replica := self._replicas.get(replica_id):
-                _add_counts(replica.peer_counts, counts, sign)
-        for replica_id, outcomes in report.outcomes.items():
-            if replica := self._replicas.get(replica_id):
-                zone_outcomes = replica.zone_outcomes
-                _add_counts(
-                    zone_outcomes
-                    if report.same_zone
-                    else replica.other_zone_outcomes,
-                    outcomes,
-                    sign,
-                )
-
-    def _apply_all_reports(self, replica: Replica) -> None:
-        replica_id = replica.listing.id
-        for report in self._reports.values():
-            _add_counts(
-                replica.peer_counts, report.counts.get(replica_id, _NONE), 1
-            )
-            outcomes = report.outcomes.get(replica_id, outliers.NONE)
-            zone_outcomes = replica.zone_outcomes
-            _add_counts(
-                zone_outcomes
-                if report.same_zone
-                else replica.other_zone_outcomes,
-                outcomes,
-                1,
-            )
+        self._reports.forget(node, self._replicas)
 
 
 def origin_of(replica: Replica) -> origins.Origin:
@@ -467,10 +392,5 @@
     return origins.Origin(replica.listing.service, replica.listing.version)
 
 
-def _add_counts(counts: list[int], change: tuple[int, int], sign: int) -> None:
-    counts[0] += sign * change[0]
-    counts[1] += sign * change[1]
-
-
 def _restarted(old: directory.Listing, new: directory.Listing) -> bool:
     return old.started_ms != new.started_ms or old.address != new.address
--- a/lacewingwood/routing/speeds.py
+++ b/lacewingwood/routing/speeds.py
@@ -15,7 +15,6 @@
 
 from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import usual_times
-from lacewingwood.upstreams import runs
 
 # Bounds of a replica's slowness.
 MIN_SLOWNESS = 0.5
@@ -45,8 +44,8 @@
 _MIN_REPORTED_Z = 2.0
 # Most weight of one gateway's or zone's report.
 _MAX_REPORTED_RUNS = 60.0
-# Most that one run counts as slower or quicker than usual.
-_MAX_RUN_DEVIATION = math.log(MAX_SLOWNESS)
+# Most that a run counts as slower or quicker than usual.
+MAX_DEVIATION = math.log(MAX_SLOWNESS)
 # Most that a replica's own figure counts for on its own, lasting and for a
 # moment, since it may be wrong.
 _MAX_FIGURE_DEVIATION = math.log(1.5)
@@ -54,14 +53,6 @@
 # A figure changes several times a second; its mean lasts longer.
 _FIGURE_HALF_LIFE_MS = 100.0
 _MEAN_FIGURE_HALF_LIFE_MS = 2_000.0
-# Events after the first from which on the time between them is used.
-_MIN_GAPS = 4
-# Share of a stream's time spent on a slow caller from which on the time between
-# its events says nothing about the replica.
-_MAX_PAUSED_SHARE = 0.1
-# Weight, for what is usual, of a run at a replica whose speed is not. It is not
-# 0, so that a change of all replicas becomes usual.
-_UNUSUAL_WEIGHT = 0.25
 
 
 def _decay(age_ms: float, half_life_ms: float) -> float:
@@ -163,7 +154,7 @@
         self, deviation: float, weight: float, now_ms: float
     ) -> None:
         """Records a run by its deviation."""
-        deviation = _clip(deviation, _MAX_RUN_DEVIATION)
+        deviation = _clip(deviation, MAX_DEVIATION)
         known = 0.0
         if self._pooled is not None:
             before = self._pooled.weight(now_ms)
@@ -198,6 +189,9 @@
 
     def _pool(self, now_ms: float) -> None:
         pooled = Evidence(at_ms=now_ms)
+        for node, evidence in list(self._heard.items()):
+            if now_ms - evidence.newest_ms > _TTL_MS:
+                del self._heard[node]
         for evidence in (self.own, *self._heard.values()):
             weight = evidence.weight(now_ms)
             age_ms = now_ms - evidence.newest_ms
@@ -313,49 +307,6 @@
                 speed.note_heard(node, _decode(told, now_ms), now_ms)
 
 
-def deviation_of(
-    speed: Speed,
-    load: float,
-    sent_ms: float,
-    timing: runs.Timing,
-    now_ms: float,
-) -> Deviation:
-    """Compares a run with what is usual, and learns what is usual from it.
-
-    Args:
-        speed: Speed of the replica.
-        load: Share of the replica's slots in use when the run began, above 1
-            if requests waited there.
-        sent_ms: When the request was sent.
-        timing: When its events came.
-        now_ms: Current time.
-    """
-    service = speed.service
-    usual_weight = _UNUSUAL_WEIGHT if speed.is_unusual(now_ms) else 1.0
-    total = weight = 0.0
-    samples: list[tuple[usual_times.Usual, float, float]] = []
-    if load <= 1 and timing.first_ms > sent_ms:
-        first_ms = timing.first_ms - sent_ms
-        samples.append(
-            (service.first_event, first_ms, usual_times.FIRST_EVENT_WEIGHT)
-        )
-    span_ms = timing.last_ms - timing.first_ms
-    if (
-        timing.gaps >= _MIN_GAPS
-        and span_ms > 0
-        and timing.paused_ms <= _MAX_PAUSED_SHARE * span_ms
-    ):
-        samples.append((service.gaps, span_ms / timing.gaps, 1.0))
-    for usual, duration_ms, sample_weight in samples:
-        y = math.log(duration_ms)
-        if usual.known:
-            change = _clip(y - usual.at(load), _MAX_RUN_DEVIATION)
-            total += sample_weight * change
-            weight += sample_weight
-        usual.add(load, y, usual_weight, now_ms)
-    return (total / weight if weight else 0.0), weight
-
-
 def _decode(
     told: gateway_messages.ReplicaSpeed, now_ms: float
 ) -> Evidence | None:
@@ -364,7 +315,7 @@
         return None
     evidence = Evidence(at_ms=now_ms)
     evidence.add(
-        _clip(told.deviation, _MAX_RUN_DEVIATION),
+        _clip(told.deviation, MAX_DEVIATION),
         min(told.runs, _MAX_REPORTED_RUNS),
         now_ms,
         max(0.0, told.age_ms),
--- a/lacewingwood/upstreams/event_reader.py
+++ b/lacewingwood/upstreams/event_reader.py
@@ -17,7 +17,14 @@
         timing: When the events came.
     """
 
-    __slots__ = ("_clock", "_run", "_splitter", "_stalled_ms", "timing")
+    __slots__ = (
+        "_clock",
+        "_returned_ms",
+        "_run",
+        "_splitter",
+        "_stalled_ms",
+        "timing",
+    )
 
     def __init__(
         self,
@@ -29,6 +36,8 @@
         self._splitter = splitter
         self._clock = clock
         self._stalled_ms = 0.0
+        # When events were last returned.
+        self._returned_ms = 0.0
         self.timing = runs.Timing()
 
     async def next_events(self, timeout_ms: float) -> bytes:
@@ -42,8 +51,10 @@
             errors.BrokenError: The stream broke or ended within an event.
             errors.InvalidResponseError: The stream is malformed.
         """
+        started_ms = self._clock.now_ms()
+        if self.timing.first_ms:
+            self.timing.paused_ms += started_ms - self._returned_ms
         while True:
-            started_ms = self._clock.now_ms()
             chunk = await self._run.next_chunk(
                 max(0.0, timeout_ms - self._stalled_ms)
             )
@@ -51,24 +62,23 @@
                 break
             now_ms = self._clock.now_ms()
             self._stalled_ms += now_ms - started_ms
+            started_ms = now_ms
             last_id = self._splitter.last_id
             events = self._splitter.feed(chunk)
             if self._splitter.last_id != last_id:
                 self._stalled_ms = 0.0
-                self._note_events(last_id, started_ms, now_ms)
+                self._note_events(last_id, now_ms)
             if events:
+                self._returned_ms = now_ms
                 return events
         if not self._splitter.between_events:
             raise errors.BrokenError("the stream ended within an event")
         return b""
 
-    def _note_events(
-        self, before: int | None, started_ms: float, now_ms: float
-    ) -> None:
+    def _note_events(self, before: int | None, now_ms: float) -> None:
         timing = self.timing
         if not timing.first_ms:
             timing.first_ms = timing.last_ms = now_ms
             return
         timing.gaps += (self._splitter.last_id or 0) - (before or 0)
-        timing.paused_ms += max(0.0, started_ms - timing.last_ms)
         timing.last_ms = now_ms
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -22,6 +22,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import run_times
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_client
 from lacewingwood.routing import slot_server
@@ -297,7 +298,7 @@
         own.note_notice(slot.replica, notice, timing.first_ms)
         if self._fleet.learns:
             now_ms = trio.current_time() * 1000
-            slot.deviation = own.compare_run(
+            slot.deviation = run_times.compare(
                 slot.replica, notice, slot.sent_ms, timing, now_ms
             )
         self._fleet.outcome.first_events_ms.append(timing.first_ms - arrived_ms)
--- a/tests/routing/test_speeds.py
+++ b/tests/routing/test_speeds.py
@@ -9,6 +9,7 @@
 from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import directory
 from lacewingwood.routing import load
+from lacewingwood.routing import run_times
 from lacewingwood.upstreams import runs
 
 _COUNT = 9
@@ -58,7 +59,7 @@
         figure = (figures or {}).get(replica.listing.id)
         notice = runs.Notice(running, slowness=figure)
         fleet.note_notice(replica, notice, now_ms)
-        deviation = fleet.compare_run(replica, notice, now_ms, timing, now_ms)
+        deviation = run_times.compare(replica, notice, now_ms, timing, now_ms)
         if deviation[1]:
             replica.speed.note_deviation(*deviation, now_ms)
 
