--- a/lacewingwood/routing/speeds.py
+++ b/lacewingwood/routing/speeds.py
@@ -137,7 +137,8 @@
 
     def slowness(self, now_ms: float) -> float:
         """Returns how long work takes there now, 1.0 as usual."""
-        if self._pooled is None and self._figures is None:
+        if not self._found and self._figures is None:
+            # Without new runs none stands out later.
             return 1.0
         deviation = self._lasting(now_ms) + self._momentary(now_ms)
         return max(MIN_SLOWNESS, min(MAX_SLOWNESS, math.exp(deviation)))
@@ -175,7 +176,7 @@
 
     def is_unusual(self, now_ms: float) -> bool:
         """Returns whether runs show a lasting speed that is not as usual."""
-        return self._pooled is not None and bool(self._from_runs(now_ms)[0])
+        return self._found and bool(self._from_runs(now_ms)[0])
 
     def describe(self, now_ms: float) -> dict[str, float]:
         """Returns the slowness and what it rests on, for the log."""
@@ -268,6 +269,8 @@
         report = {}
         for replica_id, speed in self._speeds.items():
             own = speed.own
+            if now_ms - own.newest_ms > _TTL_MS:
+                continue
             weight = own.weight(now_ms)
             mean = abs(own.mean())
             needed = _MIN_REPORTED_Z * speed.service.spread
