--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -17,6 +17,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
+from lacewingwood.routing import run_times
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -204,7 +205,7 @@
             await call.req.write(events)
             events = b""
         slot = attempt.slot
-        slot.deviation = self._slots.fleet.compare_run(
+        slot.deviation = run_times.compare(
             slot.replica,
             run.notice,
             slot.sent_ms,
