--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -80,6 +80,7 @@
 
     Attributes:
         gateways: Number of gateways.
+        replica_zones: Zones of the replicas, in turn.
         replicas: Number of replicas.
         events: Number of events in each stream.
         step_ms: Time between events.
@@ -91,6 +92,7 @@
 
     gateways: int = 3
     replicas: int = 3
+    replica_zones: tuple[str, ...] = ("a",)
     events: int = 8
     step_ms: float = 10.0
     rate: float = 0.0
@@ -195,6 +197,7 @@
     def add_replica(self, version: str = "v1") -> deployment.Process:
         """Starts one more replica of a software version."""
         name = f"replica-{len(self.replicas)}"
+        zones = self.shape.replica_zones
         replica = self._start_standin(
             name,
             "stream-replica",
@@ -203,6 +206,7 @@
             *("--events", str(self.shape.events)),
             *("--step-ms", str(self.shape.step_ms)),
             *("--version", version),
+            *("--zone", zones[len(self.replicas) % len(zones)]),
         )
         self.replicas.append(replica)
         return replica
@@ -242,6 +246,7 @@
         self,
         keys: tuple[str, ...] = (KEY,),
         waiting_limit: int = 0,
+        cold_per_s: float = 0.0,
         **route: Any,
     ) -> int:
         """Publishes a configuration; returns its version.
@@ -250,6 +255,8 @@
             keys: The customer's API keys.
             waiting_limit: Most tokens of a customer that wait on the batch
                 route, 0 for no limit.
+            cold_per_s: Requests a second that a cold replica takes, 0 if the
+                service has no cold replicas.
             **route: Fields of the routes of streams.
         """
         self._version += 1
@@ -279,6 +286,9 @@
                 {"name": "o", "path_prefix": "/o/", **single_attempt},
                 {"name": "b", "path_prefix": "/b/", **batch},
             ],
+            "services": [
+                {"name": SERVICE, "cold_start_s": 3, "cold_per_s": cold_per_s}
+            ],
             "tenants": [
                 {
                     "name": "kaje",
@@ -299,6 +309,11 @@
         call(self.store_address, "POST", path, body)
         return self._version
 
+    def evacuate(self, zone: str) -> None:
+        """Asks that nothing more is sent to the replicas of a zone."""
+        path = f"/put?topic=keyed.op&key=evacuate/{zone}"
+        call(self.store_address, "POST", path, b"{}")
+
     def set_faults(self, process: deployment.Process, **faults: Any) -> None:
         """Sets a stand-in's faults; those that are not given are reset."""
         body = json.dumps(faults).encode()
--- a/tests/integration/test_replica_notices.py
+++ b/tests/integration/test_replica_notices.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import pathlib
+import signal
 import time
 
 from devtools import fleet as fleets
@@ -29,11 +30,11 @@
     return succeeded
 
 
-def _most_in_window(times: list[float]) -> int:
-    """Returns the largest number of times within `_WINDOW_S`."""
+def _most_in_window(times: list[float], window_s: float = _WINDOW_S) -> int:
+    """Returns the largest number of times within a period."""
     return max(
         (
-            sum(start <= other < start + _WINDOW_S for other in times)
+            sum(start <= other < start + window_s for other in times)
             for start in times
         ),
         default=0,
@@ -88,3 +89,35 @@
         assert len(times) >= limit * 8 / 2
     # What the limited replicas do not take, the third one runs.
     assert served > 200
+
+
+def test_replicas_that_may_be_cold_get_no_more_than_their_bound(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a crash of a replica that turns cold unnoticed.
+
+    Any second counts, since no gateway can know when that happens. A gateway is
+    started again meanwhile, and knows nothing of what the others send.
+    """
+    rate = 4.0
+    with fleets.running(fleets.Shape(), tmp_path) as fleet:
+        fleet.configure(cold_per_s=rate)
+        time.sleep(_TAKES_EFFECT_S)
+        from_s = time.time()
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            sent = [
+                pool.submit(_send_for, gateway, f"r-{n}-{i}", 6.0)
+                for n, gateway in enumerate(fleet.gateways[:2])
+                for i in range(3)
+            ]
+            fleet.gateways[2].signal(signal.SIGKILL)
+            fleet.gateways[2].wait()
+            fleet.gateways[2].start()
+            fleet.wait_ready()
+            served = _send_for(fleet.gateways[2], "r-2", 2.0)
+            served += sum(future.result() for future in sent)
+        for replica in fleet.replicas:
+            times = [t for t in fleet.arrivals(replica) if t > from_s]
+            assert _most_in_window(times, 1.0) <= 1.5 * rate + 5
+        # Two thirds of what cold replicas take is used.
+        assert served >= len(fleet.replicas) * rate * 4
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from lacewingwood import configuration
+from lacewingwood.log import compacted
 from lacewingwood.platform import documents
 
 _ROUTE = {
@@ -60,12 +61,20 @@
                         "burst": 30,
                     }
                 ],
+                "services": [
+                    {"name": "x", "cold_start_s": 3, "cold_per_s": 7.1},
+                    {"name": "y"},
+                ],
                 "limits": {"max_body_bytes": 99},
             }
         )
     )
     assert decoded.version == 7
     assert decoded.max_body_bytes == 99
+    assert decoded.services == [
+        configuration.Service("x", 3_000, 7.1),
+        configuration.Service("y"),
+    ]
     (route,) = decoded.routes
     assert route.host == "nony24.example"
     assert route.targets == (configuration.Target("x", 90),)
@@ -158,3 +167,17 @@
     """Guards against a document at which each gateway that reads it ends."""
     with pytest.raises(documents.DocumentError):
         documents.decode_configuration(b'{"version":1,"x":' + _NESTED + b"}")
+
+
+def test_evacuations_are_told_from_other_keys() -> None:
+    """Guards against an evacuation of a zone that nobody asked for."""
+    records = [
+        compacted.Record("config", b"{}", 1),
+        compacted.Record("evacuate/", b"{}", 2),
+        compacted.Record("evacuate/z-1", b"", 3),
+        compacted.Record("evacuate/z-2", None, 4),
+    ]
+    assert documents.decode_evacuations(records) == {
+        "z-1": (3, True),
+        "z-2": (4, False),
+    }
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -21,6 +21,7 @@
 grace_s = 8
 quota_overage = 0.1
 quota_slack = 20
+cold_overage = 2
 [platform_settings]
 address = "10.200.1.7:8688"
 parts = 4
@@ -36,6 +37,7 @@
     assert cfg.peer_bind == "10.1.0.21:8683"
     assert cfg.grace_ms == 8_000
     assert cfg.rate_tolerance == 0.1
+    assert (cfg.cold_overage, cfg.cold_slack) == (2, 5)
     assert cfg.partitions_per_topic == 4
 
 
