--- a/lacewingwood/limits/cold_replicas.py
+++ b/lacewingwood/limits/cold_replicas.py
@@ -212,10 +212,9 @@
             replica.bound is not None or replica.limit(now_ms) < math.inf
         )
 
-    def is_cold(self, name: str, now_ms: float) -> bool:
-        """Returns whether a replica is known to be cold."""
-        replica = self._replicas.get(name)
-        return replica is not None and replica.is_cold(now_ms)
+    def count_cold(self, now_ms: float) -> int:
+        """Returns the number of replicas that are known to be cold."""
+        return sum(r.is_cold(now_ms) for r in self._replicas.values())
 
     def may_send(
         self,
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -488,6 +488,10 @@
         gauge("items_running", lambda: self._scheduler.counts[1])
         gauge("peers_heard", lambda: len(self._roster.live_peers()))
         gauge("configuration_version", lambda: self._published.version)
+        gauge(
+            "replicas_cold",
+            lambda: self._fleet.limits.cold.count_cold(self._clock.now_ms()),
+        )
         gauge("zones_evacuated", lambda: len(self._evacuations.zones))
         gauge("log_lines_dropped", lambda: self._writer.dropped)
 
--- a/lacewingwood/roles/gateway_followers.py
+++ b/lacewingwood/roles/gateway_followers.py
@@ -53,7 +53,10 @@
             apply_changes,
             clock,
             metrics,
-            wait_ms=cfg.apply_ms * _CONFIGURATION_READ_WAIT_SHARE,
+            wait_ms=(
+                min(cfg.apply_ms, cfg.evacuation_ms)
+                * _CONFIGURATION_READ_WAIT_SHARE
+            ),
             pause_ms=_CONFIGURATION_READ_PAUSE_MS,
         ),
         follow.Follower(
