--- a/lacewingwood/limits/cold_replicas.py
+++ b/lacewingwood/limits/cold_replicas.py
@@ -25,6 +25,12 @@
 _PARTS_PER_ALONE = 5
 # Batch work leaves this many requests to online ones.
 _BATCH_RESERVE = 1
+# Reports between up to 16 gateways, which need no coordinators, take less.
+_REPORT_LAG_MS = 80.0
+# Own requests that are looked at for this; more than any bound allows in it.
+_MAX_OWN = 16
+# Time after which the order of these gateways changes.
+_ORDER_MS = 500
 # Time in which load returns to a replica of a service without a bound. It is
 # bounded by its slots in the first second.
 _RETURN_MS = 4_000.0
@@ -98,6 +104,7 @@
         cold_until_ms: It is known to be cold until then.
         returned_ms: When the evacuation of its zone was revoked.
         sent_ms: When requests were sent to it, or reported.
+        own_ms: When this gateway last sent some of them.
         alone_ms: When this gateway last sent it one in a turn of its own.
     """
 
@@ -108,6 +115,9 @@
     sent_ms: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    own_ms: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_MAX_OWN)
+    )
     alone_ms: float = -math.inf
 
     def is_cold(self, now_ms: float) -> bool:
@@ -221,8 +231,8 @@
         name: str,
         now_ms: float,
         batch: bool,
-        stagger_s: float,
         cautious: bool,
+        turn: tuple[int, int, int],
     ) -> bool:
         """Returns whether a replica takes another request now.
 
@@ -230,9 +240,10 @@
             name: The replica.
             now_ms: Present time.
             batch: True for batch work.
-            stagger_s: How much longer than others this gateway waits.
             cautious: True if another gateway may have granted requests that
                 are not known here; half of the bound is left for these.
+            turn: Position of this gateway among those that decide on requests
+                to the replica, their number, and the Unix time.
         """
         replica = self._replicas.get(name)
         if replica is None:
@@ -240,8 +251,15 @@
         limit = self._limit(replica, now_ms, cautious)
         if limit == math.inf:
             return True
-        needed = 1 + _BATCH_RESERVE * batch + stagger_s * limit
-        return limit - replica.used(now_ms) >= min(needed, limit)
+        # Gateways that decide at the same moment leave a request to each that
+        # comes before them in an order that changes, and as many as they sent
+        # themselves since the last reports to each of the others.
+        position, count, wall_ms = turn
+        offset = wall_ms // _ORDER_MS + _phase_ms(name)
+        unreported = sum(now_ms - t < _REPORT_LAG_MS for t in replica.own_ms)
+        before = (position + offset) % count + unreported * (count - 1)
+        needed = min(1 + _BATCH_RESERVE * batch, limit) + before
+        return limit - replica.used(now_ms) >= needed
 
     def may_send_alone(
         self, name: str, now_ms: float, position: int, count: int, wall_ms: int
@@ -295,6 +313,7 @@
         if replica is not None:
             replica.used(now_ms)
             replica.sent_ms.append(now_ms)
+            replica.own_ms.append(now_ms)
             if alone:
                 replica.alone_ms = now_ms
 
--- a/lacewingwood/limits/replica_limits.py
+++ b/lacewingwood/limits/replica_limits.py
@@ -122,6 +122,7 @@
         batch: bool = False,
         stagger_s: float = 0.0,
         cautious: bool = False,
+        turn: tuple[int, int, int] = (0, 1, 0),
     ) -> bool:
         """Returns whether a replica takes another request now.
 
@@ -133,8 +134,10 @@
                 request, so that gateways do not use the same one.
             cautious: True if another gateway may have granted requests that
                 are not known here.
+            turn: Position and number of the gateways that decide, and the Unix
+                time; see `cold_replicas.ColdReplicas.may_send`.
         """
-        if not self.cold.may_send(replica, now_ms, batch, stagger_s, cautious):
+        if not self.cold.may_send(replica, now_ms, batch, cautious, turn):
             return False
         return self._may_send_by_rate(replica, now_ms, batch, stagger_s)
 
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -379,7 +379,7 @@
             return limits.may_send_alone(
                 incarnation, now_ms, batch, _LAGGING_STAGGER_S, turn
             )
-        return limits.may_send(incarnation, now_ms, batch, stagger_s)
+        return limits.may_send(incarnation, now_ms, batch, stagger_s, turn=turn)
 
     def _reserve(self, req: SlotRequest) -> int:
         """Returns the slots that batch work must leave free on a replica."""
--- a/tests/limits/test_replica_limits.py
+++ b/tests/limits/test_replica_limits.py
@@ -6,8 +6,11 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from lacewingwood import configuration
+from lacewingwood.limits import cold_replicas
 from lacewingwood.limits import replica_limits
 from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import directory
 
 _REPLICA = "r0/1"
 # What the users allow: half as much again as the limit and five requests more
@@ -22,9 +25,9 @@
     return 1.5 * rate * _WINDOW_MS / 1000 + 5
 
 
-def _most_in_window(times: list[float]) -> int:
+def _most_in_window(times: list[float], window_ms: float = _WINDOW_MS) -> int:
     return max(
-        (sum(t <= other < t + _WINDOW_MS for other in times) for t in times),
+        (sum(t <= other < t + window_ms for other in times) for t in times),
         default=0,
     )
 
@@ -48,8 +51,15 @@
         sent: When requests reached the replica.
     """
 
-    def __init__(self, count: int, rate: float, lag_ms: float) -> None:
-        self.rate: float | None = rate
+    def __init__(
+        self,
+        count: int,
+        rate: float | None,
+        lag_ms: float,
+        cold_rate: float = 0.0,
+    ) -> None:
+        self.rate = rate
+        self._cold_rate = cold_rate
         self.parts = 1
         self.sent: list[float] = []
         self.now_ms = 100_000.0
@@ -87,7 +97,14 @@
 
     def _make(self, name: str) -> _Gateway:
         self._starts += 1
-        return _Gateway(name, self._starts)
+        gateway = _Gateway(name, self._starts)
+        if self._cold_rate:
+            service = configuration.Service("s", 3_000, self._cold_rate)
+            bounds = cold_replicas.bounds([service], 1.5, 5)
+            gateway.limits.cold.configure(bounds)
+            listing = directory.Listing("r0", "s", "", "z", 8, started_ms=1)
+            gateway.limits.update_replicas([listing], self.now_ms)
+        return gateway
 
     def _part(self, index: int) -> int:
         return index % self.parts
@@ -99,7 +116,10 @@
         stagger_s = replica_limits.stagger_s(
             live.index(index), len(live), int(self.now_ms)
         )
-        if not limits.may_send(_REPLICA, self.now_ms, stagger_s=stagger_s):
+        turn = live.index(index), len(live), int(self.now_ms)
+        if not limits.may_send(
+            _REPLICA, self.now_ms, stagger_s=stagger_s, turn=turn
+        ):
             return
         limits.note_sent(_REPLICA, self.now_ms)
         self.sent.append(self.now_ms)
@@ -162,6 +182,29 @@
     assert len(late) >= 0.7 * rate * 10 - 1
 
 
+@hypothesis.settings(max_examples=40, deadline=None)
+@hypothesis.given(
+    gateways=st.integers(1, 16),
+    cold_rate=st.sampled_from([1.0, 7.1, 20.0]),
+    lag_ms=st.sampled_from([0.0, 10.0]),
+    disturbance=st.sampled_from(["none", "cut", "restart"]),
+)
+def test_gateways_keep_to_the_bound_of_a_cold_replica_together(
+    gateways: int, cold_rate: float, lag_ms: float, disturbance: str
+) -> None:
+    """Guards against a burst in the second in which a replica turns cold."""
+    fleet = _Fleet(gateways, None, lag_ms, cold_rate)
+    fleet.run(3_000)
+    match disturbance:
+        case "cut":
+            fleet.parts = min(2, gateways)
+        case "restart":
+            fleet.restart(random.Random(gateways).randrange(gateways))
+    fleet.run(6_000)
+    assert _most_in_window(fleet.sent, 1_000) <= 1.5 * cold_rate + 5
+    assert len(fleet.sent) >= 0.5 * cold_rate * 9
+
+
 def test_limit_ends_with_a_response_that_names_none() -> None:
     """Guards against a limit that is kept after its end."""
     limits = replica_limits.ReplicaLimits()
