--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -200,8 +200,8 @@
 ) -> None:
     """Guards against second attempts that hide a replica which is always slow.
 
-    A trial had sent 95 of 400 requests to such a replica first, and 3 without
-    second attempts. One slow response alone changes nothing.
+    In a trial 95 of 400 requests had a second attempt because of one replica.
+    One slow response alone changes nothing.
     """
     slow, quick = Script([400.0, *stream(1, 1)]), Script(stream(1, 1))
     setup = _Setup(slow, quick, slow, quick, quick)
