--- a/lacewingwood/callers/client_limits.py
+++ b/lacewingwood/callers/client_limits.py
@@ -28,6 +28,9 @@
 # Descriptors for replicas, peers and the store, or half of all if these are
 # fewer.
 _RESERVED_DESCRIPTORS = 2_000
+# Gateways read whole bodies at once, so that buffers would only take memory.
+_READ_BYTES = 16 << 10
+_QUEUED_MESSAGES = 2
 # Within this time expired connections and bodies are found. The same interval
 # as other periodic tasks have, so that it wakes no idle process by itself.
 _SWEEP_INTERVAL_MS = 400.0
@@ -49,6 +52,10 @@
         max_connections: Most open connections.
         max_fields: Most fields of a request's head.
         first_byte_ms: Time limit for the first byte of a connection.
+        read_bytes: Most bytes that are read from a socket at once. All
+            connections together may hold as much each before it is counted.
+        queued_messages: Most parts of a request's body, of that size, that wait
+            for the application.
         pace: Limits of a body's progress.
     """
 
@@ -56,6 +63,10 @@
     max_connections: float = math.inf
     max_fields: int = 1_000
     first_byte_ms: float = 60_000.0
+    # Callers that read a response only once they have sent their whole request
+    # rely on these buffers if the response begins earlier.
+    read_bytes: int = 64 << 10
+    queued_messages: int = 10
     pace: memory.Pace = dataclasses.field(default_factory=memory.Pace)
 
 
@@ -72,6 +83,8 @@
         ),
         max_fields=cfg.max_header_fields,
         first_byte_ms=cfg.first_byte_ms,
+        read_bytes=_READ_BYTES,
+        queued_messages=_QUEUED_MESSAGES,
         pace=memory.Pace(
             cfg.body_stall_ms, cfg.body_rate_window_ms, cfg.body_bytes_per_s
         ),
@@ -143,6 +156,7 @@
         connections: The open connections.
         room: Tasks that wait until bodies may be read again.
         settings: The limits.
+        turn: Taken by bodies of very many chunks; see `http1.Http1`.
     """
 
     __slots__ = (
@@ -156,6 +170,7 @@
         "connections",
         "room",
         "settings",
+        "turn",
     )
 
     def __init__(
@@ -176,6 +191,7 @@
             self.settings.max_connections, self.settings.first_byte_ms
         )
         self.room = trio.lowlevel.ParkingLot()
+        self.turn = trio.Lock()
         self._limits = limits
         self._metrics = metrics
         self._bodies: dict[memory.Body, Body] = {}
--- a/lacewingwood/callers/connection.py
+++ b/lacewingwood/callers/connection.py
@@ -40,9 +40,6 @@
 # How long, and up to how many bytes, the rest of a refused request is dropped.
 _LINGERING_S = 1.0
 _MAX_LINGERING_BYTES = 8 << 20
-# Bytes that are read from the socket at once. All connections together may hold
-# as much each before it is counted.
-_MAX_RECEIVED_BYTES = 16 << 10
 _HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -150,14 +147,16 @@
             self.protocol.protocol.max_fields = (
                 self._enforcer.settings.max_fields
             )
+            self.protocol.protocol.turn = self._enforcer.turn
             await self.protocol.initiate()
             await self._read_data()
 
     async def _read_data(self) -> None:
+        size = self._enforcer.settings.read_bytes
         with self._reading:
             while True:
                 try:
-                    data = await self.stream.receive_some(_MAX_RECEIVED_BYTES)
+                    data = await self.stream.receive_some(size)
                 except (trio.ClosedResourceError, trio.BrokenResourceError):
                     break
                 if self._lingering:
--- a/lacewingwood/callers/http1.py
+++ b/lacewingwood/callers/http1.py
@@ -8,10 +8,13 @@
 import dataclasses
 
 import h11
+import trio
 from hypercorn import events as server_events
 from hypercorn.protocol import events as stream_events
 from hypercorn.protocol import h11 as http1
 
+# Chunks of a body that are decoded at once, in about a millisecond.
+_MAX_CHUNKS_AT_ONCE = 64
 # Bytes of framing for each byte of a chunked body. A chunk of one byte takes
 # six bytes, or more with an extension.
 _MAX_FRAMING = 8
@@ -27,9 +30,15 @@
 
     Attributes:
         max_fields: Most fields of a request's head.
+        turn: Taken by bodies of very many chunks, one connection at a time.
+            Otherwise each of them would take as much time as an ordinary
+            request: chunks of one byte from 300 connections held up others for
+            ten seconds.
     """
 
     max_fields = 1_000
+    turn: trio.Lock
+    _chunks = 0
     # Bytes of the current request's body, as sent and as decoded.
     _raw_bytes = 0
     _body_bytes = 0
@@ -64,6 +73,7 @@
             if isinstance(event, h11.Data):
                 # Chunks that arrived together are handed over together.
                 body += event.data
+                await self._note_chunk()
                 continue
             if body:
                 self._body_bytes += len(body)
@@ -74,7 +84,8 @@
                     if not self._is_acceptable(event):
                         await self._refuse(_FIELDS_TOO_LARGE)
                         return
-                    self._raw_bytes = self._body_bytes = 0
+                    self._raw_bytes = len(self.connection.trailing_data[0])
+                    self._body_bytes = 0
                     await self.send(server_events.Updated(idle=False))
                     await self._check_protocol(event)
                     await self._create_stream(event)
@@ -95,6 +106,12 @@
                 case _:
                     return
 
+    async def _note_chunk(self) -> None:
+        self._chunks += 1
+        if self._chunks % _MAX_CHUNKS_AT_ONCE == 0:
+            async with self.turn:
+                await trio.lowlevel.checkpoint()
+
     async def _send_continue(self) -> None:
         if self.connection.they_are_waiting_for_100_continue:
             headers = self.config.response_headers("h11")
--- a/lacewingwood/callers/server.py
+++ b/lacewingwood/callers/server.py
@@ -18,9 +18,6 @@
 
 _MAX_STREAMS_PER_CONNECTION = 1000
 _BACKLOG = 1024
-# Most messages of a request's body that wait for the application. The bodies
-# are counted once it takes them.
-_MAX_QUEUED_MESSAGES = 2
 # The longest time limit that a request may have, plus a margin.
 _DEFAULT_GRACE_MS = 3_700_000.0
 
@@ -81,6 +78,7 @@
         self._enforcer = enforcer
         self._app = app_wrappers.ASGIWrapper(cast(Any, app))
         self._config = _make_config()
+        self._config.max_app_queue_size = enforcer.settings.queued_messages
         self._context = worker_context.WorkerContext(None)
         self._connections: set[connection.Connection] = set()
 
@@ -153,5 +151,4 @@
     config.include_server_header = False
     config.h2_max_concurrent_streams = _MAX_STREAMS_PER_CONNECTION
     config.keep_alive_max_requests = sys.maxsize
-    config.max_app_queue_size = _MAX_QUEUED_MESSAGES
     return config
--- a/lacewingwood/platform/documents.py
+++ b/lacewingwood/platform/documents.py
@@ -78,17 +78,12 @@
     burst: float = 0.0
 
 
-# A limit of 0 or below is malformed: it would refuse every caller.
-_Bytes = Annotated[int, msgspec.Meta(ge=1)]
-_Ms = Annotated[float, msgspec.Meta(ge=1)]
-_DEFAULTS = configuration.ClientLimits()
-
-
 class _Limits(msgspec.Struct, frozen=True):
     max_body_bytes: int = 4 << 20
-    max_header_bytes: _Bytes = _DEFAULTS.max_header_bytes
-    header_timeout_ms: _Ms = _DEFAULTS.header_timeout_ms
-    idle_timeout_ms: _Ms = _DEFAULTS.idle_timeout_ms
+    # 0 for the default of each, as if it were absent.
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
+    header_timeout_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    idle_timeout_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Document(msgspec.Struct):
@@ -134,11 +129,7 @@
         [_to_route(route) for route in document.routes if route.kind in _KINDS],
         [_to_customer(tenant) for tenant in document.tenants],
         document.limits.max_body_bytes,
-        configuration.ClientLimits(
-            document.limits.max_header_bytes,
-            document.limits.header_timeout_ms,
-            document.limits.idle_timeout_ms,
-        ),
+        _to_client_limits(document.limits),
     )
 
 
@@ -214,6 +205,15 @@
     )
 
 
+def _to_client_limits(limits: _Limits) -> configuration.ClientLimits:
+    defaults = configuration.ClientLimits()
+    return configuration.ClientLimits(
+        limits.max_header_bytes or defaults.max_header_bytes,
+        limits.header_timeout_ms or defaults.header_timeout_ms,
+        limits.idle_timeout_ms or defaults.idle_timeout_ms,
+    )
+
+
 def _to_customer(tenant: _Tenant) -> configuration.Customer:
     return configuration.Customer(
         name=tenant.name,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -60,12 +60,18 @@
                         "burst": 30,
                     }
                 ],
-                "limits": {"max_body_bytes": 99},
+                "limits": {
+                    "max_body_bytes": 99,
+                    "max_header_bytes": 16_384,
+                    "header_timeout_ms": 3_000,
+                    "idle_timeout_ms": 0,
+                },
             }
         )
     )
     assert decoded.version == 7
     assert decoded.max_body_bytes == 99
+    assert decoded.client_limits == configuration.ClientLimits(16_384, 3_000)
     (route,) = decoded.routes
     assert route.host == "nony24.example"
     assert route.targets == (configuration.Target("x", 90),)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -21,6 +21,10 @@
 grace_s = 8
 quota_overage = 0.1
 quota_slack = 20
+[limits]
+memory_mb = 170
+max_fds = 4100
+body_stall_ms = 9000
 [platform_settings]
 address = "10.200.1.7:8688"
 parts = 4
@@ -37,6 +41,8 @@
     assert cfg.grace_ms == 8_000
     assert cfg.rate_tolerance == 0.1
     assert cfg.partitions_per_topic == 4
+    assert (cfg.memory_bytes, cfg.max_descriptors) == (170 << 20, 4_100)
+    assert cfg.body_stall_ms == 9_000
 
 
 def test_metrics_port_can_be_set(tmp_path: pathlib.Path) -> None:
@@ -50,7 +56,13 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["", "node = 1", "not toml", _FILE.replace("parts = 4", "parts='x'")],
+    [
+        "",
+        "node = 1",
+        "not toml",
+        _FILE.replace("parts = 4", "parts='x'"),
+        _FILE.replace("= 9000", "= 0"),
+    ],
 )
 def test_malformed_file_is_reported(tmp_path: pathlib.Path, text: str) -> None:
     """Guards against running with settings that could not be read."""
