--- a/lacewingwood/callers/connection.py
+++ b/lacewingwood/callers/connection.py
@@ -1,42 +1,32 @@
 """Server connections that work around robustness problems of hypercorn.
 
 Hypercorn terminates the whole server when a connection fails with an
-unexpected error, raises such an error on HTTP/2 data for a stream whose
-response is complete, never resets an HTTP/2 stream that the application
-aborted, waits indefinitely for a caller that does not read, and has a task for
-the timeout of each idle connection.
+unexpected error, waits indefinitely for a caller that does not read, and has a
+task for the timeout of each idle connection. `http1` and `http2` hold what
+concerns one protocol.
 """
 
-import collections
 import contextlib
 import os
 from typing import Any
 
 import h11
-import priority
 import trio
-from h2 import errors as h2_errors
-from h2 import events as h2_events
-from h2 import exceptions as h2_exceptions
 from hypercorn import events as server_events
 from hypercorn import protocol as protocols
 from hypercorn import typing as server_typing
 from hypercorn import utils
-from hypercorn.protocol import events as stream_events
-from hypercorn.protocol import h2 as http2
 from hypercorn.protocol import h11 as h11_protocol
 from hypercorn.trio import task_group as task_groups
 from hypercorn.trio import tcp_server
-from hypercorn.trio import worker_context
 
 from lacewingwood.callers import client_limits
 from lacewingwood.callers import connection_table
 from lacewingwood.callers import http1
+from lacewingwood.callers import http2
 
 # The connection is closed if the caller reads nothing for this long.
 _WRITE_TIMEOUT_S = 120
-# Data that a caller may send on an HTTP/2 stream after the response ended.
-_MAX_DISCARDED_BYTES = 64 << 20
 # How long, and up to how many bytes, the rest of a refused request is dropped.
 _LINGERING_S = 1.0
 _MAX_LINGERING_BYTES = 8 << 20
@@ -194,7 +184,7 @@
 
     def _note_data(self) -> None:
         # Frames of HTTP/2 that begin no request don't make it busy.
-        if not isinstance(self.protocol.protocol, _Http2):
+        if not isinstance(self.protocol.protocol, http2.Http2):
             enforcer = self._enforcer
             now_ms = enforcer.clock.now_ms()
             enforcer.connections.note_data(self._entry, now_ms)
@@ -217,7 +207,7 @@
         self.protocol: Any = http1.Http1(*args)
 
     async def announce_shutdown(self) -> None:
-        if isinstance(self.protocol, _Http2):
+        if isinstance(self.protocol, http2.Http2):
             await self.protocol.announce_shutdown()
 
     async def handle(self, event: server_events.Event) -> None:
@@ -238,8 +228,8 @@
         if data:
             await self.protocol.handle(server_events.RawData(data=data))
 
-    def _make_http2(self) -> "_Http2":
-        return _Http2(
+    def _make_http2(self) -> http2.Http2:
+        return http2.Http2(
             self.app,
             self.config,
             self.context,
@@ -250,146 +240,3 @@
             self.server,
             self.send,
         )
-
-
-class _Http2(http2.H2Protocol):
-    """HTTP/2 that tolerates aborted streams and data after the response.
-
-    A connection counts as idle only once all data was sent. Its `context` is a
-    separate one that is never terminated: with the server's, hypercorn would
-    close the connection when the last stream ends, before the end of that
-    stream is sent.
-
-    Attributes:
-        server_context: The server's context, terminated at shutdown.
-    """
-
-    server_context: server_typing.WorkerContext
-
-    def __init__(self, *args: Any) -> None:
-        super().__init__(*args)
-        self.server_context = self.context
-        self.context = worker_context.WorkerContext(None)
-        self._draining = False
-        self._goaway_sent = False
-        self._discarded_bytes: collections.Counter[int] = collections.Counter()
-
-    async def announce_shutdown(self) -> None:
-        """Sends GOAWAY as soon as the connection has no open stream.
-
-        HTTP/2 allows GOAWAY while streams are open, but clients that use the
-        h2 library treat it as the end of the connection and lose the streams.
-        The connection stays open, so that a client that sends a request at the
-        same time reads the GOAWAY and retries on another connection.
-        """
-        self._draining = True
-        await self._update_idle_state()
-
-    async def handle(self, event: server_events.Event) -> None:
-        """Handles an event of the connection; ignores data after GOAWAY."""
-        data = isinstance(event, server_events.RawData)
-        if not (data and self._goaway_sent):
-            await super().handle(event)
-
-    async def stream_send(self, event: stream_events.Event) -> None:
-        """Sends an event of a stream; resets streams that were aborted."""
-        if not isinstance(event, stream_events.StreamClosed):
-            await super().stream_send(event)
-            return
-        await self._close_stream(event.stream_id)
-        buffer = self.stream_buffers.get(event.stream_id)
-        if buffer is not None and not buffer._complete:
-            # The application aborted the response.
-            self._reset_stream(
-                event.stream_id, h2_errors.ErrorCodes.INTERNAL_ERROR
-            )
-            await self._flush()
-            await self._drop_unsent_data(event.stream_id)
-        await self._update_idle_state()
-
-    async def _send_data(self, stream_id: int) -> None:
-        await super()._send_data(stream_id)
-        if stream_id not in self.stream_buffers:
-            await self._update_idle_state()
-
-    async def _update_idle_state(self) -> None:
-        if self.closed or self.streams or self.stream_buffers:
-            return
-        if self._draining and not self._goaway_sent:
-            self._goaway_sent = True
-            self.connection.close_connection()
-            await self._flush()
-        await self.send(server_events.Updated(idle=True))
-
-    async def _handle_events(self, events: list[h2_events.Event]) -> None:
-        for event in events:
-            if not self._should_handle(event):
-                continue
-            await super()._handle_events([event])
-            if isinstance(event, h2_events.StreamReset):
-                await self._drop_unsent_data(event.stream_id)
-        await self._flush()
-
-    async def _create_stream(self, request: h2_events.RequestReceived) -> None:
-        await super()._create_stream(request)
-        # Hypercorn closes the connection while its streams are open when this
-        # counter exceeds the limit.
-        self.keep_alive_requests = 0
-
-    def _should_handle(self, event: h2_events.Event) -> bool:
-        match event:
-            case h2_events.RequestReceived():
-                return self._should_handle_request(event)
-            case h2_events.DataReceived():
-                return self._should_handle_data(event)
-            case _:
-                return True
-
-    def _should_handle_request(self, event: h2_events.RequestReceived) -> bool:
-        if self.server_context.terminated.is_set():
-            self._reset_stream(
-                event.stream_id, h2_errors.ErrorCodes.REFUSED_STREAM
-            )
-            return False
-        headers = dict(event.headers)
-        path = headers.get(b":path", b"")
-        if headers[b":method"] == b"CONNECT" or not path.isascii():
-            self._reset_stream(
-                event.stream_id, h2_errors.ErrorCodes.PROTOCOL_ERROR
-            )
-            return False
-        return True
-
-    def _should_handle_data(self, event: h2_events.DataReceived) -> bool:
-        """Discards data for a stream that was closed after its response.
-
-        Some clients read the response only after they have sent their whole
-        body, and would lose it if the stream were reset earlier.
-        """
-        stream_id = event.stream_id
-        if stream_id in self.streams:
-            return True
-        length = event.flow_controlled_length
-        self.connection.acknowledge_received_data(length, stream_id)
-        self._discarded_bytes[stream_id] += length
-        if self._discarded_bytes[stream_id] > _MAX_DISCARDED_BYTES:
-            del self._discarded_bytes[stream_id]
-            self._reset_stream(stream_id, h2_errors.ErrorCodes.NO_ERROR)
-        elif event.stream_ended is not None:
-            del self._discarded_bytes[stream_id]
-        return False
-
-    async def _drop_unsent_data(self, stream_id: int) -> None:
-        """Drops a closed stream's unsent data and wakes the sending task."""
-        buffer = self.stream_buffers.get(stream_id)
-        if buffer is None:
-            return
-        await buffer.close()
-        with contextlib.suppress(priority.MissingStreamError):
-            self.priority.unblock(stream_id)
-        await self.has_data.set()
-
-    def _reset_stream(self, stream_id: int, code: h2_errors.ErrorCodes) -> None:
-        # The stream may be closed already.
-        with contextlib.suppress(h2_exceptions.ProtocolError):
-            self.connection.reset_stream(stream_id, code)
--- a/lacewingwood/callers/memory.py
+++ b/lacewingwood/callers/memory.py
@@ -271,7 +271,10 @@
                 break
             stalled = body.is_stalled(now_ms)
             waits = body.held_back_ms(now_ms) > _HELD_BACK_MS
-            if (stalled or waits) and body.received_bytes > _LARGE_BYTES:
+            # Small ones end as well once there are so many that others are.
+            full = self.held_bytes > _FULL * self.limit_bytes
+            large = body.received_bytes > _LARGE_BYTES
+            if (stalled or waits) and (large or full):
                 ended.append(self._end(body, Reason.MEMORY))
         return ended
 
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -7,6 +7,7 @@
 
 import pytest
 import trio
+from hyperframe import frame as frames
 
 from lacewingwood import clock
 from lacewingwood import configuration
@@ -217,6 +218,36 @@
             assert got.status == 200
 
 
+_PREFACE = (
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frames.SettingsFrame(0).serialize()
+)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        frames.PingFrame(0, b"x" * 8).serialize() * 3_000,
+        frames.SettingsFrame(0, {3: 9}).serialize() * 3_000,
+        frames.HeadersFrame(1, b"x" * 9_000).serialize()
+        + frames.ContinuationFrame(1, b"x" * 9_000).serialize(),
+    ],
+    ids=["pings", "settings", "block"],
+)
+async def test_flood_of_frames_ends_the_connection(data: bytes) -> None:
+    """Guards against frames that cost work or memory and carry no request."""
+    world = fakes.World()
+    async with world.serve(enforcer=_make_enforcer()) as served:
+        stream = await trio.open_tcp_stream("127.0.0.1", served.port)
+        with trio.fail_after(5), contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(_PREFACE + data)
+            while await stream.receive_some():
+                pass
+        await stream.aclose()
+        async with served.client(http2=True) as client:
+            got = await client.call("GET", "/v1/models")
+            assert got.status == 200
+
+
 async def test_body_that_memory_does_not_suffice_for_is_refused() -> None:
     """Guards against a refusal of a request that ran, and a count that leaks.
 
