--- a/lacewingwood/operators/admin.py
+++ b/lacewingwood/operators/admin.py
@@ -1,19 +1,29 @@
 """Admin listener: health, metrics and the state dump."""
 
+import functools
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
-import hypercorn.config
-import hypercorn.trio
 import msgspec
 import trio
 
+from lacewingwood import clock as clocks
+from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.callers import client_limits
+from lacewingwood.callers import server
 
 _JSON_TYPE = "application/json"
 _PROMETHEUS_TYPE = "text/plain; version=0.0.4"
 
+# Enough for the monitoring and the load balancers of a host. They send short
+# heads at once, and no body.
+_MAX_CONNECTIONS = 64
+_LIMITS = configuration.ClientLimits(
+    max_header_bytes=16 << 10, header_timeout_ms=2_000.0
+)
+
 DumpState = Callable[[], dict[str, Any]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -43,9 +53,6 @@
         self, scope: dict[str, Any], receive: Any, send: Send
     ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await _handle_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             return
         if scope["method"] not in ("GET", "HEAD"):
@@ -75,14 +82,6 @@
         )
 
 
-async def _handle_lifespan(receive: Any, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 def _encode_json(value: Any) -> bytes:
     return msgspec.json.format(msgspec.json.encode(value), indent=2) + b"\n"
 
@@ -100,7 +99,7 @@
 
 
 async def serve(
-    app: AdminApp,
+    app: Callable[[dict[str, Any], Any, Send], Awaitable[None]],
     host: str,
     port: int,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
@@ -113,11 +112,54 @@
         port: Port to bind, 0 for any free one.
         task_status: Receives the bound `IP:PORT`.
     """
-    cfg = hypercorn.config.Config()
-    cfg.bind = [f"{host}:{port}"]
-    cfg.accesslog = None
-    cfg.errorlog = None
-    cfg.loglevel = "CRITICAL"
+    enforcer = client_limits.Enforcer(
+        clocks.MonotonicClock(),
+        metrics_lib.Registry(),
+        client_limits.Settings(
+            max_connections=_MAX_CONNECTIONS,
+            read_bytes=4 << 10,
+            queued_messages=2,
+        ),
+        lambda: _LIMITS,
+    )
+    listen = functools.partial(
+        server.serve,
+        _Application(app),
+        host,
+        port,
+        trio.Event(),
+        drain_ms=0,
+        enforcer=enforcer,
+    )
     async with trio.open_nursery() as nursery:
-        urls = await nursery.start(hypercorn.trio.serve, app, cfg)
-        task_status.started(urls[0].removeprefix("http://"))
+        bound = await nursery.start(listen)
+        task_status.started(f"{host}:{bound}")
+
+
+class _Application:
+    """An application without background tasks."""
+
+    __slots__ = ("_app",)
+
+    def __init__(
+        self, app: Callable[[dict[str, Any], Any, Send], Awaitable[None]]
+    ) -> None:
+        self._app = app
+
+    async def run_forever(self) -> None:
+        """Returns at once."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Handles one ASGI connection scope; drops the request's body.
+
+        The server would wait without end to hand over a body that isn't read.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_drain, receive)
+            await self._app(scope, receive, send)
+            nursery.cancel_scope.cancel()
+
+
+async def _drain(receive: Any) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -273,12 +273,6 @@
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
         """Answers 200 if the process is ready for connections, else 503."""
-        if scope["type"] == "lifespan":
-            while True:
-                message = await receive()
-                await send({"type": message["type"] + ".complete"})
-                if message["type"] == "lifespan.shutdown":
-                    return
         if scope["type"] != "http":
             return
         reason = self._unready()
