--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -65,7 +65,12 @@
                     {"name": "x", "cold_start_s": 3, "cold_per_s": 7.1},
                     {"name": "y"},
                 ],
-                "limits": {"max_body_bytes": 99},
+                "limits": {
+                    "max_body_bytes": 99,
+                    "max_header_bytes": 16_384,
+                    "header_timeout_ms": 3_000,
+                    "idle_timeout_ms": 0,
+                },
             }
         )
     )
@@ -75,6 +80,7 @@
         configuration.Service("x", 3_000, 7.1),
         configuration.Service("y"),
     ]
+    assert decoded.client_limits == configuration.ClientLimits(16_384, 3_000)
     (route,) = decoded.routes
     assert route.host == "nony24.example"
     assert route.targets == (configuration.Target("x", 90),)
