--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -31,6 +31,12 @@
 Handler = Callable[[messages.Message], Awaitable[messages.Message]]
 
 
+# Time from submission after which an item is due, and the slack below which it
+# is urgent, as in `jobs.item_order`.
+_DUE_MS = 18_000.0
+_URGENT_SLACK_MS = 2_500.0
+
+
 def make_request() -> dispatchers.SlotRequest:
     """Returns an online request that arrives now."""
     now_ms = trio.current_time() * 1000
@@ -161,6 +167,32 @@
         self.most_queued = max(self.most_queued, waiting)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Item:
+    """A batch item, which goes on where its last run was stopped.
+
+    Attributes:
+        added_ms: When it was submitted.
+        left_ms: Time that it still has to run.
+        started_ms: When its present run began at the replica, None if it does
+            not run.
+    """
+
+    added_ms: float
+    left_ms: float
+    started_ms: float | None = None
+
+    def left_at(self, now_ms: float) -> float:
+        """Returns the time that it still has to run."""
+        ran_ms = 0.0 if self.started_ms is None else now_ms - self.started_ms
+        return self.left_ms - ran_ms
+
+    def is_urgent(self, now_ms: float) -> bool:
+        """Returns whether it would miss its due time by waiting much longer."""
+        due_ms = self.added_ms + _DUE_MS
+        return due_ms - now_ms - self.left_ms < _URGENT_SLACK_MS
+
+
 class Gateway:
     """The slot client and server of one gateway, and its own batch items."""
 
@@ -210,9 +242,9 @@
         self.client.on_batch_slot = self._start_item
         self.client.on_preempt = self._stop_item
         self.host, self.zone = host, zone
-        self.waiting_items = 0
+        self.waiting_items: list[Item] = []
         self._fleet = fleet
-        self._items: dict[dispatchers.Slot, trio.CancelScope] = {}
+        self._items: dict[dispatchers.Slot, tuple[Item, trio.CancelScope]] = {}
 
     async def serve_online(self, duration_ms: float) -> None:
         """Serves one online request and records when it began to run."""
@@ -235,35 +267,57 @@
 
     def want(self, count: int) -> None:
         """Adds batch items."""
-        self.waiting_items += count
-        self.client.want_batch(SERVICE, self.waiting_items, False)
+        now_ms = trio.current_time() * 1000
+        self.waiting_items += [
+            Item(now_ms, self._fleet.item_ms) for _ in range(count)
+        ]
+        urgent = any(item.is_urgent(now_ms) for item in self.waiting_items)
+        self.client.want_batch(SERVICE, len(self.waiting_items), urgent)
 
     def _start_item(self, slot: dispatchers.Slot) -> bool:
         if not self.waiting_items:
             return False
-        self.waiting_items -= 1
-        self._items[slot] = trio.CancelScope()
+        item = min(self.waiting_items, key=lambda i: (i.left_ms, i.added_ms))
+        self.waiting_items.remove(item)
+        self._items[slot] = item, trio.CancelScope()
         self._fleet.nursery.start_soon(self._run_item, slot)
         return True
 
     async def _run_item(self, slot: dispatchers.Slot) -> None:
         outcome = self._fleet.outcome
         replica = self._fleet.replicas[slot.replica.listing.id]
-        with self._items[slot] as scope:
-            await replica.run(self._fleet.item_ms, trio.Event())
+        item, scope = self._items[slot]
+        started = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._note_start, item, started)
+            with scope:
+                await replica.run(item.left_ms, started)
+            nursery.cancel_scope.cancel()
         del self._items[slot]
         self.client.release(slot)
+        now_ms = trio.current_time() * 1000
+        item.left_ms, item.started_ms = item.left_at(now_ms), None
         if scope.cancelled_caught:
             outcome.items_cut += 1
-            self.waiting_items += 1
+            self.waiting_items.append(item)
         else:
             outcome.items_done += 1
+            outcome.item_times_ms.append(now_ms - item.added_ms)
+
+    async def _note_start(self, item: Item, started: trio.Event) -> None:
+        await started.wait()
+        item.started_ms = trio.current_time() * 1000
 
     def _stop_item(self, replica: load.Replica) -> None:
-        for slot, scope in list(self._items.items())[::-1]:
-            if slot.replica.listing.id == replica.listing.id:
-                scope.cancel()
-                return
+        now_ms = trio.current_time() * 1000
+        running = [
+            (item.left_at(now_ms), n, scope)
+            for n, (slot, (item, scope)) in enumerate(self._items.items())
+            if slot.replica.listing.id == replica.listing.id
+            and not scope.cancel_called
+        ]
+        if running:
+            max(running, key=lambda found: found[:2])[2].cancel()
 
 
 @dataclasses.dataclass(slots=True)
@@ -275,12 +329,14 @@
         refused: Online requests that got no slot.
         items_done: Batch items that were completed.
         items_cut: Runs of batch items that were stopped.
+        item_times_ms: Time from submission to completion of each item.
     """
 
     waits_ms: list[float] = dataclasses.field(default_factory=list)
     refused: int = 0
     items_done: int = 0
     items_cut: int = 0
+    item_times_ms: list[float] = dataclasses.field(default_factory=list)
 
     def share_within(self, limit_ms: float) -> float:
         """Returns the share of online requests that began in time."""
@@ -347,6 +403,17 @@
             length_ms = duration_ms * self.rng.uniform(0.7, 1.3)
             self.nursery.start_soon(gateway.serve_online, length_ms)
 
+    async def play_jobs(
+        self, per_s: float, seconds: float, items: int = 10
+    ) -> None:
+        """Submits jobs of several items at random times and gateways."""
+        end = trio.current_time() + seconds
+        while True:
+            await trio.sleep(-math.log(1 - self.rng.random()) / per_s)
+            if trio.current_time() >= end:
+                return
+            self.rng.choice(self.gateways).want(items)
+
     async def renew_wants(self, interval_ms: float = 100.0) -> None:
         """Repeats each gateway's number of waiting items until cancelled."""
         while True:
