--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -11,6 +11,7 @@
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import item_order
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
 from lacewingwood.routing import directory
@@ -33,18 +34,6 @@
 # the prefill of those items.
 _PREEMPTION_PAUSE_MS = 60.0
 _LAGGING_PREEMPTION_PAUSE_MS = 600.0
-# An item with less slack than this is urgent: it also takes the slots that
-# other items leave free for the next online request.
-_URGENT_SLACK_MS = 2_500.0
-# An item with less slack than this is late: it will miss its deadline by more
-# than this time even if it runs at once, so it gains nothing from urgency.
-_LATE_SLACK_MS = -1_000.0
-# Estimated duration of a run until the first item has been completed.
-_INITIAL_RUN_MS = 5_000.0
-# Lower bound of the estimate of an item's remaining run time.
-_MIN_REMAINING_MS = 300.0
-# Weight of the newest run in the exponential moving averages.
-_AVERAGE_WEIGHT = 0.1
 # An item is given up after its route has been missing for this long. A process
 # that has just started may not have the newest configuration yet.
 _MISSING_ROUTE_TIMEOUT_MS = 4_000.0
@@ -58,7 +47,9 @@
     def coordinated(self) -> bool:
         """Returns whether coordinators grant the slots."""
 
-    def want_batch(self, service: str, count: int, urgent: bool) -> None:
+    def want_batch(
+        self, service: str, count: int, urgent: bool, left_ms: float = 0.0
+    ) -> None:
         """Sets how many slots waiting items of a service need."""
 
 
@@ -80,8 +71,6 @@
     """Schedules the items of all partitions that this gateway owns."""
 
     __slots__ = (
-        "_average_events",
-        "_average_run_ms",
         "_clock",
         "_contenders",
         "_coordination",
@@ -90,6 +79,7 @@
         "_find_route",
         "_metrics",
         "_nursery",
+        "_order",
         "_preempted_ms",
         "_runner",
         "_wake",
@@ -134,11 +124,8 @@
         self._entries: dict[running.ItemTask, _Entry] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
-        # Moving averages of the duration and number of events of an item, over
-        # items that one run completed from the start.
-        self._average_run_ms = _INITIAL_RUN_MS
+        self._order = item_order.ItemOrder(wall_ms)
         self._preempted_ms: dict[str, float] = {}
-        self._average_events = 0.0
 
     @property
     def counts(self) -> tuple[int, int]:
@@ -205,24 +192,6 @@
         ) or self._preemption_victims(replica, True, 1)
         self._preempt(replica, victims)
 
-    def slack_ms(self, task: running.ItemTask) -> float:
-        """Returns how long an item can still wait without missing its deadline.
-
-        The slack is negative if the item will miss its deadline.
-        """
-        left_ms = task.job.due_ms - self._wall_ms()
-        return left_ms - self._remaining_ms(task)
-
-    def _remaining_ms(self, task: running.ItemTask) -> float:
-        progress = (
-            (task.events.last_id or 0) / self._average_events
-            if self._average_events
-            else 0
-        )
-        return max(
-            _MIN_REMAINING_MS, self._average_run_ms * (1 - min(progress, 1.0))
-        )
-
     def _is_coordinated(self) -> bool:
         return self._coordination is not None and (
             self._coordination.coordinated()
@@ -234,6 +203,7 @@
         now_ms = self._clock.now_ms()
         counts: dict[str, int] = dict.fromkeys(self._wanted_services, 0)
         urgent: set[str] = set()
+        left_ms: dict[str, float] = {}
         for entry in self._waiting_in_order():
             if entry.task.not_before_ms > now_ms:
                 continue
@@ -242,11 +212,14 @@
                 continue
             service = _choose_service(route)
             counts[service] = counts.get(service, 0) + 1
-            if self._is_urgent(entry.task):
+            left_ms.setdefault(service, self._order.remaining_ms(entry.task))
+            if self._order.is_urgent(entry.task):
                 urgent.add(service)
         self._wanted_services = {s for s, count in counts.items() if count}
         for service, count in counts.items():
-            self._coordination.want_batch(service, count, service in urgent)
+            self._coordination.want_batch(
+                service, count, service in urgent, left_ms.get(service, 0.0)
+            )
 
     def _waiting_in_order(self) -> list[_Entry]:
         waiting = [
@@ -254,7 +227,7 @@
             for entry in self._entries.values()
             if entry.task.state is running.State.WAITING
         ]
-        waiting.sort(key=lambda entry: self._start_order(entry.task))
+        waiting.sort(key=lambda entry: self._order.start_key(entry.task))
         return waiting
 
     def _excluded(
@@ -303,18 +276,6 @@
         position, count = self._contenders()
         return self._wall_ms() // _TURN_MS % count == position
 
-    def _start_order(self, task: running.ItemTask) -> tuple[bool, bool, float]:
-        """Returns the sort key by which waiting items are started.
-
-        Late items come last, since they gain less from a slot. Then items with
-        progress come before new ones: if slots are short, sharing them among
-        all items would make all of them late.
-        """
-        late = self.slack_ms(task) < _LATE_SLACK_MS
-        if task.events.last_id is None:
-            return late, True, task.job.due_ms
-        return late, False, self._remaining_ms(task)
-
     def _start(
         self, entry: _Entry, now_ms: float, full_services: set[_Demand]
     ) -> None:
@@ -333,7 +294,7 @@
         origin = self._origin_to_keep(task, route)
         service = origin.service if origin else _choose_service(route)
         version = origin.version if origin else None
-        urgent = self._is_urgent(task)
+        urgent = self._order.is_urgent(task)
         if full_services & {
             (service, urgent, None),
             (service, urgent, version),
@@ -393,7 +354,7 @@
             task.state = running.State.WAITING
         elif self._entries.get(task) is entry:
             if result.completed and from_start:
-                self._update_averages(task, self._clock.now_ms() - started_ms)
+                self._order.note_run(task, self._clock.now_ms() - started_ms)
             self._finish(entry, result)
         self._wake.set()
 
@@ -406,17 +367,6 @@
         self._metrics.add("items_ended", outcome=outcome, in_time=in_time)
         entry.on_result(entry.task, result)
 
-    def _update_averages(self, task: running.ItemTask, took_ms: float) -> None:
-        events = task.events.last_id or 0
-        if not self._average_events:
-            self._average_run_ms, self._average_events = took_ms, float(events)
-        self._average_run_ms += _AVERAGE_WEIGHT * (
-            took_ms - self._average_run_ms
-        )
-        self._average_events += _AVERAGE_WEIGHT * (
-            events - self._average_events
-        )
-
     def _note_missing_route(self, entry: _Entry, now_ms: float) -> None:
         if entry.route_missing_since_ms is None:
             entry.route_missing_since_ms = now_ms
@@ -487,22 +437,11 @@
             if task.slot is not None
             and task.slot.replica is replica
             and not task.preempted
-            and self._is_urgent(task) == urgent
+            and self._order.is_urgent(task) == urgent
         ]
-        candidates.sort(key=self._preemption_order, reverse=True)
+        candidates.sort(key=self._order.preemption_key, reverse=True)
         return candidates[:count]
 
-    def _is_urgent(self, task: running.ItemTask) -> bool:
-        return _LATE_SLACK_MS < self.slack_ms(task) < _URGENT_SLACK_MS
-
-    def _preemption_order(self, task: running.ItemTask) -> tuple[bool, float]:
-        """Returns the sort key of preemption; the greatest is preempted first.
-
-        Late items are preempted first, then those with the most work left.
-        """
-        late = self.slack_ms(task) < _LATE_SLACK_MS
-        return late, self._remaining_ms(task)
-
 
 def _choose_service(route: configuration.Route) -> str:
     """Returns one of a route's services by their weights."""
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -358,6 +358,7 @@
         objective_ms: Time after its arrival by which its first event is due.
         exclude: Replicas that must not be used.
         version: Software version that must run it, None for any.
+        left_ms: Time that a batch item has to run, 0 if it is not known.
     """
 
     host: str
@@ -374,6 +375,7 @@
     objective_ms: float = 0.0
     exclude: list[str] = []
     version: str | None = None
+    left_ms: float = 0.0
 
 
 class SlotAnswer(messages.Message, tag="slot_answer"):
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -11,14 +11,17 @@
 """
 
 import dataclasses
-import enum
-import math
 import random
 from collections.abc import Callable
 
 from lacewingwood.limits import replica_limits
+from lacewingwood.routing import batch_reserve
+from lacewingwood.routing import demand as demand_lib
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import preemption
+from lacewingwood.routing import replica_pauses
+from lacewingwood.routing import tickets
 
 # A gateway repeats what it holds and waits for several times in this period. A
 # ticket that was not repeated is dropped, since its gateway has probably ended.
@@ -31,88 +34,32 @@
 # number. Items also make way for online requests, but then part of their work
 # is repeated.
 _BATCH_RESERVE = 1
-# A replica that refused a request as full gets no other for this long.
-_REFUSAL_PAUSE_MS = 60.0
-# Pause of a replica after a failure, doubled with each failure in a row. A
-# replica that has ended fails at once, and would otherwise be the least busy.
-_FAILURE_PAUSE_MS = 300.0
-_MAX_FAILURE_PAUSE_MS = 4_800.0
-
-TicketId = tuple[str, int]
-
-
-class End(enum.Enum):
-    """How a request ended at its replica.
-
-    Attributes:
-        DONE: It was completed, or its caller gave it up.
-        REFUSED: The replica refused it as full.
-        FAILED: The replica failed it.
-    """
-
-    DONE = 0
-    REFUSED = 1
-    FAILED = 2
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Ticket:
-    """A request for a slot, and the slot that it was given.
-
-    Attributes:
-        holder: Host of the gateway that asks.
-        number: Number of the ticket among those of the gateway.
-        shard: The shard.
-        req: What is asked for; its times are those of this process's clock.
-        may_preempt: True if a batch item may be stopped for it.
-        replica_id: Replica that runs it, empty while it waits.
-        granted_ms: When it was granted.
-        seen_ms: When its gateway last named it.
-        preempted: True once its gateway was asked to stop it.
-    """
-
-    holder: str
-    number: int
-    shard: str
-    req: dispatchers.SlotRequest
-    may_preempt: bool = False
-    replica_id: str = ""
-    granted_ms: float = 0.0
-    seen_ms: float = 0.0
-    preempted: bool = False
-
-    @property
-    def id(self) -> TicketId:
-        """Identifies the ticket at this coordinator."""
-        return self.holder, self.number
-
-    @property
-    def is_batch(self) -> bool:
-        """True for a batch item."""
-        return self.req.work is load.WorkKind.BATCH
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Grant:
-    """A ticket that waited has got a replica."""
-
-    ticket: Ticket
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Preempt:
-    """The gateway of a batch ticket has to stop an item at its replica."""
-
-    ticket: Ticket
-
-
-Decision = Grant | Preempt
+# Items whose work left differs by less than this are served in order of
+# arrival.
+_LEFT_STEP_MS = 500.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Shard:
-    waiting: list[Ticket] = dataclasses.field(default_factory=list)
-    granted: dict[TicketId, Ticket] = dataclasses.field(default_factory=dict)
+    waiting: list[tickets.Ticket] = dataclasses.field(default_factory=list)
+    granted: dict[tickets.TicketId, tickets.Ticket] = dataclasses.field(
+        default_factory=dict
+    )
+    freed: preemption.FreedSlots = dataclasses.field(
+        default_factory=preemption.FreedSlots
+    )
+    demand: demand_lib.DemandForecast = dataclasses.field(
+        default_factory=demand_lib.DemandForecast
+    )
+
+    def online(self) -> int:
+        """Returns the number of online requests that run."""
+        return sum(not ticket.is_batch for ticket in self.granted.values())
+
+    def note_demand(self, now_ms: float) -> None:
+        """Records the slots that online requests use and wait for."""
+        waiting = sum(not ticket.is_batch for ticket in self.waiting)
+        self.demand.note(self.online() + waiting, now_ms)
 
 
 class Coordinator:
@@ -123,9 +70,8 @@
     """
 
     __slots__ = (
-        "_failures",
         "_limits",
-        "_paused_ms",
+        "_pauses",
         "_replicas_of",
         "_rng",
         "_shards",
@@ -149,10 +95,8 @@
         self._limits = limits or replica_limits.ReplicaLimits()
         self._rng = rng or random.Random()
         self._shards: dict[str, _Shard] = {}
-        self._tickets: dict[TicketId, Ticket] = {}
-        # Pauses of replicas, and their failures in a row.
-        self._paused_ms: dict[str, float] = {}
-        self._failures: dict[str, int] = {}
+        self._tickets: dict[tickets.TicketId, tickets.Ticket] = {}
+        self._pauses = replica_pauses.ReplicaPauses()
 
     def counts(self) -> dict[str, tuple[int, int]]:
         """Returns the numbers of waiting and granted tickets by shard."""
@@ -174,7 +118,9 @@
         )
         return slots - online
 
-    def ask(self, ticket: Ticket, now_ms: float) -> tuple[str, list[Decision]]:
+    def ask(
+        self, ticket: tickets.Ticket, now_ms: float
+    ) -> tuple[str, list[tickets.Decision]]:
         """Grants a ticket or lets it wait.
 
         A ticket that is known is updated: its gateway repeats it.
@@ -190,15 +136,19 @@
         if known.replica_id:
             return known.replica_id, []
         known.may_preempt = ticket.may_preempt
+        known.left_ms = ticket.left_ms
         known.req.urgent = ticket.req.urgent
         decisions = self._serve(known.shard, now_ms)
         # The answer tells of this grant.
-        others = [d for d in decisions if d != Grant(known)]
+        others = [d for d in decisions if d != tickets.Grant(known)]
         return known.replica_id, others
 
     def release(
-        self, ticket_id: TicketId, now_ms: float, end: End = End.DONE
-    ) -> list[Decision]:
+        self,
+        ticket_id: tickets.TicketId,
+        now_ms: float,
+        end: replica_pauses.End = replica_pauses.End.DONE,
+    ) -> list[tickets.Decision]:
         """Ends a ticket, granted or not.
 
         Args:
@@ -214,8 +164,9 @@
             shard.waiting.remove(ticket)
             return []
         del shard.granted[ticket.id]
-        self._note_end(ticket.replica_id, end, now_ms)
-        self._settle_preemption(shard, ticket)
+        shard.freed.note(now_ms)
+        self._pauses.note_end(ticket.replica_id, end, now_ms)
+        preemption.settle(shard.granted.values(), ticket)
         return self._serve(ticket.shard, now_ms)
 
     def note_held(
@@ -224,7 +175,7 @@
         shard: str,
         held: dict[int, tuple[str, load.WorkKind]],
         now_ms: float,
-    ) -> list[Decision]:
+    ) -> list[tickets.Decision]:
         """Takes over what a gateway holds in a shard.
 
         Unknown tickets were granted by an earlier coordinator or taken by the
@@ -244,7 +195,7 @@
                 self._drop(ticket)
         service = shard.partition("/")[0]
         for number, (replica_id, work) in held.items():
-            ticket = self._tickets.get((holder, number)) or Ticket(
+            ticket = self._tickets.get((holder, number)) or tickets.Ticket(
                 holder, number, shard, dispatchers.SlotRequest(service, work)
             )
             ticket.seen_ms = now_ms
@@ -254,13 +205,13 @@
                 self._grant(ticket, replica_id, now_ms)
         return self._serve(shard, now_ms)
 
-    def expire(self, now_ms: float) -> list[Decision]:
+    def expire(self, now_ms: float) -> list[tickets.Decision]:
         """Drops tickets of gateways that have ended; serves all shards."""
         limit_ms = now_ms - TICKET_TTL_MS
         for ticket in list(self._tickets.values()):
             if ticket.seen_ms < limit_ms:
                 self._drop(ticket)
-        decisions: list[Decision] = []
+        decisions: list[tickets.Decision] = []
         for name, shard in list(self._shards.items()):
             if not shard.waiting and not shard.granted:
                 del self._shards[name]
@@ -268,30 +219,10 @@
                 decisions += self._serve(name, now_ms)
         return decisions
 
-    def _note_end(self, replica_id: str, end: End, now_ms: float) -> None:
-        """Pauses a replica after a failure or a refusal."""
-        match end:
-            case End.DONE:
-                self._failures.pop(replica_id, None)
-                return
-            case End.REFUSED:
-                pause_ms = _REFUSAL_PAUSE_MS
-            case End.FAILED if self._is_paused(replica_id, now_ms):
-                # The requests of one crash end at the same moment.
-                return
-            case End.FAILED:
-                failures = self._failures.get(replica_id, 0)
-                self._failures[replica_id] = failures + 1
-                pause_ms = min(
-                    _FAILURE_PAUSE_MS * 2.0**failures, _MAX_FAILURE_PAUSE_MS
-                )
-        until_ms = self._paused_ms.get(replica_id, 0.0)
-        self._paused_ms[replica_id] = max(until_ms, now_ms + pause_ms)
-
     def _shard(self, name: str) -> _Shard:
         return self._shards.setdefault(name, _Shard())
 
-    def _drop(self, ticket: Ticket) -> None:
+    def _drop(self, ticket: tickets.Ticket) -> None:
         shard = self._shard(ticket.shard)
         del self._tickets[ticket.id]
         if ticket.replica_id:
@@ -299,34 +230,43 @@
         else:
             shard.waiting.remove(ticket)
 
-    def _serve(self, name: str, now_ms: float) -> list[Decision]:
+    def _serve(self, name: str, now_ms: float) -> list[tickets.Decision]:
         """Grants free slots in order: online requests, then batch items."""
         shard = self._shard(name)
+        shard.note_demand(now_ms)
         if not shard.waiting:
             return []
-        decisions: list[Decision] = []
+        decisions: list[tickets.Decision] = []
         replicas = self._replicas_of(name)
         busy = self._busy_slots(shard)
         shard.waiting.sort(key=lambda ticket: _waiting_key(ticket, now_ms))
+        gap_ms = shard.freed.mean_gap_ms(now_ms)
+        ahead = 0
         for ticket in list(shard.waiting):
             replica = self._choose(ticket, replicas, busy, now_ms)
-            if replica is None and ticket.may_preempt:
-                victim = self._victim(shard, ticket, replicas, now_ms)
-                if victim is not None:
-                    victim.preempted = True
-                    busy[victim.replica_id] -= 1
-                    decisions.append(Preempt(victim))
-                    replica = self._find(replicas, victim.replica_id)
+            if (
+                replica is None
+                and ticket.may_preempt
+                and preemption.must_preempt(ticket.req, ahead, gap_ms, now_ms)
+                and (victim := self._victim(shard, ticket, replicas, now_ms))
+            ):
+                victim.preempted = True
+                busy[victim.replica_id] -= 1
+                decisions.append(tickets.Preempt(victim))
+                replica = self._find(replicas, victim.replica_id)
             if replica is None:
+                ahead += 1
                 continue
             shard.waiting.remove(ticket)
             self._grant(ticket, replica.listing.id, now_ms)
             self._limits.note_sent(replica.listing.incarnation, now_ms)
             busy[replica.listing.id] = busy.get(replica.listing.id, 0) + 1
-            decisions.append(Grant(ticket))
+            decisions.append(tickets.Grant(ticket))
         return decisions
 
-    def _grant(self, ticket: Ticket, replica_id: str, now_ms: float) -> None:
+    def _grant(
+        self, ticket: tickets.Ticket, replica_id: str, now_ms: float
+    ) -> None:
         ticket.replica_id, ticket.granted_ms = replica_id, now_ms
         self._tickets[ticket.id] = ticket
         self._shard(ticket.shard).granted[ticket.id] = ticket
@@ -341,7 +281,7 @@
 
     def _choose(
         self,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         replicas: list[load.Replica],
         busy: dict[str, int],
         now_ms: float,
@@ -358,11 +298,11 @@
             free = sum(
                 max(0, r.slots - busy.get(r.listing.id, 0)) for r in usable
             )
-            online = sum(
-                not t.is_batch
-                for t in self._shard(ticket.shard).granted.values()
+            state = self._shard(ticket.shard)
+            reserve = batch_reserve.reserve(
+                state.demand, state.online(), ticket.left_ms, now_ms
             )
-            if free <= _BATCH_RESERVE + math.sqrt(online):
+            if free <= reserve:
                 return None
         for tier in dispatchers.tiers(usable, req, now_ms):
             free_replicas = [
@@ -390,7 +330,9 @@
         staying = [r for r in replicas if not r.leaving]
         staying = [r for r in staying if not r.version_pending] or staying
         return [
-            r for r in staying if not self._is_paused(r.listing.id, now_ms)
+            r
+            for r in staying
+            if not self._pauses.is_paused(r.listing.id, now_ms)
         ] or staying
 
     def _may_send(
@@ -400,52 +342,20 @@
         incarnation = replica.listing.incarnation
         return self._limits.may_send(incarnation, now_ms, batch)
 
-    def _is_paused(self, replica_id: str, now_ms: float) -> bool:
-        return self._paused_ms.get(replica_id, 0.0) > now_ms
-
     def _victim(
         self,
         shard: _Shard,
-        ticket: Ticket,
+        ticket: tickets.Ticket,
         replicas: list[load.Replica],
         now_ms: float,
-    ) -> Ticket | None:
-        """Returns the batch ticket to preempt for an online request.
-
-        Of the items that are not urgent, or of all if there are no others, it
-        is the newest, which has done the least work.
-        """
+    ) -> tickets.Ticket | None:
+        """Returns the batch ticket to preempt for an online request."""
         usable = {
             r.listing.id
             for r in self._usable(replicas, now_ms)
             if ticket.req.allows(r) and self._may_send(r, now_ms)
         }
-        candidates = [
-            t
-            for t in shard.granted.values()
-            if t.is_batch and not t.preempted and t.replica_id in usable
-        ]
-        return max(
-            candidates,
-            key=lambda t: (not t.req.urgent, t.granted_ms),
-            default=None,
-        )
-
-    def _settle_preemption(self, shard: _Shard, ended: Ticket) -> None:
-        """Takes the end of an item for the preemption that was asked for.
-
-        A gateway that has several items at a replica chooses which to stop.
-        """
-        if ended.preempted or not ended.is_batch:
-            return
-        for ticket in shard.granted.values():
-            if (
-                ticket.preempted
-                and ticket.holder == ended.holder
-                and ticket.replica_id == ended.replica_id
-            ):
-                ticket.preempted = False
-                return
+        return preemption.choose_victim(shard.granted.values(), usable, now_ms)
 
     def _find(
         self, replicas: list[load.Replica], replica_id: str
@@ -454,13 +364,15 @@
 
 
 def _waiting_key(
-    ticket: Ticket, now_ms: float
+    ticket: tickets.Ticket, now_ms: float
 ) -> tuple[bool, bool, int, float]:
     """Returns the order in which tickets are served.
 
     Online requests come first, those that can still meet their objective before
-    the others. Urgent items come before other items.
+    the others. Urgent items come before other items, then those with the least
+    work left.
     """
     if ticket.is_batch:
-        return True, not ticket.req.urgent, 0, ticket.req.arrived_ms
+        left = int(ticket.left_ms // _LEFT_STEP_MS)
+        return True, not ticket.req.urgent, left, ticket.req.arrived_ms
     return False, *dispatchers.waiting_key(ticket.req, now_ms)
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -174,13 +174,17 @@
             shard = self._shard_map.of_replica(slot.replica)
             self._end_ticket(slot.ticket, shard, slot.refused, slot.failed)
 
-    def want_batch(self, service: str, count: int, urgent: bool) -> None:
+    def want_batch(
+        self, service: str, count: int, urgent: bool, left_ms: float = 0.0
+    ) -> None:
         """Sets how many slots batch items of a service wait for.
 
         Args:
             service: The service.
             count: Number of waiting items.
             urgent: True if one of them may take the last free slots.
+            left_ms: Time that the item which starts first has to run, 0 if it
+                is not known.
         """
         shards = self._shard_map.of_service(service)
         mine: list[int] = []
@@ -202,12 +206,12 @@
             if known is None:
                 continue
             if now_ms - known.asked_ms >= _REPEAT_INTERVAL_MS:
-                self._ask_batch(number, known, urgent)
+                self._ask_batch(number, known, urgent, left_ms)
         for shard in self._batch_shards(shards, wanted - len(mine)):
             ticket = _BatchTicket(shard, service, now_ms)
             number = next(self._numbers)
             self._batch[number] = ticket
-            self._ask_batch(number, ticket, urgent)
+            self._ask_batch(number, ticket, urgent, left_ms)
 
     async def run(self) -> None:
         """Repeats what this gateway holds until cancelled."""
@@ -327,7 +331,11 @@
         return chosen
 
     def _ask_batch(
-        self, number: int, ticket: _BatchTicket, urgent: bool
+        self,
+        number: int,
+        ticket: _BatchTicket,
+        urgent: bool,
+        left_ms: float,
     ) -> None:
         ticket.asked_ms = self._clock.now_ms()
         message = gateway_messages.SlotAsk(
@@ -338,6 +346,7 @@
             service=ticket.service,
             batch=True,
             urgent=urgent,
+            left_ms=left_ms,
         )
         host = self._links.coordinator_of(ticket.shard)
         answer = self._links.send(host, message)
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -12,7 +12,9 @@
 from lacewingwood.routing import coordinator as coordinators
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import replica_pauses
 from lacewingwood.routing import shards as shards_lib
+from lacewingwood.routing import tickets
 
 # Interval at which tickets of ended gateways are dropped, and replicas whose
 # pauses have ended are used again.
@@ -94,11 +96,11 @@
         """Ends a ticket."""
         ticket_id = message.host, message.ticket
         now_ms = self._clock.now_ms()
-        end = coordinators.End.DONE
+        end = replica_pauses.End.DONE
         if message.refused:
-            end = coordinators.End.REFUSED
+            end = replica_pauses.End.REFUSED
         elif message.failed:
-            end = coordinators.End.FAILED
+            end = replica_pauses.End.FAILED
         self._send(self._coordinator.release(ticket_id, now_ms, end))
 
     def note_held(self, message: gateway_messages.SlotsHeld) -> None:
@@ -147,15 +149,15 @@
         self.note_held(message)
         return messages.Ack()
 
-    def _send(self, decisions: list[coordinators.Decision]) -> None:
+    def _send(self, decisions: list[tickets.Decision]) -> None:
         for decision in decisions:
             ticket = decision.ticket
             match decision:
-                case coordinators.Grant():
+                case tickets.Grant():
                     message: messages.Message = gateway_messages.SlotGrant(
                         ticket.number, ticket.replica_id, ticket.shard
                     )
-                case coordinators.Preempt():
+                case tickets.Preempt():
                     message = gateway_messages.SlotPreempt(ticket.replica_id)
                     self._metrics.add("slot_preemptions")
             self._send_to(ticket.holder, message)
@@ -169,9 +171,9 @@
 
 def _make_ticket(
     message: gateway_messages.SlotAsk, now_ms: float
-) -> coordinators.Ticket:
+) -> tickets.Ticket:
     work = load.WorkKind.BATCH if message.batch else load.WorkKind.ONLINE
-    return coordinators.Ticket(
+    return tickets.Ticket(
         message.host,
         message.ticket,
         message.shard,
@@ -187,4 +189,5 @@
             version=message.version,
         ),
         may_preempt=message.may_preempt and not message.batch,
+        left_ms=message.left_ms,
     )
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -35,6 +35,10 @@
 # is urgent, as in `jobs.item_order`.
 _DUE_MS = 18_000.0
 _URGENT_SLACK_MS = 2_500.0
+# A run of an item that is stopped within this time was begun in vain.
+EARLY_MS = 1_000.0
+# Time in which a replica processes the prompt of each run of an item.
+PROMPT_MS = 100.0
 
 
 def make_request() -> dispatchers.SlotRequest:
@@ -183,9 +187,10 @@
     started_ms: float | None = None
 
     def left_at(self, now_ms: float) -> float:
-        """Returns the time that it still has to run."""
-        ran_ms = 0.0 if self.started_ms is None else now_ms - self.started_ms
-        return self.left_ms - ran_ms
+        """Returns the time that it still has to run, its prompt aside."""
+        if self.started_ms is None:
+            return self.left_ms
+        return self.left_ms - max(0.0, now_ms - self.started_ms - PROMPT_MS)
 
     def is_urgent(self, now_ms: float) -> bool:
         """Returns whether it would miss its due time by waiting much longer."""
@@ -272,7 +277,10 @@
             Item(now_ms, self._fleet.item_ms) for _ in range(count)
         ]
         urgent = any(item.is_urgent(now_ms) for item in self.waiting_items)
-        self.client.want_batch(SERVICE, len(self.waiting_items), urgent)
+        left_ms = min((i.left_ms for i in self.waiting_items), default=0.0)
+        self.client.want_batch(
+            SERVICE, len(self.waiting_items), urgent, left_ms
+        )
 
     def _start_item(self, slot: dispatchers.Slot) -> bool:
         if not self.waiting_items:
@@ -291,14 +299,16 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._note_start, item, started)
             with scope:
-                await replica.run(item.left_ms, started)
+                await replica.run(item.left_ms + PROMPT_MS, started)
             nursery.cancel_scope.cancel()
         del self._items[slot]
         self.client.release(slot)
         now_ms = trio.current_time() * 1000
+        ran_ms = now_ms - item.started_ms if item.started_ms else 0.0
         item.left_ms, item.started_ms = item.left_at(now_ms), None
         if scope.cancelled_caught:
             outcome.items_cut += 1
+            outcome.items_cut_early += ran_ms < EARLY_MS
             self.waiting_items.append(item)
         else:
             outcome.items_done += 1
@@ -329,6 +339,7 @@
         refused: Online requests that got no slot.
         items_done: Batch items that were completed.
         items_cut: Runs of batch items that were stopped.
+        items_cut_early: Those of them that had run for less than `EARLY_MS`.
         item_times_ms: Time from submission to completion of each item.
     """
 
@@ -336,6 +347,7 @@
     refused: int = 0
     items_done: int = 0
     items_cut: int = 0
+    items_cut_early: int = 0
     item_times_ms: list[float] = dataclasses.field(default_factory=list)
 
     def share_within(self, limit_ms: float) -> float:
--- a/tests/routing/test_coordinator.py
+++ b/tests/routing/test_coordinator.py
@@ -7,6 +7,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import tickets
 
 _SHARD = "s/z/0"
 
@@ -23,7 +24,7 @@
     req = dispatchers.SlotRequest(
         "s", work, arrived_ms=now_ms, objective_ms=2_000, version=version
     )
-    ticket = coordinators.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
+    ticket = tickets.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
     return coordinator.ask(ticket, now_ms)[0]
 
 
