--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -18,6 +18,7 @@
 from lacewingwood.callers import progress as progress_lib
 from lacewingwood.callers import stopping
 from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import fair_order
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
@@ -302,6 +303,8 @@
                 repeatable=call.route.repeatable
                 and progress.attempts_left(begun=1),
                 version=version,
+                customer=call.work.customer,
+                tokens=fair_order.estimate_tokens(len(call.work.body)),
             )
         )
 
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -359,6 +359,9 @@
         exclude: Replicas that must not be used.
         version: Software version that must run it, None for any.
         left_ms: Time that a batch item has to run, 0 if it is not known.
+        customer: Customer that sent the request, empty if it has none.
+        tokens: Its estimated work, for the shares of customers.
+        timeout_ms: Time until its caller no longer waits, None if not known.
     """
 
     host: str
@@ -376,6 +379,9 @@
     exclude: list[str] = []
     version: str | None = None
     left_ms: float = 0.0
+    customer: str = ""
+    tokens: float = 1.0
+    timeout_ms: float | None = None
 
 
 class SlotAnswer(messages.Message, tag="slot_answer"):
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -18,6 +18,7 @@
 from lacewingwood.routing import batch_reserve
 from lacewingwood.routing import demand as demand_lib
 from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import fair_order
 from lacewingwood.routing import load
 from lacewingwood.routing import preemption
 from lacewingwood.routing import replica_pauses
@@ -52,6 +53,43 @@
         default_factory=demand_lib.DemandForecast
     )
 
+    order: fair_order.FairOrder = dataclasses.field(
+        default_factory=fair_order.FairOrder
+    )
+
+    def add(self, ticket: tickets.Ticket) -> None:
+        """Lets a ticket wait."""
+        self.waiting.append(ticket)
+        if not ticket.is_batch:
+            req = ticket.req
+            ticket.tag = self.order.add(req.customer, req.tokens)
+
+    def remove(self, ticket: tickets.Ticket, served: bool = False) -> None:
+        """Removes a waiting ticket, which has got a slot if `served`."""
+        self.waiting.remove(ticket)
+        if ticket.is_batch:
+            return
+        req = ticket.req
+        if served:
+            self.order.note_served(req.customer, req.tokens)
+        else:
+            self.order.cancel(req.customer, req.tokens)
+
+    def waiting_key(
+        self, ticket: tickets.Ticket, now_ms: float
+    ) -> tuple[float | bool, ...]:
+        """Returns the order in which tickets are served.
+
+        Online requests come first. Urgent items come before other items, then
+        those with the least work left.
+        """
+        req = ticket.req
+        if ticket.is_batch:
+            left = int(ticket.left_ms // _LEFT_STEP_MS)
+            return True, not req.urgent, left, req.arrived_ms
+        excess = self.order.excess(ticket.tag)
+        return False, *dispatchers.waiting_key(req, now_ms, excess)
+
     def online(self) -> int:
         """Returns the number of online requests that run."""
         return sum(not ticket.is_batch for ticket in self.granted.values())
@@ -131,7 +169,7 @@
         known = self._tickets.get(ticket.id)
         if known is None:
             self._tickets[ticket.id] = known = ticket
-            self._shard(ticket.shard).waiting.append(ticket)
+            self._shard(ticket.shard).add(ticket)
         known.seen_ms = now_ms
         if known.replica_id:
             return known.replica_id, []
@@ -161,7 +199,7 @@
             return []
         shard = self._shard(ticket.shard)
         if not ticket.replica_id:
-            shard.waiting.remove(ticket)
+            shard.remove(ticket)
             return []
         del shard.granted[ticket.id]
         shard.freed.note(now_ms)
@@ -201,7 +239,7 @@
             ticket.seen_ms = now_ms
             if not ticket.replica_id:
                 if self._tickets.pop(ticket.id, None) is not None:
-                    self._shard(ticket.shard).waiting.remove(ticket)
+                    self._shard(ticket.shard).remove(ticket)
                 self._grant(ticket, replica_id, now_ms)
         return self._serve(shard, now_ms)
 
@@ -228,7 +266,7 @@
         if ticket.replica_id:
             del shard.granted[ticket.id]
         else:
-            shard.waiting.remove(ticket)
+            shard.remove(ticket)
 
     def _serve(self, name: str, now_ms: float) -> list[tickets.Decision]:
         """Grants free slots in order: online requests, then batch items."""
@@ -239,7 +277,7 @@
         decisions: list[tickets.Decision] = []
         replicas = self._replicas_of(name)
         busy = self._busy_slots(shard)
-        shard.waiting.sort(key=lambda ticket: _waiting_key(ticket, now_ms))
+        shard.waiting.sort(key=lambda ticket: shard.waiting_key(ticket, now_ms))
         gap_ms = shard.freed.mean_gap_ms(now_ms)
         ahead = 0
         for ticket in list(shard.waiting):
@@ -257,7 +295,7 @@
             if replica is None:
                 ahead += 1
                 continue
-            shard.waiting.remove(ticket)
+            shard.remove(ticket, served=True)
             self._grant(ticket, replica.listing.id, now_ms)
             self._limits.note_sent(replica.listing.incarnation, now_ms)
             busy[replica.listing.id] = busy.get(replica.listing.id, 0) + 1
@@ -361,18 +399,3 @@
         self, replicas: list[load.Replica], replica_id: str
     ) -> load.Replica | None:
         return next((r for r in replicas if r.listing.id == replica_id), None)
-
-
-def _waiting_key(
-    ticket: tickets.Ticket, now_ms: float
-) -> tuple[bool, bool, int, float]:
-    """Returns the order in which tickets are served.
-
-    Online requests come first, those that can still meet their objective before
-    the others. Urgent items come before other items, then those with the least
-    work left.
-    """
-    if ticket.is_batch:
-        left = int(ticket.left_ms // _LEFT_STEP_MS)
-        return True, not ticket.req.urgent, left, ticket.req.arrived_ms
-    return False, *dispatchers.waiting_key(ticket.req, now_ms)
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -15,6 +15,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.routing import fair_order
 from lacewingwood.routing import load
 from lacewingwood.routing import outliers
 
@@ -62,6 +63,8 @@
         urgent: True for batch work that may take the last free slots.
         repeatable: True if it may be retried on another replica if it fails.
         version: Software version that must run it, None for any.
+        customer: Customer that sent it, empty if it has none.
+        tokens: Its estimated work, for the shares of customers.
     """
 
     service: str
@@ -74,6 +77,8 @@
     urgent: bool = False
     repeatable: bool = True
     version: str | None = None
+    customer: str = ""
+    tokens: float = 1.0
 
     def allows(self, replica: load.Replica) -> bool:
         """Returns whether a replica may run it, its load aside."""
@@ -138,6 +143,7 @@
 class _Waiter:
     req: SlotRequest
     ready: trio.Event
+    tag: float = 0.0
     slot: Slot | None = None
 
 
@@ -155,6 +161,7 @@
     __slots__ = (
         "_clock",
         "_metrics",
+        "_orders",
         "_rng",
         "_waiting",
         "_zone",
@@ -181,6 +188,8 @@
         self._metrics = metrics
         self._rng = rng or random.Random()
         self._waiting: collections.deque[_Waiter] = collections.deque()
+        # Shares of customers, by service.
+        self._orders: dict[str, fair_order.FairOrder] = {}
 
     @property
     def waiting(self) -> int:
@@ -220,7 +229,9 @@
         if self._is_hopeless(req):
             self._metrics.add("slots_hopeless")
             return None
-        waiter = _Waiter(req, trio.Event())
+        order = self._orders.setdefault(req.service, fair_order.FairOrder())
+        tag = order.add(req.customer, req.tokens)
+        waiter = _Waiter(req, trio.Event(), tag)
         self._waiting.append(waiter)
         started_ms = self._clock.now_ms()
         remaining_ms = req.deadline_ms - started_ms
@@ -234,6 +245,7 @@
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
+                order.cancel(req.customer, req.tokens)
         waited_ms = self._clock.now_ms() - started_ms
         self._metrics.histogram("slot_wait").record_ms(waited_ms)
         return waiter.slot
@@ -253,15 +265,24 @@
             return
         now_ms = self._clock.now_ms()
         ordered = sorted(
-            self._waiting, key=lambda w: waiting_key(w.req, now_ms)
+            self._waiting, key=lambda w: self._waiter_key(w, now_ms)
         )
         for waiter in ordered:
-            slot = self.try_acquire(waiter.req)
+            req = waiter.req
+            slot = self.try_acquire(req)
             if slot is not None:
                 waiter.slot = slot
                 self._waiting.remove(waiter)
+                self._orders[req.service].note_served(req.customer, req.tokens)
                 waiter.ready.set()
 
+    def _waiter_key(
+        self, waiter: _Waiter, now_ms: float
+    ) -> tuple[float, bool, int, bool, float]:
+        req = waiter.req
+        excess = self._orders[req.service].excess(waiter.tag)
+        return waiting_key(req, now_ms, excess)
+
     def excess_batch_items(self, replica: load.Replica, urgent: bool) -> int:
         """Returns how many batch items must be preempted on a replica.
 
@@ -288,10 +309,11 @@
         if not usable or any(limits.rate(name) is None for name in usable):
             return False
         left_ms = req.deadline_ms - now_ms
+        # Taken as within its customer's share, for the least number before it.
         key = waiting_key(req, now_ms)
         before = sum(
             waiter.req.service == req.service
-            and waiting_key(waiter.req, now_ms) <= key
+            and self._waiter_key(waiter, now_ms) <= key
             for waiter in self._waiting
         )
         return before + 1 > sum(
@@ -449,10 +471,20 @@
     return total + reserve < replica.slots
 
 
-def waiting_key(req: SlotRequest, now_ms: float) -> tuple[bool, int, float]:
+def waiting_key(
+    req: SlotRequest, now_ms: float, excess: float = 0.0
+) -> tuple[float, bool, int, bool, float]:
     """Returns the order in which requests are served.
 
-    Those that can still meet their objective come first.
+    Those that are ahead of their customer's share come last. Of the others
+    those that have waited for long come first, then those of higher priority,
+    then those that can still meet their objective.
+
+    Args:
+        req: The request.
+        now_ms: Current time.
+        excess: How far it is ahead of its customer's share.
     """
     due_ms = req.arrived_ms + req.objective_ms - _EXPECTED_FIRST_EVENT_MS
-    return now_ms > due_ms, req.rank, req.arrived_ms
+    overdue = fair_order.is_overdue(req.arrived_ms, req.deadline_ms, now_ms)
+    return excess, not overdue, req.rank, now_ms > due_ms, req.arrived_ms
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Collection
@@ -272,6 +273,13 @@
             objective_ms=req.objective_ms,
             exclude=list(req.exclude),
             version=req.version,
+            customer=req.customer,
+            tokens=req.tokens,
+            timeout_ms=(
+                None
+                if math.isinf(req.deadline_ms)
+                else req.deadline_ms - now_ms
+            ),
         )
         answer = await self._links.ask(host, message)
         if answer is None:
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -1,5 +1,7 @@
 """Coordinates shards of replicas for the gateways that ask this one."""
 
+import math
+
 import structlog
 import trio
 
@@ -187,6 +189,13 @@
             urgent=message.urgent,
             repeatable=message.repeatable,
             version=message.version,
+            customer=message.customer,
+            tokens=message.tokens,
+            deadline_ms=(
+                math.inf
+                if message.timeout_ms is None
+                else now_ms + message.timeout_ms
+            ),
         ),
         may_preempt=message.may_preempt and not message.batch,
         left_ms=message.left_ms,
--- a/lacewingwood/routing/tickets.py
+++ b/lacewingwood/routing/tickets.py
@@ -19,6 +19,7 @@
         req: What is asked for; its times are those of this process's clock.
         may_preempt: True if a batch item may be stopped for it.
         left_ms: Time that a batch item has to run, 0 if it is not known.
+        tag: Its place by its customer's share of the work; see `fair_order`.
         replica_id: Replica that runs it, empty while it waits.
         granted_ms: When it was granted.
         seen_ms: When its gateway last named it.
@@ -31,6 +32,7 @@
     req: dispatchers.SlotRequest
     may_preempt: bool = False
     left_ms: float = 0.0
+    tag: float = 0.0
     replica_id: str = ""
     granted_ms: float = 0.0
     seen_ms: float = 0.0
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -41,7 +41,7 @@
 PROMPT_MS = 100.0
 
 
-def make_request() -> dispatchers.SlotRequest:
+def make_request(customer: str = "") -> dispatchers.SlotRequest:
     """Returns an online request that arrives now."""
     now_ms = trio.current_time() * 1000
     return dispatchers.SlotRequest(
@@ -50,6 +50,8 @@
         arrived_ms=now_ms,
         objective_ms=OBJECTIVE_MS,
         deadline_ms=now_ms + 5_000,
+        customer=customer,
+        tokens=100.0,
     )
 
 
@@ -251,13 +253,18 @@
         self._fleet = fleet
         self._items: dict[dispatchers.Slot, tuple[Item, trio.CancelScope]] = {}
 
-    async def serve_online(self, duration_ms: float) -> None:
+    async def serve_online(
+        self, duration_ms: float, customer: str = ""
+    ) -> None:
         """Serves one online request and records when it began to run."""
         outcome = self._fleet.outcome
         started_ms = trio.current_time() * 1000
-        slot = await self.client.acquire(make_request())
+        slot = await self.client.acquire(make_request(customer))
         if slot is None:
             outcome.refused += 1
+            outcome.refused_after_ms.append(
+                trio.current_time() * 1000 - started_ms
+            )
             return
         replica = self._fleet.replicas[slot.replica.listing.id]
         started = trio.Event()
@@ -268,6 +275,7 @@
             await started.wait()
             waited_ms = trio.current_time() * 1000 - started_ms
             outcome.waits_ms.append(waited_ms)
+            outcome.waits_by_customer.setdefault(customer, []).append(waited_ms)
         self.client.release(slot)
 
     def want(self, count: int) -> None:
@@ -336,7 +344,9 @@
 
     Attributes:
         waits_ms: Time until each online request began to run.
+        waits_by_customer: The same by customer.
         refused: Online requests that got no slot.
+        refused_after_ms: Time after which each of them was told so.
         items_done: Batch items that were completed.
         items_cut: Runs of batch items that were stopped.
         items_cut_early: Those of them that had run for less than `EARLY_MS`.
@@ -344,7 +354,11 @@
     """
 
     waits_ms: list[float] = dataclasses.field(default_factory=list)
+    waits_by_customer: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     refused: int = 0
+    refused_after_ms: list[float] = dataclasses.field(default_factory=list)
     items_done: int = 0
     items_cut: int = 0
     items_cut_early: int = 0
@@ -401,9 +415,22 @@
             nursery.start_soon(gateway.server.run)
 
     async def play_online(
-        self, per_s: float, seconds: float, duration_ms: float = 740.0
+        self,
+        per_s: float,
+        seconds: float,
+        duration_ms: float = 740.0,
+        customers: int = 0,
+        name: str = "c",
     ) -> None:
-        """Sends online requests at random times and random gateways."""
+        """Sends online requests at random times and random gateways.
+
+        Args:
+            per_s: Requests a second.
+            seconds: How long.
+            duration_ms: Mean time that a request runs.
+            customers: Number of customers that send them, 0 for none.
+            name: Prefix of their names.
+        """
         end = trio.current_time() + seconds
         while True:
             await trio.sleep(-math.log(1 - self.rng.random()) / per_s)
@@ -413,7 +440,10 @@
             if gateway.host in self.bus.silent:
                 continue
             length_ms = duration_ms * self.rng.uniform(0.7, 1.3)
-            self.nursery.start_soon(gateway.serve_online, length_ms)
+            customer = ""
+            if customers:
+                customer = f"{name}{self.rng.randrange(customers)}"
+            self.nursery.start_soon(gateway.serve_online, length_ms, customer)
 
     async def play_jobs(
         self, per_s: float, seconds: float, items: int = 10
