--- a/lacewingwood/callers/errors.py
+++ b/lacewingwood/callers/errors.py
@@ -91,7 +91,7 @@
 
 
 def unavailable(
-    code: str, message: str, retry_after_ms: float = 1000
+    code: str, message: str, retry_after_ms: float | None = 1000
 ) -> CallerError:
     """Returns the error 503 for a request that did not run."""
     return CallerError(503, code, message, retry_after_ms=retry_after_ms)
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -291,22 +291,24 @@
             progress.reason = "no_replica" if version is None else "no_version"
             return None
         objective_ms = call.route.objective_ms or _DEFAULT_OBJECTIVE_MS
-        return await self._slots.acquire(
-            dispatchers.SlotRequest(
-                service=service,
-                work=load.WorkKind.ONLINE,
-                rank=call.priority,
-                arrived_ms=call.arrived_ms,
-                objective_ms=objective_ms,
-                deadline_ms=call.deadline_ms - _MIN_RUN_MS,
-                exclude=exclude,
-                repeatable=call.route.repeatable
-                and progress.attempts_left(begun=1),
-                version=version,
-                customer=call.work.customer,
-                tokens=fair_order.estimate_tokens(len(call.work.body)),
-            )
+        req = dispatchers.SlotRequest(
+            service=service,
+            work=load.WorkKind.ONLINE,
+            rank=call.priority,
+            arrived_ms=call.arrived_ms,
+            objective_ms=objective_ms,
+            deadline_ms=call.deadline_ms - _MIN_RUN_MS,
+            exclude=exclude,
+            repeatable=call.route.repeatable
+            and progress.attempts_left(begun=1),
+            version=version,
+            customer=call.work.customer,
+            tokens=fair_order.estimate_tokens(len(call.work.body)),
         )
+        slot = await self._slots.acquire(req)
+        if req.hopeless:
+            progress.reason = "no_capacity"
+        return slot
 
     async def _attempt(
         self,
@@ -495,6 +497,15 @@
     def _give_up_without_slot(
         self, call: progress_lib.Call, progress: progress_lib.Progress
     ) -> None:
+        if progress.reason == "no_capacity":
+            # A caller that returns within its deadline would be late as well.
+            self._give_up(
+                call,
+                progress,
+                _UNAVAILABLE,
+                "no replica can begin the request before its deadline",
+                None,
+            )
         if progress.reason != "no_version":
             self._give_up(call, progress, _UNAVAILABLE)
         self._give_up(
@@ -511,7 +522,7 @@
         progress: progress_lib.Progress,
         status: int,
         refusal: str = "no replica accepted the request",
-        retry_after_ms: float = _NO_REPLICA_RETRY_AFTER_MS,
+        retry_after_ms: float | None = _NO_REPLICA_RETRY_AFTER_MS,
     ) -> None:
         """Ends a call that no replica completed.
 
@@ -520,7 +531,8 @@
             progress: Its attempts.
             status: Status of the response if a replica may have run the call.
             refusal: What the caller is told if no replica has.
-            retry_after_ms: When the caller may try again in that case.
+            retry_after_ms: When the caller may try again in that case, None
+                if that is not expected to help.
 
         Raises:
             AbortError: The response was started.
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -390,10 +390,13 @@
     Attributes:
         replica: The replica, empty if the ticket waits.
         free: Slots of the shard that no online request uses.
+        hopeless: True if the ticket waits and it is forecast that it can't get
+            a slot before its deadline.
     """
 
     replica: str
     free: int
+    hopeless: bool = False
 
 
 class SlotGrant(messages.Message, tag="slot_grant"):
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -19,6 +20,7 @@
 from lacewingwood.routing import demand as demand_lib
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import fair_order
+from lacewingwood.routing import forecast as forecasts
 from lacewingwood.routing import load
 from lacewingwood.routing import preemption
 from lacewingwood.routing import replica_pauses
@@ -57,19 +59,27 @@
         default_factory=fair_order.FairOrder
     )
 
-    def add(self, ticket: tickets.Ticket) -> None:
+    forecast: forecasts.WaitForecast = dataclasses.field(
+        default_factory=forecasts.WaitForecast
+    )
+
+    def add(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Lets a ticket wait."""
         self.waiting.append(ticket)
         if not ticket.is_batch:
             req = ticket.req
             ticket.tag = self.order.add(req.customer, req.tokens)
+            self.forecast.note_waiting(now_ms)
 
-    def remove(self, ticket: tickets.Ticket, served: bool = False) -> None:
+    def remove(
+        self, ticket: tickets.Ticket, now_ms: float, served: bool = False
+    ) -> None:
         """Removes a waiting ticket, which has got a slot if `served`."""
         self.waiting.remove(ticket)
         if ticket.is_batch:
             return
         req = ticket.req
+        self.forecast.note_left(self.online_waiting(), now_ms)
         if served:
             self.order.note_served(req.customer, req.tokens)
         else:
@@ -94,10 +104,13 @@
         """Returns the number of online requests that run."""
         return sum(not ticket.is_batch for ticket in self.granted.values())
 
+    def online_waiting(self) -> int:
+        """Returns the number of online requests that wait."""
+        return sum(not ticket.is_batch for ticket in self.waiting)
+
     def note_demand(self, now_ms: float) -> None:
         """Records the slots that online requests use and wait for."""
-        waiting = sum(not ticket.is_batch for ticket in self.waiting)
-        self.demand.note(self.online() + waiting, now_ms)
+        self.demand.note(self.online() + self.online_waiting(), now_ms)
 
 
 class Coordinator:
@@ -169,7 +182,7 @@
         known = self._tickets.get(ticket.id)
         if known is None:
             self._tickets[ticket.id] = known = ticket
-            self._shard(ticket.shard).add(ticket)
+            self._shard(ticket.shard).add(ticket, now_ms)
         known.seen_ms = now_ms
         if known.replica_id:
             return known.replica_id, []
@@ -181,6 +194,29 @@
         others = [d for d in decisions if d != tickets.Grant(known)]
         return known.replica_id, others
 
+    def is_hopeless(self, ticket_id: tickets.TicketId, now_ms: float) -> bool:
+        """Returns whether a waiting request can't begin before its deadline.
+
+        That is forecast from the requests before it, of which some may be
+        served by other shards. Requests that only some replicas may run are
+        not forecast.
+        """
+        ticket = self._tickets.get(ticket_id)
+        if ticket is None or ticket.replica_id or ticket.is_batch:
+            return False
+        req = ticket.req
+        if req.version is not None or math.isinf(req.deadline_ms):
+            return False
+        shard = self._shard(ticket.shard)
+        longest_ms = shard.forecast.shortest_wait_ms(len(shard.waiting), now_ms)
+        if now_ms + longest_ms <= req.deadline_ms:
+            # It need not be found which of them come before it.
+            return False
+        key = shard.waiting_key(ticket, now_ms)
+        ahead = sum(shard.waiting_key(t, now_ms) < key for t in shard.waiting)
+        wait_ms = shard.forecast.shortest_wait_ms(ahead, now_ms)
+        return now_ms + wait_ms > req.deadline_ms
+
     def release(
         self,
         ticket_id: tickets.TicketId,
@@ -199,7 +235,7 @@
             return []
         shard = self._shard(ticket.shard)
         if not ticket.replica_id:
-            shard.remove(ticket)
+            shard.remove(ticket, now_ms)
             return []
         del shard.granted[ticket.id]
         shard.freed.note(now_ms)
@@ -230,7 +266,7 @@
             if ticket.holder != holder or ticket.number in held:
                 continue
             if now_ms - ticket.granted_ms > _GRANT_GRACE_MS:
-                self._drop(ticket)
+                self._drop(ticket, now_ms)
         service = shard.partition("/")[0]
         for number, (replica_id, work) in held.items():
             ticket = self._tickets.get((holder, number)) or tickets.Ticket(
@@ -239,7 +275,7 @@
             ticket.seen_ms = now_ms
             if not ticket.replica_id:
                 if self._tickets.pop(ticket.id, None) is not None:
-                    self._shard(ticket.shard).remove(ticket)
+                    self._shard(ticket.shard).remove(ticket, now_ms)
                 self._grant(ticket, replica_id, now_ms)
         return self._serve(shard, now_ms)
 
@@ -248,7 +284,7 @@
         limit_ms = now_ms - TICKET_TTL_MS
         for ticket in list(self._tickets.values()):
             if ticket.seen_ms < limit_ms:
-                self._drop(ticket)
+                self._drop(ticket, now_ms)
         decisions: list[tickets.Decision] = []
         for name, shard in list(self._shards.items()):
             if not shard.waiting and not shard.granted:
@@ -260,13 +296,13 @@
     def _shard(self, name: str) -> _Shard:
         return self._shards.setdefault(name, _Shard())
 
-    def _drop(self, ticket: tickets.Ticket) -> None:
+    def _drop(self, ticket: tickets.Ticket, now_ms: float) -> None:
         shard = self._shard(ticket.shard)
         del self._tickets[ticket.id]
         if ticket.replica_id:
             del shard.granted[ticket.id]
         else:
-            shard.remove(ticket)
+            shard.remove(ticket, now_ms)
 
     def _serve(self, name: str, now_ms: float) -> list[tickets.Decision]:
         """Grants free slots in order: online requests, then batch items."""
@@ -295,7 +331,7 @@
             if replica is None:
                 ahead += 1
                 continue
-            shard.remove(ticket, served=True)
+            shard.remove(ticket, now_ms, served=True)
             self._grant(ticket, replica.listing.id, now_ms)
             self._limits.note_sent(replica.listing.incarnation, now_ms)
             busy[replica.listing.id] = busy.get(replica.listing.id, 0) + 1
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -16,6 +16,7 @@
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.routing import fair_order
+from lacewingwood.routing import forecast as forecasts
 from lacewingwood.routing import load
 from lacewingwood.routing import outliers
 
@@ -65,6 +66,8 @@
         version: Software version that must run it, None for any.
         customer: Customer that sent it, empty if it has none.
         tokens: Its estimated work, for the shares of customers.
+        hopeless: Set if it was refused since it can't begin before its
+            deadline.
     """
 
     service: str
@@ -79,6 +82,7 @@
     version: str | None = None
     customer: str = ""
     tokens: float = 1.0
+    hopeless: bool = False
 
     def allows(self, replica: load.Replica) -> bool:
         """Returns whether a replica may run it, its load aside."""
@@ -147,6 +151,36 @@
     slot: Slot | None = None
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Queue:
+    """Shares and forecast of the requests that wait for one service."""
+
+    waiting: int = 0
+    order: fair_order.FairOrder = dataclasses.field(
+        default_factory=fair_order.FairOrder
+    )
+    forecast: forecasts.WaitForecast = dataclasses.field(
+        default_factory=forecasts.WaitForecast
+    )
+
+    def add(self, req: SlotRequest, now_ms: float) -> float:
+        """Returns the tag of a request that starts to wait."""
+        self.waiting += 1
+        self.forecast.note_waiting(now_ms)
+        return self.order.add(req.customer, req.tokens)
+
+    def remove(
+        self, req: SlotRequest, now_ms: float, served: bool = False
+    ) -> None:
+        """Removes a request, which has got a slot if `served`."""
+        self.waiting -= 1
+        self.forecast.note_left(self.waiting, now_ms)
+        if served:
+            self.order.note_served(req.customer, req.tokens)
+        else:
+            self.order.cancel(req.customer, req.tokens)
+
+
 class Dispatcher:
     """Assigns replicas' slots by the load that this gateway knows of.
 
@@ -161,7 +195,7 @@
     __slots__ = (
         "_clock",
         "_metrics",
-        "_orders",
+        "_queues",
         "_rng",
         "_waiting",
         "_zone",
@@ -188,8 +222,8 @@
         self._metrics = metrics
         self._rng = rng or random.Random()
         self._waiting: collections.deque[_Waiter] = collections.deque()
-        # Shares of customers, by service.
-        self._orders: dict[str, fair_order.FairOrder] = {}
+        # Order and forecast of what waits, by service.
+        self._queues: dict[str, _Queue] = {}
 
     @property
     def waiting(self) -> int:
@@ -229,11 +263,15 @@
         if self._is_hopeless(req):
             self._metrics.add("slots_hopeless")
             return None
-        order = self._orders.setdefault(req.service, fair_order.FairOrder())
-        tag = order.add(req.customer, req.tokens)
+        started_ms = self._clock.now_ms()
+        if self._is_forecast_late(req, started_ms):
+            req.hopeless = True
+            self._metrics.add("slots_forecast_late")
+            return None
+        queue = self._queues.setdefault(req.service, _Queue())
+        tag = queue.add(req, started_ms)
         waiter = _Waiter(req, trio.Event(), tag)
         self._waiting.append(waiter)
-        started_ms = self._clock.now_ms()
         remaining_ms = req.deadline_ms - started_ms
         try:
             with trio.move_on_after(max(0.0, remaining_ms) / 1000):
@@ -245,7 +283,7 @@
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
-                order.cancel(req.customer, req.tokens)
+                queue.remove(req, self._clock.now_ms())
         waited_ms = self._clock.now_ms() - started_ms
         self._metrics.histogram("slot_wait").record_ms(waited_ms)
         return waiter.slot
@@ -273,14 +311,14 @@
             if slot is not None:
                 waiter.slot = slot
                 self._waiting.remove(waiter)
-                self._orders[req.service].note_served(req.customer, req.tokens)
+                self._queues[req.service].remove(req, now_ms, served=True)
                 waiter.ready.set()
 
     def _waiter_key(
         self, waiter: _Waiter, now_ms: float
     ) -> tuple[float, bool, int, bool, float]:
         req = waiter.req
-        excess = self._orders[req.service].excess(waiter.tag)
+        excess = self._queues[req.service].order.excess(waiter.tag)
         return waiting_key(req, now_ms, excess)
 
     def excess_batch_items(self, replica: load.Replica, urgent: bool) -> int:
@@ -320,6 +358,24 @@
             limits.expected(name, now_ms, left_ms) for name in usable
         )
 
+    def _is_forecast_late(self, req: SlotRequest, now_ms: float) -> bool:
+        """Returns whether a request can't begin before its deadline.
+
+        That is forecast from what waits before it at this gateway. Requests
+        that only some replicas may run are not forecast.
+        """
+        queue = self._queues.get(req.service)
+        if queue is None or not queue.waiting or req.version is not None:
+            return False
+        key = waiting_key(req, now_ms, queue.order.next_excess(req.customer))
+        ahead = sum(
+            waiter.req.service == req.service
+            and self._waiter_key(waiter, now_ms) < key
+            for waiter in self._waiting
+        )
+        wait_ms = queue.forecast.shortest_wait_ms(ahead, now_ms)
+        return now_ms + wait_ms > req.deadline_ms
+
     async def _wait(self, waiter: _Waiter) -> None:
         while not waiter.ready.is_set():
             with trio.move_on_after(_POLL_INTERVAL_MS / 1000):
--- a/lacewingwood/routing/fair_order.py
+++ b/lacewingwood/routing/fair_order.py
@@ -64,6 +64,10 @@
         """Returns how far a request is ahead of its customer's share."""
         return max(0.0, tag - self._virtual)
 
+    def next_excess(self, customer: str) -> float:
+        """Returns the excess that a customer's next request would have."""
+        return self.excess(self._finish.get(customer, 0.0))
+
     def _remove(self, customer: str) -> None:
         self._waiting[customer] -= 1
         if not self._waiting[customer]:
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -49,12 +49,15 @@
         shards: Shard of each ticket, by number.
         slot: The slot, None until one ticket was granted.
         ready: Set once it was.
+        hopeless: Shards that can't run it before its deadline, by their last
+            answers.
     """
 
     req: dispatchers.SlotRequest
     shards: dict[int, str] = dataclasses.field(default_factory=dict)
     slot: dispatchers.Slot | None = None
     ready: trio.Event = dataclasses.field(default_factory=trio.Event)
+    hopeless: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -225,9 +228,10 @@
         """Asks shards in turn; returns False if no coordinator answers.
 
         A shard without a free slot is asked to stop batch items only if the
-        other shards have no free slot either.
+        other shards have no free slot either. A request that none of them can
+        run in time ends at once; one that has waited goes on waiting.
         """
-        while True:
+        for attempt in itertools.count():
             shards = self._shards_for(pending.req)
             answered = False
             for may_preempt in (False, True):
@@ -238,10 +242,15 @@
                         return True
             if not answered:
                 return False
+            if attempt == 0 and pending.hopeless.issuperset(shards):
+                pending.req.hopeless = True
+                self._metrics.add("slots_forecast_late")
+                return True
             with trio.move_on_after(_WAIT_MS / 1000):
                 await pending.ready.wait()
             if pending.ready.is_set():
                 return True
+        raise AssertionError
 
     async def _ask(
         self, pending: _Pending, shard: str, may_preempt: bool
@@ -289,6 +298,10 @@
                 self._send_release(host, number)
             return False
         self._hints[shard] = answer.free, self._clock.now_ms()
+        if answer.hopeless:
+            pending.hopeless.add(shard)
+        else:
+            pending.hopeless.discard(shard)
         if answer.replica:
             self._take(number, answer.replica, shard)
         return True
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -92,7 +92,9 @@
             outcome="granted" if replica else "waits",
         )
         free = self._coordinator.free_slots(message.shard, now_ms)
-        return gateway_messages.SlotAnswer(replica, free)
+        ticket_id = message.host, message.ticket
+        hopeless = self._coordinator.is_hopeless(ticket_id, now_ms)
+        return gateway_messages.SlotAnswer(replica, free, hopeless)
 
     def release(self, message: gateway_messages.SlotRelease) -> None:
         """Ends a ticket."""
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -20,6 +20,7 @@
 from lacewingwood.callers import http
 from lacewingwood.callers import progress
 from lacewingwood.routing import directory
+from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
@@ -346,6 +347,23 @@
     assert caught.value.retry_after_ms is not None
 
 
+async def test_request_that_cannot_begin_in_time_is_told_no_return(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers that return only to be late as well."""
+
+    async def refuse(_: object, req: dispatchers.SlotRequest) -> None:
+        await trio.lowlevel.checkpoint()
+        req.hopeless = True
+
+    monkeypatch.setattr(dispatchers.Dispatcher, "acquire", refuse)
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(FakeReplicas()).run(make_call(Caller()))
+    assert (caught.value.status, caught.value.code) == (503, "no_capacity")
+    assert caught.value.ran is base_errors.Ran.NOT_RUN
+    assert caught.value.retry_after_ms is None
+
+
 async def test_lost_answers_count_as_attempts() -> None:
     """Guards against a request that runs on one replica after another.
 
--- a/tests/routing/test_contention.py
+++ b/tests/routing/test_contention.py
@@ -6,9 +6,13 @@
 
 import statistics
 
+import msgspec
 import trio
 from trio import testing as trio_testing
 
+from lacewingwood.peers import gateway_messages
+from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import slot_client
 from tests.routing import fleets
 
 _ONLINE_PER_S = 138.0
@@ -57,3 +61,50 @@
         assert max(burst) < 4_000
         assert fleet.outcome.refused == 0
         nursery.cancel_scope.cancel()
+
+
+async def test_refusal_of_all_shards_comes_at_once(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a refusal that comes as late as a response.
+
+    One shard that does not refuse is enough to wait there.
+    """
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(nursery, gateways=20, replicas=2, slots=1)
+        client = fleet.gateways[0].client
+        slots = [await client.acquire(fleets.make_request()) for _ in range(2)]
+        hopeless = {"lm/z0/0", "lm/z1/0"}
+        for gateway in fleet.gateways:
+            _answer_hopeless(gateway, hopeless)
+        started = trio.current_time()
+        req = fleets.make_request()
+        assert await client.acquire(req) is None
+        assert req.hopeless
+        assert trio.current_time() - started <= 0.25 * fleets.OBJECTIVE_MS / 1e3
+        hopeless.remove("lm/z1/0")
+        nursery.start_soon(_release_later, client, slots)
+        assert await client.acquire(fleets.make_request()) is not None
+        nursery.cancel_scope.cancel()
+
+
+def _answer_hopeless(gateway: fleets.Gateway, shards: set[str]) -> None:
+    """Makes a gateway refuse what waits in some shards."""
+    ask = gateway.server.ask
+
+    def answer(
+        message: gateway_messages.SlotAsk,
+    ) -> gateway_messages.SlotAnswer:
+        hopeless = message.shard in shards
+        return msgspec.structs.replace(ask(message), hopeless=hopeless)
+
+    gateway.server.ask = answer  # type: ignore[method-assign]
+
+
+async def _release_later(
+    client: slot_client.SlotClient, slots: list[dispatchers.Slot | None]
+) -> None:
+    await trio.sleep(1)
+    for slot in slots:
+        assert slot is not None
+        client.release(slot)
