--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -10,20 +10,17 @@
 requests themselves.
 """
 
-import dataclasses
 import math
 import random
 from collections.abc import Callable
 
 from lacewingwood.limits import replica_limits
 from lacewingwood.routing import batch_reserve
-from lacewingwood.routing import demand as demand_lib
 from lacewingwood.routing import dispatcher as dispatchers
-from lacewingwood.routing import fair_order
-from lacewingwood.routing import forecast as forecasts
 from lacewingwood.routing import load
 from lacewingwood.routing import preemption
 from lacewingwood.routing import replica_pauses
+from lacewingwood.routing import shard_state
 from lacewingwood.routing import tickets
 
 # A gateway repeats what it holds and waits for several times in this period. A
@@ -37,80 +34,6 @@
 # number. Items also make way for online requests, but then part of their work
 # is repeated.
 _BATCH_RESERVE = 1
-# Items whose work left differs by less than this are served in order of
-# arrival.
-_LEFT_STEP_MS = 500.0
-
-
-@dataclasses.dataclass(slots=True)
-class _Shard:
-    waiting: list[tickets.Ticket] = dataclasses.field(default_factory=list)
-    granted: dict[tickets.TicketId, tickets.Ticket] = dataclasses.field(
-        default_factory=dict
-    )
-    freed: preemption.FreedSlots = dataclasses.field(
-        default_factory=preemption.FreedSlots
-    )
-    demand: demand_lib.DemandForecast = dataclasses.field(
-        default_factory=demand_lib.DemandForecast
-    )
-
-    order: fair_order.FairOrder = dataclasses.field(
-        default_factory=fair_order.FairOrder
-    )
-
-    forecast: forecasts.WaitForecast = dataclasses.field(
-        default_factory=forecasts.WaitForecast
-    )
-
-    def add(self, ticket: tickets.Ticket, now_ms: float) -> None:
-        """Lets a ticket wait."""
-        self.waiting.append(ticket)
-        if not ticket.is_batch:
-            req = ticket.req
-            ticket.tag = self.order.add(req.customer, req.tokens)
-            self.forecast.note_waiting(now_ms)
-
-    def remove(
-        self, ticket: tickets.Ticket, now_ms: float, served: bool = False
-    ) -> None:
-        """Removes a waiting ticket, which has got a slot if `served`."""
-        self.waiting.remove(ticket)
-        if ticket.is_batch:
-            return
-        req = ticket.req
-        self.forecast.note_left(self.online_waiting(), now_ms)
-        if served:
-            self.order.note_served(req.customer, req.tokens)
-        else:
-            self.order.cancel(req.customer, req.tokens)
-
-    def waiting_key(
-        self, ticket: tickets.Ticket, now_ms: float
-    ) -> tuple[float | bool, ...]:
-        """Returns the order in which tickets are served.
-
-        Online requests come first. Urgent items come before other items, then
-        those with the least work left.
-        """
-        req = ticket.req
-        if ticket.is_batch:
-            left = int(ticket.left_ms // _LEFT_STEP_MS)
-            return True, not req.urgent, left, req.arrived_ms
-        excess = self.order.excess(ticket.tag)
-        return False, *dispatchers.waiting_key(req, now_ms, excess)
-
-    def online(self) -> int:
-        """Returns the number of online requests that run."""
-        return sum(not ticket.is_batch for ticket in self.granted.values())
-
-    def online_waiting(self) -> int:
-        """Returns the number of online requests that wait."""
-        return sum(not ticket.is_batch for ticket in self.waiting)
-
-    def note_demand(self, now_ms: float) -> None:
-        """Records the slots that online requests use and wait for."""
-        self.demand.note(self.online() + self.online_waiting(), now_ms)
 
 
 class Coordinator:
@@ -145,7 +68,7 @@
         self._replicas_of = replicas_of
         self._limits = limits or replica_limits.ReplicaLimits()
         self._rng = rng or random.Random()
-        self._shards: dict[str, _Shard] = {}
+        self._shards: dict[str, shard_state.ShardState] = {}
         self._tickets: dict[tickets.TicketId, tickets.Ticket] = {}
         self._pauses = replica_pauses.ReplicaPauses()
 
@@ -293,8 +216,8 @@
                 decisions += self._serve(name, now_ms)
         return decisions
 
-    def _shard(self, name: str) -> _Shard:
-        return self._shards.setdefault(name, _Shard())
+    def _shard(self, name: str) -> shard_state.ShardState:
+        return self._shards.setdefault(name, shard_state.ShardState())
 
     def _drop(self, ticket: tickets.Ticket, now_ms: float) -> None:
         shard = self._shard(ticket.shard)
@@ -345,7 +268,7 @@
         self._tickets[ticket.id] = ticket
         self._shard(ticket.shard).granted[ticket.id] = ticket
 
-    def _busy_slots(self, shard: _Shard) -> dict[str, int]:
+    def _busy_slots(self, shard: shard_state.ShardState) -> dict[str, int]:
         """Returns the used slots by replica, without preempted items."""
         busy: dict[str, int] = {}
         for ticket in shard.granted.values():
@@ -418,7 +341,7 @@
 
     def _victim(
         self,
-        shard: _Shard,
+        shard: shard_state.ShardState,
         ticket: tickets.Ticket,
         replicas: list[load.Replica],
         now_ms: float,
