--- a/lacewingwood/callers/endings.py
+++ b/lacewingwood/callers/endings.py
@@ -47,7 +47,7 @@
         progress: progress_lib.Progress,
         status: int,
         refusal: str = "no replica accepted the request",
-        retry_after_ms: float = _NO_REPLICA_RETRY_AFTER_MS,
+        retry_after_ms: float | None = _NO_REPLICA_RETRY_AFTER_MS,
     ) -> None:
         """Ends a call that no replica completed.
 
@@ -56,7 +56,8 @@
             progress: Its attempts.
             status: Status of the response if a replica may have run the call.
             refusal: What the caller is told if no replica has.
-            retry_after_ms: When the caller may try again in that case.
+            retry_after_ms: When the caller may try again in that case, None
+                if that is not expected to help.
 
         Raises:
             AbortError: The response was started.
@@ -95,6 +96,15 @@
         self, call: progress_lib.Call, progress: progress_lib.Progress
     ) -> None:
         """Ends a call for which no slot was found; raises as `give_up`."""
+        if progress.reason == "no_capacity":
+            # A caller that returns within its deadline would be late as well.
+            self.give_up(
+                call,
+                progress,
+                UNAVAILABLE,
+                "no replica can begin the request before its deadline",
+                None,
+            )
         if progress.reason != "no_version":
             self.give_up(call, progress, UNAVAILABLE)
         self.give_up(
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -17,6 +17,7 @@
 from lacewingwood.callers import second_attempts
 from lacewingwood.callers import stopping
 from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import fair_order
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
@@ -280,17 +281,21 @@
         objective_ms = (
             call.route.objective_ms or attempts_lib.DEFAULT_OBJECTIVE_MS
         )
-        return await self._slots.acquire(
-            dispatchers.SlotRequest(
-                service=service,
-                work=load.WorkKind.ONLINE,
-                rank=call.priority,
-                arrived_ms=call.arrived_ms,
-                objective_ms=objective_ms,
-                deadline_ms=call.deadline_ms - _MIN_RUN_MS,
-                exclude=exclude,
-                repeatable=call.route.repeatable
-                and progress.attempts_left(begun=1),
-                version=version,
-            )
+        req = dispatchers.SlotRequest(
+            service=service,
+            work=load.WorkKind.ONLINE,
+            rank=call.priority,
+            arrived_ms=call.arrived_ms,
+            objective_ms=objective_ms,
+            deadline_ms=call.deadline_ms - _MIN_RUN_MS,
+            exclude=exclude,
+            repeatable=call.route.repeatable
+            and progress.attempts_left(begun=1),
+            version=version,
+            customer=call.work.customer,
+            tokens=fair_order.estimate_tokens(len(call.work.body)),
         )
+        slot = await self._slots.acquire(req)
+        if req.hopeless:
+            progress.reason = "no_capacity"
+        return slot
--- a/lacewingwood/gateway_settings.py
+++ b/lacewingwood/gateway_settings.py
@@ -35,6 +35,8 @@
         job_status_ms: How long a job stays readable after its submission.
         rate_tolerance: Fraction by which a customer may exceed its rate.
         burst_tolerance: Requests by which a customer may exceed its burst.
+        contention: True if customers compete for too few slots; see
+            docs/decisions/contention.md.
         second_attempt_percent: Second attempts against slow responses, as a
             percentage of the requests of each route that sets none.
         memory_bytes: Memory of the host.
@@ -73,6 +75,7 @@
     job_status_ms: float = 120_000.0
     rate_tolerance: float = 0.0
     burst_tolerance: float = 0.0
+    contention: bool = False
     second_attempt_percent: float = 0.0
     memory_bytes: int = 256 << 20
     max_descriptors: int = 1_024
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -384,6 +384,10 @@
         objective_ms: Time after its arrival by which its first event is due.
         exclude: Replicas that must not be used.
         version: Software version that must run it, None for any.
+        left_ms: Time that a batch item has to run, 0 if it is not known.
+        customer: Customer that sent the request, empty if it has none.
+        tokens: Its estimated work, for the shares of customers.
+        timeout_ms: Time until its caller no longer waits, None if not known.
     """
 
     host: str
@@ -400,6 +404,10 @@
     objective_ms: float = 0.0
     exclude: list[str] = []
     version: str | None = None
+    left_ms: float = 0.0
+    customer: str = ""
+    tokens: float = 1.0
+    timeout_ms: float | None = None
 
 
 class SlotAnswer(messages.Message, tag="slot_answer"):
@@ -408,10 +416,13 @@
     Attributes:
         replica: The replica, empty if the ticket waits.
         free: Slots of the shard that no online request uses.
+        hopeless: True if the ticket waits and it is forecast that it can't get
+            a slot before its deadline.
     """
 
     replica: str
     free: int
+    hopeless: bool = False
 
 
 class SlotGrant(messages.Message, tag="slot_grant"):
--- a/lacewingwood/platform/settings.py
+++ b/lacewingwood/platform/settings.py
@@ -15,6 +15,9 @@
 
 ENV = "LACEWINGWOOD_CONFIG"
 
+# In force where callers compete for the replicas.
+_CONTENTION_CONTRACT = "pressure"
+
 
 class SettingsError(errors.Error):
     """The settings file is missing, unreadable or malformed."""
@@ -96,6 +99,8 @@
     seeds: list[str] = []
     # Interval at which replicas renew their entries.
     heartbeat_ms: float = 1200.0
+    # Parts of the platform's rules that are in force.
+    contracts: list[str] = []
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
 
@@ -170,6 +175,7 @@
         job_status_ms=bounds.status_s * 1000,
         rate_tolerance=bounds.quota_overage,
         burst_tolerance=bounds.quota_slack,
+        contention=_CONTENTION_CONTRACT in file.contracts,
         memory_bytes=int(limits.memory_mb * (1 << 20)),
         max_descriptors=limits.max_fds,
         max_header_fields=limits.max_header_fields,
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -119,7 +119,11 @@
         self._quarantine = quarantines.Quarantine()
         self._evacuations = evacuation.Evacuations(self._evacuate)
         self._dispatcher = dispatchers.Dispatcher(
-            self._fleet, cfg.zone, self._clock, self._metrics
+            self._fleet,
+            cfg.zone,
+            self._clock,
+            self._metrics,
+            contention=cfg.contention,
         )
         self._replica_list = published.ReplicaList(
             self._fleet,
@@ -173,6 +177,7 @@
             cfg.host,
             self._clock,
             self._metrics,
+            contention=cfg.contention,
         )
         self._slots = slot_client.SlotClient(
             self._dispatcher,
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -15,6 +15,8 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.routing import fair_order
+from lacewingwood.routing import forecast as forecasts
 from lacewingwood.routing import load
 from lacewingwood.routing import outliers
 from lacewingwood.routing import ranking
@@ -70,6 +72,10 @@
         spare: True if it must slow no other request: it never waits, and uses
             a slot only if more than that are free and no request waits.
         avoid_zone: Zone whose replicas are used only if no other has a slot.
+        customer: Customer that sent it, empty if it has none.
+        tokens: Its estimated work, for the shares of customers.
+        hopeless: Set if it was refused since it can't begin before its
+            deadline.
     """
 
     service: str
@@ -84,6 +90,9 @@
     version: str | None = None
     spare: bool = False
     avoid_zone: str | None = None
+    customer: str = ""
+    tokens: float = 1.0
+    hopeless: bool = False
 
     def allows(self, replica: load.Replica) -> bool:
         """Returns whether a replica may run it, its load aside."""
@@ -154,9 +163,40 @@
 class _Waiter:
     req: SlotRequest
     ready: trio.Event
+    tag: float = 0.0
     slot: Slot | None = None
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Queue:
+    """Shares and forecast of the requests that wait for one service."""
+
+    waiting: int = 0
+    order: fair_order.FairOrder = dataclasses.field(
+        default_factory=fair_order.FairOrder
+    )
+    forecast: forecasts.WaitForecast = dataclasses.field(
+        default_factory=forecasts.WaitForecast
+    )
+
+    def add(self, req: SlotRequest, now_ms: float) -> float:
+        """Returns the tag of a request that starts to wait."""
+        self.waiting += 1
+        self.forecast.note_waiting(now_ms)
+        return self.order.add(req.customer, req.tokens)
+
+    def remove(
+        self, req: SlotRequest, now_ms: float, served: bool = False
+    ) -> None:
+        """Removes a request, which has got a slot if `served`."""
+        self.waiting -= 1
+        self.forecast.note_left(self.waiting, now_ms)
+        if served:
+            self.order.note_served(req.customer, req.tokens)
+        else:
+            self.order.cancel(req.customer, req.tokens)
+
+
 class Dispatcher:
     """Assigns replicas' slots by the load that this gateway knows of.
 
@@ -166,6 +206,8 @@
         counts_lag: Returns whether peers' counts may be some requests behind.
         stagger_s: Returns how much longer than others this gateway waits for
             each request to a replica that limits them.
+        contention: True if customers compete for the slots; waiting requests
+            are then served in their fair shares.
         turn: Returns this gateway's position among those that run, their number
             and the Unix time; see `cold_replicas`.
     """
@@ -174,9 +216,11 @@
         "_clock",
         "_metrics",
         "_order",
+        "_queues",
         "_rng",
         "_waiting",
         "_zone",
+        "contention",
         "counts_lag",
         "fleet",
         "on_change",
@@ -191,8 +235,10 @@
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
         rng: random.Random | None = None,
+        contention: bool = False,
     ) -> None:
         self.fleet = fleet
+        self.contention = contention
         self.on_change = lambda: None
         self.counts_lag: Callable[[], bool] = lambda: False
         self.stagger_s: Callable[[], float] = lambda: 0.0
@@ -205,6 +251,8 @@
         # `turn`: one look serves for all replicas.
         self._order = (float("-inf"), 0.0, (0, 1, 0))
         self._waiting: collections.deque[_Waiter] = collections.deque()
+        # Order and forecast of what waits, by service.
+        self._queues: dict[str, _Queue] = {}
 
     @property
     def waiting(self) -> int:
@@ -249,9 +297,15 @@
         if self._is_hopeless(req):
             self._metrics.add("slots_hopeless")
             return None
-        waiter = _Waiter(req, trio.Event())
-        self._waiting.append(waiter)
         started_ms = self._clock.now_ms()
+        if self._is_forecast_late(req, started_ms):
+            req.hopeless = True
+            self._metrics.add("slots_forecast_late")
+            return None
+        queue = self._queues.setdefault(req.service, _Queue())
+        tag = queue.add(req, started_ms)
+        waiter = _Waiter(req, trio.Event(), tag)
+        self._waiting.append(waiter)
         remaining_ms = req.deadline_ms - started_ms
         try:
             with trio.move_on_after(max(0.0, remaining_ms) / 1000):
@@ -263,6 +317,7 @@
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
+                queue.remove(req, self._clock.now_ms())
         waited_ms = self._clock.now_ms() - started_ms
         self._metrics.histogram("slot_wait").record_ms(waited_ms)
         return waiter.slot
@@ -287,15 +342,26 @@
             return
         now_ms = self._clock.now_ms()
         ordered = sorted(
-            self._waiting, key=lambda w: waiting_key(w.req, now_ms)
+            self._waiting, key=lambda w: self._waiter_key(w, now_ms)
         )
         for waiter in ordered:
-            slot = self.try_acquire(waiter.req)
+            req = waiter.req
+            slot = self.try_acquire(req)
             if slot is not None:
                 waiter.slot = slot
                 self._waiting.remove(waiter)
+                self._queues[req.service].remove(req, now_ms, served=True)
                 waiter.ready.set()
 
+    def _waiter_key(
+        self, waiter: _Waiter, now_ms: float
+    ) -> tuple[float | bool, ...]:
+        req = waiter.req
+        if not self.contention:
+            return waiting_key(req, now_ms)
+        excess = self._queues[req.service].order.excess(waiter.tag)
+        return fair_waiting_key(req, now_ms, excess)
+
     def excess_batch_items(self, replica: load.Replica, urgent: bool) -> int:
         """Returns how many batch items must be preempted on a replica.
 
@@ -324,16 +390,41 @@
         ):
             return False
         left_ms = req.deadline_ms - now_ms
-        key = waiting_key(req, now_ms)
+        # Taken as within its customer's share, for the least number before it.
+        key: tuple[float | bool, ...] = waiting_key(req, now_ms)
+        if self.contention:
+            key = fair_waiting_key(req, now_ms)
         before = sum(
             waiter.req.service == req.service
-            and waiting_key(waiter.req, now_ms) <= key
+            and self._waiter_key(waiter, now_ms) <= key
             for waiter in self._waiting
         )
         return before + 1 > sum(
             limits.expected(name, now_ms, left_ms) for name in usable
         )
 
+    def _is_forecast_late(self, req: SlotRequest, now_ms: float) -> bool:
+        """Returns whether a request can't begin before its deadline.
+
+        That is forecast from what waits before it at this gateway. Requests
+        that only some replicas may run are not forecast.
+        """
+        if not self.contention:
+            return False
+        queue = self._queues.get(req.service)
+        if queue is None or not queue.waiting or req.version is not None:
+            return False
+        key = fair_waiting_key(
+            req, now_ms, queue.order.next_excess(req.customer)
+        )
+        ahead = sum(
+            waiter.req.service == req.service
+            and self._waiter_key(waiter, now_ms) < key
+            for waiter in self._waiting
+        )
+        wait_ms = queue.forecast.shortest_wait_ms(ahead, now_ms)
+        return now_ms + wait_ms > req.deadline_ms
+
     async def _wait(self, waiter: _Waiter) -> None:
         while not waiter.ready.is_set():
             with trio.move_on_after(_POLL_INTERVAL_MS / 1000):
@@ -508,5 +599,28 @@
 
     Those that can still meet their objective come first.
     """
+    return _misses_objective(req, now_ms), req.rank, req.arrived_ms
+
+
+def _misses_objective(req: SlotRequest, now_ms: float) -> bool:
     due_ms = req.arrived_ms + req.objective_ms - _EXPECTED_FIRST_EVENT_MS
-    return now_ms > due_ms, req.rank, req.arrived_ms
+    return now_ms > due_ms
+
+
+def fair_waiting_key(
+    req: SlotRequest, now_ms: float, excess: float = 0.0
+) -> tuple[float, bool, int, bool, float]:
+    """Returns the order in which requests of competing customers are served.
+
+    Those that are ahead of their customer's share come last. Of the others
+    those that have waited for long come first, then those of higher priority,
+    then those that can still meet their objective.
+
+    Args:
+        req: The request.
+        now_ms: Current time.
+        excess: How far it is ahead of its customer's share.
+    """
+    overdue = fair_order.is_overdue(req.arrived_ms, req.deadline_ms, now_ms)
+    late = _misses_objective(req, now_ms)
+    return excess, not overdue, req.rank, late, req.arrived_ms
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -59,6 +59,8 @@
         ready: Set once it was.
         asked_ms: When a coordinator was last asked.
         taken_ms: When the slot was taken.
+        hopeless: Shards that can't run it before its deadline, by their last
+            answers.
     """
 
     req: dispatchers.SlotRequest
@@ -67,6 +69,7 @@
     ready: trio.Event = dataclasses.field(default_factory=trio.Event)
     asked_ms: float = 0.0
     taken_ms: float = 0.0
+    hopeless: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
@@ -198,13 +201,17 @@
             if host is not None:
                 self._send_release(host, slot.ticket, slot)
 
-    def want_batch(self, service: str, count: int, urgent: bool) -> None:
+    def want_batch(
+        self, service: str, count: int, urgent: bool, left_ms: float = 0.0
+    ) -> None:
         """Sets how many slots batch items of a service wait for.
 
         Args:
             service: The service.
             count: Number of waiting items.
             urgent: True if one of them may take the last free slots.
+            left_ms: Time that the item which starts first has to run, 0 if it
+                is not known.
         """
         shards = [
             shard
@@ -230,12 +237,12 @@
             if known is None:
                 continue
             if now_ms - known.asked_ms >= _REPEAT_INTERVAL_MS:
-                self._ask_batch(number, known, urgent)
+                self._ask_batch(number, known, urgent, left_ms)
         for shard in self._batch_shards(shards, wanted - len(mine)):
             ticket = _BatchTicket(shard, service, now_ms)
             number = next(self._numbers)
             self._batch[number] = ticket
-            self._ask_batch(number, ticket, urgent)
+            self._ask_batch(number, ticket, urgent, left_ms)
 
     async def run(self) -> None:
         """Repeats what this gateway holds until cancelled."""
@@ -249,9 +256,10 @@
 
         A request for a spare slot asks each shard once, and does not wait. A
         shard without a free slot is asked to stop batch items only if the
-        other shards have no free slot either.
+        other shards have no free slot either. A request that none of them can
+        run in time ends at once; one that has waited goes on waiting.
         """
-        while True:
+        for attempt in itertools.count():
             if self.fleet.is_evacuated(pending.req.service):
                 return True
             shards = self._shards_for(pending.req)
@@ -266,10 +274,15 @@
                 return False
             if pending.req.spare:
                 return True
+            if attempt == 0 and pending.hopeless.issuperset(shards):
+                pending.req.hopeless = True
+                self._metrics.add("slots_forecast_late")
+                return True
             with trio.move_on_after(_WAIT_MS / 1000):
                 await pending.ready.wait()
             if pending.ready.is_set():
                 return True
+        raise AssertionError
 
     async def _ask(
         self, pending: _Pending, shard: str, may_preempt: bool
@@ -301,6 +314,13 @@
             objective_ms=req.objective_ms,
             exclude=list(req.exclude),
             version=req.version,
+            customer=req.customer,
+            tokens=req.tokens,
+            timeout_ms=(
+                None
+                if math.isinf(req.deadline_ms)
+                else req.deadline_ms - now_ms
+            ),
         )
         answer = await self._links.ask(host, message)
         if answer is None:
@@ -310,6 +330,10 @@
                 self._send_release(host, number)
             return False
         self._hints[shard] = answer.free, self._clock.now_ms()
+        if answer.hopeless:
+            pending.hopeless.add(shard)
+        else:
+            pending.hopeless.discard(shard)
         if answer.replica and req.spare and answer.free <= 0:
             # The next online request would find no slot.
             self._forget_ticket(pending, number)
@@ -404,7 +428,11 @@
         return chosen
 
     def _ask_batch(
-        self, number: int, ticket: _BatchTicket, urgent: bool
+        self,
+        number: int,
+        ticket: _BatchTicket,
+        urgent: bool,
+        left_ms: float,
     ) -> None:
         ticket.asked_ms = self._clock.now_ms()
         message = gateway_messages.SlotAsk(
@@ -415,6 +443,7 @@
             service=ticket.service,
             batch=True,
             urgent=urgent,
+            left_ms=left_ms,
         )
         host = self._links.coordinator_of(ticket.shard)
         answer = self._links.send(host, message)
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -1,5 +1,6 @@
 """Coordinates shards of replicas for the gateways that ask this one."""
 
+import math
 from collections.abc import Callable
 
 import structlog
@@ -14,7 +15,9 @@
 from lacewingwood.routing import coordinator as coordinators
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import replica_pauses
 from lacewingwood.routing import shards as shards_lib
+from lacewingwood.routing import tickets
 
 # Interval at which tickets of ended gateways are dropped, and replicas whose
 # pauses have ended are used again.
@@ -40,13 +43,16 @@
         host: str,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
+        contention: bool = False,
     ) -> None:
         self.deliver = lambda message: None
         self._network = network
         self._host = host
         self._clock = clock
         self._metrics = metrics
-        self._coordinator = coordinators.Coordinator(shard_map.replicas, limits)
+        self._coordinator = coordinators.Coordinator(
+            shard_map.replicas, limits, contention=contention
+        )
         self._addresses: dict[str, str] = {}
         self._shards: set[str] = set()
         self._asked = trio.Event()
@@ -94,19 +100,21 @@
             outcome="granted" if replica else "waits",
         )
         free = self._coordinator.free_slots(message.shard, now_ms)
-        return gateway_messages.SlotAnswer(replica, free)
+        ticket_id = message.host, message.ticket
+        hopeless = self._coordinator.is_hopeless(ticket_id, now_ms)
+        return gateway_messages.SlotAnswer(replica, free, hopeless)
 
     def release(self, message: gateway_messages.SlotRelease) -> None:
         """Ends a ticket."""
         ticket_id = message.host, message.ticket
         now_ms = self._clock.now_ms()
-        end = coordinators.End.DONE
+        end = replica_pauses.End.DONE
         if message.refused:
-            end = coordinators.End.REFUSED
+            end = replica_pauses.End.REFUSED
         elif message.failed:
-            end = coordinators.End.FAILED
+            end = replica_pauses.End.FAILED
         elif message.unused:
-            end = coordinators.End.UNUSED
+            end = replica_pauses.End.UNUSED
         deviation = message.deviation, message.weight
         self._send(self._coordinator.release(ticket_id, now_ms, end, deviation))
 
@@ -156,15 +164,15 @@
         self.note_held(message)
         return messages.Ack()
 
-    def _send(self, decisions: list[coordinators.Decision]) -> None:
+    def _send(self, decisions: list[tickets.Decision]) -> None:
         for decision in decisions:
             ticket = decision.ticket
             match decision:
-                case coordinators.Grant():
+                case tickets.Grant():
                     message: messages.Message = gateway_messages.SlotGrant(
                         ticket.number, ticket.replica_id, ticket.shard
                     )
-                case coordinators.Preempt():
+                case tickets.Preempt():
                     message = gateway_messages.SlotPreempt(ticket.replica_id)
                     self._metrics.add("slot_preemptions")
             self._send_to(ticket.holder, message)
@@ -178,9 +186,9 @@
 
 def _make_ticket(
     message: gateway_messages.SlotAsk, now_ms: float
-) -> coordinators.Ticket:
+) -> tickets.Ticket:
     work = load.WorkKind.BATCH if message.batch else load.WorkKind.ONLINE
-    return coordinators.Ticket(
+    return tickets.Ticket(
         message.host,
         message.ticket,
         message.shard,
@@ -194,6 +202,14 @@
             urgent=message.urgent,
             repeatable=message.repeatable,
             version=message.version,
+            customer=message.customer,
+            tokens=message.tokens,
+            deadline_ms=(
+                math.inf
+                if message.timeout_ms is None
+                else now_ms + message.timeout_ms
+            ),
         ),
         may_preempt=message.may_preempt and not message.batch,
+        left_ms=message.left_ms,
     )
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -42,7 +42,17 @@
 Handler = Callable[[messages.Message], Awaitable[messages.Message]]
 
 
-def make_request() -> dispatchers.SlotRequest:
+# Time from submission after which an item is due, and the slack below which it
+# is urgent, as in `jobs.item_order`.
+_DUE_MS = 18_000.0
+_URGENT_SLACK_MS = 2_500.0
+# A run of an item that is stopped within this time was begun in vain.
+EARLY_MS = 1_000.0
+# Time in which a replica processes the prompt of each run of an item.
+PROMPT_MS = 100.0
+
+
+def make_request(customer: str = "") -> dispatchers.SlotRequest:
     """Returns an online request that arrives now."""
     now_ms = trio.current_time() * 1000
     return dispatchers.SlotRequest(
@@ -51,6 +61,8 @@
         arrived_ms=now_ms,
         objective_ms=OBJECTIVE_MS,
         deadline_ms=now_ms + 5_000,
+        customer=customer,
+        tokens=100.0,
     )
 
 
@@ -216,6 +228,33 @@
         self.most_queued = max(self.most_queued, waiting)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Item:
+    """A batch item, which goes on where its last run was stopped.
+
+    Attributes:
+        added_ms: When it was submitted.
+        left_ms: Time that it still has to run.
+        started_ms: When its present run began at the replica, None if it does
+            not run.
+    """
+
+    added_ms: float
+    left_ms: float
+    started_ms: float | None = None
+
+    def left_at(self, now_ms: float) -> float:
+        """Returns the time that it still has to run, its prompt aside."""
+        if self.started_ms is None:
+            return self.left_ms
+        return self.left_ms - max(0.0, now_ms - self.started_ms - PROMPT_MS)
+
+    def is_urgent(self, now_ms: float) -> bool:
+        """Returns whether it would miss its due time by waiting much longer."""
+        due_ms = self.added_ms + _DUE_MS
+        return due_ms - now_ms - self.left_ms < _URGENT_SLACK_MS
+
+
 class Gateway:
     """The slot client and server of one gateway, and its own batch items."""
 
@@ -231,7 +270,7 @@
         own.refresh()
         network = Network(fleet.bus, host)
         self.dispatcher = dispatchers.Dispatcher(
-            own, zone, clock, metrics, random.Random(seed)
+            own, zone, clock, metrics, random.Random(seed), fleet.contention
         )
         self.dispatcher.counts_lag = lambda: True
         self.server = slot_server.SlotServer(
@@ -241,6 +280,7 @@
             host,
             clock,
             metrics,
+            contention=fleet.contention,
         )
         self.network = network
         self.roster = roster = Roster(host, zone, fleet)
@@ -267,9 +307,9 @@
         self.client.on_batch_slot = self._start_item
         self.client.on_preempt = self._stop_item
         self.host, self.zone = host, zone
-        self.waiting_items = 0
+        self.waiting_items: list[Item] = []
         self._fleet = fleet
-        self._items: dict[dispatchers.Slot, trio.CancelScope] = {}
+        self._items: dict[dispatchers.Slot, tuple[Item, trio.CancelScope]] = {}
 
     def _update_replicas(self, replicas: Iterable[load.Replica]) -> None:
         listed = list(replicas)
@@ -277,13 +317,18 @@
         now_ms = trio.current_time() * 1000
         self._own.limits.update_replicas([r.listing for r in listed], now_ms)
 
-    async def serve_online(self, duration_ms: float) -> None:
+    async def serve_online(
+        self, duration_ms: float, customer: str = ""
+    ) -> None:
         """Serves one online request and records when it began to run."""
         outcome = self._fleet.outcome
         started_ms = trio.current_time() * 1000
-        slot = await self.client.acquire(make_request())
+        slot = await self.client.acquire(make_request(customer))
         if slot is None:
             outcome.refused += 1
+            outcome.refused_after_ms.append(
+                trio.current_time() * 1000 - started_ms
+            )
             return
         replica = self._fleet.replicas[slot.replica.listing.id]
         started = trio.Event()
@@ -294,6 +339,7 @@
             await started.wait()
             waited_ms = trio.current_time() * 1000 - started_ms
             outcome.waits_ms.append(waited_ms)
+            outcome.waits_by_customer.setdefault(customer, []).append(waited_ms)
         self.client.release(slot)
 
     async def serve_stream(self, duration_ms: float) -> None:
@@ -329,35 +375,62 @@
 
     def want(self, count: int) -> None:
         """Adds batch items."""
-        self.waiting_items += count
-        self.client.want_batch(SERVICE, self.waiting_items, False)
+        now_ms = trio.current_time() * 1000
+        self.waiting_items += [
+            Item(now_ms, self._fleet.item_ms) for _ in range(count)
+        ]
+        urgent = any(item.is_urgent(now_ms) for item in self.waiting_items)
+        left_ms = min((i.left_ms for i in self.waiting_items), default=0.0)
+        self.client.want_batch(
+            SERVICE, len(self.waiting_items), urgent, left_ms
+        )
 
     def _start_item(self, slot: dispatchers.Slot) -> bool:
         if not self.waiting_items:
             return False
-        self.waiting_items -= 1
-        self._items[slot] = trio.CancelScope()
+        item = min(self.waiting_items, key=lambda i: (i.left_ms, i.added_ms))
+        self.waiting_items.remove(item)
+        self._items[slot] = item, trio.CancelScope()
         self._fleet.nursery.start_soon(self._run_item, slot)
         return True
 
     async def _run_item(self, slot: dispatchers.Slot) -> None:
         outcome = self._fleet.outcome
         replica = self._fleet.replicas[slot.replica.listing.id]
-        with self._items[slot] as scope:
-            await replica.run(self._fleet.item_ms, trio.Event())
+        item, scope = self._items[slot]
+        started = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._note_start, item, started)
+            with scope:
+                await replica.run(item.left_ms + PROMPT_MS, started)
+            nursery.cancel_scope.cancel()
         del self._items[slot]
         self.client.release(slot)
+        now_ms = trio.current_time() * 1000
+        ran_ms = now_ms - item.started_ms if item.started_ms else 0.0
+        item.left_ms, item.started_ms = item.left_at(now_ms), None
         if scope.cancelled_caught:
             outcome.items_cut += 1
-            self.waiting_items += 1
+            outcome.items_cut_early += ran_ms < EARLY_MS
+            self.waiting_items.append(item)
         else:
             outcome.items_done += 1
+            outcome.item_times_ms.append(now_ms - item.added_ms)
+
+    async def _note_start(self, item: Item, started: trio.Event) -> None:
+        await started.wait()
+        item.started_ms = trio.current_time() * 1000
 
     def _stop_item(self, replica: load.Replica) -> None:
-        for slot, scope in list(self._items.items())[::-1]:
-            if slot.replica.listing.id == replica.listing.id:
-                scope.cancel()
-                return
+        now_ms = trio.current_time() * 1000
+        running = [
+            (item.left_at(now_ms), n, scope)
+            for n, (slot, (item, scope)) in enumerate(self._items.items())
+            if slot.replica.listing.id == replica.listing.id
+            and not scope.cancel_called
+        ]
+        if running:
+            max(running, key=lambda found: found[:2])[2].cancel()
 
 
 @dataclasses.dataclass(slots=True)
@@ -366,19 +439,29 @@
 
     Attributes:
         waits_ms: Time until each online request began to run.
+        waits_by_customer: The same by customer.
         refused: Online requests that got no slot.
+        refused_after_ms: Time after which each of them was told so.
         items_done: Batch items that were completed.
         items_cut: Runs of batch items that were stopped.
         first_events_ms: Time until each streamed request's first event.
         chosen: Replicas of the streamed requests in their order.
+        items_cut_early: Those of them that had run for less than `EARLY_MS`.
+        item_times_ms: Time from submission to completion of each item.
     """
 
     waits_ms: list[float] = dataclasses.field(default_factory=list)
+    waits_by_customer: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     refused: int = 0
+    refused_after_ms: list[float] = dataclasses.field(default_factory=list)
     items_done: int = 0
     items_cut: int = 0
     first_events_ms: list[float] = dataclasses.field(default_factory=list)
     chosen: list[str] = dataclasses.field(default_factory=list)
+    items_cut_early: int = 0
+    item_times_ms: list[float] = dataclasses.field(default_factory=list)
 
     def share_within(self, limit_ms: float) -> float:
         """Returns the share of online requests that began in time."""
@@ -390,6 +473,7 @@
     """Gateways and replicas in zones; plays load on them.
 
     Attributes:
+        contention: True if customers compete for the slots.
         coordinated: False to let gateways take slots by their own picture.
         known_dead: Hosts that the other gateways know to be dead.
         item_ms: Duration of a batch item.
@@ -406,8 +490,10 @@
         slots: int = 8,
         delay_ms: float = 2.0,
         seed: int = 1,
+        contention: bool = False,
     ) -> None:
         self.nursery = nursery
+        self.contention = contention
         self.bus = Bus(nursery, delay_ms)
         self.coordinated = True
         self.known_dead: set[str] = set()
@@ -433,9 +519,22 @@
             nursery.start_soon(gateway.server.run)
 
     async def play_online(
-        self, per_s: float, seconds: float, duration_ms: float = 740.0
+        self,
+        per_s: float,
+        seconds: float,
+        duration_ms: float = 740.0,
+        customers: int = 0,
+        name: str = "c",
     ) -> None:
-        """Sends online requests at random times and random gateways."""
+        """Sends online requests at random times and random gateways.
+
+        Args:
+            per_s: Requests a second.
+            seconds: How long.
+            duration_ms: Mean time that a request runs.
+            customers: Number of customers that send them, 0 for none.
+            name: Prefix of their names.
+        """
         end = trio.current_time() + seconds
         while True:
             await trio.sleep(-math.log(1 - self.rng.random()) / per_s)
@@ -445,7 +544,21 @@
             if gateway.host in self.bus.silent:
                 continue
             length_ms = duration_ms * self.rng.uniform(0.7, 1.3)
-            self.nursery.start_soon(gateway.serve_online, length_ms)
+            customer = ""
+            if customers:
+                customer = f"{name}{self.rng.randrange(customers)}"
+            self.nursery.start_soon(gateway.serve_online, length_ms, customer)
+
+    async def play_jobs(
+        self, per_s: float, seconds: float, items: int = 10
+    ) -> None:
+        """Submits jobs of several items at random times and gateways."""
+        end = trio.current_time() + seconds
+        while True:
+            await trio.sleep(-math.log(1 - self.rng.random()) / per_s)
+            if trio.current_time() >= end:
+                return
+            self.rng.choice(self.gateways).want(items)
 
     async def play_streams(
         self, per_s: float, seconds: float, zones: Mapping[str, float]
--- a/tests/routing/test_coordination.py
+++ b/tests/routing/test_coordination.py
@@ -358,6 +358,7 @@
         for gateway in fleet.gateways:
             counts = gateway.server.dump().values()
             assert not any(waiting for waiting, _ in counts)
+        nursery.cancel_scope.cancel()
 
 
 async def test_grant_that_was_held_up_is_not_used(
--- a/tests/routing/test_coordinator.py
+++ b/tests/routing/test_coordinator.py
@@ -8,6 +8,8 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import replica_pauses
+from lacewingwood.routing import tickets
 
 _SHARD = "s/z/0"
 
@@ -24,7 +26,7 @@
     req = dispatchers.SlotRequest(
         "s", work, arrived_ms=now_ms, objective_ms=2_000, version=version
     )
-    ticket = coordinators.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
+    ticket = tickets.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
     return coordinator.ask(ticket, now_ms)[0]
 
 
@@ -109,7 +111,7 @@
     for number in range(20):
         assert _ask(coordinator, number, number)
         coordinator.release(
-            (f"g{number}", number), number, coordinators.End.UNUSED
+            (f"g{number}", number), number, replica_pauses.End.UNUSED
         )
     granted = [bool(_ask(coordinator, n, n)) for n in range(20, 30)]
     assert sum(granted) == 4
