--- a/lacewingwood/callers/racing.py
+++ b/lacewingwood/callers/racing.py
@@ -301,6 +301,7 @@
         if slot is None:
             return
         if self._winner is not None or self._first.done:
+            slot.unused = True
             racer.slots.release(slot)
             racer.decisions.give_back(call.route)
             return
@@ -334,10 +335,21 @@
         finally:
             if slot is None:
                 racer.decisions.give_back(route)
+        if slot is not None and self._is_slower(slot):
+            slot.unused = True
+            racer.slots.release(slot)
+            racer.decisions.give_back(route)
+            slot = None
         if slot is None:
             racer.hold_back(call, second_attempts_lib.HeldBack.NO_SLOT)
         return slot
 
+    def _is_slower(self, slot: dispatchers.Slot) -> bool:
+        """Returns whether a replica is known to be slower than the first."""
+        now_ms = self._racer.clock.now_ms()
+        first = self._first.attempt.slot.replica
+        return slot.replica.slowness(now_ms) > first.slowness(now_ms)
+
     def _make_request(self) -> dispatchers.SlotRequest:
         call, progress = self._call, self._first.attempt.progress
         listing = self._first.attempt.slot.replica.listing
--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -501,6 +501,24 @@
     assert len(setup.replicas.spans) == 1
 
 
+async def test_slower_replica_gets_no_second_attempt(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against a second attempt that would come later than the first."""
+    setup = _Setup(Script([400.0, *stream(1, 2)]), Script([20.0]))
+    setup.learn_times()
+    await trio.sleep(1)
+    setup.again()
+    now_ms = setup.clock.now_ms()
+    for replica in setup.dispatcher.fleet.all():
+        quick = replica.listing.id == "r0"
+        replica.speed.note_figure(1.0 if quick else 3.0, now_ms)
+    await setup.run()
+    assert setup.replicas.spans[0][0] == "r0"
+    assert setup.held_back("no_slot") == 1
+    assert len(setup.replicas.spans) == 1
+
+
 async def test_no_second_attempt_is_made_while_requests_wait(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
