--- a/devtools/fleet.py
+++ b/devtools/fleet.py
@@ -27,7 +27,7 @@
 # take a free port before the process that it was meant for.
 _PORT_RANGE = (10_000, 32_000)
 # Ports that were returned before. The process that was given one may not
-# listen yet; with 18 gateways, one fleet in ten had a port twice.
+# listen yet, and two gateways of a fleet of 18 were given the same one.
 _assigned_ports: set[int] = set()
 
 
