Items are given up only under a newer configuration that removed their route

Cause: a gateway without a configuration found no route for an item and took the route for removed after 4 s. Evidence: no item was sent to a replica, the retention was not over, and the items were ended 4 s after they were loaded.

Change: jobs carry the version of the configuration under which they were accepted, and an item's route counts as removed only under a newer one. The same confusion on related paths: a configuration older than the job, a route without targets, the count of waiting tokens at an owner without the route, and the copy from peers, which took the empty answer of a peer without a configuration for a success and asked it again each round.

--- a/lacewingwood/callers/gateway.py
+++ b/lacewingwood/callers/gateway.py
@@ -64,10 +64,12 @@
         route: The route that matches the request's host and path.
         customer: The owner of the request's API key. None if the route is
             public or no customers are configured.
+        configuration_version: Version of the configuration that has the route.
     """
 
     route: configuration.Route
     customer: configuration.Customer | None
+    configuration_version: int
 
 
 class Gateway:
@@ -111,8 +113,9 @@
         if route is None:
             raise self._refusal(head, 404, NO_ROUTE, "no such route")
         if route.public or not current.has_customers:
-            return Resolved(route, None)
-        return Resolved(route, self._find_customer(current, head))
+            return Resolved(route, None, current.version)
+        customer = self._find_customer(current, head)
+        return Resolved(route, customer, current.version)
 
     def authenticate(self, head: Head) -> configuration.Customer:
         """Returns the customer of a request for a job that was accepted.
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -220,9 +220,12 @@
         See `admission.Admission`.
 
         Raises:
-            errors.UnavailableError: The partition is not loaded, or a later
-                owner exists.
+            errors.UnavailableError: The partition is not loaded, a later owner
+                exists, or the job's route is not known here.
         """
+        if find_route(job.host, job.path) is None:
+            # Without the route, the tokens of all routes would be counted.
+            raise errors.UnavailableError("the job's route is not known")
         with trio.move_on_after(_LOAD_WAIT_MS / 1000):
             await self.loaded.wait()
         if not self.loaded.is_set() or self.lost.is_set():
--- a/lacewingwood/jobs/records.py
+++ b/lacewingwood/jobs/records.py
@@ -50,6 +50,8 @@
         due_ms: Unix time when the results are due.
         expires_ms: Unix time after which items may be given up.
         items: The job's items, without their bodies.
+        configuration_version: Version of the configuration under which the job
+            was accepted, 0 if unknown.
     """
 
     customer: str
@@ -60,6 +62,7 @@
     due_ms: int
     expires_ms: int
     items: list[Item]
+    configuration_version: int = 0
 
 
 class Result(msgspec.Struct, array_like=True, frozen=True):
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import structlog
 import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import item_order
+from lacewingwood.jobs import item_routes
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
 from lacewingwood.routing import directory
@@ -34,11 +36,9 @@
 # the prefill of those items.
 _PREEMPTION_PAUSE_MS = 60.0
 _LAGGING_PREEMPTION_PAUSE_MS = 600.0
-# An item is given up after its route has been missing for this long. A process
-# that has just started may not have the newest configuration yet.
-_MISSING_ROUTE_TIMEOUT_MS = 4_000.0
-
-FindRoute = Callable[[str, str], configuration.Route | None]
+# An item is given up this long after its route was removed, in case a newer
+# configuration restores the route.
+_REMOVED_ROUTE_TIMEOUT_MS = 4_000.0
 
 
 class Coordination(Protocol):
@@ -57,14 +57,16 @@
 # Service, urgency, and software version of a demand for a slot.
 _Demand = tuple[str, bool, str | None]
 
+_log = structlog.get_logger()
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Entry:
-    """A scheduled item, and since when its route has been missing."""
+    """A scheduled item, and since when its route has been removed."""
 
     task: running.ItemTask
     on_result: OnResult
-    route_missing_since_ms: float | None = None
+    route_removed_since_ms: float | None = None
 
 
 class Scheduler:
@@ -74,9 +76,9 @@
         "_clock",
         "_contenders",
         "_coordination",
+        "_current_configuration",
         "_dispatcher",
         "_entries",
-        "_find_route",
         "_metrics",
         "_nursery",
         "_order",
@@ -91,7 +93,7 @@
         self,
         dispatcher: dispatchers.Dispatcher,
         runner: running.ItemRunner,
-        find_route: FindRoute,
+        current_configuration: item_routes.CurrentConfiguration,
         contenders: Callable[[], tuple[int, int]],
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
@@ -103,7 +105,7 @@
         Args:
             dispatcher: Assigns the replicas' slots.
             runner: Runs the items.
-            find_route: Returns the route of a host and a path, if any.
+            current_configuration: Returns the configuration, if any.
             contenders: Returns this gateway's position among the gateways with
                 waiting items, and their number.
             clock: Source of monotonic time.
@@ -116,7 +118,7 @@
         self._coordination = coordination
         self._wanted_services: set[str] = set()
         self._runner = runner
-        self._find_route = find_route
+        self._current_configuration = current_configuration
         self._contenders = contenders
         self._clock = clock
         self._wall_ms = wall_ms
@@ -326,12 +328,14 @@
         if since_expiry_ms >= records.MAX_CLOCK_SKEW_MS:
             self._finish(entry, task.result(completed=False))
             return None
-        route = self._find_route(task.job.host, task.item.target)
-        if route is None or not route.targets:
-            self._note_missing_route(entry, now_ms)
+        route = item_routes.find(
+            self._current_configuration(), task.job, task.item
+        )
+        if route is item_routes.NoRoute.REMOVED:
+            self._note_removed_route(entry, now_ms)
             return None
-        entry.route_missing_since_ms = None
-        return route
+        entry.route_removed_since_ms = None
+        return route if isinstance(route, configuration.Route) else None
 
     def _start_in(
         self, entry: _Entry, slot: dispatchers.Slot, route: configuration.Route
@@ -367,11 +371,18 @@
         self._metrics.add("items_ended", outcome=outcome, in_time=in_time)
         entry.on_result(entry.task, result)
 
-    def _note_missing_route(self, entry: _Entry, now_ms: float) -> None:
-        if entry.route_missing_since_ms is None:
-            entry.route_missing_since_ms = now_ms
-        elif now_ms - entry.route_missing_since_ms > _MISSING_ROUTE_TIMEOUT_MS:
-            self._finish(entry, entry.task.result(completed=False))
+    def _note_removed_route(self, entry: _Entry, now_ms: float) -> None:
+        if entry.route_removed_since_ms is None:
+            entry.route_removed_since_ms = now_ms
+        elif now_ms - entry.route_removed_since_ms > _REMOVED_ROUTE_TIMEOUT_MS:
+            task = entry.task
+            _log.info(
+                "item given up",
+                request_id=task.item.id,
+                job=task.job.id,
+                reason="route removed",
+            )
+            self._finish(entry, task.result(completed=False))
 
     def _preempt_items(self) -> None:
         """Preempts items on replicas whose slots online requests need."""
--- a/lacewingwood/platform/ingress.py
+++ b/lacewingwood/platform/ingress.py
@@ -141,6 +141,7 @@
             head.path,
             resolved.route,
             time.time_ns() // 1_000_000,
+            resolved.configuration_version,
         )
         limit = resolved.route.max_waiting_tokens
         await self._jobs.submit(submission, limit)
--- a/lacewingwood/platform/jobs.py
+++ b/lacewingwood/platform/jobs.py
@@ -78,6 +78,7 @@
     path: str,
     route: configuration.Route,
     now_ms: int,
+    configuration_version: int = 0,
 ) -> records.Submission:
     """Decodes a submitted job.
 
@@ -89,6 +90,7 @@
         path: Path of the request.
         route: Route of the request, which sets the job's deadlines.
         now_ms: Unix time of the submission.
+        configuration_version: Version of the configuration that has the route.
 
     Raises:
         errors.InvalidJobError: The job is malformed.
@@ -112,6 +114,7 @@
         due_ms=now_ms + int(route.result_deadline_ms),
         expires_ms=now_ms + int(route.retention_ms),
         items=[_to_item(n, item) for n, item in enumerate(lot.items)],
+        configuration_version=configuration_version,
     )
     return records.Submission(job, bodies)
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -204,7 +204,7 @@
             running.ItemRunner(
                 self._slots, replicas, self._clock, self._metrics
             ),
-            self._find_route,
+            lambda: self._published.current,
             self._roster.batch_rank,
             self._clock,
             _wall_ms,
--- a/lacewingwood/state/peer_copy.py
+++ b/lacewingwood/state/peer_copy.py
@@ -23,12 +23,16 @@
 # ask the next gateway before a new configuration has to be in force.
 _TIMEOUT_MS = 500.0
 _INTERVAL_MS = 400.0
+# Peers that are asked in one round while none has a configuration. Bounds the
+# calls when a large fleet starts during an outage of the log.
+_MAX_ASKED = 4
 
 
 class PeerCopy:
     """Exchanges configuration, replicas and limit levels with peers."""
 
     __slots__ = (
+        "_asked_count",
         "_clock",
         "_evacuations",
         "_fleet",
@@ -67,6 +71,7 @@
         self._network = network
         self._clock = clock
         self._metrics = metrics
+        self._asked_count = 0
         network.handle(
             gateway_messages.FetchConfiguration, self._on_fetch_configuration
         )
@@ -81,15 +86,21 @@
 
     def _addresses_to_ask(self) -> Iterable[str]:
         version = self._published.version
-        if not version or not self._limits.levels_known:
-            return self._presence.addresses()
-        return [
-            peer.address
-            for peer in self._presence.roster.live_peers()
-            if peer.version > version
-        ]
+        peers = self._presence.roster.live_peers()
+        newer = [peer.address for peer in peers if peer.version > version]
+        if version and self._limits.levels_known:
+            return newer
+        # Peers that have started lately may have nothing to copy, so each round
+        # asks others than the one before.
+        addresses = self._presence.addresses()
+        start = self._asked_count % max(1, len(addresses))
+        rotated = addresses[start:] + addresses[:start]
+        asked = list(dict.fromkeys([*newer, *rotated]))[:_MAX_ASKED]
+        self._asked_count += len(asked)
+        return asked
 
     async def _fetch_from(self, address: str) -> bool:
+        """Applies a peer's copy; returns whether it had a configuration."""
         try:
             answer = await self._network.call(
                 address, gateway_messages.FetchConfiguration(), _TIMEOUT_MS
@@ -116,7 +127,7 @@
         self._evacuations.apply_copy(answer.evacuations)
         if answer.crash_report is not None:
             self._quarantine.note_report(answer.crash_report, now_ms)
-        return True
+        return bool(answer.document)
 
     async def _on_fetch_configuration(
         self, request: gateway_messages.FetchConfiguration
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -194,3 +194,20 @@
         await _admit_from_snapshot(log, fakes.make_job("job-2"), batch_size=2)
     part = log.core.partition(fakes.PARTITION.topic, fakes.PARTITION.number)
     assert not [key for key in part.newest if "job-2" in key]
+
+
+async def test_owner_without_the_route_counts_no_tokens() -> None:
+    """Guards against refusing a job at an owner without a configuration.
+
+    It would count the tokens of all of the customer's routes.
+    """
+    async with trio.open_nursery() as nursery:
+        owner = test_owner.make_owner(fakes.MemoryLog(), fakes.FakeScheduler())
+        await test_owner.start(nursery, owner)
+        submission = fakes.make_job()
+        batches = [fakes.submission_records(submission)]
+        with pytest.raises(errors.UnavailableError):
+            await owner.admit(
+                submission.job, batches, _LIMIT, lambda host, path: None
+            )
+        nursery.cancel_scope.cancel()
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -25,7 +25,7 @@
     scheduler = schedulers.Scheduler(
         dispatcher,
         running.ItemRunner(dispatcher, None, clock, metrics),  # type: ignore[arg-type]
-        lambda host, path: None,
+        lambda: None,
         lambda: (0, 1),
         clock,
         lambda: 0,
