Requests that crash replicas after their first events are quarantined

Cause: from its second event on a run counted as harmless, so that a crash after that left no suspect, and each begin cleared the request. Evidence: "replica crashed" was not logged for any of the crashes, and "attempt failed" with events was for each.

Change: what a replica was answering when it crashed is a late suspect. Three crashes, early or late, without a run from beginning to end at one replica quarantine the request; the end of a resumed stream clears nothing.

Before: with the old callers/attempts.py three new tests of the forwarder fail.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -161,6 +161,9 @@
                 await self._relay_whole_response(call, run, attempt)
             slot.replica.note_success(self._clock.now_ms())
             self._note_begun(attempt)
+            if not resume_after:
+                now_ms = self._clock.now_ms()
+                self._quarantine.note_completed(call.work, now_ms)
             self._endings.record_success(call, attempt)
 
     async def _relay_stream(
@@ -265,22 +268,21 @@
     ) -> None:
         """Finds out whether a replica ended while it ran a call.
 
-        The call is a suspect unless its run had begun. Its attempt is
-        discounted if it was the last: the run has ended, too, so that the
-        request can't be running twice when it is sent again.
+        The call is a suspect then. Its attempt is discounted if it was the
+        last: the run has ended, too, so that the request can't be running
+        twice when it is sent again.
         """
         progress = attempt.progress
         discount = not progress.may_retry() and progress.may_discount_attempt()
-        if not isinstance(exc, upstream_errors.BrokenError) or (
-            attempt.begun and not discount
-        ):
+        if not isinstance(exc, upstream_errors.BrokenError):
             return
         listing = attempt.slot.replica.listing
         work = progress.call.work
         if not await self._replicas.has_stopped(listing):
             return
-        if not attempt.begun:
-            self._quarantine.note_crash(listing, work, self._clock.now_ms())
+        self._quarantine.note_crash(
+            listing, work, self._clock.now_ms(), begun=attempt.begun
+        )
         if discount:
             progress.discount_attempt()
             _log.info(
--- a/lacewingwood/peers/digests.py
+++ b/lacewingwood/peers/digests.py
@@ -32,7 +32,7 @@
     hosts: list[gateway_messages.HostCounts] = []
     running: dict[str, tuple[int, int]] = {}
     outcomes: dict[str, tuple[int, int]] = {}
-    crash_report = gateway_messages.CrashReport([], {})
+    crash_report = gateway_messages.CrashReport([], {}, {})
     limits: dict[str, gateway_messages.ReplicaLimit] = {}
     leaving: set[str] = set()
     speeds: dict[str, gateway_messages.ReplicaSpeed] = {}
@@ -69,7 +69,7 @@
         running,
         outcomes,
         urgent,
-        crash_report if crash_report.begun or crash_report.crashes else None,
+        crash_report if _tells_anything(crash_report) else None,
         limits,
         sorted(leaving),
         _most_unusual(speeds),
@@ -77,13 +77,22 @@
     )
 
 
+def _tells_anything(report: gateway_messages.CrashReport) -> bool:
+    return bool(report.crashes or report.begun or report.completed)
+
+
 def _add_crash_report(
     total: gateway_messages.CrashReport, report: gateway_messages.CrashReport
 ) -> None:
     """Adds a gateway's report of crashes to that of its zone."""
     total.crashes.extend(report.crashes)
-    for name, age_ms in report.begun.items():
-        total.begun[name] = min(age_ms, total.begun.get(name, age_ms))
+    _add_ages(total.begun, report.begun)
+    _add_ages(total.completed, report.completed)
+
+
+def _add_ages(totals: dict[str, float], ages: Mapping[str, float]) -> None:
+    for name, age_ms in ages.items():
+        totals[name] = min(age_ms, totals.get(name, age_ms))
 
 
 def _add_speeds(
--- a/lacewingwood/peers/gateway_messages.py
+++ b/lacewingwood/peers/gateway_messages.py
@@ -14,11 +14,13 @@
         age_ms: Time since the crash.
         suspects: Shared parts of the prompts of the requests that the replica
             had not begun to answer, by the digest of the request.
+        late_suspects: Digests of the requests that it was answering.
     """
 
     replica: str
     age_ms: float
     suspects: dict[str, list[str]]
+    late_suspects: list[str] = []
 
 
 class CrashReport(msgspec.Struct, array_like=True):
@@ -28,10 +30,13 @@
         crashes: Recent crashes.
         begun: Time since a replica last began to answer a suspect request, or
             one with a part of its prompt, by digest or part.
+        completed: Time since a replica last answered a suspect request from its
+            beginning to its end, by digest.
     """
 
     crashes: list[Crash]
     begun: dict[str, float]
+    completed: dict[str, float] = {}
 
 
 class ReplicaLimit(msgspec.Struct, array_like=True):
--- a/lacewingwood/routing/crash_causes.py
+++ b/lacewingwood/routing/crash_causes.py
@@ -34,8 +34,9 @@
         replica: Identifies the replica and its start.
         at_ms: When the crash was first noticed.
         runs: Number of runs that had begun at this gateway by then.
-        suspects: Shared parts of the prompts of the suspects, by the digest of
-            the request.
+        suspects: Shared parts of the prompts of the requests that the replica
+            had not begun to answer, by the digest of the request.
+        late_suspects: Digests of the requests that it was answering.
         own: Digests of the suspects that this gateway had sent there.
     """
 
@@ -45,15 +46,20 @@
     suspects: dict[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict
     )
+    late_suspects: set[str] = dataclasses.field(default_factory=set)
     own: set[str] = dataclasses.field(default_factory=set)
 
     def names(self) -> set[str]:
         """Returns the suspects and the parts of their prompts."""
-        names = set(self.suspects)
+        names = self.requests()
         for parts in self.suspects.values():
             names.update(parts)
         return names
 
+    def requests(self) -> set[str]:
+        """Returns the digests of all requests that are suspects."""
+        return self.late_suspects | self.suspects.keys()
+
     def suspects_with(self, part: str) -> set[str]:
         """Returns the digests of the suspects whose prompts have a part."""
         return {d for d, parts in self.suspects.items() if part in parts}
@@ -79,7 +85,10 @@
 
 
 def find(
-    crashes: Iterable[Crash], begun_ms: Mapping[str, float], runs: int
+    crashes: Iterable[Crash],
+    begun_ms: Mapping[str, float],
+    completed_ms: Mapping[str, float],
+    runs: int,
 ) -> dict[str, Cause]:
     """Returns the causes of crashes: parts of prompts first, then requests.
 
@@ -89,6 +98,8 @@
     Args:
         crashes: The crashes.
         begun_ms: When parts and requests last began to be answered.
+        completed_ms: When requests were last answered from their beginning to
+            their end.
         runs: Number of runs that have begun at this gateway.
     """
     causes: dict[str, Cause] = {}
@@ -100,7 +111,7 @@
         name, explained = found
         causes[name] = Cause(explained)
         unexplained = [c for c in unexplained if c not in explained]
-    return causes | _find_requests(unexplained, begun_ms)
+    return causes | _find_requests(unexplained, begun_ms, completed_ms)
 
 
 def _find_part(
@@ -144,22 +155,51 @@
 
 
 def _find_requests(
-    crashes: list[Crash], begun_ms: Mapping[str, float]
+    crashes: list[Crash],
+    begun_ms: Mapping[str, float],
+    completed_ms: Mapping[str, float],
 ) -> dict[str, Cause]:
     """Returns the requests that explain crashes which no part explains."""
     by_digest: dict[str, list[Crash]] = collections.defaultdict(list)
     for crash in crashes:
-        for digest in crash.suspects:
-            if crash.at_ms > begun_ms.get(digest, _NEVER_MS):
-                by_digest[digest].append(crash)
+        for digest in crash.requests():
+            by_digest[digest].append(crash)
     causes: dict[str, Cause] = {}
-    for digest, found in by_digest.items():
-        alone = all(len(crash.suspects) == 1 for crash in found)
+    for digest, involved in by_digest.items():
+        harmless_ms = _last_harmless_ms(
+            digest, involved, begun_ms, completed_ms
+        )
+        found = [crash for crash in involved if crash.at_ms > harmless_ms]
+        alone = all(crash.suspects.keys() == {digest} for crash in found)
         if len(found) >= _min_crashes(alone):
             causes[digest] = Cause(found)
     return causes
 
 
+def _last_harmless_ms(
+    digest: str,
+    crashes: list[Crash],
+    begun_ms: Mapping[str, float],
+    completed_ms: Mapping[str, float],
+) -> float:
+    """Returns when a request was last seen to crash no replica.
+
+    A request that begins has not crashed its replica at its start. If it has
+    crashed one later on, only a complete run shows that it does not.
+
+    Args:
+        digest: The request.
+        crashes: The crashes of which it is a suspect.
+        begun_ms: When requests last began to be answered.
+        completed_ms: When they were last answered completely.
+    """
+    completed = completed_ms.get(digest, _NEVER_MS)
+    for crash in crashes:
+        if digest in crash.late_suspects and crash.at_ms > completed:
+            return completed
+    return max(completed, begun_ms.get(digest, _NEVER_MS))
+
+
 def _min_crashes(alone: bool) -> int:
     """Returns how many crashes suffice.
 
--- a/lacewingwood/routing/quarantine.py
+++ b/lacewingwood/routing/quarantine.py
@@ -2,16 +2,18 @@
 
 A request may crash each replica that begins to answer it, and so may one part
 of a prompt, whatever else the requests with that part contain. A single crash
-does not tell which of the requests on the replica caused it. The suspects are
-those that the replica had not begun to answer: the others ran there unharmed.
-Gateways tell each other the suspects of each crash, and what has begun since.
-A part, or a request, is quarantined if it was a suspect of several crashes and
-has not begun anywhere since the first of them; see `crash_causes`.
+does not tell which of the requests on the replica caused it. The likeliest are
+those that the replica had not begun to answer, and the parts of their prompts:
+the others ran there unharmed until then. But a request may also crash each of
+its replicas while they answer it, so those are late suspects.
+Gateways tell each other the suspects of each crash, and what has begun or was
+completed since. A part, or a request, is quarantined if it was a suspect of
+several crashes and nothing since shows that it is harmless; see `crash_causes`.
 """
 
 import dataclasses
-from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import structlog
 import xxhash
@@ -34,6 +36,7 @@
 _MAX_REPORTED = 16
 # Reports of crashes that are as recent as this are forwarded without delay.
 _URGENT_MS = 1_000.0
+_NEVER_MS = float("-inf")
 
 _log = structlog.get_logger()
 
@@ -63,8 +66,11 @@
         "_begun_ms",
         "_causes",
         "_changed",
+        "_completed_here",
+        "_completed_ms",
         "_crashes",
         "_last_crash_ms",
+        "_last_late_crash_ms",
         "_last_own_crash_ms",
         "_runs",
     )
@@ -77,8 +83,15 @@
         self._begun_ms: dict[str, float] = {}
         # Those of them that last began at this gateway.
         self._begun_here: set[str] = set()
+        # When requests that were suspects were last answered from beginning to
+        # end.
+        self._completed_ms: dict[str, float] = {}
+        # Those of them that were last completed at this gateway.
+        self._completed_here: set[str] = set()
         # When what is suspected was last a suspect.
         self._last_crash_ms: dict[str, float] = {}
+        # The same for late suspects only.
+        self._last_late_crash_ms: dict[str, float] = {}
         self._last_own_crash_ms = float("-inf")
         self._runs = 0
         self._causes: dict[str, crash_causes.Cause] = {}
@@ -101,15 +114,19 @@
         """Returns whether a request may be one that crashes replicas.
 
         It, or a part of its prompt, was a suspect of a crash and has not begun
-        anywhere since.
+        anywhere since; or it was a late suspect and was not completed since.
         """
         if not self._last_crash_ms:
             return False
-        never_ms = float("-inf")
+        digest = _digest(work)
+        completed_ms = self._completed_ms.get(digest, _NEVER_MS)
+        if self._last_late_crash_ms.get(digest, _NEVER_MS) > completed_ms:
+            return True
+        names = (*_shared_parts(work), digest)
         return any(
-            self._last_crash_ms.get(name, never_ms)
-            > self._begun_ms.get(name, never_ms)
-            for name in (*_shared_parts(work), _digest(work))
+            self._last_crash_ms.get(name, _NEVER_MS)
+            > self._begun_ms.get(name, _NEVER_MS)
+            for name in names
         )
 
     def note_begun(self, work: runs.Work, now_ms: float) -> None:
@@ -120,26 +137,47 @@
         if self._crashes and (digest := _digest(work)) in self._last_crash_ms:
             self._note_begun(digest, now_ms, here=True)
 
+    def note_completed(self, work: runs.Work, now_ms: float) -> None:
+        """Records that one replica answered a request from beginning to end.
+
+        The end of a resumed stream is no such run: the request may crash a
+        replica earlier than that.
+        """
+        digest = _digest(work) if self._crashes else ""
+        if digest in self._last_crash_ms:
+            self._note_completed(digest, now_ms, here=True)
+
     def note_crash(
-        self, replica: directory.Listing, work: runs.Work, now_ms: float
+        self,
+        replica: directory.Listing,
+        work: runs.Work,
+        now_ms: float,
+        begun: bool = False,
     ) -> None:
-        """Records that a replica crashed before it began to answer a request.
+        """Records that a replica crashed while it ran a request.
 
         Args:
             replica: The replica.
             work: The request.
             now_ms: Current time.
+            begun: Whether the replica had begun to answer the request.
         """
         crash = self._find_crash(replica.incarnation, now_ms)
         digest = _digest(work)
         crash.own.add(digest)
-        self._last_own_crash_ms = now_ms
-        self._add_suspect(crash, digest, _shared_parts(work))
+        if begun:
+            # Not urgent: most requests that had begun are no cause.
+            self._add_late_suspect(crash, digest)
+        else:
+            self._last_own_crash_ms = now_ms
+            self._add_suspect(crash, digest, _shared_parts(work))
         _log.info(
             "replica crashed",
             replica=replica.id,
             request_id=work.request_id,
+            begun=begun,
             suspects=len(crash.suspects),
+            late_suspects=len(crash.late_suspects),
             crashes=len(self._crashes),
         )
 
@@ -160,17 +198,27 @@
             ],
             {
                 name: age_ms
-                for name, age_ms in self._begun_ages(recent, now_ms).items()
+                for name, age_ms in _ages(
+                    recent, self._begun_ms, now_ms
+                ).items()
                 if name in self._begun_here
             },
+            {
+                name: age_ms
+                for name, age_ms in _ages(
+                    recent, self._completed_ms, now_ms
+                ).items()
+                if name in self._completed_here
+            },
         )
 
     def copy(self, now_ms: float) -> gateway_messages.CrashReport:
         """Returns all that is known, for a gateway that has just started."""
         crashes = list(self._crashes.values())
         return gateway_messages.CrashReport(
-            [_encode(crash, set(crash.suspects), now_ms) for crash in crashes],
-            self._begun_ages(crashes, now_ms),
+            [_encode(crash, crash.requests(), now_ms) for crash in crashes],
+            _ages(crashes, self._begun_ms, now_ms),
+            _ages(crashes, self._completed_ms, now_ms),
         )
 
     def is_urgent(self, now_ms: float) -> bool:
@@ -186,9 +234,14 @@
             crash = self._find_crash(reported.replica, at_ms)
             for digest, parts in reported.suspects.items():
                 self._add_suspect(crash, digest, tuple(parts))
+            for digest in reported.late_suspects:
+                self._add_late_suspect(crash, digest)
         for name, age_ms in report.begun.items():
-            if now_ms - age_ms > self._begun_ms.get(name, float("-inf")):
+            if now_ms - age_ms > self._begun_ms.get(name, _NEVER_MS):
                 self._note_begun(name, now_ms - age_ms, here=False)
+        for name, age_ms in report.completed.items():
+            if now_ms - age_ms > self._completed_ms.get(name, _NEVER_MS):
+                self._note_completed(name, now_ms - age_ms, here=False)
 
     def dump(self, now_ms: float) -> dict[str, float]:
         """Returns the remaining time of each quarantine."""
@@ -198,17 +251,6 @@
             for name, cause in self._causes.items()
         }
 
-    def _begun_ages(
-        self, crashes: Iterable[crash_causes.Crash], now_ms: float
-    ) -> dict[str, float]:
-        """Returns how long ago the suspects of crashes last began."""
-        names = {name for crash in crashes for name in crash.names()}
-        return {
-            name: now_ms - self._begun_ms[name]
-            for name in names
-            if name in self._begun_ms
-        }
-
     def _find_crash(self, replica: str, at_ms: float) -> crash_causes.Crash:
         crash = self._crashes.get(replica)
         if crash is None:
@@ -223,7 +265,10 @@
         for name in crash.names():
             if self._last_crash_ms.get(name) == crash.at_ms:
                 del self._last_crash_ms[name]
-        self._changed = True
+                self._last_late_crash_ms.pop(name, None)
+                self._completed_ms.pop(name, None)
+                self._completed_here.discard(name)
+        self._changed |= name in self._causes
 
     def _add_suspect(
         self, crash: crash_causes.Crash, digest: str, parts: tuple[str, ...]
@@ -231,12 +276,22 @@
         if digest not in crash.suspects and len(crash.suspects) < _MAX_SUSPECTS:
             crash.suspects[digest] = parts
             for name in (digest, *parts):
-                last_ms = self._last_crash_ms.get(name, crash.at_ms)
-                self._last_crash_ms[name] = max(last_ms, crash.at_ms)
+                _raise_time(self._last_crash_ms, name, crash.at_ms)
             self._changed = True
 
+    def _add_late_suspect(self, crash: crash_causes.Crash, digest: str) -> None:
+        if (
+            digest not in crash.late_suspects
+            and len(crash.late_suspects) < _MAX_SUSPECTS
+        ):
+            crash.late_suspects.add(digest)
+            # One crash is not enough to blame a request.
+            self._changed |= digest in self._last_crash_ms
+            _raise_time(self._last_crash_ms, digest, crash.at_ms)
+            _raise_time(self._last_late_crash_ms, digest, crash.at_ms)
+
     def _note_begun(self, name: str, at_ms: float, here: bool) -> None:
-        before_ms = self._begun_ms.pop(name, float("-inf"))
+        before_ms = self._begun_ms.pop(name, _NEVER_MS)
         self._begun_ms[name] = at_ms
         if here:
             self._begun_here.add(name)
@@ -247,9 +302,19 @@
             del self._begun_ms[oldest]
             self._begun_here.discard(oldest)
         # Only the first begin after a crash can change the verdict.
-        if before_ms < self._last_crash_ms.get(name, float("-inf")):
+        if before_ms < self._last_crash_ms.get(name, _NEVER_MS):
             self._changed = True
 
+    def _note_completed(self, name: str, at_ms: float, here: bool) -> None:
+        if name not in self._last_crash_ms:
+            return
+        self._completed_ms[name] = at_ms
+        if here:
+            self._completed_here.add(name)
+        else:
+            self._completed_here.discard(name)
+        self._changed |= name in self._causes
+
     def _update(self, now_ms: float) -> None:
         """Decides anew on the causes if anything has changed."""
         oldest = next(iter(self._crashes.values()), None)
@@ -260,7 +325,10 @@
             return
         self._changed = False
         causes = crash_causes.find(
-            self._crashes.values(), self._begun_ms, self._runs
+            self._crashes.values(),
+            self._begun_ms,
+            self._completed_ms,
+            self._runs,
         )
         for name in causes.keys() - self._causes.keys():
             _log.warning(
@@ -276,7 +344,7 @@
 
 
 def _encode(
-    crash: crash_causes.Crash, digests: Collection[str], now_ms: float
+    crash: crash_causes.Crash, digests: set[str], now_ms: float
 ) -> gateway_messages.Crash:
     """Encodes a crash with some of its suspects."""
     return gateway_messages.Crash(
@@ -287,9 +355,24 @@
             for digest, parts in crash.suspects.items()
             if digest in digests
         },
+        sorted(crash.late_suspects & digests),
     )
 
 
+def _ages(
+    crashes: Iterable[crash_causes.Crash],
+    times_ms: Mapping[str, float],
+    now_ms: float,
+) -> dict[str, float]:
+    """Returns how long ago something was noted of the suspects of crashes."""
+    names = {name for crash in crashes for name in crash.names()}
+    return {name: now_ms - times_ms[name] for name in names if name in times_ms}
+
+
+def _raise_time(times_ms: dict[str, float], name: str, at_ms: float) -> None:
+    times_ms[name] = max(times_ms.get(name, at_ms), at_ms)
+
+
 def _shared_parts(work: runs.Work) -> tuple[str, ...]:
     """Returns the parts of a prompt that other requests may share.
 
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -630,6 +630,62 @@
     assert quarantine.check(call.work, call.arrived_ms) is None
 
 
+def _crash_after_two_events(first: int) -> Script:
+    return Script([*stream(first, first), *stream(first + 1, first + 1), Break])
+
+
+async def test_stream_that_crashes_each_replica_late_is_refused() -> None:
+    """Guards against a stream that crashes replicas without end (BUDGET)."""
+    quarantine = quarantines.Quarantine()
+    replicas = FakeReplicas(*map(_crash_after_two_events, (1, 3, 5)))
+    replicas.gone = True
+    forwarder = make_forwarder(replicas, quarantine, versions=("",) * 6)
+    with pytest.raises(forwarding.AbortError):
+        await forwarder.run(make_call(Caller(), max_attempts=4))
+    with pytest.raises(errors.CallerError) as caught:
+        await forwarder.run(make_call(Caller()))
+    assert caught.value.status == 503
+    assert caught.value.ran is base_errors.Ran.NOT_RUN
+    assert len(replicas.sent) == 3
+
+
+async def test_end_of_a_resumed_stream_does_not_clear_it() -> None:
+    """Guards against a stream that crashes each replica at which it begins.
+
+    What is left of it after the crash completes elsewhere.
+    """
+    quarantine = quarantines.Quarantine()
+    scripts = [_crash_after_two_events(1), Script(stream(3, 4))] * 3
+    replicas = FakeReplicas(*scripts)
+    replicas.gone = True
+    forwarder = make_forwarder(replicas, quarantine, versions=("",) * 6)
+    for _ in range(2):
+        caller = Caller()
+        await forwarder.run(make_call(caller))
+        assert caller.complete
+    with pytest.raises(forwarding.AbortError):
+        await forwarder.run(make_call(Caller()))
+    with pytest.raises(errors.CallerError) as caught:
+        await forwarder.run(make_call(Caller()))
+    assert caught.value.status == 503
+    assert len(replicas.sent) == 5
+
+
+async def test_stream_that_completes_at_one_replica_is_no_suspect() -> None:
+    """Guards against refusing a sound stream whose replicas crashed before."""
+    quarantine = quarantines.Quarantine()
+    call = make_call(Caller())
+    for replica_id in ("x1", "x2"):
+        replica = directory.Listing(replica_id, "s", "h:1", "a", slots=1)
+        quarantine.note_crash(
+            replica, call.work, call.arrived_ms - 1, begun=True
+        )
+    assert quarantine.is_suspect(call.work)
+    replicas = FakeReplicas(Script(stream(1, 4)))
+    await make_forwarder(replicas, quarantine).run(call)
+    assert not quarantine.is_suspect(call.work)
+
+
 _OTHER_ANSWERS = {
     "not found": Script([b"no such model\n\n"], status=404),
     "redirect": Script([b"moved\n\n"], status=302),
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -281,3 +281,103 @@
     assert not quarantine.is_suspect(other)
     quarantine.note_begun(work, 3.0)
     assert not quarantine.is_suspect(work)
+
+
+def _crash_late(
+    quarantine: quarantines.Quarantine, number: int, work: runs.Work
+) -> None:
+    """Makes a replica crash, at the time `number`, after it began a request."""
+    quarantine.note_begun(work, number - 0.5)
+    quarantine.note_crash(_replica(number), work, float(number), begun=True)
+
+
+def test_request_that_crashes_replicas_late_is_quarantined() -> None:
+    """Guards against trusting a request since it begins each time (BUDGET)."""
+    quarantine = quarantines.Quarantine()
+    work = _work(1, "start")
+    for number in range(1, 4):
+        assert quarantine.check(work, float(number)) is None
+        _crash_late(quarantine, number, work)
+    assert quarantine.is_suspect(work)
+    quarantine.note_begun(work, 4.0)
+    assert quarantine.check(work, 5.0) is not None
+    assert quarantine.is_suspect(work)
+    assert quarantine.check(_work(2, "start"), 5.0) is None
+
+
+def test_late_and_early_crashes_of_a_request_add_up() -> None:
+    """Guards against a request that crashes replicas at varying moments."""
+    quarantine = quarantines.Quarantine()
+    work, beside = _work(1, "start"), _work(2, "start")
+    _crash(quarantine, 1, work, beside, at_ms=1.0)
+    _crash_late(quarantine, 2, work)
+    assert quarantine.check(work, 3.0) is None
+    _crash(quarantine, 3, work, beside, at_ms=3.0)
+    assert quarantine.check(work, 4.0) is not None
+
+
+def test_request_that_was_answered_completely_is_released() -> None:
+    """Guards against refusing a sound request whose replicas crashed."""
+    quarantine = quarantines.Quarantine()
+    work = _work(1, "start")
+    for number in range(1, 4):
+        _crash_late(quarantine, number, work)
+    assert quarantine.check(work, 4.0) is not None
+    quarantine.note_begun(work, 4.0)
+    quarantine.note_completed(work, 4.0)
+    assert quarantine.check(work, 5.0) is None
+    assert not quarantine.is_suspect(work)
+    _crash_late(quarantine, 6, work)
+    assert quarantine.check(work, 7.0) is None
+
+
+def test_streams_beside_late_crashes_are_not_quarantined() -> None:
+    """Guards against refusing the streams that a crash has broken."""
+    quarantine = quarantines.Quarantine()
+    for number in range(1, 9):
+        for beside in range(10 * number, 10 * number + 8):
+            _crash_late(quarantine, number, _work(beside, "start"))
+            _crash_late(quarantine, number + 1, _work(beside, "start"))
+        _crash_late(quarantine, number, _work(1, "start"))
+    assert quarantine.check(_work(1, "start"), 10.0) is not None
+    for beside in range(10, 88):
+        assert quarantine.check(_work(beside, "start"), 10.0) is None
+
+
+def test_gateways_put_late_crashes_together() -> None:
+    """Guards against a request that each gateway lets crash three replicas."""
+    gateways = [quarantines.Quarantine() for _ in range(3)]
+    work = _work(1, "start")
+    for number, gateway in enumerate(gateways, start=1):
+        _crash_late(gateway, number, work)
+
+    def exchange(now_ms: float) -> None:
+        for gateway in gateways:
+            report = gateway.report(now_ms)
+            assert report is not None
+            for other in gateways:
+                other.note_report(report, now_ms)
+
+    exchange(4.0)
+    started_later = quarantines.Quarantine()
+    started_later.note_report(gateways[0].copy(5.0), 5.0)
+    for gateway in (*gateways, started_later):
+        assert gateway.check(work, 6.0) is not None
+    gateways[2].note_completed(work, 7.0)
+    exchange(8.0)
+    for gateway in gateways:
+        assert gateway.check(work, 9.0) is None
+
+
+def test_late_suspects_stay_bounded() -> None:
+    """Guards against memory that grows with the requests of crashes."""
+    quarantine = quarantines.Quarantine()
+    for number in range(300):
+        for request in range(40):
+            work = _work(number * 100 + request, "start")
+            _crash_late(quarantine, number, work)
+            quarantine.note_completed(work, float(number))
+    copied = quarantine.copy(300.0)
+    assert len(copied.crashes) <= 200
+    assert max(len(c.late_suspects) for c in copied.crashes) <= 32
+    assert len(copied.completed) <= 200 * 32
