Owners hold the bodies and outputs of items only up to a part of their memory

Cause: an owner held all bodies of its partitions, and partitions were read as a whole, all at once. Evidence: callers held next to nothing, and the processes ended each time at 170 to 190 MB while loading 168 MB of bodies.

The same on related paths: outputs of results, the second copy of an owner's own results, the rescan after the store forgot its history, and the count of waiting tokens.

Wiring of the jobs has moved from roles/gateway.py to roles/gateway_jobs.py.

--- a/lacewingwood/jobs/admission.py
+++ b/lacewingwood/jobs/admission.py
@@ -15,6 +15,7 @@
 
 from lacewingwood import configuration
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.jobs import table as tables
 from lacewingwood.log import compacted
@@ -50,16 +51,21 @@
     def __init__(
         self, log: compacted.CompactedLog, partition: compacted.Partition
     ) -> None:
-        self.table = tables.Table()
+        self.table = _table_without_payloads()
         self._log = log
         self._partition = partition
 
     async def refresh(self) -> int:
         """Reads a new snapshot; see `View`."""
-        snapshot = await self._log.snapshot(self._partition)
-        self.table = tables.Table()
-        self.table.load(snapshot.records)
-        return snapshot.next_offset
+        table = _table_without_payloads()
+        next_offset = await self._log.scan(self._partition, table.load)
+        self.table = table
+        return next_offset
+
+
+def _table_without_payloads() -> tables.Table:
+    """Returns a table that counts items and does not hold their contents."""
+    return tables.Table(lambda record, value: payloads.Payload(b""))
 
 
 def waiting_tokens(
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -13,6 +13,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import admission
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
@@ -60,6 +61,7 @@
         partition: compacted.Partition,
         min_epoch: int,
         log: compacted.CompactedLog,
+        cache: payloads.Cache,
         scheduler: schedulers.Scheduler,
         clock: clocks.Clock,
         wall_ms: Callable[[], int],
@@ -75,6 +77,7 @@
             min_epoch: Lowest epoch to claim; greater than the epochs of all
                 earlier owners on other hosts.
             log: The log that stores the records.
+            cache: Holds bodies and outputs.
             scheduler: Runs the items.
             clock: Source of monotonic time.
             wall_ms: Returns Unix time.
@@ -91,7 +94,8 @@
         self._wall_ms = wall_ms
         self._metrics = metrics
         self._retention_ms = retention_ms
-        self._table = tables.Table()
+        self._cache = cache
+        self._table = tables.Table(cache.partition(partition).add)
         self._tasks: dict[tuple[str, int], running.ItemTask] = {}
         self._outbox: collections.deque[tuple[str, records.Result]]
         self._outbox = collections.deque()
@@ -108,6 +112,7 @@
             metrics,
             wait_ms=_READ_WAIT_MS,
             pause_ms=_READ_PAUSE_MS,
+            scan=cache.scan,
         )
 
     @property
@@ -139,7 +144,7 @@
 
     async def read(
         self, key: str, start: int, wait_ms: float
-    ) -> tuple[int, list[records.Result], records.Job]:
+    ) -> tuple[int, list[tables.Result], records.Job]:
         """Reads results of a job.
 
         Args:
@@ -187,7 +192,10 @@
             raise errors.UnavailableError(
                 "the item's body has not been read yet"
             )
-        return body
+        try:
+            return await body.load()
+        except log_errors.LogError as exc:
+            raise errors.UnavailableError(exc.message) from exc
 
     async def end(self, key: str) -> None:
         """Ends a job; returns once the end record is on the log.
@@ -346,9 +354,9 @@
 
     async def _claim(self) -> None:
         """Fences all earlier owners, then reads all of their records."""
-        snapshot = await self._writer.claim()
-        self._table.load(snapshot.records)
-        self._follower.position = snapshot.next_offset
+        self._follower.position = await self._writer.claim(
+            self._cache.scan, self._table
+        )
         await self._read_after_snapshot()
 
     async def _read_after_snapshot(self) -> None:
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -10,7 +10,9 @@
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
+from lacewingwood.log import errors as log_errors
 from lacewingwood.peers import gateway_messages
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
@@ -27,12 +29,17 @@
 _EVENT_GAP_TIMEOUT_MS = 1_000.0
 # Longest duration of one run at a replica.
 _RUN_TIMEOUT_MS = 60_000.0
+# Longest wait for an item's body if it has to be read from the log. The slot
+# stays unused meanwhile.
+_BODY_TIMEOUT_MS = 500.0
 # Largest output of an item; a result has to fit into a record of the log.
 _MAX_OUTPUT_BYTES = 240 << 10
 # Delay after a run that failed without an event; doubled after each failed
 # attempt.
 _RETRY_DELAY_MS = 200.0
 _MAX_RETRY_DELAY_MS = 20_000.0
+# Delay after an item's body could not be read.
+_BODY_RETRY_DELAY_MS = 1_000.0
 # Longest delay after runs that broke. Items do not crash replicas, so their
 # breaks say nothing against them, and replicas are back within seconds.
 _MAX_BREAK_DELAY_MS = 2_000.0
@@ -61,7 +68,7 @@
     Attributes:
         job: The item's job.
         index: Index of the item in its job.
-        body: The decoded body.
+        body: The decoded body, which may have to be read from the log.
         state: The scheduling state.
         events: Splitter of the event stream; its last id is where the next
             run resumes.
@@ -81,7 +88,7 @@
 
     job: records.Job
     index: int
-    body: bytes
+    body: payloads.Payload
     state: State = State.WAITING
     events: event_stream.Splitter = dataclasses.field(
         default_factory=event_stream.Splitter
@@ -226,6 +233,16 @@
                 detail=exc.message[:80],
             )
             return task.result(completed=False)
+        except log_errors.LogError as exc:
+            _log.warning(
+                "item's body not read",
+                request_id=task.item.id,
+                job=task.job.id,
+                code=exc.code,
+                detail=exc.message[:80],
+            )
+            self._delay_next_run(task, _BODY_RETRY_DELAY_MS)
+            return None
         except upstream_errors.UpstreamError as exc:
             now_ms = self._clock.now_ms()
             if isinstance(exc, upstream_errors.RefusedError):
@@ -250,10 +267,11 @@
         slot: dispatchers.Slot,
         route: configuration.Route,
     ) -> records.Result | None:
+        body = await self._load_body(task, slot)
         slot.sent_ms = self._clock.now_ms()
         async with self._replicas.open(
             slot.replica.listing,
-            _make_work(task),
+            _make_work(task, body),
             _RUN_TIMEOUT_MS,
             task.events.last_id,
             head_limit_ms=_HEAD_TIMEOUT_MS,
@@ -275,6 +293,19 @@
             slot.replica.note_success(self._clock.now_ms())
             return task.result(completed)
 
+    async def _load_body(self, task: ItemTask, slot: dispatchers.Slot) -> bytes:
+        """Returns an item's body; marks the slot as unused if it can't.
+
+        Raises:
+            log_errors.LogError: The log does not answer, or not in time.
+        """
+        slot.unused = True
+        with trio.move_on_after(_BODY_TIMEOUT_MS / 1000):
+            body = await task.body.load()
+            slot.unused = False
+            return body
+        raise log_errors.UnavailableError("no answer in time", False)
+
     async def _collect(
         self, task: ItemTask, run: runs.Run, slot: dispatchers.Slot
     ) -> None:
@@ -356,7 +387,7 @@
         )
 
 
-def _make_work(task: ItemTask) -> runs.Work:
+def _make_work(task: ItemTask, body: bytes) -> runs.Work:
     """Returns the request of an item.
 
     Raises:
@@ -373,7 +404,7 @@
                 (b"host", task.job.host.encode("latin-1")),
                 *((n.encode(), v.encode("latin-1")) for n, v in item.headers),
             ],
-            body=task.body,
+            body=body,
             customer=task.job.customer,
         )
     except UnicodeEncodeError as exc:
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -13,8 +13,11 @@
 from lacewingwood.jobs import limited
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import ownership as ownerships
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
+from lacewingwood.jobs import table as tables
 from lacewingwood.log import compacted
+from lacewingwood.log import errors as log_errors
 from lacewingwood.peers import errors as peer_errors
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import messages
@@ -370,13 +373,18 @@
         if not results and not self._ownership.is_current():
             # A later owner may have written more results.
             raise errors.UnavailableError("the group membership has expired")
+        page = _first_page(results)
+        try:
+            outputs = await payloads.load_all([r.output for r in page])
+        except log_errors.LogError as exc:
+            raise errors.UnavailableError(exc.message) from exc
         return gateway_messages.JobResults(
             total,
             [
                 gateway_messages.JobResult(
-                    job.items[result.item].id, result.completed, result.output
+                    job.items[result.item].id, result.completed, output
                 )
-                for result in _first_page(results)
+                for result, output in zip(page, outputs, strict=True)
             ],
         )
 
@@ -442,11 +450,11 @@
         return owner
 
 
-def _first_page(results: list[records.Result]) -> list[records.Result]:
+def _first_page(results: list[tables.Result]) -> list[tables.Result]:
     """Returns the first results, up to the size of one answer."""
     size = 0
     for index, result in enumerate(results):
-        size += len(result.output)
+        size += result.output.size
         if size > _MAX_RESULTS_BYTES and index:
             return results[:index]
     return results
--- a/lacewingwood/jobs/table.py
+++ b/lacewingwood/jobs/table.py
@@ -6,12 +6,28 @@
 import structlog
 
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.log import compacted
 
 _log = structlog.get_logger()
 
 
+@dataclasses.dataclass(slots=True)
+class Result:
+    """The final outcome of an item.
+
+    Attributes:
+        item: Index of the item in its job.
+        completed: False if the item was given up.
+        output: Data of all events of the answer, joined by line feeds.
+    """
+
+    item: int
+    completed: bool
+    output: payloads.Payload
+
+
 @dataclasses.dataclass(slots=True)
 class Entry:
     """State of one job.
@@ -27,8 +43,10 @@
 
     key: str
     job: records.Job | None = None
-    bodies: dict[int, bytes] = dataclasses.field(default_factory=dict)
-    results: list[records.Result] = dataclasses.field(default_factory=list)
+    bodies: dict[int, payloads.Payload] = dataclasses.field(
+        default_factory=dict
+    )
+    results: list[Result] = dataclasses.field(default_factory=list)
     finished_items: set[int] = dataclasses.field(default_factory=set)
     ended: bool = False
 
@@ -65,13 +83,21 @@
 class Table:
     """All jobs of one partition, by key."""
 
-    __slots__ = ("_entries", "_out_of_order")
+    __slots__ = ("_entries", "_make_payload", "_out_of_order")
+
+    def __init__(
+        self, make_payload: payloads.Make = payloads.of_record
+    ) -> None:
+        """Creates an empty table.
 
-    def __init__(self) -> None:
+        Args:
+            make_payload: Makes the bodies and outputs that the table refers to.
+        """
+        self._make_payload = make_payload
         self._entries: dict[str, Entry] = {}
         # Results read before those at lower positions, by job key and
         # position. A snapshot is ordered by record key, not by position.
-        self._out_of_order: dict[str, dict[int, records.Result]] = {}
+        self._out_of_order: dict[str, dict[int, Result]] = {}
 
     def get(self, key: str) -> Entry | None:
         """Returns a job, None if its specification has not been read."""
@@ -98,13 +124,14 @@
             case records.JobChange(key, job):
                 self._apply_job(key, job)
             case records.BodyChange(key, item, body):
-                self._apply_body(key, item, body)
+                self._apply_body(key, item, record, body)
             case records.ResultChange(key, position, result):
-                self._apply_result(key, position, result)
+                self._apply_result(key, position, record, result)
             case records.EndChange(key):
                 entry = self._entry(key)
                 entry.ended = True
-                entry.bodies.clear()
+                for index in list(entry.bodies):
+                    _remove_body(entry, index)
         return change
 
     def load(self, snapshot: list[compacted.Record]) -> None:
@@ -112,6 +139,11 @@
         for record in snapshot:
             self.apply(record)
 
+    def clear(self) -> None:
+        """Removes all jobs."""
+        for key in list(self._entries):
+            self._remove(key)
+
     def _entry(self, key: str) -> Entry:
         entry = self._entries.get(key)
         if entry is None:
@@ -120,33 +152,67 @@
 
     def _apply_job(self, key: str, job: records.Job | None) -> None:
         if job is None:
-            self._entries.pop(key, None)
-            self._out_of_order.pop(key, None)
+            self._remove(key)
             return
         entry = self._entry(key)
         if entry.job is None:
             entry.job = job
 
-    def _apply_body(self, key: str, item: int, body: bytes | None) -> None:
+    def _remove(self, key: str) -> None:
+        entry = self._entries.pop(key, None)
+        pending = self._out_of_order.pop(key, {})
+        if entry is None:
+            return
+        for body in entry.bodies.values():
+            body.release()
+        for result in (*entry.results, *pending.values()):
+            result.output.release()
+
+    def _apply_body(
+        self,
+        key: str,
+        item: int,
+        record: compacted.Record,
+        body: bytes | None,
+    ) -> None:
         entry = self._entry(key)
-        if body is None or item in entry.finished_items or entry.ended:
-            entry.bodies.pop(item, None)
-        else:
-            entry.bodies[item] = body
+        _remove_body(entry, item)
+        if body is not None and not (
+            item in entry.finished_items or entry.ended
+        ):
+            entry.bodies[item] = self._make_payload(record, body)
 
     def _apply_result(
-        self, key: str, position: int, result: records.Result | None
+        self,
+        key: str,
+        position: int,
+        record: compacted.Record,
+        result: records.Result | None,
     ) -> None:
         if result is None:
             return
         entry = self._entry(key)
+        if position < len(entry.results):
+            # An owner reads its own results after it has appended them.
+            known = entry.results[position]
+            if known.item == result.item:
+                known.output.locate(record.offset)
+            return
         pending = self._out_of_order.setdefault(key, {})
-        pending.setdefault(position, result)
+        if position not in pending:
+            output = self._make_payload(record, result.output)
+            pending[position] = Result(result.item, result.completed, output)
         while (
             next_result := pending.pop(len(entry.results), None)
         ) is not None:
             entry.results.append(next_result)
             entry.finished_items.add(next_result.item)
-            entry.bodies.pop(next_result.item, None)
+            _remove_body(entry, next_result.item)
         if not pending:
             del self._out_of_order[key]
+
+
+def _remove_body(entry: Entry, item: int) -> None:
+    body = entry.bodies.pop(item, None)
+    if body is not None:
+        body.release()
--- a/lacewingwood/jobs/writer.py
+++ b/lacewingwood/jobs/writer.py
@@ -6,8 +6,10 @@
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import records
+from lacewingwood.jobs import table as tables
 from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
+from lacewingwood.log import follow
 
 # Number of epochs that one member may use in one generation of the group.
 EPOCHS_PER_GENERATION = 1 << 16
@@ -58,13 +60,16 @@
         self._lock = trio.Lock()
         self._cancelled_batch: list[compacted.Record] | None = None
 
-    async def claim(self) -> compacted.Snapshot:
+    async def claim(self, scan: follow.Scan, table: tables.Table) -> int:
         """Fences all earlier owners.
 
+        Args:
+            scan: Scans the partition.
+            table: Receives the newest records, read before the claim.
+
         Returns:
-            A snapshot read before the claim. Records that earlier owners
-            appended between the snapshot and the claim are at or after the
-            snapshot's next offset.
+            The offset to read on from. Records that earlier owners appended
+            between the scan and the claim are at or after it.
 
         Raises:
             compacted.FencedError: The owner of a later generation has claimed
@@ -72,18 +77,14 @@
         """
         while True:
             try:
-                snapshot = await self._log.snapshot(self._partition)
-                newest_epoch = max(
-                    (records.claimed_epoch(r) for r in snapshot.records),
-                    default=-1,
-                )
+                newest_epoch, next_offset = await self._load(scan, table)
                 if _generation(newest_epoch) > _generation(self._min_epoch):
                     break
                 self._set_epoch(newest_epoch)
                 record = records.claim_record(self.epoch)
                 await self._log.append(self._partition, [record], self._fence)
                 self._fence.sequence += 1
-                return snapshot
+                return next_offset
             except compacted.FencedError:
                 # An earlier process on this host has used the epoch; the next
                 # snapshot holds its claim record.
@@ -96,6 +97,22 @@
         self._note_ownership_lost()
         raise compacted.FencedError("a later generation's owner exists")
 
+    async def _load(
+        self, scan: follow.Scan, table: tables.Table
+    ) -> tuple[int, int]:
+        """Loads the table; returns the newest epoch and the next offset."""
+        newest_epoch = -1
+
+        def load(page: list[compacted.Record]) -> None:
+            nonlocal newest_epoch
+            for record in page:
+                newest_epoch = max(newest_epoch, records.claimed_epoch(record))
+            table.load(page)
+
+        table.clear()
+        next_offset = await scan(self._partition, load)
+        return newest_epoch, next_offset
+
     async def append(self, batch: list[compacted.Record]) -> None:
         """Appends records, all or none.
 
--- a/lacewingwood/log/compacted.py
+++ b/lacewingwood/log/compacted.py
@@ -4,6 +4,7 @@
 hold only the operations that this system needs; clients implement them.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -76,6 +77,10 @@
     next_offset: int
 
 
+# Receives records of a partition, some at a time.
+OnRecords = Callable[[list[Record]], None]
+
+
 class Fence(msgspec.Struct):
     """Identity of a writer, which fences writers of earlier epochs.
 
@@ -113,12 +118,35 @@
             UnavailableError: The log gave no usable answer.
         """
 
+    async def scan(self, partition: Partition, on_records: OnRecords) -> int:
+        """Passes on the newest record of each key, one page after another.
+
+        Returns:
+            The offset to read on from, see `Snapshot`.
+
+        Raises:
+            UnavailableError: The log gave no usable answer. Some pages may have
+                been passed on.
+        """
+
+    async def find(self, partition: Partition, key: str) -> Record | None:
+        """Returns the newest record of a key, None if it has none.
+
+        Raises:
+            UnavailableError: The log gave no usable answer.
+        """
+
     async def read(
-        self, partition: Partition, start: int, wait_ms: float
+        self,
+        partition: Partition,
+        start: int,
+        wait_ms: float,
+        max_bytes: int | None = None,
     ) -> Page:
         """Returns records from `start` on, not always all of them.
 
-        Waits up to `wait_ms` for a record if there is none.
+        Waits up to `wait_ms` for a record if there is none. With `max_bytes`
+        it returns about as many bytes at most, but at least one record.
 
         Raises:
             UnavailableError: The log gave no usable answer.
--- a/lacewingwood/log/follow.py
+++ b/lacewingwood/log/follow.py
@@ -1,6 +1,8 @@
 """Reads a partition of a compacted topic and its further changes."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 import structlog
 import trio
@@ -15,6 +17,11 @@
 _MIN_RETRY_MS = 100.0
 _MAX_RETRY_MS = 400.0
 
+# Passes on the newest records of a partition; see `CompactedLog.scan`.
+Scan = Callable[
+    [compacted.Partition, compacted.OnRecords], Coroutine[Any, Any, int]
+]
+
 _log = structlog.get_logger()
 
 
@@ -38,6 +45,7 @@
         "_on_snapshot",
         "_partition",
         "_pause_ms",
+        "_scan",
         "_wait_ms",
         "last_answer_ms",
         "position",
@@ -55,6 +63,7 @@
         *,
         wait_ms: float,
         pause_ms: float,
+        scan: Scan | None = None,
     ) -> None:
         """Creates a follower; `run` does the reading.
 
@@ -68,6 +77,8 @@
             metrics: Counts failed reads.
             wait_ms: How long a read waits for a record.
             pause_ms: Pause after each read; bounds the rate of reads.
+            scan: Scans the partition in place of a snapshot, which is not held
+                as a whole then: `on_snapshot` is called with each page.
         """
         self.ready = trio.Event()
         self.last_answer_ms = clock.now_ms()
@@ -80,6 +91,7 @@
         self._metrics = metrics
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
+        self._scan = scan
         self._is_unreachable = False
 
     async def run(self) -> None:
@@ -132,12 +144,17 @@
         return await self._read_records(wait_ms)
 
     async def _read_snapshot(self) -> int:
-        snapshot = await self._log.snapshot(self._partition)
-        self._note_answer()
-        self.position = snapshot.next_offset
-        self._on_snapshot(snapshot.records)
+        if self._scan is not None:
+            next_offset = await self._scan(self._partition, self._on_snapshot)
+            self._note_answer()
+            self.position = next_offset
+        else:
+            snapshot = await self._log.snapshot(self._partition)
+            self._note_answer()
+            self.position = next_offset = snapshot.next_offset
+            self._on_snapshot(snapshot.records)
         self.ready.set()
-        return snapshot.next_offset
+        return next_offset
 
     async def _read_records(self, wait_ms: float) -> int:
         position = self.position
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -86,20 +86,26 @@
         See `compacted.CompactedLog`.
         """
         records: list[compacted.Record] = []
+        end = await self.scan(partition, records.extend)
+        return compacted.Snapshot(records, end)
+
+    async def scan(
+        self, partition: compacted.Partition, on_records: compacted.OnRecords
+    ) -> int:
+        """Passes on the newest record of each key.
+
+        See `compacted.CompactedLog`.
+        """
         end, after = -1, ""
         starts: set[str] = set()
         while True:
-            position = {"after": after} if after else {}
-            query = _query(partition, **position)
-            status, body = await self._call("GET", "newest", query)
-            _require_ok(status, body)
-            page = _decode(body, _NewestResponse)
+            page = await self._newest(partition, after)
             # Records appended while later pages are read are at or after the
             # end that the first page reports.
             end = page.end if end < 0 else end
-            records += [_to_record(item) for item in page.items]
+            on_records([_to_record(item) for item in page.items])
             if not page.more or not page.items:
-                return compacted.Snapshot(records, end)
+                return end
             after = page.items[-1].key
             if after in starts:
                 # The next pages would be the same again.
@@ -108,16 +114,37 @@
                 )
             starts.add(after)
 
+    async def find(
+        self, partition: compacted.Partition, key: str
+    ) -> compacted.Record | None:
+        """Returns the newest record of a key; see `compacted.CompactedLog`."""
+        page = await self._newest(partition, _key_before(key))
+        found = [_to_record(item) for item in page.items if item.key == key]
+        if not found and page.items and page.items[0].key < key:
+            # The store's order of keys is another one.
+            def add(records: list[compacted.Record]) -> None:
+                found.extend(r for r in records if r.key == key)
+
+            await self.scan(partition, add)
+        return found[0] if found else None
+
     async def read(
-        self, partition: compacted.Partition, start: int, wait_ms: float
+        self,
+        partition: compacted.Partition,
+        start: int,
+        wait_ms: float,
+        max_bytes: int | None = None,
     ) -> compacted.Page:
         """Returns records from offset `start` on, at most 1 MB or one record.
 
         See `compacted.CompactedLog`.
         """
+        max_kb = _MAX_READ_KB
+        if max_bytes is not None:
+            max_kb = min(max_kb, -(-max_bytes // 1024))
         query = _query(
             partition,
-            **{"from": start, "max_kb": _MAX_READ_KB, "wait_ms": int(wait_ms)},
+            **{"from": start, "max_kb": max_kb, "wait_ms": int(wait_ms)},
         )
         status, body = await self._call("GET", "read", query, wait_ms=wait_ms)
         if status == _STATUS_GONE:
@@ -192,6 +219,16 @@
         status, body = await self._call("POST", "leave", "", request)
         _require_ok(status, body)
 
+    async def _newest(
+        self, partition: compacted.Partition, after: str
+    ) -> _NewestResponse:
+        position = {"after": after} if after else {}
+        query = _query(partition, **position)
+        status, body = await self._call("GET", "newest", query)
+        _require_ok(status, body)
+        page: _NewestResponse = _decode(body, _NewestResponse)
+        return page
+
     async def _call(
         self,
         method: str,
@@ -243,6 +280,13 @@
     return urllib.parse.urlencode(names, safe="/", quote_via=urllib.parse.quote)
 
 
+def _key_before(key: str) -> str:
+    """Returns a text before a key and after nearly all that precede it."""
+    if not key or ord(key[-1]) <= 1:
+        return key[:-1]
+    return key[:-1] + chr(ord(key[-1]) - 1) + "~"
+
+
 async def _read_answer(exchange: http1.Exchange) -> bytes:
     """Returns the body of an answer.
 
--- a/lacewingwood/roles/gateway.py
+++ b/lacewingwood/roles/gateway.py
@@ -20,17 +20,10 @@
 from lacewingwood.callers import forwarding
 from lacewingwood.callers import gateway as gateways
 from lacewingwood.callers import server
-from lacewingwood.jobs import owner as owners
-from lacewingwood.jobs import ownership as ownerships
-from lacewingwood.jobs import running
-from lacewingwood.jobs import scheduler as schedulers
-from lacewingwood.jobs import service as job_service
 from lacewingwood.limits import cold_replicas
 from lacewingwood.limits import replica_limits
 from lacewingwood.limits import shared
-from lacewingwood.log import compacted
 from lacewingwood.operators import admin
-from lacewingwood.peers import errors as peer_errors
 from lacewingwood.peers import gateway_messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.peers import presence as presence_lib
@@ -41,6 +34,7 @@
 from lacewingwood.platform import settings as platform_settings
 from lacewingwood.platform import store as store_lib
 from lacewingwood.roles import gateway_followers
+from lacewingwood.roles import gateway_jobs
 from lacewingwood.roles import gateway_reports
 from lacewingwood.routing import coordinator_links
 from lacewingwood.routing import directory
@@ -60,7 +54,6 @@
 # Each round of upkeep wakes an otherwise idle process, and a deployment has
 # hundreds of them.
 _UPKEEP_INTERVAL_MS = 400.0
-_HAND_OVER_TIMEOUT_MS = 500.0
 # The load balancer sends new connections until two readiness checks, made one
 # a second, have failed.
 _DRAIN_MS = 2_300.0
@@ -199,42 +192,19 @@
         )
         self._replicas = replica_client.Replicas()
         replicas = self._replicas
-        self._scheduler = schedulers.Scheduler(
+        self._jobs = jobs = gateway_jobs.Jobs(
+            cfg,
+            lambda: self._cfg.job_status_ms,
+            self._store,
+            self._published,
             self._dispatcher,
-            running.ItemRunner(
-                self._slots, replicas, self._clock, self._metrics
-            ),
-            lambda: self._published.current,
-            self._roster.batch_rank,
-            self._clock,
-            _wall_ms,
-            self._metrics,
             self._slots,
-        )
-        partitions = job_service.partitions(cfg.partitions_per_topic)
-        self._ownership = ownerships.Ownership(
-            self._store,
-            cfg.host,
-            partitions,
-            self._make_owner,
-            self._roster.owner_at,
-            self._hand_over,
-            self._clock,
-            self._metrics,
-            cfg.member_ttl_min_ms,
-            lambda: self._roster.is_candidate(2 * len(partitions)),
-        )
-        jobs = job_service.JobService(
-            self._store,
-            partitions,
-            self._ownership,
+            replicas,
             self._network,
             self._roster,
-            self._find_route,
             self._clock,
+            _wall_ms,
             self._metrics,
-            max_record_bytes=cfg.max_record_bytes,
-            max_append_bytes=cfg.max_append_bytes,
         )
         self._forwarder = forwarder = forwarding.Forwarder(
             self._slots,
@@ -259,14 +229,16 @@
             self._clock,
             self._metrics,
         )
-        self._app = ingress.Ingress(gateway, jobs, self._clock, self._metrics)
+        self._app = ingress.Ingress(
+            gateway, jobs.service, self._clock, self._metrics
+        )
         self._dispatcher.on_change = self._presence.schedule_report
         self._dispatcher.counts_lag = lambda: self._presence.uses_hubs
         self._dispatcher.stagger_s = self._stagger_s
         self._dispatcher.turn = lambda: (*self._roster.rank(), _wall_ms())
         self._slots.coordinated = lambda: self._presence.uses_hubs
-        self._slots.on_batch_slot = self._scheduler.start_one
-        self._slots.on_preempt = self._scheduler.preempt_one
+        self._slots.on_batch_slot = jobs.scheduler.start_one
+        self._slots.on_preempt = jobs.scheduler.preempt_one
         self._fleet.on_replicas = self._update_replicas
         self._published.on_change = self._apply_configuration
         self._reports = gateway_reports.Reports(
@@ -277,8 +249,8 @@
             self._limits,
             self._quarantine,
             self._evacuations,
-            self._ownership,
-            self._scheduler,
+            jobs.ownership,
+            jobs.scheduler,
             self._roster,
             self._clock,
             self._log_age_ms,
@@ -305,8 +277,8 @@
             nursery.start_soon(self._journal.run)
             nursery.start_soon(self._slots.run)
             nursery.start_soon(self._slot_server.run)
-            nursery.start_soon(self._scheduler.run)
-            nursery.start_soon(self._ownership.run)
+            nursery.start_soon(self._jobs.scheduler.run)
+            nursery.start_soon(self._jobs.ownership.run)
             nursery.start_soon(self._do_upkeep)
             nursery.start_soon(self._peer_copy.run)
             nursery.start_soon(self._leave)
@@ -350,7 +322,7 @@
         Runs while the last requests are still being answered.
         """
         await self._shutdown.wait()
-        await self._ownership.stop()
+        await self._jobs.ownership.stop()
         await self._presence.leave()
         self._has_left.set()
 
@@ -422,30 +394,6 @@
     def _make_report(self) -> gateway_messages.GatewayReport:
         return self._reports.make()
 
-    def _make_owner(
-        self, index: int, partition: compacted.Partition, epoch: int
-    ) -> owners.Owner:
-        return owners.Owner(
-            index,
-            partition,
-            epoch,
-            self._store,
-            self._scheduler,
-            self._clock,
-            _wall_ms,
-            self._metrics,
-            retention_ms=self._cfg.job_status_ms,
-        )
-
-    async def _hand_over(
-        self, address: str, progress: gateway_messages.JobProgress
-    ) -> None:
-        try:
-            await self._network.call(address, progress, _HAND_OVER_TIMEOUT_MS)
-        except peer_errors.PeerError as exc:
-            # Without the progress, the new owner runs items from the start.
-            self._metrics.add("hand_overs_failed", code=exc.code)
-
     def _update_replicas(self, replicas: Iterable[load.Replica]) -> None:
         listed = list(replicas)
         self._fleet.limits.update_replicas(
@@ -479,10 +427,6 @@
         answer_ms = max(f.last_answer_ms for f in self._followers)
         return self._clock.now_ms() - answer_ms
 
-    def _find_route(self, host: str, path: str) -> configuration.Route | None:
-        current = self._published.current
-        return current.find_route(host, path) if current else None
-
     def _client_limits(self) -> configuration.ClientLimits:
         current = self._published.current
         return (
@@ -500,6 +444,7 @@
         return None
 
     def _add_gauges(self) -> None:
+        self._jobs.add_gauges()
         gauge = self._metrics.gauge
         gauge("callers_running", lambda: self._app.active_requests)
         gauge("requests_waiting", lambda: self._dispatcher.waiting)
@@ -507,8 +452,6 @@
             "replicas_of_unusual_speed",
             lambda: sum(r.last_unusual for r in self._fleet.all()),
         )
-        gauge("items_waiting", lambda: self._scheduler.counts[0])
-        gauge("items_running", lambda: self._scheduler.counts[1])
         gauge("peers_heard", lambda: len(self._roster.live_peers()))
         gauge("configuration_version", lambda: self._published.version)
         gauge(
@@ -529,7 +472,7 @@
             "peers": {
                 peer.host: peer.address for peer in self._roster.live_peers()
             },
-            "owned": self._ownership.epochs(),
+            "owned": self._jobs.ownership.epochs(),
             "coordinated": self._slot_server.dump(),
             "quarantined": self._quarantine.dump(now_ms),
             "replica_limits": self._fleet.limits.dump(now_ms),
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -44,17 +44,44 @@
         self, partition: compacted.Partition
     ) -> compacted.Snapshot:
         """Returns the newest record of each key."""
+        found: list[compacted.Record] = []
+        end = await self.scan(partition, found.extend)
+        return compacted.Snapshot(found, end)
+
+    async def scan(
+        self, partition: compacted.Partition, on_records: compacted.OnRecords
+    ) -> int:
+        """Passes on the newest record of each key, in pages of two records."""
         await trio.lowlevel.checkpoint()
         self._check_up()
         part = self.core.partition(partition.topic, partition.number)
+        end = part.end
         found = [
             compacted.Record(key, value, offset)
             for key, (offset, value) in sorted(part.newest.items())
         ]
-        return compacted.Snapshot(found, part.end)
+        for start in range(0, len(found), 2):
+            on_records(found[start : start + 2])
+        return end
+
+    async def find(
+        self, partition: compacted.Partition, key: str
+    ) -> compacted.Record | None:
+        """Returns the newest record of a key."""
+        await trio.lowlevel.checkpoint()
+        self._check_up()
+        part = self.core.partition(partition.topic, partition.number)
+        if key not in part.newest:
+            return None
+        offset, value = part.newest[key]
+        return compacted.Record(key, value, offset)
 
     async def read(
-        self, partition: compacted.Partition, start: int, wait_ms: float
+        self,
+        partition: compacted.Partition,
+        start: int,
+        wait_ms: float,
+        max_bytes: int | None = None,
     ) -> compacted.Page:
         """Returns records from `start` on."""
         part = self.core.partition(partition.topic, partition.number)
@@ -67,7 +94,9 @@
             "topic": partition.topic,
             "part": str(partition.number),
             "from": str(start),
-            "max_kb": str(self.max_read_kb),
+            "max_kb": str(
+                self.max_read_kb if max_bytes is None else -(-max_bytes // 1024)
+            ),
         }
         status, body = self.core.read(query)
         if status == 410:
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import math
 
 import pytest
 import trio
@@ -10,6 +11,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import owner as owners
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.jobs import table as tables
 from lacewingwood.jobs import writer as writers
@@ -26,6 +28,7 @@
     scheduler: fakes.FakeScheduler,
     min_epoch: int = EPOCHS_PER_GENERATION,
     now_ms: int = 0,
+    held_bytes: float = math.inf,
 ) -> owners.Owner:
     """Returns an owner over a log in memory."""
     return owners.Owner(
@@ -33,6 +36,7 @@
         fakes.PARTITION,
         min_epoch,
         log,
+        payloads.Cache(log, held_bytes, metrics_lib.Registry()),
         scheduler,  # type: ignore[arg-type]
         clocks.MonotonicClock(),
         lambda: now_ms,
@@ -76,10 +80,18 @@
     return table
 
 
+def contents(entry: tables.Entry | None) -> list[records.Result]:
+    """Returns the results of a job whose outputs are all held."""
+    found = entry.results if entry is not None else []
+    return [
+        records.Result(r.item, r.completed, r.output.value or b"")
+        for r in found
+    ]
+
+
 def owner_results(owner: owners.Owner) -> list[records.Result]:
     """Returns the results of the job that an owner lists."""
-    entry = owner._table.get(KEY)
-    return entry.results if entry is not None else []
+    return contents(owner._table.get(KEY))
 
 
 async def test_results_are_listed_in_order_of_completion() -> None:
@@ -157,16 +169,16 @@
         await start(nursery, former)
         await submit(log, items=5)
         await until(lambda: len(scheduler.tasks) == 5)
-        snapshot = log.snapshot
+        scan = log.scan
 
-        async def snapshot_before_results(*args):  # type: ignore[no-untyped-def]
-            found = await snapshot(*args)
+        async def scan_before_results(*args):  # type: ignore[no-untyped-def]
+            found = await scan(*args)
             for task in list(scheduler.tasks)[:4]:
                 scheduler.complete(task, bytes(700))
             await until(lambda: len(owner_results(former)) == 4)
             return found
 
-        log.snapshot = snapshot_before_results  # type: ignore[method-assign]
+        log.scan = scan_before_results  # type: ignore[method-assign]
         later_scheduler = fakes.FakeScheduler()
         later = make_owner(log, later_scheduler, 2 * EPOCHS_PER_GENERATION)
         await start(nursery, later)
@@ -175,10 +187,10 @@
         (task,) = later_scheduler.tasks
         later_scheduler.complete(task, b"x")
         await until(lambda: len(owner_results(later)) == 5)
-        log.snapshot = snapshot  # type: ignore[method-assign]
+        log.scan = scan  # type: ignore[method-assign]
         entry = read_table(log).get(KEY)
         assert entry is not None
-        assert entry.results[:4] == listed
+        assert contents(entry)[:4] == listed
         assert {r.item for r in entry.results} == set(range(5))
         nursery.cancel_scope.cancel()
 
@@ -296,7 +308,7 @@
         log.execute_delayed()
         entry = read_table(log).get(KEY)
         assert entry is not None
-        assert {r.output for r in entry.results} == {b"new"}
+        assert {r.output for r in contents(entry)} == {b"new"}
         nursery.cancel_scope.cancel()
 
 
@@ -530,8 +542,8 @@
             await trio.sleep(0.001)
             entry = read_table(log).get(KEY)
             assert entry is not None
-            assert entry.results[: len(seen)] == seen
-            seen = list(entry.results)
+            assert contents(entry)[: len(seen)] == seen
+            seen = contents(entry)
             finished_items = [result.item for result in seen]
             assert len(set(finished_items)) == len(finished_items)
         nursery.cancel_scope.cancel()
--- a/tests/jobs/test_ownership.py
+++ b/tests/jobs/test_ownership.py
@@ -1,11 +1,14 @@
 """Tests of a gateway's share of the partitions."""
 
+import math
+
 import trio
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import owner as owners
 from lacewingwood.jobs import ownership as ownerships
+from lacewingwood.jobs import payloads
 from lacewingwood.log import compacted
 from lacewingwood.routing import origins
 from lacewingwood.upstreams import event_stream
@@ -43,6 +46,7 @@
             partition,
             epoch,
             log,
+            payloads.Cache(log, math.inf, metrics),
             scheduler,  # type: ignore[arg-type]
             clock,
             lambda: 0,
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -5,12 +5,16 @@
 from collections.abc import AsyncIterator
 
 import msgspec
+import trio
+from trio import testing as trio_testing
 
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
+from lacewingwood.log import errors as log_errors
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
@@ -96,7 +100,8 @@
             self.dispatcher, self.replicas, self.clock, metrics
         )
         job = fakes.make_job("job", 1).job
-        self.task = running.ItemTask(job, 0, b"{}")
+        self.silent = False
+        self.task = running.ItemTask(job, 0, payloads.Payload(b"{}"))
 
     async def run_at(self, replica_id: str) -> records.Result | None:
         """Runs the item at one replica."""
@@ -216,3 +221,33 @@
     replica = harness.fleet.get("r0")
     assert replica is not None
     assert replica.own_counts[1] == 0
+
+
+async def test_item_whose_body_can_not_be_read_waits(
+    autojump_clock: trio_testing.MockClock,
+) -> None:
+    """Guards against giving up items, or blaming replicas, for the log."""
+
+    class Unreadable(payloads.Payload):
+        __slots__ = ()
+
+        async def load(self) -> bytes:
+            if harness.silent:
+                await trio.sleep_forever()
+            raise log_errors.UnavailableError("down", False)
+
+    harness = RunnerHarness([200])
+    harness.task.body = Unreadable(b"")
+    for harness.silent in (False, True):
+        started = trio.current_time()
+        assert await harness.run_at("r0") is None
+        assert trio.current_time() - started <= 1.0
+        assert harness.task.not_before_ms > harness.clock.now_ms()
+    assert harness.task.failures == harness.task.breaks == 0
+    replica = harness.fleet.get("r0")
+    assert replica is not None
+    assert replica.failures == 0
+    harness.task.body = payloads.Payload(b"{}")
+    result = await harness.run_at("r0")
+    assert result is not None
+    assert result.completed
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -6,6 +6,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.routing import dispatcher as dispatchers
@@ -34,7 +35,9 @@
     job = fakes.make_job("job", 8).job
     tasks = []
     for n in range(8):
-        task = running.ItemTask(job, n, b"{}", state=running.State.RUNNING)
+        task = running.ItemTask(
+            job, n, payloads.Payload(b"{}"), state=running.State.RUNNING
+        )
         task.slot = dispatcher.try_acquire(
             dispatchers.SlotRequest(service="s", work=load.WorkKind.BATCH)
         )
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -14,6 +14,10 @@
     return records.Result(item, True, output)
 
 
+def _contents(entry: tables.Entry) -> list[tuple[int, bool, bytes | None]]:
+    return [(r.item, r.completed, r.output.value) for r in entry.results]
+
+
 def test_job_exists_only_with_its_specification() -> None:
     """Guards against running a job whose submission is incomplete."""
     table = tables.Table()
@@ -46,7 +50,7 @@
     table.apply(records.result_records(KEY, 0, _result(2, b"second"))[0])
     entry = table.get(KEY)
     assert entry is not None
-    assert entry.results == [_result(1, b"first")]
+    assert _contents(entry) == [(1, True, b"first")]
 
 
 def test_resubmission_changes_nothing() -> None:
@@ -92,4 +96,4 @@
     )
     entry = table.get(KEY)
     assert entry is not None
-    assert entry.bodies == {0: b""}
+    assert {n: body.value for n, body in entry.bodies.items()} == {0: b""}
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -10,6 +10,7 @@
 
 from lacewingwood import configuration
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import payloads
 from lacewingwood.jobs import running
 from lacewingwood.peers import gateway_messages
 from lacewingwood.platform import jobs
@@ -157,9 +158,12 @@
         submission = _decode([item])
     except errors.InvalidJobError:
         return
-    task = running.ItemTask(submission.job, 0, submission.bodies[0])
+    body = submission.bodies[0]
+    task = running.ItemTask(submission.job, 0, payloads.Payload(body))
     listing = directory.Listing("r0", "s", "10.0.0.1:80", "z", 8)
-    head = replicas._encode(listing, running._make_work(task), 1_000, None)
+    head = replicas._encode(
+        listing, running._make_work(task, body), 1_000, None
+    )
     conn = h11.Connection(h11.SERVER)
     wire = h11.Connection(h11.CLIENT)
     conn.receive_data(wire.send(head) or b"")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -224,3 +224,30 @@
         with pytest.raises(compacted.ConflictError):
             await store.append(_PARTITION, [_record("a", b"1")])
         nursery.cancel_scope.cancel()
+
+
+async def test_record_is_found_by_its_key() -> None:
+    """Guards against a body that can't be read once its offset has expired."""
+    async with _stores() as (standin, store):
+        keys = [f"b/kaje/job/{n}" for n in range(120)] + ["b/", "~", "é", "b"]
+        batch = [_record(key, key.encode()) for key in keys]
+        await store.append(_PARTITION, batch)
+        await store.append(_PARTITION, [_record("b/kaje/job/7", None)])
+        standin.core.compact()
+        for key in keys:
+            record = await store.find(_PARTITION, key)
+            if key == "b/kaje/job/7":
+                assert record is None
+                continue
+            assert record is not None
+            assert (record.key, record.value) == (key, key.encode())
+        assert await store.find(_PARTITION, "b/kaje/job/200") is None
+
+
+async def test_read_of_one_record_returns_little_more() -> None:
+    """Guards against reading 1 MB for each body."""
+    async with _stores() as (_, store):
+        for n in range(6):
+            await store.append(_PARTITION, [_record(f"k{n}", bytes(100_000))])
+        page = await store.read(_PARTITION, 2, 0, max_bytes=100_100)
+        assert [record.key for record in page.records] == ["k2"]
