An answer without a length that is reset during the upload is not complete

Callers got part of an answer as a complete 200 when a replica answered a long upload early, without a length, and reset the connection: in each of the three cases of the new test, on routes of three kinds.

Cause: the write of the request took the error of the reset, which the kernel reports once, and was left to the read to report; the read found the end of the connection, which ends an answer without a length.

Change: a connection remembers a failed write, after which an answer without a length is broken off. Early answers of replicas that read on stay complete.

--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -46,6 +46,7 @@
         idle_since_s: When the last exchange ended.
         reused: True once it has carried an exchange before the present one.
         refused: Ids of the requests that were refused on it.
+        write_failed: True once a write has failed.
     """
 
     __slots__ = (
@@ -56,12 +57,14 @@
         "idle_since_s",
         "refused",
         "reused",
+        "write_failed",
     )
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.idle_since_s = 0.0
         self.reused = False
         self.refused: set[str] = set()
+        self.write_failed = False
         self._write_complete = True
         self._stream = stream
         self._fd = stream.socket.fileno()
@@ -84,6 +87,7 @@
             for part in parts:
                 await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.write_failed = True
             raise errors.BrokenError(str(exc)) from exc
         self._write_complete = True
 
@@ -280,14 +284,29 @@
             raise errors.BrokenError(
                 "connection closed before the response ended"
             )
-        if not self._accept_unframed and not self.framed:
-            raise errors.BrokenError(
-                "response has neither a length nor chunked encoding"
-            )
+        if not self.framed:
+            self._check_unframed_end()
         self.trailers = list(event.headers)
         self.complete = True
         return b""
 
+    def _check_unframed_end(self) -> None:
+        """Checks that the end of the connection is the end of a response.
+
+        Raises:
+            BrokenError: It can't be told from a broken response.
+        """
+        if not self._accept_unframed:
+            raise errors.BrokenError(
+                "response has neither a length nor chunked encoding"
+            )
+        if self._connection.write_failed:
+            # The failed write has taken the error of a reset, so that the next
+            # read finds the end of the connection instead.
+            raise errors.BrokenError(
+                "response without a length after a failed write"
+            )
+
     async def read(self) -> bytes:
         """Returns the rest of the body.
 
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -467,6 +467,78 @@
         await _expect_failure(_make_forwarder(address))
 
 
+_EARLY_ANSWERS = {
+    "IDEMPOTENT": _UNFRAMED_HEAD.replace(b"text/event-stream", b"text/plain")
+    + bytes(3_000),
+    "NON_IDEMPOTENT": _UNFRAMED_HEAD.replace(b"text/event-stream", b"x/y")
+    + bytes(3_000),
+    "STREAM": _UNFRAMED_HEAD + _EVENT + b"id: 2\ndata: y\n\n",
+}
+
+
+@contextlib.asynccontextmanager
+async def _early_server(answer: bytes, reset: bool) -> AsyncIterator[str]:
+    """Runs a server that answers before it reads a body; yields its address.
+
+    It resets the connection then, or reads the body and closes it.
+    """
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some(100)
+            await stream.send_all(answer)
+            if reset:
+                # The client's buffers are full by then.
+                await trio.sleep(0.1)
+                linger = struct.pack("ii", 1, 0)
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                return
+            with trio.move_on_after(0.5):
+                while await stream.receive_some(1 << 20):
+                    pass
+
+    async with _serving(serve) as address:
+        yield address
+
+
+@pytest.mark.parametrize("kind", _EARLY_ANSWERS)
+@pytest.mark.parametrize("reset", [True, False])
+async def test_early_answer_is_complete_unless_it_was_reset(
+    kind: str, reset: bool
+) -> None:
+    """Guards against half an answer, reset during the upload, as a whole one.
+
+    The error of the reset was seen by the write of the request, so that the
+    following read found the end of the connection.
+    """
+    answer = _EARLY_ANSWERS[kind]
+    async with _early_server(answer, reset) as address:
+        caller = test_forwarding.Caller()
+        call = _make_call(
+            caller,
+            kind=configuration.RouteKind[kind],
+            resumable=False,
+            max_attempts=1,
+        )
+        call.work = runs.Work(
+            "id-1",
+            "POST",
+            b"/p/1",
+            [(b"host", b"h.example")],
+            bytes(3_500_000),
+            "kaje",
+        )
+        forwarder = _make_forwarder(address)
+        if not reset:
+            await forwarder.run(call)
+            assert caller.complete
+            assert caller.body == answer.partition(b"\r\n\r\n")[2]
+            return
+        with pytest.raises((caller_errors.CallerError, forwarding.AbortError)):
+            await forwarder.run(call)
+        assert not caller.complete
+
+
 _STREAM_HEAD = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s.1\r\n"
     b"Content-Type: text/event-stream\r\n\r\n"
