Answers with a status above 599 are not relayed

Callers got answers with a status of 600 or 999 from a replica in trouble, on routes of three kinds (6 of 21 cases of the new test). A status of 000, 099, 20, 0200 or +20 was never handed on.

Cause: h11 refuses final statuses below 200 and what is not three digits, but has no upper bound; RFC 9110 (section 15) calls those above 599 invalid.

Change: upstreams/http1.py raises for them, for all that it receives.

Before: 6 cases fail. After: the tests of tests/upstreams pass.

--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -35,6 +35,8 @@
 # Refusals after which a connection is closed, as it has to remember them.
 _MAX_REFUSED = 64
 _BODILESS_STATUSES = (204, 304)
+# RFC 9110, section 15: other statuses are invalid.
+_MAX_STATUS = 599
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -255,7 +257,8 @@
 
         Raises:
             BrokenError: The connection ended or the peer broke the protocol.
-            InvalidResponseError: Too many interim responses came first.
+            InvalidResponseError: The status is invalid, or too many interim
+                responses came first.
         """
         event = await self._connection.receive()
         for _ in range(_MAX_INTERIM_RESPONSES):
@@ -266,6 +269,11 @@
             raise errors.InvalidResponseError("too many interim responses")
         if not isinstance(event, h11.Response):
             raise errors.BrokenError("connection closed without a response")
+        # h11 refuses those below 200, and what is not three digits.
+        if event.status_code > _MAX_STATUS:
+            raise errors.InvalidResponseError(
+                f"invalid status {event.status_code}"
+            )
         self.status = event.status_code
         self.headers = list(event.headers)
 
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -565,3 +565,31 @@
             ):
                 await _make_forwarder(address).run(call)
             assert caller.status == 0
+
+
+@pytest.mark.parametrize("kind", ["IDEMPOTENT", "NON_IDEMPOTENT", "STREAM"])
+@pytest.mark.parametrize(
+    "status",
+    [b"000", b"099", b"20", b"0200", b"+20", b"600", b"999"],
+)
+async def test_answer_with_an_invalid_status_is_not_relayed(
+    kind: str, status: bytes
+) -> None:
+    """Guards against a replica's invalid status that reaches the caller."""
+    answer = (
+        b"HTTP/1.1 %b OK\r\nrequest-id: id-1\r\ncontent-length: %d\r\n"
+        b"content-type: text/event-stream\r\n\r\n%b"
+    ) % (status, len(_EVENT), _EVENT)
+    async with _scripted_server(answer) as address:
+        caller = test_forwarding.Caller()
+        call = _make_call(
+            caller,
+            kind=configuration.RouteKind[kind],
+            resumable=False,
+            max_attempts=1,
+        )
+        with pytest.raises(caller_errors.CallerError) as caught:
+            await _make_forwarder(address).run(call)
+    assert caller.status == 0
+    assert caught.value.status == 502
+    assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
