Split connection pools from http1, and preemption from the scheduler

Moved as they are: Pool and Pools to upstreams/pools.py, the choice of items to stop to jobs/preemption.py, whose view of the items is now handed in. The tests of tests/jobs, tests/upstreams and tests/platform pass.

--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -14,6 +14,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import item_order
 from lacewingwood.jobs import item_routes
+from lacewingwood.jobs import preemption
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
 from lacewingwood.routing import directory
@@ -30,12 +31,6 @@
 # is long enough for one gateway to take slots and for the others to receive its
 # report.
 _TURN_MS = 50
-# After items of a replica were preempted, the replica's counts are out of date
-# for this long; the longer time applies to counts that arrive through hubs and
-# digests. Preempting more items meanwhile would leave slots unused and repeat
-# the prefill of those items.
-_PREEMPTION_PAUSE_MS = 60.0
-_LAGGING_PREEMPTION_PAUSE_MS = 600.0
 # An item is given up this long after its route was removed, in case a newer
 # configuration restores the route.
 _REMOVED_ROUTE_TIMEOUT_MS = 4_000.0
@@ -82,7 +77,7 @@
         "_metrics",
         "_nursery",
         "_order",
-        "_preempted_ms",
+        "_preemption",
         "_runner",
         "_wake",
         "_wall_ms",
@@ -127,7 +122,9 @@
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
         self._order = item_order.ItemOrder(wall_ms)
-        self._preempted_ms: dict[str, float] = {}
+        self._preemption = preemption.Preemption(
+            dispatcher, self._order, self._entries.keys(), clock
+        )
 
     @property
     def counts(self) -> tuple[int, int]:
@@ -157,7 +154,7 @@
                     tick_ms = _COORDINATED_TICK_MS
                     self._ask_for_slots()
                 else:
-                    self._preempt_items()
+                    self._preemption.preempt()
                     self._start_waiting()
                 self._wake = trio.Event()
                 timeout_s = tick_ms / 1000 if self._entries else math.inf
@@ -189,10 +186,7 @@
 
     def preempt_one(self, replica: load.Replica) -> None:
         """Stops an item at a replica that an online request needs."""
-        victims = self._preemption_victims(
-            replica, False, 1
-        ) or self._preemption_victims(replica, True, 1)
-        self._preempt(replica, victims)
+        self._preemption.preempt_one(replica)
 
     def _is_coordinated(self) -> bool:
         return self._coordination is not None and (
@@ -384,75 +378,6 @@
             )
             self._finish(entry, task.result(completed=False))
 
-    def _preempt_items(self) -> None:
-        """Preempts items on replicas whose slots online requests need."""
-        for replica in self._dispatcher.fleet.all():
-            if not replica.own_counts[load.WorkKind.BATCH.value]:
-                continue
-            if not replica.takes_work or self._preempted_recently(replica):
-                continue
-            preempted = self._preempt_on_replica(replica, urgent=False)
-            self._preempt_on_replica(
-                replica, urgent=True, already_stopped=preempted
-            )
-
-    def _preempt_on_replica(
-        self, replica: load.Replica, urgent: bool, already_stopped: int = 0
-    ) -> int:
-        """Preempts a replica's excess items; returns how many.
-
-        Args:
-            replica: The replica.
-            urgent: Whether to preempt urgent items or the others.
-            already_stopped: Number of items preempted just before, which the
-                replica's counts still contain.
-        """
-        excess = (
-            self._dispatcher.excess_batch_items(replica, urgent)
-            - already_stopped
-        )
-        if excess <= 0:
-            return 0
-        # Other gateways see the same excess. Each preempts in proportion to its
-        # own items on the replica, rounded at random.
-        share = replica.own_counts[load.WorkKind.BATCH.value] / replica.batch()
-        target_count = excess * share
-        count = int(target_count) + (random.random() < target_count % 1)
-        stopped = self._preemption_victims(replica, urgent, count)
-        self._preempt(replica, stopped)
-        return len(stopped)
-
-    def _preempt(
-        self, replica: load.Replica, stopped: list[running.ItemTask]
-    ) -> None:
-        for task in stopped:
-            task.preempted = True
-            if task.scope is not None:
-                task.scope.cancel()
-        if stopped:
-            self._preempted_ms[replica.listing.id] = self._clock.now_ms()
-
-    def _preempted_recently(self, replica: load.Replica) -> bool:
-        last_ms = self._preempted_ms.get(replica.listing.id, -math.inf)
-        lag = self._dispatcher.counts_lag()
-        pause_ms = _LAGGING_PREEMPTION_PAUSE_MS if lag else _PREEMPTION_PAUSE_MS
-        return self._clock.now_ms() - last_ms < pause_ms
-
-    def _preemption_victims(
-        self, replica: load.Replica, urgent: bool, count: int
-    ) -> list[running.ItemTask]:
-        """Returns up to `count` of a replica's running items to preempt."""
-        candidates = [
-            task
-            for task in self._entries
-            if task.slot is not None
-            and task.slot.replica is replica
-            and not task.preempted
-            and self._order.is_urgent(task) == urgent
-        ]
-        candidates.sort(key=self._order.preemption_key, reverse=True)
-        return candidates[:count]
-
 
 def _choose_service(route: configuration.Route) -> str:
     """Returns one of a route's services by their weights."""
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -13,6 +13,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.upstreams import errors
 from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import pools as pools_lib
 from lacewingwood.upstreams import runs
 
 # Connections of one gateway to one replica, which accepts 230 from all
@@ -136,7 +137,7 @@
     __slots__ = ("_pools",)
 
     def __init__(self) -> None:
-        self._pools = http1.Pools(
+        self._pools = pools_lib.Pools(
             _MAX_CONNECTIONS, _CONNECT_TIMEOUT_S, accept_unframed=True
         )
 
--- a/lacewingwood/platform/store.py
+++ b/lacewingwood/platform/store.py
@@ -17,6 +17,7 @@
 from lacewingwood.log import errors
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import pools as pools_lib
 
 # A call normally takes about 4 ms. The timeout still covers the usual
 # slowdown of the store by a factor of 60.
@@ -76,7 +77,9 @@
     def __init__(self, address: str, metrics: metrics_lib.Registry) -> None:
         self._host = address.encode()
         self._metrics = metrics
-        self._pool = http1.Pool(address, _MAX_CONNECTIONS, _CONNECT_TIMEOUT_S)
+        self._pool = pools_lib.Pool(
+            address, _MAX_CONNECTIONS, _CONNECT_TIMEOUT_S
+        )
 
     async def snapshot(
         self, partition: compacted.Partition
--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -12,6 +12,7 @@
 from lacewingwood import errors as base_errors
 from lacewingwood.upstreams import errors
 from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import pools as pools_lib
 from lacewingwood.upstreams import sse
 from lacewingwood.upstreams import types
 
@@ -74,8 +75,8 @@
                 requests.
         """
         self._clock = clock
-        self._request_pools = http1.Pools(connections)
-        self._control_pools = http1.Pools(_MAX_CONTROL_CONNECTIONS)
+        self._request_pools = pools_lib.Pools(connections)
+        self._control_pools = pools_lib.Pools(_MAX_CONTROL_CONNECTIONS)
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -234,7 +235,7 @@
     @contextlib.asynccontextmanager
     async def _exchange(
         self,
-        pools: http1.Pools,
+        pools: pools_lib.Pools,
         address: str,
         head: h11.Request,
         body: bytes,
--- a/lacewingwood/upstreams/plain.py
+++ b/lacewingwood/upstreams/plain.py
@@ -11,6 +11,7 @@
 from lacewingwood import errors as base_errors
 from lacewingwood.upstreams import errors
 from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import pools as pools_lib
 
 _MAX_CONNECTIONS = 256
 # Header fields that this client sets itself, and hop-by-hop fields.
@@ -94,7 +95,7 @@
             connections: Maximum number of connections to each service.
         """
         self._clock = clock
-        self._pools = http1.Pools(connections)
+        self._pools = pools_lib.Pools(connections)
 
     @contextlib.asynccontextmanager
     async def request(
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -66,7 +66,7 @@
     dispatcher.fleet.note_report("peer", {"r0": reported}, 0)
     for _ in range(0, duration_ms, 25):
         clock.advance(25)
-        scheduler._preempt_items()
+        scheduler._preemption.preempt()
     return sum(task.preempted for task in tasks)
 
 
--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -34,7 +34,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors
-from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import pools as pools_lib
 from lacewingwood.upstreams import runs
 from tests.callers import test_forwarding
 
@@ -396,7 +396,7 @@
                 functools.partial(trio.serve_listeners, serve, listeners)
             )
             port = listeners[0].socket.getsockname()[1]
-            pool = http1.Pools(1).pool(f"127.0.0.1:{port}")
+            pool = pools_lib.Pools(1).pool(f"127.0.0.1:{port}")
             async with pool.exchange() as exchange:
                 head = h11.Request(
                     method="GET", target="/", headers=[("host", "x")]
--- a/tests/upstreams/test_http1.py
+++ b/tests/upstreams/test_http1.py
@@ -8,6 +8,7 @@
 import trio
 
 from lacewingwood.upstreams import http1
+from lacewingwood.upstreams import pools as pools_lib
 
 _RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
@@ -76,7 +77,7 @@
     return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
 
-async def _exchange(pool: http1.Pool, fresh: bool) -> None:
+async def _exchange(pool: pools_lib.Pool, fresh: bool) -> None:
     async with pool.exchange(fresh) as exchange:
         head = h11.Request(method="GET", target="/", headers=[("host", "x")])
         await exchange.send_whole(head, b"")
@@ -91,7 +92,7 @@
     ran.
     """
     accepted: list[trio.SocketStream] = []
-    pools = http1.Pools(4)
+    pools = pools_lib.Pools(4)
     pool = pools.pool(await _serve_responses(accepted))
     await _exchange(pool, fresh=False)
     await _exchange(pool, fresh=False)
@@ -104,7 +105,7 @@
 async def test_pools_of_upstreams_that_left_are_dropped() -> None:
     """Guards against connections kept for addresses that are reassigned."""
     accepted: list[trio.SocketStream] = []
-    pools = http1.Pools(4)
+    pools = pools_lib.Pools(4)
     address = await _serve_responses(accepted)
     pool = pools.pool(address)
     await _exchange(pool, fresh=False)
@@ -117,7 +118,7 @@
 async def test_connection_remembers_a_bounded_number_of_refusals() -> None:
     """Guards against memory that grows on a connection of a busy replica."""
     accepted: list[trio.SocketStream] = []
-    pool = http1.Pools(1).pool(await _serve_responses(accepted))
+    pool = pools_lib.Pools(1).pool(await _serve_responses(accepted))
     head = h11.Request(method="GET", target="/", headers=[("host", "x")])
     for n in range(100):
         async with pool.exchange(request_id=f"id-{n}") as exchange:
