--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,8 +48,19 @@
     gateways: int = 4,
     replicas: int = 3,
     callers: int = 6,
+    with_restarts: bool = False,
 ) -> None:
-    """Runs the soak with one seed."""
+    """Runs the soak with one seed.
+
+    Args:
+        seed: Decides on callers and faults.
+        seconds: How long faults are injected.
+        gateways: Number of gateways.
+        replicas: Number of replicas.
+        callers: Number of callers that send streams.
+        with_restarts: Also restart all gateways at once while the store does
+            not serve the configuration.
+    """
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     shape = fleets.Shape(
         gateways=0,
@@ -58,7 +69,9 @@
         ready_s=max(_MIN_READY_TIMEOUT_S, gateways * _READY_PER_GATEWAY_S),
     )
     with fleets.running(shape, directory) as fleet:
-        soak = Soak(fleet, directory, random.Random(seed), seconds)
+        soak = Soak(
+            fleet, directory, random.Random(seed), seconds, with_restarts
+        )
         report = trio.run(soak.run, gateways, callers)
     report = {"seed": seed, **report}
     if report["broken"]:
@@ -75,6 +88,7 @@
     directory: pathlib.Path
     rng: random.Random
     seconds: float
+    with_restarts: bool = False
     proxies: list[proxy_lib.Proxy] = dataclasses.field(default_factory=list)
     clock_files: list[pathlib.Path] = dataclasses.field(default_factory=list)
 
@@ -85,7 +99,11 @@
                 await self._add_gateway(n, nursery)
             await trio.to_thread.run_sync(self.fleet.wait_ready)
             faults = faults_lib.Faults(
-                self.fleet, self.proxies, self.clock_files, self.rng
+                self.fleet,
+                self.proxies,
+                self.clock_files,
+                self.rng,
+                self.with_restarts,
             )
             group = callers_lib.Callers(self.fleet, self.rng, _EVENTS)
             async with trio.open_nursery() as calling:
@@ -151,6 +169,7 @@
                 runs, fleets.LIMITED_CUSTOMER, limit, _RATE_WINDOW_S
             ),
             *checks.check_jobs(group.jobs, runs),
+            *checks.check_given_up(group.jobs, faults.failures),
         ]
         served = sum(
             sent.status == 200 and sent.complete for sent in group.sent
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,9 @@
 from collections.abc import Iterable
 from typing import Any
 
+# Failures after which an item may be given up, by the routes of the fleet.
+_MAX_ATTEMPTS = 3
+
 
 @dataclasses.dataclass(slots=True)
 class SentRequest:
@@ -162,3 +165,24 @@
         if job.refused and not job.accepted and run_ids & set(job.items):
             broken.append(f"REFUSED {job.job_id}: refused but it ran")
     return broken
+
+
+def check_given_up(jobs: Iterable[JobRecord], failures: int) -> list[str]:
+    """Checks that no more items were given up than failed often enough.
+
+    Args:
+        jobs: The jobs.
+        failures: Number of failures of replicas.
+    """
+    given_up = [
+        item
+        for job in jobs
+        for item, state, _ in job.results_by_position.values()
+        if state == "dead_letter"
+    ]
+    if len(given_up) <= failures // _MAX_ATTEMPTS:
+        return []
+    return [
+        f"MIXED: {len(given_up)} items were given up after {failures} failures:"
+        f" {', '.join(given_up[:5])}"
+    ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,11 @@
     proxy_lib.Mode.ONE_WAY,
 )
 
+# Time for jobs to be accepted before all gateways are killed, and for which the
+# configuration can't be read then.
+_RESTART_PAUSE_S = 1.5
+_OUTAGE_S = 7.0
+
 
 @dataclasses.dataclass(slots=True)
 class Faults:
@@ -31,19 +36,28 @@
             proxy between the other gateways and it.
         clock_files: Files with the offsets of the gateways' clocks.
         rng: Random numbers for the choice and the timing of faults.
+        with_restarts: Whether all gateways are restarted now and then while
+            the configuration can't be read.
         log: Names of the injected faults, for the report.
+        failures: Number of requests that a replica was told to fail.
+        store_lock: Held while the store has a fault, which replaces others.
     """
 
     fleet: fleets.Fleet
     proxies: list[proxy_lib.Proxy]
     clock_files: list[pathlib.Path]
     rng: random.Random
+    with_restarts: bool = False
     log: list[str] = dataclasses.field(default_factory=list)
+    failures: int = 0
+    store_lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
 
     async def inject(self, duration_s: float) -> None:
         """Injects faults for a time; all have ended when it returns."""
         end_s = trio.current_time() + duration_s
         async with trio.open_nursery() as nursery:
+            if self.with_restarts:
+                nursery.start_soon(self._restart_without_configuration, end_s)
             while trio.current_time() < end_s:
                 await trio.sleep(self.rng.uniform(0.2, 1.2))
                 nursery.start_soon(self._inject_one)
@@ -117,9 +131,23 @@
                 {"lose_appends": 5},
             )
         )
-        await self._post(self.fleet.store, **fault)
-        await trio.sleep(self.rng.uniform(0.5, 3.0))
-        await self._post(self.fleet.store)
+        async with self.store_lock:
+            await self._post(self.fleet.store, **fault)
+            await trio.sleep(self.rng.uniform(0.5, 3.0))
+            await self._post(self.fleet.store)
+
+    async def _restart_without_configuration(self, end_s: float) -> None:
+        """Kills all gateways while the configuration can't be read."""
+        while trio.current_time() < end_s:
+            await trio.sleep(_RESTART_PAUSE_S)
+            self.log.append("restart_without_configuration")
+            async with self.store_lock, trio.open_nursery() as nursery:
+                await self._post(self.fleet.store, refused_topics=["keyed.op"])
+                for gateway in self.fleet.gateways:
+                    gateway.signal(signal.SIGKILL)
+                    nursery.start_soon(self._restart, gateway, 0.1)
+                await trio.sleep(_OUTAGE_S)
+                await self._post(self.fleet.store)
 
     async def _forget(self) -> None:
         await self._call_store("/forget")
@@ -137,6 +165,7 @@
                 {"mute": True, "count": 2},
             )
         )
+        self.failures += "fail" in fault
         await self._post(replica, **fault)
 
     async def _configure(self) -> None:
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -36,6 +36,7 @@
             answered.
         late_ms: Delay until such an append is applied.
         refused_clients: Client addresses whose calls are answered with 503.
+        refused_topics: Topics whose calls are answered with 503.
     """
 
     down: bool = False
@@ -44,6 +45,7 @@
     lose_appends: int = 0
     late_ms: float = 0
     refused_clients: list[str] = []
+    refused_topics: list[str] = []
 
 
 @dataclasses.dataclass(slots=True)
@@ -284,7 +286,11 @@
             await trio.sleep(faults.delay_ms / 1000)
         if faults.silent:
             await trio.sleep_forever()
-        if faults.down or request.client[0] in faults.refused_clients:
+        if (
+            faults.down
+            or request.client[0] in faults.refused_clients
+            or request.query.get("topic") in faults.refused_topics
+        ):
             await request.answer(503, b"{}")
             return
         match request.path.rpartition("/log-")[2]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -114,3 +114,11 @@
     assert not checks.check_rate(runs + again, "kaje", 13)
     assert _names(checks.check_rate(runs, "kaje", 12)) == {"QUOTA"}
     assert not checks.check_rate(runs, "other", 0)
+
+
+def test_items_given_up_without_failures_are_found() -> None:
+    """Guards against a soak that takes items that were given up for done."""
+    job = _job()
+    job.results_by_position = {0: ("a", "dead_letter", "")}
+    assert _names(checks.check_given_up([job], 2)) == {"MIXED:"}
+    assert not checks.check_given_up([job], 3)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,10 +17,11 @@
 
 
 def _run_soak(
-    seed: int, seconds: float, gateways: int = 4
+    seed: int, seconds: float, gateways: int = 4, *options: str
 ) -> dict[str, object]:
     command = [sys.executable, "-m", "soak", "--seed", str(seed)]
     command += ["--seconds", str(seconds), "--gateways", str(gateways)]
+    command += options
     result = subprocess.run(
         command, capture_output=True, text=True, timeout=120, check=False
     )
@@ -36,6 +37,14 @@
     assert report["served"]
 
 
+def test_promises_hold_when_all_restart_without_a_configuration() -> None:
+    """Guards against items that are given up during a partial outage."""
+    report = _run_soak(7, 10.0, 4, "--with-restarts")
+    assert report["broken"] == []
+    assert "restart_without_configuration" in report["faults"]
+    assert report["accepted"]
+
+
 def test_promises_hold_in_a_large_fleet() -> None:
     """Guards against guarantees that fail with coordinators and hubs."""
     report = _run_soak(401, 8.0, _LARGE_FLEET)
