An owner answers nothing before its partition is loaded

Since partitions are scanned page by page, the table of an owner that is still loading holds a part of it. Reads could have returned that part, and an end could have been appended under an epoch that was not claimed (by reading the diff; not seen in a run). Both are refused as unavailable now, which callers' gateways try again for up to 1 s.

Before: the new test fails, since the read of a loading owner is answered. After: the tests of tests/jobs pass. ListedResult is renamed from Result, which records has too.

--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -144,7 +144,7 @@
 
     async def read(
         self, key: str, start: int, wait_ms: float
-    ) -> tuple[int, list[tables.Result], records.Job]:
+    ) -> tuple[int, list[tables.ListedResult], records.Job]:
         """Reads results of a job.
 
         Args:
@@ -334,10 +334,14 @@
 
     async def _find(self, key: str) -> tables.Entry:
         """Returns a job; reads the log's end before denying that it exists."""
+        if not self.loaded.is_set():
+            # The table holds a part of the partition, and only until the claim
+            # is tried again.
+            raise errors.UnavailableError("the partition is being read")
         entry = self._table.get(key)
         if entry is None:
-            if not self.loaded.is_set() or self.lost.is_set():
-                raise errors.UnavailableError("the partition is being read")
+            if self.lost.is_set():
+                raise errors.UnavailableError("the partition has a new owner")
             await self._catch_up()
             entry = self._table.get(key)
         if entry is None:
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -450,7 +450,9 @@
         return owner
 
 
-def _first_page(results: list[tables.Result]) -> list[tables.Result]:
+def _first_page(
+    results: list[tables.ListedResult],
+) -> list[tables.ListedResult]:
     """Returns the first results, up to the size of one answer."""
     size = 0
     for index, result in enumerate(results):
--- a/lacewingwood/jobs/table.py
+++ b/lacewingwood/jobs/table.py
@@ -14,8 +14,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Result:
-    """The final outcome of an item.
+class ListedResult:
+    """A result at its position; see `records.Result`.
 
     Attributes:
         item: Index of the item in its job.
@@ -46,7 +46,7 @@
     bodies: dict[int, payloads.Payload] = dataclasses.field(
         default_factory=dict
     )
-    results: list[Result] = dataclasses.field(default_factory=list)
+    results: list[ListedResult] = dataclasses.field(default_factory=list)
     finished_items: set[int] = dataclasses.field(default_factory=set)
     ended: bool = False
 
@@ -97,7 +97,7 @@
         self._entries: dict[str, Entry] = {}
         # Results read before those at lower positions, by job key and
         # position. A snapshot is ordered by record key, not by position.
-        self._out_of_order: dict[str, dict[int, Result]] = {}
+        self._out_of_order: dict[str, dict[int, ListedResult]] = {}
 
     def get(self, key: str) -> Entry | None:
         """Returns a job, None if its specification has not been read."""
@@ -201,7 +201,9 @@
         pending = self._out_of_order.setdefault(key, {})
         if position not in pending:
             output = self._make_payload(record, result.output)
-            pending[position] = Result(result.item, result.completed, output)
+            pending[position] = ListedResult(
+                result.item, result.completed, output
+            )
         while (
             next_result := pending.pop(len(entry.results), None)
         ) is not None:
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -195,6 +195,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_partition_that_is_being_read_answers_nothing() -> None:
+    """Guards against a part of a job that is taken for the whole.
+
+    An end would be appended under an epoch that was not claimed yet.
+    """
+    log = fakes.MemoryLog()
+    await submit(log)
+    scanned = trio.Event()
+
+    async def never_append(*args: object) -> None:
+        scanned.set()
+        await trio.sleep_forever()
+
+    append, log.append = log.append, never_append  # type: ignore[method-assign]
+    owner = make_owner(log, fakes.FakeScheduler())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(owner.run)
+        await scanned.wait()
+        log.append = append  # type: ignore[method-assign]
+        with pytest.raises(errors.UnavailableError):
+            await owner.read(KEY, 0, 0)
+        with pytest.raises(errors.UnavailableError):
+            await owner.end(KEY)
+        nursery.cancel_scope.cancel()
+    assert not read_table(log).get(KEY).ended
+
+
 async def test_job_after_many_records_is_not_denied() -> None:
     """Guards against a 404 for a job that one read of the log does not reach.
 
