Review: the harness ends and removes all that a case has made

Also when the case is told to stop. Machines can be taken away for good, be started by the case itself, and have the figures of other sheets.

--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -44,9 +45,10 @@
     config_apply_ms: int
 
 
+SABEEL = Sheet(320, 8200, 3000, 2000, 2000)
 KALITANGGUL = Sheet(170, 8200, 3000, 2000, 2000)
-# The smallest machines of drapeaux-qc-grown.
-DRAPEAUX = Sheet(200, 4100, 4000, 3000, 3000)
+# The smallest machines of kalitanggul-serve-grown.
+KALITANGGUL_GROWN = Sheet(128, 4100, 4000, 3000, 3000)
 
 
 class CannotRunError(Exception):
@@ -119,6 +121,7 @@
         sheet: What the sheet says of the machine.
         ended: How often its process ended by itself.
         peak_mb: Most memory of a process since its last start.
+        started: When its process was last started.
     """
 
     def __init__(
@@ -136,6 +139,7 @@
         self.sheet = sheet
         self.ended = 0
         self.peak_mb = 0.0
+        self.started = 0.0
         self.process: subprocess.Popen[bytes] | None = None
         self._ip = ip
         self._log = folder / f"{name}.log"
@@ -187,6 +191,7 @@
                 stderr=subprocess.STDOUT,
             )
         self.peak_mb = 0.0
+        self.started = time.monotonic()
 
     def is_ready(self) -> bool:
         """Returns whether the machine says that it is ready."""
@@ -203,19 +208,20 @@
 class Deployment:
     """The machines, the platform's store, replicas and the operator."""
 
-    def __init__(
-        self,
-        record: Record,
-        gateways: int,
-        events: int,
-        replicas: int,
-        sheet: Sheet,
-    ) -> None:
+    def __init__(self, record: Record, sheet: Sheet) -> None:
         self.record = record
+        self._sheet = sheet
         self.gateways: list[Gateway] = []
         self.replicas: list[str] = []
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self._standins: list[subprocess.Popen[bytes]] = []
+        self._store = ""
+        self._removed: set[str] = set()
+        self._watching = True
+        self._watcher = threading.Thread(target=self._watch)
+
+    def start_platform(self, gateways: int, events: int, replicas: int) -> None:
+        """Starts store and replicas, and lists the machines."""
         self._store = self._start_standin("review.lib3.store")
         self._put_configuration()
         for _ in range(replicas):
@@ -233,18 +239,20 @@
         for n in range(gateways):
             ip = f"127.{subnet}.{n + 1}"
             name = f"front-semarang-{n + 1}"
-            gateway = Gateway(name, ip, self._store, self._folder, sheet)
+            gateway = Gateway(name, ip, self._store, self._folder, self._sheet)
             self.gateways.append(gateway)
-        self._watching = True
-        self._watcher = threading.Thread(target=self._watch)
 
-    def start(self) -> None:
-        """Starts the machines; returns once all are ready."""
+    def start_machines(self) -> None:
+        """Starts the machines."""
         seeds = [gateway.control_address for gateway in self.gateways]
         for gateway in self.gateways:
             gateway.write_settings(seeds)
             gateway.start()
         self._watcher.start()
+
+    def start(self) -> None:
+        """Starts the machines; returns once all are ready."""
+        self.start_machines()
         self.wait_ready()
 
     def wait_ready(self) -> None:
@@ -255,6 +263,11 @@
                 raise CannotRunError("a machine does not get ready")
             time.sleep(0.1)
 
+    def remove(self, gateway: Gateway) -> None:
+        """Takes a machine away for good, without a signal before."""
+        self._removed.add(gateway.name)
+        gateway.stop()
+
     def put_replica(self, replica_id: str, entry: dict[str, object]) -> None:
         """Writes the entry of a replica that the case plays itself."""
         path = f"/put?topic=keyed.servers&key={replica_id}"
@@ -270,6 +283,7 @@
         for standin in self._standins:
             standin.kill()
             standin.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
     def _watch(self) -> None:
         """Does what the platform does: limits memory, restarts what ended."""
@@ -277,6 +291,8 @@
         while self._watching:
             now = time.monotonic()
             for gateway in self.gateways:
+                if gateway.name in self._removed:
+                    continue
                 if gateway.name in due:
                     if now >= due[gateway.name]:
                         del due[gateway.name]
@@ -401,14 +417,18 @@
     events: int,
     replicas: int = 3,
     sheet: Sheet = KALITANGGUL,
+    started: bool = True,
 ):
     """Runs a deployment for the duration of a `with` block.
 
-    A case that plays its replicas itself starts the machines itself as well.
+    With `started` false, the case starts the machines itself. All processes are
+    ended as well if the case is told to stop.
     """
-    deployment = Deployment(record, gateways, events, replicas, sheet)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    deployment = Deployment(record, sheet)
     try:
-        if replicas:
+        deployment.start_platform(gateways, events, replicas)
+        if started:
             deployment.start()
         yield deployment
     finally:
--- a/review/lib3/jobs.py
+++ b/review/lib3/jobs.py
@@ -8,7 +8,12 @@
 
 
 def submit(
-    address: str, job_id: str, count: int, body_bytes: int, timeout_s: float
+    address: str,
+    job_id: str,
+    count: int,
+    body_bytes: int,
+    timeout_s: float,
+    prompt_prefix: str = "9c2e41:300,5d07b8:240",
 ) -> int:
     """Submits a job of items of one size; returns the status."""
     body = base64.b64encode(b"z" * body_bytes).decode()
@@ -17,7 +22,11 @@
         {
             "id": f"{job_id}-{n:03}".ljust(60, "e"),
             "path": deployment.BATCH_PATH,
-            "headers": {"Model-Id": "m", "Token-Count": "540,400"},
+            "headers": {
+                "Model-Id": "m",
+                "Token-Count": "540,400",
+                "Prompt-Prefix": prompt_prefix,
+            },
             "body": body,
             "tokens": 940,
         }
