--- a/review/13/case.py
+++ b/review/13/case.py
@@ -65,7 +65,7 @@
         for n in range(_REPLICAS)
     ]
     answers: dict[str, int] = {}
-    with deployment.running(record, 2, 0, replicas=0) as fleet:
+    with deployment.running(record, 2, 0, replicas=0, started=False) as fleet:
         heartbeats = threading.Thread(
             target=_send_heartbeats, args=(fleet, servers, ended)
         )
