A status that denies a run is not relayed for a request that may have run

What callers saw: a replica that failed requests with 429, 408 or 421 after it had run them. With attempts left, the request was not tried elsewhere.

Cause: an attempt failed only by a status of 500 or more; all else was an answer to be relayed. Of the four statuses that promise "not run", only 503 was replaced where errors are relayed.

Evidence: `served attempts=1 refusals=0` in the log for each of the requests, and no `request refused`.

Why it works: the four statuses have one name. Without the replica's statement that it did not run the request they are failures of an attempt that counts, so that another attempt, the replica's record, the quarantine and the race of two attempts are decided as for a 500; what is left to tell is a 502.

The test of the 503 is now one case of several; it checks the same and more.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -12,6 +12,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.callers import bodies
 from lacewingwood.callers import endings as endings_lib
+from lacewingwood.callers import errors
 from lacewingwood.callers import progress as progress_lib
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
@@ -51,7 +52,11 @@
 
 
 class ErrorResponse(Exception):
-    """A replica answered with a 5xx status; another replica may succeed."""
+    """A replica answered that it failed; another replica may succeed.
+
+    The status is a 5xx status, or one that would promise that the request has
+    not run, although the replica does not state this.
+    """
 
     def __init__(self, status: int, headers: runs.Headers, body: bytes) -> None:
         super().__init__(f"status {status}")
@@ -116,7 +121,7 @@
 
         Raises:
             upstream_errors.UpstreamError: The run failed.
-            ErrorResponse: The replica answered with a 5xx status.
+            ErrorResponse: The replica answered that it failed.
         """
         slot, progress = attempt.slot, attempt.progress
         listing = slot.replica.listing
@@ -146,7 +151,7 @@
             if attempt.race is not None:
                 attempt.race.note_head(attempt)
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
-            if run.status >= _SERVER_ERROR:
+            if _is_failure(run.status):
                 body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
                 raise ErrorResponse(run.status, run.headers, body)
             if call.req.started and run.status >= 300:
@@ -300,10 +305,10 @@
     ) -> None:
         """Relays a replica's error response to the caller.
 
-        A 503 is not relayed, because it would tell the caller that the request
-        did not run, and no error can follow a response that was started.
+        A status that would tell the caller that the request did not run is not
+        relayed, and no error can follow a response that was started.
         """
-        if exc.status == endings_lib.UNAVAILABLE or call.req.started:
+        if exc.status in errors.NOT_RUN_STATUSES or call.req.started:
             self._endings.give_up(call, progress, 502)
         await _respond(call, exc.status, exc.headers, exc.body)
 
@@ -323,6 +328,11 @@
         raise upstream_errors.RefusedError("not run", run.status, b"")
 
 
+def _is_failure(status: int) -> bool:
+    """Returns whether a replica that ran a request reports that it failed."""
+    return status >= _SERVER_ERROR or status in errors.NOT_RUN_STATUSES
+
+
 def first_event_timeout_ms(route: configuration.Route) -> float:
     """Returns the timeout for the first event if another run may follow."""
     objective_ms = route.objective_ms or DEFAULT_OBJECTIVE_MS
--- a/lacewingwood/callers/endings.py
+++ b/lacewingwood/callers/endings.py
@@ -88,7 +88,7 @@
         raise errors.CallerError(
             status,
             progress.reason,
-            "the request may have run, but no response was received",
+            "the request may have run, and no replica completed it",
             ran=ran,
         )
 
--- a/lacewingwood/callers/errors.py
+++ b/lacewingwood/callers/errors.py
@@ -10,6 +10,10 @@
 
 Ran = errors.Ran
 
+# Statuses that tell callers that a request has not run and never will, so that
+# they send it again. A response that has one of them must be certain of it.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 _TYPES = {
     400: "invalid_request_error",
     401: "authentication_error",
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -472,14 +472,80 @@
     assert replicas.fresh == [False, True]
 
 
-async def test_503_of_a_request_that_ran_is_not_relayed() -> None:
-    """Guards against reporting a request that ran as not run, with a 503."""
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+@pytest.mark.parametrize("max_attempts", [1, 3])
+@pytest.mark.parametrize("kind", ["STREAM", "NON_IDEMPOTENT"])
+async def test_status_that_denies_a_run_is_not_relayed(
+    kind: str, max_attempts: int, status: int
+) -> None:
+    """Guards against reporting a request that ran as not run.
+
+    Callers send a request again after these statuses. A replica that does not
+    state that the request has not run may have run it.
+    """
     caller = Caller()
-    replicas = FakeReplicas(Script([b"x"], status=503))
-    call = make_call(caller, max_attempts=1)
+    replicas = FakeReplicas(Script([b"x"], status=status), Script(stream(1, 2)))
+    call = make_call(
+        caller,
+        kind=configuration.RouteKind[kind],
+        max_attempts=max_attempts,
+        resumable=False,
+    )
     with pytest.raises(errors.CallerError) as caught:
         await make_forwarder(replicas).run(call)
+    assert caller.status == 0
     assert caught.value.status == 502
+    assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+    assert caught.value.retry_after_ms is None
+    assert len(replicas.sent) == 1
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+@pytest.mark.parametrize("kind", ["STREAM", "IDEMPOTENT"])
+async def test_request_is_retried_after_a_status_that_denies_its_run(
+    kind: str, status: int
+) -> None:
+    """Guards against failing a request that another replica would serve."""
+    caller = Caller()
+    replicas = FakeReplicas(Script([b"x"], status=status), Script(stream(1, 2)))
+    call = make_call(caller, kind=configuration.RouteKind[kind])
+    await make_forwarder(replicas).run(call)
+    assert (caller.status, caller.body) == (200, b"".join(stream(1, 2)))
+    first, second = replicas.sent
+    assert first[0] != second[0]
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+async def test_status_that_denies_a_run_counts_as_an_attempt(
+    status: int,
+) -> None:
+    """Guards against more runs than the route allows."""
+    replicas = FakeReplicas(*(Script([b"x"], status=status) for _ in range(9)))
+    call = make_call(Caller(), max_attempts=2)
+    with pytest.raises(errors.CallerError) as caught:
+        await make_forwarder(replicas).run(call)
+    assert caught.value.status == 502
+    assert len(replicas.sent) == 2
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+async def test_status_that_denies_a_run_clears_no_suspect(status: int) -> None:
+    """Guards against ending a quarantine by a run that was not completed.
+
+    Nor does it speak for the replica, which failed the request.
+    """
+    quarantine = quarantines.Quarantine()
+    call = make_call(Caller(), resumable=False)
+    now_ms = clocks.MonotonicClock().now_ms()
+    crashed = directory.Listing("r9", "s", "10.0.0.9:80", "z", 2)
+    quarantine.note_crash(crashed, call.work, now_ms, begun=True)
+    forwarder = make_forwarder(
+        FakeReplicas(Script([b"x"], status=status)), quarantine
+    )
+    with pytest.raises(errors.CallerError):
+        await forwarder.run(call)
+    assert quarantine.is_suspect(call.work)
+    assert sum(r.failures for r in forwarder._slots.fleet.all()) == 1
 
 
 async def test_disconnect_cancels_the_run() -> None:
--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -290,6 +290,22 @@
     assert len(setup.replicas.spans) == 2
 
 
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+@pytest.mark.parametrize("first_fails", [True, False])
+async def test_status_that_denies_a_run_does_not_win(
+    first_fails: bool, status: int, autojump_clock: trio_testing.MockClock
+) -> None:
+    """Guards against a quick failure that ends a run which would answer."""
+    failed = Script([120.0, b"no"], status=status)
+    sound = Script([180.0, *stream(1, 2)])
+    scripts = (failed, sound) if first_fails else (sound, failed)
+    setup = _Setup(*scripts)
+    setup.learn_times()
+    await setup.run()
+    assert setup.caller.status == 200
+    assert setup.caller.body == b"".join(stream(1, 2))
+
+
 async def test_refusal_of_one_attempt_says_nothing_of_the_other(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
