Of two attempts that failed, the error that can be relayed is relayed

What callers saw: where two attempts of a request ran at once, one failed with a status that can't be told on, such as a 503, and the other with a 500, the caller got a 502 of the gateway and not the replica's error.

Cause: the first of the two errors was chosen, whichever it was. Why it works: only an error whose status the caller may get is preferred.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -64,6 +64,11 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def relayable(self) -> bool:
+        """Whether the caller may get the status."""
+        return self.status not in errors.NOT_RUN_STATUSES
+
 
 class Origins(Protocol):
     """Knows which software version began a stream; see `stream_origins`."""
@@ -308,7 +313,7 @@
         A status that would tell the caller that the request did not run is not
         relayed, and no error can follow a response that was started.
         """
-        if exc.status in errors.NOT_RUN_STATUSES or call.req.started:
+        if not exc.relayable or call.req.started:
             self._endings.give_up(call, progress, 502)
         await _respond(call, exc.status, exc.headers, exc.body)
 
--- a/lacewingwood/callers/racing.py
+++ b/lacewingwood/callers/racing.py
@@ -178,8 +178,10 @@
             return self._winner.failure
         failures = [e.failure for e in self._entries if e.failure is not None]
         for failure in failures:
-            # May be relayed to the caller.
-            if isinstance(failure, attempts_lib.ErrorResponse):
+            if (
+                isinstance(failure, attempts_lib.ErrorResponse)
+                and failure.relayable
+            ):
                 return failure
         return failures[0]
 
--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -587,6 +587,21 @@
     assert setup.caller.body == b"no"
 
 
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+@pytest.mark.parametrize("first_denies", [True, False])
+async def test_error_that_can_be_relayed_is(
+    first_denies: bool, status: int, autojump_clock: trio_testing.MockClock
+) -> None:
+    """Guards against hiding a replica's error behind one that can't be told."""
+    denial = Script([150.0, b"x"], status=status)
+    error = Script([150.0, b"no"], status=500)
+    scripts = (denial, error) if first_denies else (error, denial)
+    setup = _Setup(*scripts)
+    setup.learn_times()
+    await setup.run()
+    assert (setup.caller.status, setup.caller.body) == (500, b"no")
+
+
 def test_progress_counts_each_pending_attempt() -> None:
     """Guards against "not run" once one of two pending attempts is refused."""
     call = test_forwarding.make_call(test_forwarding.Caller())
