--- a/tests/upstreams/test_endless.py
+++ b/tests/upstreams/test_endless.py
@@ -11,32 +11,26 @@
 import struct
 import tracemalloc
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
 
 import h11
 import pytest
 import trio
 
-from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import errors as base_errors
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.callers import errors as caller_errors
 from lacewingwood.callers import forwarding
-from lacewingwood.callers import progress
 from lacewingwood.log import compacted
 from lacewingwood.log import errors as log_errors
 from lacewingwood.platform import replicas as replica_client
 from lacewingwood.platform import store as store_lib
 from lacewingwood.routing import directory
-from lacewingwood.routing import dispatcher as dispatchers
-from lacewingwood.routing import load
-from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.upstreams import errors
 from lacewingwood.upstreams import pools as pools_lib
 from lacewingwood.upstreams import runs
 from tests.callers import test_forwarding
+from tests.upstreams import servers
 
 _HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: id-1\r\ntransfer-encoding: chunked\r\n"
 _EVENT = b"id: 1\ndata: x\n\n"
@@ -57,24 +51,9 @@
         _FILLER,
     ),
 }
-_SERVERS = 12
 _MAX_HELD_BYTES = 8 << 20
 
 
-@contextlib.asynccontextmanager
-async def _serving(
-    serve: Callable[[trio.SocketStream], Awaitable[object]],
-) -> AsyncIterator[str]:
-    """Serves connections; yields the address."""
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            functools.partial(trio.serve_listeners, serve, listeners)
-        )
-        yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-        nursery.cancel_scope.cancel()
-
-
 @contextlib.asynccontextmanager
 async def _endless_server(
     start: bytes, repeated: bytes, pause_s: float = 0.0, requests: int = 1
@@ -100,40 +79,14 @@
                     await stream.send_all(repeated)
                     await trio.sleep(pause_s)
 
-    async with _serving(serve) as address:
+    async with servers.serving(serve) as address:
         yield address
 
 
-def _make_call(
-    caller: test_forwarding.Caller, **fields: object
-) -> progress.Call:
-    """Returns a call with 5 s until its deadline."""
-    call = test_forwarding.make_call(caller, **fields)
-    headers = [(b"host", b"h.example")]
-    call.work = runs.Work("id-1", "POST", b"/p/1", headers, b"body", "kaje")
-    call.deadline_ms += 4_500
-    return call
-
-
-def _make_forwarder(address: str) -> forwarding.Forwarder:
-    clock, metrics = clocks.MonotonicClock(), metrics_lib.Registry()
-    fleet = load.Fleet()
-    fleet.directory.put(directory.Listing("r0", "s", address, "z", _SERVERS))
-    fleet.refresh()
-    return forwarding.Forwarder(
-        dispatchers.Dispatcher(fleet, "z", clock, metrics),
-        replica_client.Replicas(),
-        clock,
-        metrics,
-        quarantines.Quarantine(),
-        test_forwarding.Origins(),
-    )
-
-
 async def _expect_failure(forwarder: forwarding.Forwarder) -> None:
     """Sends a request that may run once; expects no complete answer."""
     caller = test_forwarding.Caller()
-    call = _make_call(caller, resumable=False, max_attempts=1)
+    call = servers.make_call(caller, resumable=False, max_attempts=1)
     with pytest.raises((caller_errors.CallerError, forwarding.AbortError)):
         await forwarder.run(call)
     assert not caller.complete
@@ -147,8 +100,10 @@
     Twelve requests meet such a replica at once. Their deadline is 5 s away.
     """
     start, repeated = _ENDLESS[name]
-    async with _endless_server(start, repeated, requests=_SERVERS) as address:
-        forwarder = _make_forwarder(address)
+    async with _endless_server(
+        start, repeated, requests=servers.SLOTS
+    ) as address:
+        forwarder = servers.make_forwarder(address)
         # A collection of all that the earlier tests left takes longer than a
         # connection may, beside other load.
         gc.collect()
@@ -157,7 +112,7 @@
         try:
             with trio.fail_after(4):
                 async with trio.open_nursery() as nursery:
-                    for _ in range(_SERVERS):
+                    for _ in range(servers.SLOTS):
                         nursery.start_soon(_expect_failure, forwarder)
             _, peak_bytes = tracemalloc.get_traced_memory()
         finally:
@@ -177,9 +132,9 @@
     """
     start = _HEAD + b"\r\n" + b"%x\r\n" % len(_EVENT) + _EVENT + b"\r\n"
     async with _endless_server(start, repeated, 0.02) as address:
-        forwarder = _make_forwarder(address)
+        forwarder = servers.make_forwarder(address)
         caller = test_forwarding.Caller()
-        call = _make_call(caller)
+        call = servers.make_call(caller)
         call.deadline_ms -= 4_000
         with trio.fail_after(2), pytest.raises(forwarding.AbortError):
             await forwarder.run(call)
@@ -260,12 +215,12 @@
         b"content-length: 15000000\r\n\r\n"
     )
     async with _endless_server(start, b"x" * 1_000_000) as address:
-        forwarder = _make_forwarder(address)
+        forwarder = servers.make_forwarder(address)
         outcomes: list[bool] = []
 
         async def send() -> None:
             caller = test_forwarding.Caller()
-            call = _make_call(
+            call = servers.make_call(
                 caller,
                 kind=configuration.RouteKind.NON_IDEMPOTENT,
                 max_attempts=1,
@@ -302,7 +257,7 @@
             await stream.send_all(answer)
             await trio.sleep_forever()
 
-    async with _serving(serve) as address:
+    async with servers.serving(serve) as address:
         client = replica_client.Replicas()
         listing = directory.Listing("r0", "s", address, "z", 1)
 
@@ -351,7 +306,7 @@
         opened += 1
         await _refuse_all(stream, _REFUSAL % header)
 
-    async with _serving(serve) as address:
+    async with servers.serving(serve) as address:
         client = replica_client.Replicas()
         listing = directory.Listing("r0", "s", address, "z", 1)
         headers = [(b"host", b"h.example")]
@@ -429,7 +384,7 @@
                 linger = struct.pack("ii", 1, 0)
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    async with _serving(serve) as address:
+    async with servers.serving(serve) as address:
         yield address
 
 
@@ -446,10 +401,10 @@
     """Guards against losing sound answers without a length or chunks."""
     async with _scripted_server(_UNFRAMED_HEAD + _EVENT) as address:
         caller = test_forwarding.Caller()
-        call = _make_call(
+        call = servers.make_call(
             caller, kind=configuration.RouteKind[kind], max_attempts=1
         )
-        await _make_forwarder(address).run(call)
+        await servers.make_forwarder(address).run(call)
     assert caller.body == _EVENT
     assert caller.complete
 
@@ -464,7 +419,7 @@
 ) -> None:
     """Guards against half a stream without a length that looks whole."""
     async with _scripted_server(_UNFRAMED_HEAD + body, reset=reset) as address:
-        await _expect_failure(_make_forwarder(address))
+        await _expect_failure(servers.make_forwarder(address))
 
 
 _EARLY_ANSWERS = {
@@ -497,7 +452,7 @@
                 while await stream.receive_some(1 << 20):
                     pass
 
-    async with _serving(serve) as address:
+    async with servers.serving(serve) as address:
         yield address
 
 
@@ -514,7 +469,7 @@
     answer = _EARLY_ANSWERS[kind]
     async with _early_server(answer, reset) as address:
         caller = test_forwarding.Caller()
-        call = _make_call(
+        call = servers.make_call(
             caller,
             kind=configuration.RouteKind[kind],
             resumable=False,
@@ -528,7 +483,7 @@
             bytes(3_500_000),
             "kaje",
         )
-        forwarder = _make_forwarder(address)
+        forwarder = servers.make_forwarder(address)
         if not reset:
             await forwarder.run(call)
             assert caller.complete
@@ -556,14 +511,16 @@
             if await stream.receive_some():
                 await stream.send_all(_STREAM_HEAD[: next(lengths)])
 
-    async with _serving(serve) as address:
+    async with servers.serving(serve) as address:
         for _ in _STREAM_HEAD:
             caller = test_forwarding.Caller()
-            call = _make_call(caller, resumable=resumable, max_attempts=1)
+            call = servers.make_call(
+                caller, resumable=resumable, max_attempts=1
+            )
             with pytest.raises(
                 (caller_errors.CallerError, forwarding.AbortError)
             ):
-                await _make_forwarder(address).run(call)
+                await servers.make_forwarder(address).run(call)
             assert caller.status == 0
 
 
@@ -582,14 +539,14 @@
     ) % (status, len(_EVENT), _EVENT)
     async with _scripted_server(answer) as address:
         caller = test_forwarding.Caller()
-        call = _make_call(
+        call = servers.make_call(
             caller,
             kind=configuration.RouteKind[kind],
             resumable=False,
             max_attempts=1,
         )
         with pytest.raises(caller_errors.CallerError) as caught:
-            await _make_forwarder(address).run(call)
+            await servers.make_forwarder(address).run(call)
     assert caller.status == 0
     assert caught.value.status == 502
     assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
