A 421 is a refusal only if it states that another replica sent it

What callers saw: a request that may run once and was failed with a 421 ran at a second replica, or was answered 503; one that reached another replica at a reused address, which names itself but not the request, was answered 502 though it had not run.

Cause: the status 421 alone counted as the statement "not run", and that statement was not looked at where an answer lacks the request's id. Why it works: one function reads the statement, for both decisions.

--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -36,8 +36,10 @@
 _RATE_LIMIT_HEADER = b"server-limit"
 # "1" in all responses of a replica that is about to end.
 _LEAVING_HEADER = b"server-leaving"
-# The address now belongs to another replica than the expected one.
+# The address now belongs to another replica than the expected one, and that
+# replica names itself.
 _STATUS_MISDIRECTED = 421
+_INSTANCE_HEADER = b"instance-id"
 
 # Request headers that are not forwarded: hop-by-hop headers, the caller's key,
 # and headers that this client sets itself.
@@ -89,7 +91,7 @@
         "status",
     )
 
-    def __init__(self, exchange: http1.Exchange) -> None:
+    def __init__(self, exchange: http1.Exchange, replica_id: str) -> None:
         self._exchange = exchange
         self._has_data = False
         self.status = exchange.status
@@ -98,14 +100,12 @@
             for name, value in exchange.headers
             if name not in _DROPPED_RESPONSE_HEADERS
         ]
-        self.misdirected = exchange.status == _STATUS_MISDIRECTED
-        self.refused = (
-            exchange.header(_NOT_EXECUTED_HEADER) is not None
-            or self.misdirected
-        )
+        self.refused = _is_refusal(exchange, replica_id)
+        says_misdirected = exchange.status == _STATUS_MISDIRECTED
+        self.misdirected = self.refused and says_misdirected
         # Another replica speaks of itself if it has this address now.
         self.notice = (
-            runs.Notice() if self.misdirected else _decode_notice(exchange)
+            runs.Notice() if says_misdirected else _decode_notice(exchange)
         )
 
     async def next_chunk(self, limit_ms: float = math.inf) -> bytes:
@@ -162,8 +162,8 @@
                 await exchange.receive_head()
             if limit.cancelled_caught:
                 raise _timeout_error(head_limit_ms)
-            _check_request_id(exchange, work.request_id)
-            run = Run(exchange)
+            _check_request_id(exchange, work.request_id, replica.id)
+            run = Run(exchange, replica.id)
             if run.refused:
                 exchange.note_refusal(work.request_id)
             yield run
@@ -226,14 +226,32 @@
         raise errors.UnsendableError(str(exc)) from exc
 
 
-def _check_request_id(exchange: http1.Exchange, request_id: str) -> None:
+def _is_refusal(exchange: http1.Exchange, replica_id: str) -> bool:
+    """Returns whether a response states that the request was not run.
+
+    A status alone does not. The 421 of a replica that names itself does if the
+    request was meant for another one.
+    """
+    if exchange.header(_NOT_EXECUTED_HEADER) is not None:
+        return True
+    instance = exchange.header(_INSTANCE_HEADER)
+    return (
+        exchange.status == _STATUS_MISDIRECTED
+        and bool(instance)
+        and instance != replica_id.encode()
+    )
+
+
+def _check_request_id(
+    exchange: http1.Exchange, request_id: str, replica_id: str
+) -> None:
     """Raises InvalidResponseError for the response to another request."""
     echoed = exchange.header(_REQUEST_ID_HEADER)
     if echoed is not None and echoed.decode("latin-1") == request_id:
         return
     # A replica may refuse a request before it has read the request's id. On a
     # connection that was used before, this may be a copy of an earlier refusal.
-    refused = exchange.header(_NOT_EXECUTED_HEADER) is not None
+    refused = _is_refusal(exchange, replica_id)
     if echoed is None and refused and not exchange.reused:
         return
     raise errors.InvalidResponseError("the response echoes another request id")
