Attempts that a replica failed with a status are logged and counted

What was seen: no log line for a request whose caller got a replica's 500, and no count of attempts that were failed with a status; a relayed 404 and a 200 have the same line `served`. Cause: only errors of connections were recorded as failed attempts. Evidence: 3 of 3 cases of the new test fail before. Why it works: both sorts of failures are recorded at one place.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -174,7 +174,7 @@
             if not resume_after:
                 now_ms = self._clock.now_ms()
                 self._quarantine.note_completed(call.work, now_ms)
-            self._endings.record_success(call, attempt)
+            self._endings.record_success(call, attempt, run.status)
 
     async def _relay_stream(
         self,
@@ -264,12 +264,8 @@
         if isinstance(exc, upstream_errors.UpstreamError):
             self._endings.record_failure(call, attempt, exc)
             await self._handle_end_of_replica(attempt, exc)
-            return
-        slot, progress = attempt.slot, attempt.progress
-        slot.replica.note_failure(self._clock.now_ms())
-        slot.failed = True
-        progress.reason = f"status_{exc.status}"
-        progress.tried.add(slot.replica.listing.id)
+        else:
+            self._endings.record_error_response(call, attempt, exc.status)
 
     async def _handle_end_of_replica(
         self,
@@ -315,6 +311,7 @@
         """
         if not exc.relayable or call.req.started:
             self._endings.give_up(call, progress, 502)
+        self._endings.record_relayed_error(call, progress)
         await _respond(call, exc.status, exc.headers, exc.body)
 
     def _raise_refusal(self, slot: dispatchers.Slot, run: runs.Run) -> None:
--- a/lacewingwood/callers/endings.py
+++ b/lacewingwood/callers/endings.py
@@ -122,7 +122,7 @@
         exc: upstream_errors.UpstreamError,
     ) -> None:
         """Records a failed attempt."""
-        progress, slot = attempt.progress, attempt.slot
+        slot = attempt.slot
         replica = slot.replica
         attempt.record_failure(exc)
         now_ms = self._clock.now_ms()
@@ -135,14 +135,55 @@
         elif not isinstance(exc, upstream_errors.RefusedError):
             replica.note_failure(now_ms)
             slot.failed = True
-        self._metrics.add("attempt_failures", code=exc.code)
+        self._note_failure(call, attempt, exc.code, exc.message[:80], exc.ran)
+
+    def record_error_response(
+        self,
+        call: progress_lib.Call,
+        attempt: progress_lib.Attempt,
+        status: int,
+    ) -> None:
+        """Records an attempt that its replica failed with a status."""
+        progress, slot = attempt.progress, attempt.slot
+        slot.replica.note_failure(self._clock.now_ms())
+        slot.failed = True
+        code = progress.reason = f"status_{status}"
+        progress.tried.add(slot.replica.listing.id)
+        self._note_failure(call, attempt, code, "", Ran.MAY_HAVE_RUN)
+
+    def record_relayed_error(
+        self, call: progress_lib.Call, progress: progress_lib.Progress
+    ) -> None:
+        """Records that the caller gets the error response of a replica."""
+        self._metrics.add("errors_relayed", reason=progress.reason)
+        _log.info(
+            "error relayed",
+            request_id=call.work.request_id,
+            route=call.route.name,
+            customer=call.work.customer,
+            reason=progress.reason,
+            attempts=progress.attempts,
+            refusals=progress.refusals,
+            total_ms=round(self._clock.now_ms() - call.arrived_ms),
+        )
+
+    def _note_failure(
+        self,
+        call: progress_lib.Call,
+        attempt: progress_lib.Attempt,
+        code: str,
+        detail: str,
+        ran: Ran,
+    ) -> None:
+        progress, replica = attempt.progress, attempt.slot.replica
+        self._metrics.add("attempt_failures", code=code)
         _log.info(
             "attempt failed",
             request_id=call.work.request_id,
             replica=replica.listing.id,
-            code=exc.code,
-            detail=exc.message[:80],
-            ran=exc.ran.value,
+            code=code,
+            detail=detail,
+            ran=ran.value,
             attempts=progress.attempts,
             failures=replica.failures,
             events=progress.splitter.last_id if progress.splitter else None,
@@ -153,8 +194,9 @@
         self,
         call: progress_lib.Call,
         attempt: progress_lib.Attempt,
+        status: int,
     ) -> None:
-        """Records a call that was completed."""
+        """Records a call that was completed with a status."""
         progress, slot = attempt.progress, attempt.slot
         now_ms = self._clock.now_ms()
         total_ms = now_ms - call.arrived_ms
@@ -166,6 +208,7 @@
             route=call.route.name,
             customer=call.work.customer,
             replica=slot.replica.listing.id,
+            status=status,
             attempts=progress.attempts,
             refusals=progress.refusals,
             total_ms=round(total_ms),
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 import trio
+from structlog import testing
 
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
@@ -548,6 +549,29 @@
     assert sum(r.failures for r in forwarder._slots.fleet.all()) == 1
 
 
+@pytest.mark.parametrize(
+    ("status", "last"),
+    [(500, "error relayed"), (429, "request given up"), (404, "served")],
+)
+async def test_error_of_a_replica_is_logged(status: int, last: str) -> None:
+    """Guards against requests that end without a line that tells why."""
+    call = make_call(Caller(), max_attempts=1)
+    forwarder = make_forwarder(FakeReplicas(Script([b"x"], status=status)))
+    with (
+        testing.capture_logs() as lines,
+        contextlib.suppress(errors.CallerError),
+    ):
+        await forwarder.run(call)
+    failed = [line for line in lines if line["event"] == "attempt failed"]
+    assert lines[-1]["event"] == last
+    if last == "served":
+        assert (lines[-1]["status"], failed) == (status, [])
+        return
+    assert [line["code"] for line in failed] == [f"status_{status}"]
+    assert failed[0]["replica"] in ("r0", "r1")
+    assert lines[-1]["reason"] == f"status_{status}"
+
+
 async def test_disconnect_cancels_the_run() -> None:
     """Guards against runs that continue after the caller disconnected."""
     caller = Caller()
