An item's run that ends with another error status than 500 is noted

What callers saw: nothing but slower jobs. An item whose replica answered 429, 408, 503 or 504 after the run was run again every 200 ms, without a growing delay, and the replica got further items as if it had answered.

Cause: only 500, a failed attempt, and 422 were recorded. Evidence: 5 of 5 cases of the new test fail before. Why it works: such a run is treated as one that broke without an event, whose delays end at 2 s; it is still no failed attempt, so no item is given up.

--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -47,6 +47,8 @@
 # after this many times its route's max_attempts. Three times max_attempts is
 # the most that it may run.
 _FEW_REPLICAS_ATTEMPT_FACTOR = 2
+# Status of a run that counts as a failed attempt.
+_FAILED_STATUS = 500
 # Status by which a replica says that it can never complete the item.
 _UNPROCESSABLE_STATUS = 422
 
@@ -252,13 +254,7 @@
                 replica.note_failure(now_ms)
                 slot.failed = True
                 self._note_break(task, last_id_before)
-            _log.info(
-                "item run failed",
-                request_id=task.item.id,
-                replica=replica.listing.id,
-                code=exc.code,
-                detail=exc.message[:80],
-            )
+            _log_failed_run(task, replica, exc.code, exc.message[:80])
             return None
 
     async def _exchange(
@@ -285,8 +281,11 @@
                 raise upstream_errors.RefusedError(
                     "the replica refused the run", run.status, b""
                 )
+            if run.status == _FAILED_STATUS:
+                return self._note_failed_attempt(task, slot, route)
             if run.status >= 300 and run.status != _UNPROCESSABLE_STATUS:
-                return self._note_failed_attempt(task, slot, run.status, route)
+                self._note_other_error(task, slot.replica, run.status)
+                return None
             completed = run.status != _UNPROCESSABLE_STATUS
             if completed:
                 await self._collect(task, run, slot)
@@ -326,23 +325,36 @@
         self,
         task: ItemTask,
         slot: dispatchers.Slot,
-        status: int,
         route: configuration.Route,
     ) -> records.Result | None:
         """Counts a failed attempt; returns a result if the item is given up."""
-        if status == 500:
-            replica = slot.replica
-            if not task.failures:
-                # Only an item's first failure counts against the replica: an
-                # item that fails at several replicas may itself be at fault.
-                replica.outcomes.note(failed=True, now_ms=self._clock.now_ms())
-            task.failures += 1
-            task.failed_replica_ids.add(replica.listing.id)
+        replica = slot.replica
+        if not task.failures:
+            # Only an item's first failure counts against the replica: an
+            # item that fails at several replicas may itself be at fault.
+            replica.outcomes.note(failed=True, now_ms=self._clock.now_ms())
+        task.failures += 1
+        task.failed_replica_ids.add(replica.listing.id)
+        _log_failed_run(task, replica, f"status_{_FAILED_STATUS}")
         if self._should_give_up(task, max(1, route.max_attempts)):
             return task.result(completed=False)
         self._delay_next_run(task, _RETRY_DELAY_MS * 2**task.failures)
         return None
 
+    def _note_other_error(
+        self, task: ItemTask, replica: load.Replica, status: int
+    ) -> None:
+        """Records a status that ends a run without being a failed attempt.
+
+        Statuses such as 429 and 503 are here if the replica does not state that
+        it did not run the item.
+        """
+        if not task.failures and not task.breaks:
+            # As with failed attempts, only the first one counts.
+            replica.outcomes.note(failed=True, now_ms=self._clock.now_ms())
+        self._delay_after_break(task)
+        _log_failed_run(task, replica, f"status_{status}")
+
     def _note_internal_error(
         self, task: ItemTask, route: configuration.Route
     ) -> records.Result | None:
@@ -375,6 +387,9 @@
         if task.events.last_id != last_id_before:
             task.breaks = 0
             return
+        self._delay_after_break(task)
+
+    def _delay_after_break(self, task: ItemTask) -> None:
         delay_ms = _RETRY_DELAY_MS * 2 ** min(task.breaks, 8)
         self._delay_next_run(task, min(delay_ms, _MAX_BREAK_DELAY_MS))
         task.breaks += 1
@@ -411,6 +426,18 @@
         raise upstream_errors.UnsendableError(str(exc)) from exc
 
 
+def _log_failed_run(
+    task: ItemTask, replica: load.Replica, code: str, detail: str = ""
+) -> None:
+    _log.info(
+        "item run failed",
+        request_id=task.item.id,
+        replica=replica.listing.id,
+        code=code,
+        detail=detail,
+    )
+
+
 def _outcome(task: ItemTask, result: records.Result | None) -> str:
     if result is not None:
         return "completed" if result.completed else "given up"
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -5,7 +5,9 @@
 from collections.abc import AsyncIterator
 
 import msgspec
+import pytest
 import trio
+from structlog import testing
 from trio import testing as trio_testing
 
 from lacewingwood import clock as clocks
@@ -154,6 +156,32 @@
     assert counts == {"r0": (0, outliers.UNITS), "r1": (0, 0)}
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503, 504])
+async def test_error_that_is_no_failed_attempt_is_noted(status: int) -> None:
+    """Guards against runs again and again at a replica that fails them.
+
+    Such a run counts against the replica and delays the next one more each
+    time, but does not end the item.
+    """
+    harness = RunnerHarness([*[status] * 12, 200])
+    delays = []
+    with testing.capture_logs() as lines:
+        for n in range(12):
+            assert await harness.run_at(f"r{n % 2}") is None
+            now_ms = harness.clock.now_ms()
+            delays.append(harness.task.not_before_ms - now_ms)
+    assert delays[3] > 2 * delays[0] > 0
+    assert max(delays) <= 2_500
+    assert harness.task.failures == 0
+    counts = [r.outcomes.counts(0) for r in harness.fleet.all()]
+    assert sorted(counts) == [(0, 0)] * 3 + [(0, outliers.UNITS)]
+    failed = [line for line in lines if line["event"] == "item run failed"]
+    assert [line["code"] for line in failed] == [f"status_{status}"] * 12
+    result = await harness.run_at("r2")
+    assert result is not None
+    assert result.completed
+
+
 async def test_item_whose_replicas_crash_runs_again_soon() -> None:
     """Guards against an item that is not placed after a burst of crashes."""
     harness = RunnerHarness([None] * 12 + [200])
