An item's refusal by another replica at a reused address pauses the replica

What callers saw: nothing but slower jobs. A 421 to an item was noted as "the replica is full", so that the next items were sent to the same address soon; the same answer to an online request counts as a failure of the replica.

Cause: two copies of what a refusal says of a replica, of which one did not know of addresses that are used again. Evidence: the new test fails before. Why it works: slots record refusals, for online requests and items alike.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -151,7 +151,8 @@
             now_ms = self._clock.now_ms()
             self._slots.fleet.note_notice(slot.replica, run.notice, now_ms)
             if run.refused:
-                self._raise_refusal(slot, run)
+                slot.note_refusal(run.misdirected, now_ms)
+                raise upstream_errors.RefusedError("not run", run.status, b"")
             attempt.count()
             if attempt.race is not None:
                 attempt.race.note_head(attempt)
@@ -314,21 +315,6 @@
         self._endings.record_relayed_error(call, progress)
         await _respond(call, exc.status, exc.headers, exc.body)
 
-    def _raise_refusal(self, slot: dispatchers.Slot, run: runs.Run) -> None:
-        """Records that a replica did not run the request.
-
-        Raises:
-            upstream_errors.RefusedError: Always.
-        """
-        now_ms = self._clock.now_ms()
-        if run.misdirected:
-            slot.replica.note_failure(now_ms)
-            slot.failed = True
-        else:
-            slot.replica.note_full(now_ms)
-            slot.refused = True
-        raise upstream_errors.RefusedError("not run", run.status, b"")
-
 
 def _is_failure(status: int) -> bool:
     """Returns whether a replica that ran a request reports that it failed."""
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -246,12 +246,8 @@
             self._delay_next_run(task, _BODY_RETRY_DELAY_MS)
             return None
         except upstream_errors.UpstreamError as exc:
-            now_ms = self._clock.now_ms()
-            if isinstance(exc, upstream_errors.RefusedError):
-                replica.note_full(now_ms)
-                slot.refused = True
-            else:
-                replica.note_failure(now_ms)
+            if not isinstance(exc, upstream_errors.RefusedError):
+                replica.note_failure(self._clock.now_ms())
                 slot.failed = True
                 self._note_break(task, last_id_before)
             _log_failed_run(task, replica, exc.code, exc.message[:80])
@@ -274,10 +270,10 @@
             # A reused connection may break because it was idle for too long.
             fresh=task.breaks > 0,
         ) as run:
-            self._slots.fleet.note_notice(
-                slot.replica, run.notice, self._clock.now_ms()
-            )
+            now_ms = self._clock.now_ms()
+            self._slots.fleet.note_notice(slot.replica, run.notice, now_ms)
             if run.refused:
+                slot.note_refusal(run.misdirected, now_ms)
                 raise upstream_errors.RefusedError(
                     "the replica refused the run", run.status, b""
                 )
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -128,6 +128,21 @@
     sent_ms: float = 0.0
     deviation: speeds.Deviation = speeds.NO_DEVIATION
 
+    def note_refusal(self, misdirected: bool, now_ms: float) -> None:
+        """Records that the request was not run.
+
+        Args:
+            misdirected: Whether another replica has the address now; else the
+                replica is full.
+            now_ms: Current time.
+        """
+        if misdirected:
+            self.replica.note_failure(now_ms)
+            self.failed = True
+        else:
+            self.replica.note_full(now_ms)
+            self.refused = True
+
 
 class Slots(Protocol):
     """Gives slots to requests, and takes them back."""
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -38,12 +38,16 @@
 
 
 class _Run:
-    """An answer with a status and a complete event stream."""
+    """An answer with a status and a complete event stream.
+
+    A negative status is that of a refusal.
+    """
 
     def __init__(self, status: int) -> None:
-        self.status = status
+        self.status = abs(status)
         self.headers: runs.Headers = []
-        self.refused = self.misdirected = False
+        self.refused = status < 0
+        self.misdirected = status == -421
         self.notice = runs.Notice()
         self._chunks = [b"id: 1\ndata: x\n\n", b""]
 
@@ -182,6 +186,22 @@
     assert result.completed
 
 
+async def test_replica_whose_address_another_has_gets_no_more_items() -> None:
+    """Guards against items for a replica that is gone, one after another.
+
+    A replica that is full is asked again soon; the one of another service that
+    has the address now is none to ask.
+    """
+    harness = RunnerHarness([-421, -503])
+    for replica_id in ("r0", "r1"):
+        assert await harness.run_at(replica_id) is None
+    gone, full = harness.fleet.get("r0"), harness.fleet.get("r1")
+    assert gone is not None
+    assert full is not None
+    assert (gone.failures, full.failures) == (1, 0)
+    assert harness.task.failures == harness.task.breaks == 0
+
+
 async def test_item_whose_replicas_crash_runs_again_soon() -> None:
     """Guards against an item that is not placed after a burst of crashes."""
     harness = RunnerHarness([None] * 12 + [200])
