The body of an error that the caller does not get is not waited for

What callers saw: a request whose replica sent the head of an error and then nothing was answered 504 at its deadline, with another attempt left.

Cause: the body of each error response was read without a limit in time, as if the caller were to get it. Evidence: 9 of 10 cases of the new test fail before; the tenth is the 500 of a last attempt, which is relayed and needs its body. Why it works: the body is waited for only if it is relayed; 0.2 s otherwise, which leaves the connection usable after a sound error.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -39,6 +39,9 @@
 _MAX_BODY_BYTES = 16 << 20
 # A replica's error response is short, and no larger one is relayed.
 _MAX_ERROR_BODY_BYTES = 64 << 10
+# Time for the body of an error response that the caller does not get. Reading
+# it lets the connection be used again.
+_UNUSED_BODY_TIMEOUT_S = 0.2
 # Most bytes of a stream that are held while another run may still answer. An
 # event has at most half of them, and comments before it are short.
 _MAX_HELD_BYTES = 256 << 10
@@ -56,9 +59,16 @@
 
     The status is a 5xx status, or one that would promise that the request has
     not run, although the replica does not state this.
+
+    Attributes:
+        status: HTTP status.
+        headers: Response headers for the caller.
+        body: The body, None if it was not needed and did not come in time.
     """
 
-    def __init__(self, status: int, headers: runs.Headers, body: bytes) -> None:
+    def __init__(
+        self, status: int, headers: runs.Headers, body: bytes | None
+    ) -> None:
         super().__init__(f"status {status}")
         self.status = status
         self.headers = headers
@@ -66,8 +76,10 @@
 
     @property
     def relayable(self) -> bool:
-        """Whether the caller may get the status."""
-        return self.status not in errors.NOT_RUN_STATUSES
+        """Whether the caller may get the response."""
+        return (
+            self.body is not None and self.status not in errors.NOT_RUN_STATUSES
+        )
 
 
 class Origins(Protocol):
@@ -158,8 +170,7 @@
                 attempt.race.note_head(attempt)
             self._metrics.histogram("replica_head").record_ms(now_ms - sent_ms)
             if _is_failure(run.status):
-                body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
-                raise ErrorResponse(run.status, run.headers, body)
+                raise await self._read_error(run, progress)
             if call.req.started and run.status >= 300:
                 raise upstream_errors.InvalidResponseError(
                     f"a stream was resumed with status {run.status}"
@@ -177,6 +188,25 @@
                 self._quarantine.note_completed(call.work, now_ms)
             self._endings.record_success(call, attempt, run.status)
 
+    async def _read_error(
+        self, run: runs.Run, progress: progress_lib.Progress
+    ) -> ErrorResponse:
+        """Returns the response of a replica that failed a request.
+
+        Raises:
+            upstream_errors.UpstreamError: The response broke off.
+        """
+        error = ErrorResponse(run.status, run.headers, b"")
+        may_retry = progress.call.route.repeatable and progress.attempts_left(
+            begun=progress.pending
+        )
+        needed = error.relayable and not may_retry
+        timeout_s = math.inf if needed else _UNUSED_BODY_TIMEOUT_S
+        error.body = None
+        with trio.move_on_after(timeout_s):
+            error.body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
+        return error
+
     async def _relay_stream(
         self,
         call: progress_lib.Call,
@@ -310,7 +340,7 @@
         A status that would tell the caller that the request did not run is not
         relayed, and no error can follow a response that was started.
         """
-        if not exc.relayable or call.req.started:
+        if exc.body is None or not exc.relayable or call.req.started:
             self._endings.give_up(call, progress, 502)
         self._endings.record_relayed_error(call, progress)
         await _respond(call, exc.status, exc.headers, exc.body)
--- a/lacewingwood/callers/endings.py
+++ b/lacewingwood/callers/endings.py
@@ -1,5 +1,7 @@
 """Ends calls that no replica completed, and records how attempts ended."""
 
+from typing import NoReturn
+
 import structlog
 
 from lacewingwood import clock as clocks
@@ -48,7 +50,7 @@
         status: int,
         refusal: str = "no replica accepted the request",
         retry_after_ms: float | None = _NO_REPLICA_RETRY_AFTER_MS,
-    ) -> None:
+    ) -> NoReturn:
         """Ends a call that no replica completed.
 
         Args:
@@ -94,7 +96,7 @@
 
     def give_up_without_slot(
         self, call: progress_lib.Call, progress: progress_lib.Progress
-    ) -> None:
+    ) -> NoReturn:
         """Ends a call for which no slot was found; raises as `give_up`."""
         if progress.reason == "no_capacity":
             # A caller that returns within its deadline would be late as well.
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -173,7 +173,6 @@
             slot = await self._acquire_slot(call, service, progress)
             if slot is None:
                 self._endings.give_up_without_slot(call, progress)
-                return
             try:
                 # The cause may have been found while the call waited.
                 self._check_quarantine(call, progress)
--- a/tests/upstreams/test_refusals.py
+++ b/tests/upstreams/test_refusals.py
@@ -188,6 +188,44 @@
     assert caught.value.ran is base_errors.Ran.NOT_RUN
 
 
+@pytest.mark.parametrize("status", [*_STATUSES, 500])
+@pytest.mark.parametrize("max_attempts", [1, 2])
+async def test_error_whose_body_stalls_does_not_hold_a_request(
+    max_attempts: int, status: int
+) -> None:
+    """Guards against waiting until the deadline for what nobody needs.
+
+    Of a last attempt only the body of a 500 is needed, for the caller.
+    """
+    stalled = _answer(status, "too short")
+    sent = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal sent
+        async with stream:
+            if not await stream.receive_some():
+                return
+            sent += 1
+            await stream.send_all(stalled if sent == 1 else _SERVED)
+            await trio.sleep_forever()
+
+    caller = test_forwarding.Caller()
+    call = _make_call(caller, "", "IDEMPOTENT", max_attempts=max_attempts)
+    async with servers.serving(serve) as address:
+        forwarder = servers.make_forwarder(address, address)
+        started_s = trio.current_time()
+        if max_attempts == 2:
+            await forwarder.run(call)
+            assert (caller.status, caller.body) == (200, _EVENTS)
+        else:
+            with pytest.raises(caller_errors.CallerError) as caught:
+                await forwarder.run(call)
+            assert caught.value.ran is base_errors.Ran.MAY_HAVE_RUN
+            assert caught.value.status == (504 if status == 500 else 502)
+        if max_attempts == 2 or status != 500:
+            assert trio.current_time() - started_s < 2
+
+
 async def _open(
     answer: bytes, reused: bool = False
 ) -> tuple[bool, bool, errors.UpstreamError | None]:
