An answer is read while a large request is being written

What callers saw: a request that a replica refused during its upload was sent elsewhere only when the replica read on, or answered 504 "may have run" at its deadline.

Cause: the response was read after the whole request had been written, and a replica may answer before it reads on. Why it works: reading and writing run beside each other for bodies that are written in parts. After an answer that is no success the rest is not written, and a connection with an incomplete write is never used again.

--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -158,8 +158,7 @@
         async with pool.exchange(fresh, work.request_id) as exchange:
             on_send()
             with trio.move_on_after(head_limit_ms / 1000) as limit:
-                await exchange.send_whole(head, work.body)
-                await exchange.receive_head()
+                await exchange.send_and_receive_head(head, work.body)
             if limit.cancelled_caught:
                 raise _timeout_error(head_limit_ms)
             _check_request_id(exchange, work.request_id, replica.id)
--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -247,8 +247,7 @@
             pool = pools.pool(address)
             async with pool.exchange(request_id=request_id) as exchange:
                 sent = exchange
-                await exchange.send_whole(head, body)
-                await exchange.receive_head()
+                await exchange.send_and_receive_head(head, body)
                 if request_id:
                     _check_request_id(exchange, request_id)
                 await _check_status(exchange, request_id)
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -30,6 +30,8 @@
 # Refusals after which a connection is closed, as it has to remember them.
 _MAX_REFUSED = 64
 _BODILESS_STATUSES = (204, 304)
+# Statuses from here on are no success.
+_NO_SUCCESS = 300
 # RFC 9110, section 15: other statuses are invalid.
 _MAX_STATUS = 599
 
@@ -247,6 +249,36 @@
         with contextlib.suppress(errors.BrokenError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
 
+    async def send_and_receive_head(
+        self, head: h11.Request, body: bytes
+    ) -> None:
+        """Sends a whole request and reads the head of its response.
+
+        The response may come while a large body is written, and its sender may
+        read no more of the body. The rest is written only after a success.
+
+        Raises:
+            BrokenError: The connection ended or the peer broke the protocol.
+            InvalidResponseError: As for `receive_head`.
+        """
+        if len(body) <= _MAX_JOINED_BYTES:
+            await self.send_whole(head, body)
+            await self.receive_head()
+            return
+        failure: errors.UpstreamError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.send_whole, head, body)
+            # An error is kept outside of the nursery, which would wrap it in an
+            # exception group.
+            try:
+                await self.receive_head()
+            except errors.UpstreamError as exc:
+                failure = exc
+            if failure is not None or self.status >= _NO_SUCCESS:
+                nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
     async def receive_head(self) -> None:
         """Reads status and header fields.
 
--- a/tests/upstreams/test_refusals.py
+++ b/tests/upstreams/test_refusals.py
@@ -188,6 +188,33 @@
     assert caught.value.ran is base_errors.Ran.NOT_RUN
 
 
+@pytest.mark.parametrize("refused", [True, False])
+@pytest.mark.parametrize("kind", _KINDS)
+async def test_answer_during_an_upload_that_stalls_is_read_at_once(
+    kind: str, refused: bool
+) -> None:
+    """Guards against "may have run" at the deadline, and against lost time.
+
+    The replica has refused or failed the request, and reads no more of it.
+    """
+    form = "during the upload"
+    fields = b"request-id: id-1\r\n" + (_STATEMENT if refused else b"")
+    caller = test_forwarding.Caller()
+    call = _make_call(caller, form, kind, resumable=False, max_attempts=1)
+    call.work.body = bytes(12_000_000)
+    first = _answer(503, form, fields)
+    async with _replica(form, first, _SERVED, kept_open_s=3.0) as address:
+        forwarder = servers.make_forwarder(address, address)
+        with trio.fail_after(2):
+            if refused:
+                await forwarder.run(call)
+                assert (caller.status, caller.body) == (200, _EVENTS)
+                return
+            with pytest.raises(caller_errors.CallerError) as caught:
+                await forwarder.run(call)
+    assert caught.value.status == 502
+
+
 @pytest.mark.parametrize("status", [*_STATUSES, 500])
 @pytest.mark.parametrize("max_attempts", [1, 2])
 async def test_error_whose_body_stalls_does_not_hold_a_request(
