Entries answer 502, not 503, for what may have run

What callers saw: 503 with Retry-After for a request or a batch job that may have run, with a body that says so.

Cause: earlier attempts changed the field `ran` of an error, not its status. Why it works: the rule is kept by the class of errors itself, for each error of both doors.

test_not_run_is_reported_only_if_no_attempt_may_have_run asked for a 503 in this case, which is the fault. It asks for 502 and for no Retry-After now, and for the rest as before.

--- a/lacewingwood/callers/errors.py
+++ b/lacewingwood/callers/errors.py
@@ -31,7 +31,8 @@
     """A refused or failed request, as an HTTP response.
 
     Attributes:
-        status: HTTP status.
+        status: HTTP status; none of `NOT_RUN_STATUSES` if the request may have
+            had an effect.
         ran: Whether the request can have had an effect.
         param: Name of the invalid field, or None.
         retry_after_ms: When the request may be retried, or None.
@@ -52,19 +53,24 @@
         super().__init__(message)
         self.status = status
         self.code = code
-        self.ran = ran
+        self.ran = Ran.NOT_RUN
         self.param = param
         self.retry_after_ms = retry_after_ms
         self.headers = headers
+        self.note_earlier_attempts(ran)
 
     def note_earlier_attempts(self, ran: Ran) -> "CallerError":
         """Takes a request's earlier attempts into account; returns self.
 
+        A status that promises that the request has not run becomes 502.
+
         Args:
             ran: Whether any of the attempts can have had an effect.
         """
         if ran is Ran.MAY_HAVE_RUN:
             self.ran = ran
+            if self.status in NOT_RUN_STATUSES:
+                self.status, self.retry_after_ms = 502, None
         return self
 
     def body(self) -> bytes:
--- a/tests/callers/test_proxy.py
+++ b/tests/callers/test_proxy.py
@@ -10,6 +10,7 @@
 from lacewingwood.callers import app as apps
 from lacewingwood.callers import idempotency
 from lacewingwood.clock import ManualClock
+from lacewingwood.hostlist import types as host_types
 from lacewingwood.log import errors as log_errors
 from lacewingwood.log import types as log_types
 from lacewingwood.state import records
@@ -156,6 +157,22 @@
     assert status == 200 or fakes.error(got)["ran"] == "may_have_run"
 
 
+async def test_second_attempt_without_a_host_is_not_refused() -> None:
+    """Guards against a 503 that has a caller repeat a call that may have run.
+
+    The first attempt broke off, and no other host is left to be tried.
+    """
+    world = _world()
+    world.plain.errors = [upstream_errors.BrokenError("cut")]
+    only = host_types.Host("p0", "p0", "plain", "permits", "", "", "live")
+    world.plain_router.fleet.update_hosts([only])
+    async with world.serve() as served, served.client() as client:
+        got = await client.call("GET", "/permits/7", b"")
+    assert got.status == 502
+    assert fakes.error(got)["ran"] == "may_have_run"
+    assert not fakes.header(got, b"retry-after")
+
+
 async def test_call_given_up_while_it_runs_is_not_refused() -> None:
     """Guards against a 503 that has a caller repeat a call that may have run.
 
--- a/tests/callers/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -169,8 +169,9 @@
     async with world.serve() as served, served.client() as client:
         got = await client.call("POST", fakes.CHAT, fakes.body())
     assert not failures
-    assert got.status == 503
+    assert got.status == 502
     assert fakes.error(got)["ran"] == "may_have_run"
+    assert not fakes.header(got, b"retry-after")
 
 
 async def test_waiting_requests_are_placed_in_turn() -> None:
