The end of a job that may have taken effect is answered 504

What callers saw: 503 for a DELETE of a job, which ended all the same: its owner's answer, or that of the store, was lost.

Cause: the end of a job had one error for what was refused and for what is not known. Evidence: the new test fails before. Why it works: it is refused only where nobody was asked and no record may have been appended, as submissions are.

--- a/lacewingwood/jobs/errors.py
+++ b/lacewingwood/jobs/errors.py
@@ -21,6 +21,10 @@
     code = "job_unsure"
 
 
+class NoOwnerError(UnavailableError):
+    """The owner is not known, so that nobody was asked."""
+
+
 class NotAcceptedError(JobError):
     """The job was not accepted, and no item of it will run."""
 
@@ -37,7 +41,7 @@
 
 
 class OutcomeUnknownError(JobError):
-    """The job may have been accepted; the caller has to submit it again."""
+    """The job may have been accepted, or ended; the caller has to ask again."""
 
     code = "job_unclear"
 
--- a/lacewingwood/jobs/service.py
+++ b/lacewingwood/jobs/service.py
@@ -254,7 +254,8 @@
 
         Raises:
             errors.UnknownJobError: No such job exists.
-            errors.UnavailableError: The end record may not have been appended.
+            errors.UnavailableError: The job was not ended.
+            errors.OutcomeUnknownError: The job may have been ended.
         """
         try:
             await self._ask_partitions(
@@ -266,6 +267,8 @@
             )
             return
         except errors.UnavailableError as exc:
+            # An owner whose answer is lost may have ended the job.
+            may_have_ended = not isinstance(exc, errors.NoOwnerError)
             _log.info(
                 "owner unavailable; appending the end record",
                 request_id=job.id,
@@ -276,7 +279,10 @@
         try:
             for index in self._partitions_of(job):
                 await self._appender.append(index, [records.end_record(key)])
-        except (errors.NotAcceptedError, errors.OutcomeUnknownError) as exc:
+                may_have_ended = True
+        except errors.NotAcceptedError as exc:
+            if may_have_ended:
+                raise errors.OutcomeUnknownError(exc.message) from exc
             raise errors.UnavailableError(exc.message) from exc
 
     async def _ask_owner(
@@ -338,16 +344,14 @@
         """Returns a partition's owner if it is here, else its address.
 
         Raises:
-            errors.UnavailableError: No owner is known.
+            errors.NoOwnerError: No owner is known.
         """
         owner = self._ownership.owner(index)
         if owner is not None and not owner.lost.is_set():
             return owner, ""
         reported = self._peers.owner_at(index)
         if reported is None:
-            raise errors.UnavailableError(
-                "the job's partition has no known owner"
-            )
+            raise errors.NoOwnerError("the job's partition has no known owner")
         return None, reported[0]
 
     async def _call_owner(
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -11,6 +11,7 @@
 from lacewingwood.jobs import appending
 from lacewingwood.jobs import errors
 from lacewingwood.jobs import ownership as ownerships
+from lacewingwood.jobs import records
 from lacewingwood.jobs import service as services
 from lacewingwood.log import compacted
 from lacewingwood.peers import gateway_messages
@@ -236,6 +237,39 @@
         assert "e/kaje/job" in part.newest
 
 
+async def test_end_that_may_have_an_effect_is_not_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a 503 answer for the end of a job that ends later."""
+    monkeypatch.setattr(appending, "_SUBMIT_TIMEOUT_MS", 50.0)
+    async with two_nodes() as (a, b):
+        a.log.delayed_appends = 5
+        with pytest.raises(errors.OutcomeUnknownError):
+            await a.service.end(JOB)
+        a.log.delayed_appends = 0
+
+        async def lose(request: messages.Message) -> messages.Message:
+            await b.service._appender.append(0, [records.end_record(KEY)])
+            await trio.sleep_forever()
+            raise AssertionError
+
+        # The owner ends the job, and its answer is lost.
+        monkeypatch.setattr(services, "_PEER_TIMEOUT_MS", 100.0)
+        b.network.handle(gateway_messages.JobEnd, lose)
+        a.peers.owner = (b.address, 1)
+        a.log.down = a.peers.is_isolated = True
+        with trio.fail_after(2), pytest.raises(errors.OutcomeUnknownError):
+            await a.service.end(JOB)
+
+
+async def test_end_that_reaches_nobody_is_refused() -> None:
+    """Guards against "may have ended" for what is known to have no effect."""
+    async with two_nodes() as (a, _):
+        a.log.down = a.peers.is_isolated = True
+        with trio.fail_after(2), pytest.raises(errors.UnavailableError):
+            await a.service.end(JOB)
+
+
 async def test_limited_job_is_accepted_without_its_owner() -> None:
     """Guards against refusing jobs while the customer's partition moves.
 
