A 421 of an engine is retried elsewhere, and is no fault of an item

What callers saw: 421 from an entry although other engines were free; an item of a batch that failed after a few such answers. Cause: 421 was missing among the statuses that say nothing of the request. Evidence: the case of 421 fails before in both new tests. Why it works: 421 is treated as 408 and 429 are.

--- a/lacewingwood/batch/replica_runner.py
+++ b/lacewingwood/batch/replica_runner.py
@@ -29,7 +29,7 @@
 _MAX_QUEUE_TIME_MS = 10_000.0
 _MAX_QUEUED = 256
 # HTTP statuses that result from the replica's state and not from the item.
-_REPLICA_STATUSES = frozenset({404, 408, 409, 425, 429, 502, 503, 504})
+_REPLICA_STATUSES = frozenset({404, 408, 409, 421, 425, 429, 502, 503, 504})
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/lacewingwood/routing/outcomes.py
+++ b/lacewingwood/routing/outcomes.py
@@ -9,7 +9,7 @@
 
 # Client error statuses after which another upstream may accept the request. An
 # upstream responds with 404 if it has not loaded a model that exists.
-_RETRY_ELSEWHERE_STATUSES = frozenset((401, 403, 404, 408, 425, 429))
+_RETRY_ELSEWHERE_STATUSES = frozenset((401, 403, 404, 408, 421, 425, 429))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -307,6 +307,7 @@
         max_running: Largest number of requests that ran at a time.
         crashes: Number of crashes.
         bodies: Request bodies received.
+        refusals: Statuses with which it refuses the next requests.
     """
 
     slots: int = 4
@@ -316,6 +317,7 @@
     max_running: int = 0
     crashes: int = 0
     bodies: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    refusals: list[int] = dataclasses.field(default_factory=list)
 
     def crash(self) -> None:
         self.crashes += 1
@@ -355,6 +357,9 @@
         engine = self.by_address[address]
         fields = json.loads(body)
         engine.bodies.append(fields)
+        if engine.refusals:
+            status = engine.refusals.pop(0)
+            raise upstream_errors.RefusedError("refused", status, b"")
         if fields.get("refuse"):
             raise upstream_errors.RefusedError("refused", 400, b"bad")
         engine.running[request_id] = trio.Event()
--- a/tests/batch/test_worker.py
+++ b/tests/batch/test_worker.py
@@ -337,6 +337,22 @@
         assert len(await cluster.output(job_id)) == 30
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_refusal_that_says_nothing_of_an_item_does_not_end_it(
+    status: int, autojump_clock: trio_testing.MockClock
+) -> None:
+    """Guards against failing an item that another run would complete."""
+    async with running_cluster() as cluster:
+        cluster.start_worker("w1")
+        engine = cluster.env.engines.by_address["engine-0:8000"]
+        engine.refusals = [status] * 6
+        job_id = await cluster.submit(fakes.line("q", 10))
+        await cluster.finished(job_id)
+        assert not await cluster.errors(job_id)
+        assert len(await cluster.output(job_id)) == 1
+        assert not engine.refusals
+
+
 async def test_results_survive_log_outage(
     autojump_clock: trio_testing.MockClock,
 ) -> None:
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -51,6 +51,16 @@
     assert attempts.after(outcome, retries.Budget(), 0) == expected
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_request_that_did_not_run_is_sent_elsewhere(status: int) -> None:
+    """Guards against failing a request that another upstream would accept."""
+    exc = upstream_errors.RefusedError("x", status, b"")
+    attempts = retries.Attempts(False, deadline_ms=10_000)
+    outcome = outcomes.of_error(exc)
+    assert attempts.after(outcome, retries.Budget(), 0) == retries.Retry()
+    assert attempts.ran is errors.Ran.NOT_RUN
+
+
 def test_leaving_is_recognized_in_a_refusal() -> None:
     """Guards against further requests to a replica that is leaving."""
     body = b'{"error": {"code": "leaving"}}'
