Tests and soak: replicas that run a request and deny it by their status

A fault of the stand-in for replicas, `deny`: it runs a request and answers 408, 421, 429 or 503 without stating that it did not run it. The soak injects it beside each fault of a replica, by random numbers of its own, and its check REFUSED covers all four statuses.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -95,7 +95,7 @@
         for _ in range(3):
             status, _ = await self._call("POST", "/b/x", body.encode(), headers)
             job.accepted = job.accepted or status == 202
-            job.refused = job.refused and status in (429, 503)
+            job.refused = job.refused and status in checks.NOT_RUN_STATUSES
             if job.accepted and self._rng.random() < 0.7:
                 return
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,8 @@
 
 # Failures after which an item may be given up, by the routes of the fleet.
 _MAX_ATTEMPTS = 3
+# Statuses that promise that a request, or no item of a job, has run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,7 +45,7 @@
         job_id: Id of the job.
         items: Ids of the job's items.
         accepted: True if any submission was answered 202.
-        refused: True if every submission was answered 429 or 503.
+        refused: True if every submission was answered as not run.
         results_by_position: Result of each position, as it was first read:
             item id, state and output.
     """
@@ -90,7 +92,7 @@
             broken.append(f"UNASKED {run['request_id']}: a key was passed on")
     for request in sent:
         request_runs = runs_by_id.get(request.request_id, [])
-        if request_runs and request.status in (429, 503):
+        if request_runs and request.status in NOT_RUN_STATUSES:
             broken.append(
                 f"REFUSED {request.request_id}: {request.status} but it ran"
             )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,9 @@
 
 import trio
 
+from devtools import deployment
 from devtools import fleet as fleets
+from soak import checks
 from soak import proxy as proxy_lib
 
 _MODES = (
@@ -39,6 +41,8 @@
         with_restarts: Whether all gateways are restarted now and then while
             the configuration can't be read.
         log: Names of the injected faults, for the report.
+        denial_rng: Random numbers for denied runs, apart from `rng` so that the
+            other faults of a seed stay as they are.
         failures: Number of requests that a replica was told to fail.
         store_lock: Held while the store has a fault, which replaces others.
     """
@@ -49,6 +53,9 @@
     rng: random.Random
     with_restarts: bool = False
     log: list[str] = dataclasses.field(default_factory=list)
+    denial_rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(1)
+    )
     failures: int = 0
     store_lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
 
@@ -167,6 +174,13 @@
         )
         self.failures += "fail" in fault
         await self._post(replica, **fault)
+        others = [r for r in self.fleet.replicas if r is not replica]
+        await self._deny_runs(self.denial_rng.choice(others))
+
+    async def _deny_runs(self, replica: deployment.Process) -> None:
+        """Lets a replica run requests and say less than that it did not."""
+        status = self.denial_rng.choice(checks.NOT_RUN_STATUSES)
+        await self._post(replica, deny=status, count=2)
 
     async def _configure(self) -> None:
         for _ in range(self.rng.randint(1, 3)):
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -23,6 +23,8 @@
             -1 for never.
         count: Number of coming runs that show the faults.
         fail: Answer 500 in place of a stream.
+        deny: Status to answer after the run in place of a stream, without the
+            statement that the request was not run; 0 for none.
         mute: Send nothing after the first event.
         silent: Send nothing at all.
         reject: Answer 422, which says that the request can never succeed.
@@ -37,6 +39,7 @@
     break_after: int = -1
     count: int = 0
     fail: bool = False
+    deny: int = 0
     mute: bool = False
     silent: bool = False
     reject: bool = False
@@ -214,6 +217,9 @@
         if show_fault and (faults.fail or faults.reject):
             await request.answer(422 if faults.reject else 500, b"", "", answer)
             return
+        if show_fault and faults.deny:
+            await request.answer(faults.deny, b"", "", answer)
+            return
         await trio.sleep(self.settings.step_ms / 1000)
         if faults.crash_part and faults.crash_part in headers.get(
             "prompt-prefix", ""
--- a/tests/integration/test_gateways.py
+++ b/tests/integration/test_gateways.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from concurrent import futures
 
+import httpcore
 import pytest
 
 from devtools import fleet as fleets
@@ -183,6 +184,51 @@
     assert len(runs) == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("http2", [False, True], ids=["HTTP/1.1", "HTTP/2"])
+def test_status_of_a_request_that_ran_promises_nothing(
+    fleet: fleets.Fleet, http2: bool, status: int
+) -> None:
+    """Guards against callers that send again what has run.
+
+    A replica fails the request after the run, by a status that would promise
+    that it has not run. Where it may be repeated, another replica serves it.
+    """
+    seen = {}
+    with httpcore.ConnectionPool(http1=not http2, http2=http2) as pool:
+        for path in ("/o/x", "/s/x"):
+            request_id = f"deny{path[:2]}-{status}-{http2}".replace("/", "-")
+            for replica in fleet.replicas:
+                fleet.set_faults(replica, deny=status, count=1)
+            got = pool.request(
+                "POST",
+                f"http://{fleet.gateways[0].address}{path}",
+                headers={**_HEADERS, "Request-Id": request_id},
+                content=b"{}",
+            )
+            runs = [r for r in fleet.runs() if r["request_id"] == request_id]
+            seen[path] = got.status, len(runs)
+    for replica in fleet.replicas:
+        fleet.set_faults(replica)
+    # Streams on /s/ have two attempts, and each replica denies one run.
+    assert seen == {"/o/x": (502, 1), "/s/x": (502, 2)}
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_items_complete_though_replicas_deny_their_runs(
+    fleet: fleets.Fleet, status: int
+) -> None:
+    """Guards against items that are given up, or results of failed runs."""
+    for replica in fleet.replicas:
+        fleet.set_faults(replica, deny=status, count=2)
+    job_id = f"job-denied-{status}"
+    assert _submit(fleet.gateways[0], job_id) == 202
+    results = _wait_results(fleet.gateways[1], job_id, 4)
+    for replica in fleet.replicas:
+        fleet.set_faults(replica)
+    assert {r["state"] for r in results} == {"completed"}
+
+
 def test_job_is_the_same_at_all_gateways(fleet: fleets.Fleet) -> None:
     """Guards against a job that only the gateway that accepted it returns.
 
