--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -14,11 +14,11 @@
 from lacewingwood.callers import endings as endings_lib
 from lacewingwood.callers import errors
 from lacewingwood.callers import progress as progress_lib
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
 from lacewingwood.routing import run_times
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -112,7 +112,7 @@
 
     def __init__(
         self,
-        slots: dispatchers.Slots,
+        slots: slots_lib.Slots,
         replicas: runs.ReplicaClient,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
--- a/lacewingwood/callers/forwarding.py
+++ b/lacewingwood/callers/forwarding.py
@@ -16,11 +16,11 @@
 from lacewingwood.callers import racing
 from lacewingwood.callers import second_attempts
 from lacewingwood.callers import stopping
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import fair_order
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
 
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        slots: dispatchers.Slots,
+        slots: slots_lib.Slots,
         replicas: runs.ReplicaClient,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
@@ -265,7 +265,7 @@
         call: progress_lib.Call,
         service: str,
         progress: progress_lib.Progress,
-    ) -> dispatchers.Slot | None:
+    ) -> slots_lib.Slot | None:
         exclude, version = progress.tried, None
         if progress.origin is not None:
             service, version = progress.origin.service, progress.origin.version
@@ -280,7 +280,7 @@
         objective_ms = (
             call.route.objective_ms or attempts_lib.DEFAULT_OBJECTIVE_MS
         )
-        req = dispatchers.SlotRequest(
+        req = slots_lib.SlotRequest(
             service=service,
             work=load.WorkKind.ONLINE,
             rank=call.priority,
--- a/lacewingwood/callers/progress.py
+++ b/lacewingwood/callers/progress.py
@@ -6,8 +6,8 @@
 from lacewingwood import configuration
 from lacewingwood import errors as base_errors
 from lacewingwood.callers import http
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import origins
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
@@ -148,7 +148,7 @@
     """
 
     progress: Progress
-    slot: dispatchers.Slot
+    slot: slots_lib.Slot
     race: Race | None = None
     awaits_outcome: bool = False
     counted: bool = False
--- a/lacewingwood/callers/racing.py
+++ b/lacewingwood/callers/racing.py
@@ -17,9 +17,9 @@
 from lacewingwood.callers import attempts as attempts_lib
 from lacewingwood.callers import progress as progress_lib
 from lacewingwood.callers import second_attempts as second_attempts_lib
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import quarantine as quarantines
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 
 # Time after which the later of two runs is cancelled. They may overlap for 300
@@ -52,7 +52,7 @@
         self,
         decisions: second_attempts_lib.SecondAttempts,
         attempts: attempts_lib.Attempts,
-        slots: dispatchers.Slots,
+        slots: slots_lib.Slots,
         quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
@@ -296,7 +296,7 @@
     async def _run_second(self, delay_ms: float) -> None:
         """Runs a second attempt after a delay if it may and can be made."""
         racer, call = self._racer, self._call
-        slot: dispatchers.Slot | None = None
+        slot: slots_lib.Slot | None = None
         with self._start:
             await racer.clock.sleep_ms(delay_ms)
             slot = await self._acquire_slot()
@@ -318,7 +318,7 @@
         finally:
             self._note_end(entry)
 
-    async def _acquire_slot(self) -> dispatchers.Slot | None:
+    async def _acquire_slot(self) -> slots_lib.Slot | None:
         """Takes a slot for a second attempt, None if none may be made."""
         racer, call = self._racer, self._call
         now_ms = racer.clock.now_ms()
@@ -346,16 +346,16 @@
             racer.hold_back(call, second_attempts_lib.HeldBack.NO_SLOT)
         return slot
 
-    def _is_slower(self, slot: dispatchers.Slot) -> bool:
+    def _is_slower(self, slot: slots_lib.Slot) -> bool:
         """Returns whether a replica is known to be slower than the first."""
         now_ms = self._racer.clock.now_ms()
         first = self._first.attempt.slot.replica
         return slot.replica.slowness(now_ms) > first.slowness(now_ms)
 
-    def _make_request(self) -> dispatchers.SlotRequest:
+    def _make_request(self) -> slots_lib.SlotRequest:
         call, progress = self._call, self._first.attempt.progress
         listing = self._first.attempt.slot.replica.listing
-        return dispatchers.SlotRequest(
+        return slots_lib.SlotRequest(
             service=listing.service,
             work=load.WorkKind.ONLINE,
             # At coordinators, behind all that wait: by its rank, and as one
--- a/lacewingwood/jobs/item_order.py
+++ b/lacewingwood/jobs/item_order.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from lacewingwood.jobs import running
+from lacewingwood.jobs import item_tasks
 
 # An item with less slack than this is urgent: it also takes the slots that
 # other items leave free for the next online request.
@@ -39,7 +39,7 @@
         self._average_run_ms = _INITIAL_RUN_MS
         self._average_events = 0.0
 
-    def note_run(self, task: running.ItemTask, took_ms: float) -> None:
+    def note_run(self, task: item_tasks.ItemTask, took_ms: float) -> None:
         """Learns from an item that one run completed from the start."""
         events = task.events.last_id or 0
         if not self._average_events:
@@ -51,7 +51,7 @@
             events - self._average_events
         )
 
-    def slack_ms(self, task: running.ItemTask) -> float:
+    def slack_ms(self, task: item_tasks.ItemTask) -> float:
         """Returns how long an item can still wait without missing its deadline.
 
         The slack is negative if the item will miss its deadline.
@@ -59,7 +59,7 @@
         left_ms = task.job.due_ms - self._wall_ms()
         return left_ms - self.remaining_ms(task)
 
-    def remaining_ms(self, task: running.ItemTask) -> float:
+    def remaining_ms(self, task: item_tasks.ItemTask) -> float:
         """Returns the estimated time that an item still has to run."""
         progress = (
             (task.events.last_id or 0) / self._average_events
@@ -70,11 +70,11 @@
             _MIN_REMAINING_MS, self._average_run_ms * (1 - min(progress, 1.0))
         )
 
-    def is_urgent(self, task: running.ItemTask) -> bool:
+    def is_urgent(self, task: item_tasks.ItemTask) -> bool:
         """Returns whether an item is in time only if it starts soon."""
         return _LATE_SLACK_MS < self.slack_ms(task) < _URGENT_SLACK_MS
 
-    def start_key(self, task: running.ItemTask) -> tuple[bool, bool, float]:
+    def start_key(self, task: item_tasks.ItemTask) -> tuple[bool, bool, float]:
         """Returns the sort key by which waiting items are started.
 
         Late items come last, since they gain less from a slot. Then items with
@@ -86,7 +86,7 @@
             return late, True, task.job.due_ms
         return late, False, self.remaining_ms(task)
 
-    def preemption_key(self, task: running.ItemTask) -> tuple[bool, float]:
+    def preemption_key(self, task: item_tasks.ItemTask) -> tuple[bool, float]:
         """Returns the sort key of preemption; the greatest is preempted first.
 
         Late items are preempted first, then those with the most work left.
--- a/lacewingwood/jobs/owner.py
+++ b/lacewingwood/jobs/owner.py
@@ -13,9 +13,9 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import admission
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
-from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.jobs import table as tables
 from lacewingwood.jobs import writer as writers
@@ -96,7 +96,7 @@
         self._retention_ms = retention_ms
         self._cache = cache
         self._table = tables.Table(cache.partition(partition).add)
-        self._tasks: dict[tuple[str, int], running.ItemTask] = {}
+        self._tasks: dict[tuple[str, int], item_tasks.ItemTask] = {}
         self._outbox: collections.deque[tuple[str, records.Result]]
         self._outbox = collections.deque()
         self._outbox_filled = trio.Event()
@@ -281,7 +281,7 @@
             result = records.Result(progress.item, progress.completed, output)
             self._note_result(task, result)
             return
-        resumed = running.ItemTask(task.job, task.index, task.body)
+        resumed = item_tasks.ItemTask(task.job, task.index, task.body)
         resumed.failures = progress.failures
         if progress.origin is not None:
             resumed.events = event_stream.Splitter(progress.last_event)
@@ -422,7 +422,7 @@
                     "unfinished item has no body", job=entry.key, item=index
                 )
                 continue
-            task = running.ItemTask(entry.job, index, body)
+            task = item_tasks.ItemTask(entry.job, index, body)
             self._tasks[entry.key, index] = task
             self._scheduler.add(task, self._note_result)
 
@@ -434,7 +434,7 @@
             self._scheduler.remove(self._tasks.pop((job_key, index)))
 
     def _note_result(
-        self, task: running.ItemTask, result: records.Result
+        self, task: item_tasks.ItemTask, result: records.Result
     ) -> None:
         key = records.job_key(task.job.customer, task.job.id)
         self._tasks.pop((key, task.index), None)
--- a/lacewingwood/jobs/preemption.py
+++ b/lacewingwood/jobs/preemption.py
@@ -6,7 +6,7 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood.jobs import item_order
-from lacewingwood.jobs import running
+from lacewingwood.jobs import item_tasks
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 
@@ -27,7 +27,7 @@
         self,
         dispatcher: dispatchers.Dispatcher,
         order: item_order.ItemOrder,
-        tasks: Iterable[running.ItemTask],
+        tasks: Iterable[item_tasks.ItemTask],
         clock: clocks.Clock,
     ) -> None:
         """Creates a preemption that has stopped nothing yet.
@@ -90,7 +90,7 @@
         return len(stopped)
 
     def _stop(
-        self, replica: load.Replica, stopped: list[running.ItemTask]
+        self, replica: load.Replica, stopped: list[item_tasks.ItemTask]
     ) -> None:
         for task in stopped:
             task.preempted = True
@@ -107,7 +107,7 @@
 
     def _victims(
         self, replica: load.Replica, urgent: bool, count: int
-    ) -> list[running.ItemTask]:
+    ) -> list[item_tasks.ItemTask]:
         """Returns up to `count` of a replica's running items to preempt."""
         candidates = [
             task
--- a/lacewingwood/jobs/running.py
+++ b/lacewingwood/jobs/running.py
@@ -1,7 +1,5 @@
 """Runs the items of jobs at replicas, one run after another."""
 
-import dataclasses
-import enum
 import random
 
 import structlog
@@ -10,14 +8,12 @@
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
-from lacewingwood.jobs import payloads
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import records
 from lacewingwood.log import errors as log_errors
-from lacewingwood.peers import gateway_messages
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
-from lacewingwood.routing import origins
 from lacewingwood.routing import run_times
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_reader
 from lacewingwood.upstreams import event_stream
@@ -32,8 +28,6 @@
 # Longest wait for an item's body if it has to be read from the log. The slot
 # stays unused meanwhile.
 _BODY_TIMEOUT_MS = 500.0
-# Largest output of an item; a result has to fit into a record of the log.
-_MAX_OUTPUT_BYTES = 240 << 10
 # Delay after a run that failed without an event; doubled after each failed
 # attempt.
 _RETRY_DELAY_MS = 200.0
@@ -55,95 +49,6 @@
 _log = structlog.get_logger()
 
 
-class State(enum.Enum):
-    """Scheduling state of an item."""
-
-    WAITING = 0
-    RUNNING = 1
-    DONE = 2
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class ItemTask:
-    """One item that is scheduled or runs.
-
-    Attributes:
-        job: The item's job.
-        index: Index of the item in its job.
-        body: The decoded body, which may have to be read from the log.
-        state: The scheduling state.
-        events: Splitter of the event stream; its last id is where the next
-            run resumes.
-        origin: Service and software version that wrote the events received so
-            far, None if there are none.
-        output: Data of the events received so far.
-        output_bytes: Size of `output`.
-        failures: Number of answers that count as failed attempts.
-        failed_replica_ids: Replicas that gave such answers while the item was
-            scheduled by this gateway.
-        breaks: Number of runs in a row that broke without an event.
-        not_before_ms: Earliest monotonic time of the next run.
-        slot: The slot of the present run, None if the item does not run.
-        scope: Cancels the present run.
-        preempted: True if the newest run was cancelled to free its slot.
-    """
-
-    job: records.Job
-    index: int
-    body: payloads.Payload
-    state: State = State.WAITING
-    events: event_stream.Splitter = dataclasses.field(
-        default_factory=event_stream.Splitter
-    )
-    origin: origins.Origin | None = None
-    output: list[bytes] = dataclasses.field(default_factory=list)
-    output_bytes: int = 0
-    failures: int = 0
-    failed_replica_ids: set[str] = dataclasses.field(default_factory=set)
-    breaks: int = 0
-    not_before_ms: float = 0.0
-    slot: dispatchers.Slot | None = None
-    scope: trio.CancelScope | None = None
-    preempted: bool = False
-
-    @property
-    def item(self) -> records.Item:
-        """The item's specification."""
-        return self.job.items[self.index]
-
-    def is_behind(self, progress: gateway_messages.JobProgress) -> bool:
-        """Returns whether another owner has got further with the item."""
-        if progress.completed is not None or progress.failures > self.failures:
-            return True
-        return (progress.last_event or 0) > (self.events.last_id or 0)
-
-    def add_output(self, lines: list[bytes]) -> None:
-        """Adds the data of further events.
-
-        Raises:
-            upstream_errors.InvalidResponseError: The output is too large for a
-                record of the log.
-        """
-        self.output += lines
-        self.output_bytes += sum(len(line) + 1 for line in lines)
-        if self.output_bytes > _MAX_OUTPUT_BYTES:
-            self.restart()
-            raise upstream_errors.InvalidResponseError(
-                "the item's output is too large"
-            )
-
-    def restart(self) -> None:
-        """Drops all events, so that the next run starts from the beginning."""
-        self.output, self.output_bytes = [], 0
-        self.events = event_stream.Splitter()
-        self.origin = None
-
-    def result(self, completed: bool) -> records.Result:
-        """Returns the item's result; a given-up item has no output."""
-        output = b"\n".join(self.output) if completed else b""
-        return records.Result(self.index, completed, output)
-
-
 class ItemRunner:
     """Runs items at replicas."""
 
@@ -151,7 +56,7 @@
 
     def __init__(
         self,
-        slots: dispatchers.Slots,
+        slots: slots_lib.Slots,
         replicas: runs.ReplicaClient,
         clock: clocks.Clock,
         metrics: metrics_lib.Registry,
@@ -163,8 +68,8 @@
 
     async def run(
         self,
-        task: ItemTask,
-        slot: dispatchers.Slot,
+        task: item_tasks.ItemTask,
+        slot: slots_lib.Slot,
         route: configuration.Route,
     ) -> records.Result | None:
         """Runs an item in a slot, which is released at the end.
@@ -218,8 +123,8 @@
 
     async def _run_once(
         self,
-        task: ItemTask,
-        slot: dispatchers.Slot,
+        task: item_tasks.ItemTask,
+        slot: slots_lib.Slot,
         route: configuration.Route,
     ) -> records.Result | None:
         replica = slot.replica
@@ -255,8 +160,8 @@
 
     async def _exchange(
         self,
-        task: ItemTask,
-        slot: dispatchers.Slot,
+        task: item_tasks.ItemTask,
+        slot: slots_lib.Slot,
         route: configuration.Route,
     ) -> records.Result | None:
         body = await self._load_body(task, slot)
@@ -288,7 +193,9 @@
             slot.replica.note_success(self._clock.now_ms())
             return task.result(completed)
 
-    async def _load_body(self, task: ItemTask, slot: dispatchers.Slot) -> bytes:
+    async def _load_body(
+        self, task: item_tasks.ItemTask, slot: slots_lib.Slot
+    ) -> bytes:
         """Returns an item's body; marks the slot as unused if it can't.
 
         Raises:
@@ -302,7 +209,7 @@
         raise log_errors.UnavailableError("no answer in time", False)
 
     async def _collect(
-        self, task: ItemTask, run: runs.Run, slot: dispatchers.Slot
+        self, task: item_tasks.ItemTask, run: runs.Run, slot: slots_lib.Slot
     ) -> None:
         task.events.restart()
         reader = event_reader.EventReader(run, task.events, self._clock)
@@ -319,8 +226,8 @@
 
     def _note_failed_attempt(
         self,
-        task: ItemTask,
-        slot: dispatchers.Slot,
+        task: item_tasks.ItemTask,
+        slot: slots_lib.Slot,
         route: configuration.Route,
     ) -> records.Result | None:
         """Counts a failed attempt; returns a result if the item is given up."""
@@ -338,7 +245,7 @@
         return None
 
     def _note_other_error(
-        self, task: ItemTask, replica: load.Replica, status: int
+        self, task: item_tasks.ItemTask, replica: load.Replica, status: int
     ) -> None:
         """Records a status that ends a run without being a failed attempt.
 
@@ -352,7 +259,7 @@
         _log_failed_run(task, replica, f"status_{status}")
 
     def _note_internal_error(
-        self, task: ItemTask, route: configuration.Route
+        self, task: item_tasks.ItemTask, route: configuration.Route
     ) -> records.Result | None:
         """Counts a run that raised an unexpected error as a failed attempt."""
         _log.exception(
@@ -365,7 +272,7 @@
         self._delay_next_run(task, _RETRY_DELAY_MS * 2**task.failures)
         return None
 
-    def _should_give_up(self, task: ItemTask, attempts: int) -> bool:
+    def _should_give_up(self, task: item_tasks.ItemTask, attempts: int) -> bool:
         """Returns whether an item has failed often enough to be given up.
 
         Failures at different replicas count for more, since several failures
@@ -375,7 +282,9 @@
             return True
         return task.failures >= attempts * _FEW_REPLICAS_ATTEMPT_FACTOR
 
-    def _note_break(self, task: ItemTask, last_id_before: int | None) -> None:
+    def _note_break(
+        self, task: item_tasks.ItemTask, last_id_before: int | None
+    ) -> None:
         """Counts a run that broke without an event and delays the next run.
 
         A run with events resets the count.
@@ -385,12 +294,14 @@
             return
         self._delay_after_break(task)
 
-    def _delay_after_break(self, task: ItemTask) -> None:
+    def _delay_after_break(self, task: item_tasks.ItemTask) -> None:
         delay_ms = _RETRY_DELAY_MS * 2 ** min(task.breaks, 8)
         self._delay_next_run(task, min(delay_ms, _MAX_BREAK_DELAY_MS))
         task.breaks += 1
 
-    def _delay_next_run(self, task: ItemTask, delay_ms: float) -> None:
+    def _delay_next_run(
+        self, task: item_tasks.ItemTask, delay_ms: float
+    ) -> None:
         # The jitter keeps items that failed together from retrying together.
         jitter = random.uniform(0.8, 1.2)
         task.not_before_ms = self._clock.now_ms() + jitter * min(
@@ -398,7 +309,7 @@
         )
 
 
-def _make_work(task: ItemTask, body: bytes) -> runs.Work:
+def _make_work(task: item_tasks.ItemTask, body: bytes) -> runs.Work:
     """Returns the request of an item.
 
     Raises:
@@ -423,7 +334,10 @@
 
 
 def _log_failed_run(
-    task: ItemTask, replica: load.Replica, code: str, detail: str = ""
+    task: item_tasks.ItemTask,
+    replica: load.Replica,
+    code: str,
+    detail: str = "",
 ) -> None:
     _log.info(
         "item run failed",
@@ -434,7 +348,7 @@
     )
 
 
-def _outcome(task: ItemTask, result: records.Result | None) -> str:
+def _outcome(task: item_tasks.ItemTask, result: records.Result | None) -> str:
     if result is not None:
         return "completed" if result.completed else "given up"
     return "yielded" if task.preempted else "again"
--- a/lacewingwood/jobs/scheduler.py
+++ b/lacewingwood/jobs/scheduler.py
@@ -14,6 +14,7 @@
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import item_order
 from lacewingwood.jobs import item_routes
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import preemption
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
@@ -21,6 +22,7 @@
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
+from lacewingwood.routing import slots as slots_lib
 
 # Interval of scheduling rounds, which start waiting items and preempt running
 # ones. Peers' reports arrive about as often.
@@ -48,7 +50,7 @@
         """Sets how many slots waiting items of a service need."""
 
 
-OnResult = Callable[[running.ItemTask, records.Result], None]
+OnResult = Callable[[item_tasks.ItemTask, records.Result], None]
 # Service, urgency, and software version of a demand for a slot.
 _Demand = tuple[str, bool, str | None]
 
@@ -59,7 +61,7 @@
 class _Entry:
     """A scheduled item, and since when its route has been removed."""
 
-    task: running.ItemTask
+    task: item_tasks.ItemTask
     on_result: OnResult
     route_removed_since_ms: float | None = None
 
@@ -118,7 +120,7 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._metrics = metrics
-        self._entries: dict[running.ItemTask, _Entry] = {}
+        self._entries: dict[item_tasks.ItemTask, _Entry] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
         self._order = item_order.ItemOrder(wall_ms)
@@ -130,16 +132,16 @@
     def counts(self) -> tuple[int, int]:
         """Numbers of waiting and running items."""
         running_count = sum(
-            task.state is running.State.RUNNING for task in self._entries
+            task.state is item_tasks.State.RUNNING for task in self._entries
         )
         return len(self._entries) - running_count, running_count
 
-    def add(self, task: running.ItemTask, on_result: OnResult) -> None:
+    def add(self, task: item_tasks.ItemTask, on_result: OnResult) -> None:
         """Adds an item; `on_result` is called unless the item is removed."""
         self._entries[task] = _Entry(task, on_result)
         self._wake.set()
 
-    def remove(self, task: running.ItemTask) -> None:
+    def remove(self, task: item_tasks.ItemTask) -> None:
         """Removes an item and cancels its run; `on_result` is not called."""
         if self._entries.pop(task, None) is not None and task.scope:
             task.scope.cancel()
@@ -161,7 +163,7 @@
                 with trio.move_on_after(timeout_s):
                     await self._wake.wait()
 
-    def start_one(self, slot: dispatchers.Slot) -> bool:
+    def start_one(self, slot: slots_lib.Slot) -> bool:
         """Starts the most urgent waiting item in a granted slot.
 
         Returns:
@@ -221,13 +223,13 @@
         waiting = [
             entry
             for entry in self._entries.values()
-            if entry.task.state is running.State.WAITING
+            if entry.task.state is item_tasks.State.WAITING
         ]
         waiting.sort(key=lambda entry: self._order.start_key(entry.task))
         return waiting
 
     def _excluded(
-        self, task: running.ItemTask, listing: directory.Listing
+        self, task: item_tasks.ItemTask, listing: directory.Listing
     ) -> set[str]:
         """Returns the replicas at which an item failed, if there are others."""
         exclude = task.failed_replica_ids
@@ -236,7 +238,7 @@
         return set()
 
     def _origin_to_keep(
-        self, task: running.ItemTask, route: configuration.Route
+        self, task: item_tasks.ItemTask, route: configuration.Route
     ) -> origins.Origin | None:
         """Returns where an item has to go on, None if it may run anywhere.
 
@@ -299,7 +301,7 @@
         exclude = task.failed_replica_ids
         if not self._dispatcher.has_replica(service, exclude, version):
             exclude = set()
-        demand = dispatchers.SlotRequest(
+        demand = slots_lib.SlotRequest(
             service=service,
             work=load.WorkKind.BATCH,
             exclude=exclude,
@@ -332,16 +334,16 @@
         return route if isinstance(route, configuration.Route) else None
 
     def _start_in(
-        self, entry: _Entry, slot: dispatchers.Slot, route: configuration.Route
+        self, entry: _Entry, slot: slots_lib.Slot, route: configuration.Route
     ) -> None:
-        entry.task.state = running.State.RUNNING
+        entry.task.state = item_tasks.State.RUNNING
         assert self._nursery is not None
         self._nursery.start_soon(self._run, entry, slot, route)
 
     async def _run(
         self,
         entry: _Entry,
-        slot: dispatchers.Slot,
+        slot: slots_lib.Slot,
         route: configuration.Route,
     ) -> None:
         task = entry.task
@@ -349,7 +351,7 @@
         from_start = task.events.last_id is None
         result = await self._runner.run(task, slot, route)
         if result is None:
-            task.state = running.State.WAITING
+            task.state = item_tasks.State.WAITING
         elif self._entries.get(task) is entry:
             if result.completed and from_start:
                 self._order.note_run(task, self._clock.now_ms() - started_ms)
@@ -357,7 +359,7 @@
         self._wake.set()
 
     def _finish(self, entry: _Entry, result: records.Result) -> None:
-        entry.task.state = running.State.DONE
+        entry.task.state = item_tasks.State.DONE
         self._entries.pop(entry.task, None)
         slack_ms = entry.task.job.due_ms - self._wall_ms()
         in_time = "yes" if slack_ms >= 0 else "no"
--- a/lacewingwood/routing/coordinator.py
+++ b/lacewingwood/routing/coordinator.py
@@ -22,6 +22,7 @@
 from lacewingwood.routing import ranking
 from lacewingwood.routing import replica_pauses
 from lacewingwood.routing import shard_state
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.routing import speeds
 from lacewingwood.routing import tickets
 
@@ -211,7 +212,7 @@
         service = shard.partition("/")[0]
         for number, (replica_id, work) in held.items():
             ticket = self._tickets.get((holder, number)) or tickets.Ticket(
-                holder, number, shard, dispatchers.SlotRequest(service, work)
+                holder, number, shard, slots_lib.SlotRequest(service, work)
             )
             ticket.seen_ms = now_ms
             if not ticket.replica_id:
--- a/lacewingwood/routing/dispatcher.py
+++ b/lacewingwood/routing/dispatcher.py
@@ -9,7 +9,6 @@
 import random
 from collections.abc import Callable
 from collections.abc import Collection
-from typing import Protocol
 
 import trio
 
@@ -20,7 +19,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import outliers
 from lacewingwood.routing import ranking
-from lacewingwood.routing import speeds
+from lacewingwood.routing import slots as slots_lib
 
 # Online requests that may wait in a replica's own queue. A queued request takes
 # a freed slot at once, and with so short a queue a stale count does not make
@@ -54,132 +53,12 @@
 _POLL_INTERVAL_MS = 20.0
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class SlotRequest:
-    """A request for a slot.
-
-    Attributes:
-        service: Service that must run it.
-        work: Kind of work.
-        rank: Priority, 0 is the highest.
-        arrived_ms: Time of arrival.
-        objective_ms: Time after `arrived_ms` by which its first event is due.
-        deadline_ms: Time after which its caller no longer waits.
-        exclude: Replicas that must not be used.
-        urgent: True for batch work that may take the last free slots.
-        repeatable: True if it may be retried on another replica if it fails.
-        version: Software version that must run it, None for any.
-        spare: True if it must slow no other request: it never waits, and uses
-            a slot only if more than that are free and no request waits.
-        avoid_zone: Zone whose replicas are used only if no other has a slot.
-        customer: Customer that sent it, empty if it has none.
-        tokens: Its estimated work, for the shares of customers.
-        hopeless: Set if it was refused since it can't begin before its
-            deadline.
-    """
-
-    service: str
-    work: load.WorkKind
-    rank: int = 0
-    arrived_ms: float = 0.0
-    objective_ms: float = 0.0
-    deadline_ms: float = float("inf")
-    exclude: set[str] = dataclasses.field(default_factory=set)
-    urgent: bool = False
-    repeatable: bool = True
-    version: str | None = None
-    spare: bool = False
-    avoid_zone: str | None = None
-    customer: str = ""
-    tokens: float = 1.0
-    hopeless: bool = False
-
-    def allows(self, replica: load.Replica) -> bool:
-        """Returns whether a replica may run it, its load aside."""
-        if not replica.takes_work or replica.listing.id in self.exclude:
-            return False
-        return self.version in (None, replica.listing.version)
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Slot:
-    """A slot on a replica, held until it is released.
-
-    Attributes:
-        replica: The replica.
-        work: Kind of work.
-        held: False once it was released.
-        ticket: Number of the ticket under which a coordinator granted it, 0 for
-            a slot that was taken without one.
-        refused: True if the replica refused the request as full.
-        failed: True if the request failed at the replica.
-        unused: True if nothing was sent to the replica.
-        sent_ms: When the request was sent.
-        deviation: How much slower than usual the run was.
-    """
-
-    replica: load.Replica
-    work: load.WorkKind
-    held: bool = True
-    ticket: int = 0
-    refused: bool = False
-    failed: bool = False
-    unused: bool = False
-    sent_ms: float = 0.0
-    deviation: speeds.Deviation = speeds.NO_DEVIATION
-
-    def note_refusal(self, misdirected: bool, now_ms: float) -> None:
-        """Records that the request was not run.
-
-        Args:
-            misdirected: Whether another replica has the address now; else the
-                replica is full.
-            now_ms: Current time.
-        """
-        if misdirected:
-            self.replica.note_failure(now_ms)
-            self.failed = True
-        else:
-            self.replica.note_full(now_ms)
-            self.refused = True
-
-
-class Slots(Protocol):
-    """Gives slots to requests, and takes them back."""
-
-    @property
-    def fleet(self) -> load.Fleet:
-        """The replicas and their load as this gateway knows them."""
-
-    def has_replica(
-        self,
-        service: str,
-        exclude: Collection[str] = frozenset(),
-        version: str | None = None,
-    ) -> bool:
-        """Returns whether a service has a usable replica not in `exclude`.
-
-        With `version`, only replicas of that software version count.
-        """
-
-    async def acquire(self, req: SlotRequest) -> Slot | None:
-        """Waits for a slot.
-
-        Returns:
-            None if the deadline passes first, or if it is known before that no
-            replica can run the request in time.
-        """
-
-    def release(self, slot: Slot) -> None:
-        """Releases a slot; further calls have no effect."""
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
-    req: SlotRequest
+    req: slots_lib.SlotRequest
     ready: trio.Event
     tag: float = 0.0
-    slot: Slot | None = None
+    slot: slots_lib.Slot | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -194,14 +73,14 @@
         default_factory=forecasts.WaitForecast
     )
 
-    def add(self, req: SlotRequest, now_ms: float) -> float:
+    def add(self, req: slots_lib.SlotRequest, now_ms: float) -> float:
         """Returns the tag of a request that starts to wait."""
         self.waiting += 1
         self.forecast.note_waiting(now_ms)
         return self.order.add(req.customer, req.tokens)
 
     def remove(
-        self, req: SlotRequest, now_ms: float, served: bool = False
+        self, req: slots_lib.SlotRequest, now_ms: float, served: bool = False
     ) -> None:
         """Removes a request, which has got a slot if `served`."""
         self.waiting -= 1
@@ -281,12 +160,12 @@
         version: str | None = None,
     ) -> bool:
         """Returns whether a service has a usable replica; see `Slots`."""
-        req = SlotRequest(
+        req = slots_lib.SlotRequest(
             service, load.WorkKind.ONLINE, exclude=set(exclude), version=version
         )
         return any(map(req.allows, self.fleet.of_service(service)))
 
-    def try_acquire(self, req: SlotRequest) -> Slot | None:
+    def try_acquire(self, req: slots_lib.SlotRequest) -> slots_lib.Slot | None:
         """Returns a slot if one is free now."""
         replica = self._choose_replica(req)
         if replica is None:
@@ -297,7 +176,9 @@
         )
         return self.assign(replica, req.work)
 
-    async def acquire(self, req: SlotRequest) -> Slot | None:
+    async def acquire(
+        self, req: slots_lib.SlotRequest
+    ) -> slots_lib.Slot | None:
         """Waits for a slot.
 
         Returns:
@@ -337,7 +218,7 @@
         self._metrics.histogram("slot_wait").record_ms(waited_ms)
         return waiter.slot
 
-    def release(self, slot: Slot) -> None:
+    def release(self, slot: slots_lib.Slot) -> None:
         """Releases a slot; further calls have no effect."""
         if not slot.held:
             return
@@ -391,7 +272,7 @@
         )
         return min(replica.batch(), occupied + reserve - replica.slots)
 
-    def _is_hopeless(self, req: SlotRequest) -> bool:
+    def _is_hopeless(self, req: slots_lib.SlotRequest) -> bool:
         """Returns whether limited replicas can't run a request in time.
 
         That is certain if the requests that wait before it at this gateway are
@@ -418,7 +299,9 @@
             limits.expected(name, now_ms, left_ms) for name in usable
         )
 
-    def _is_forecast_late(self, req: SlotRequest, now_ms: float) -> bool:
+    def _is_forecast_late(
+        self, req: slots_lib.SlotRequest, now_ms: float
+    ) -> bool:
         """Returns whether a request can't begin before its deadline.
 
         That is forecast from what waits before it at this gateway. Requests
@@ -453,13 +336,17 @@
             if self.fleet.is_evacuated(req.service):
                 return
 
-    def assign(self, replica: load.Replica, work: load.WorkKind) -> Slot:
+    def assign(
+        self, replica: load.Replica, work: load.WorkKind
+    ) -> slots_lib.Slot:
         """Returns a slot at a replica, whether or not one is free."""
         replica.own_counts[work.value] += 1
         self.on_change()
-        return Slot(replica, work)
+        return slots_lib.Slot(replica, work)
 
-    def _choose_replica(self, req: SlotRequest) -> load.Replica | None:
+    def _choose_replica(
+        self, req: slots_lib.SlotRequest
+    ) -> load.Replica | None:
         now_ms = self._clock.now_ms()
         usable = self._usable(req)
         # Failures alone must not make all replicas of a service unusable.
@@ -468,7 +355,7 @@
                 return replica
         return None
 
-    def _usable(self, req: SlotRequest) -> list[load.Replica]:
+    def _usable(self, req: slots_lib.SlotRequest) -> list[load.Replica]:
         """Returns the replicas that may run a request, their load aside."""
         allowed = [
             r for r in self.fleet.of_service(req.service) if req.allows(r)
@@ -476,7 +363,10 @@
         return [r for r in allowed if not r.version_pending] or allowed
 
     def _least_busy(
-        self, replicas: list[load.Replica], req: SlotRequest, now_ms: float
+        self,
+        replicas: list[load.Replica],
+        req: slots_lib.SlotRequest,
+        now_ms: float,
     ) -> load.Replica | None:
         reserve = self._reserve(req)
         available = [
@@ -496,7 +386,7 @@
         return min(available, key=lambda r: self._load_key(r, now_ms))
 
     def _may_send(
-        self, replica: load.Replica, req: SlotRequest, now_ms: float
+        self, replica: load.Replica, req: slots_lib.SlotRequest, now_ms: float
     ) -> bool:
         """Returns whether a replica's own limit allows another request."""
         limits = self.fleet.limits
@@ -513,7 +403,7 @@
             )
         return limits.may_send(incarnation, now_ms, batch, stagger_s, turn=turn)
 
-    def _reserve(self, req: SlotRequest) -> int:
+    def _reserve(self, req: slots_lib.SlotRequest) -> int:
         """Returns the slots that batch work must leave free on a replica."""
         if self.counts_lag():
             return (
@@ -561,7 +451,7 @@
 
 
 def tiers(
-    replicas: list[load.Replica], req: SlotRequest, now_ms: float
+    replicas: list[load.Replica], req: slots_lib.SlotRequest, now_ms: float
 ) -> list[list[load.Replica]]:
     """Returns the replicas that a request may use, in order of preference.
 
@@ -588,7 +478,10 @@
 
 
 def _has_free_slot(
-    replica: load.Replica, req: SlotRequest, reserve: int, now_ms: float
+    replica: load.Replica,
+    req: slots_lib.SlotRequest,
+    reserve: int,
+    now_ms: float,
 ) -> bool:
     total = replica.in_flight(now_ms)
     if req.spare:
@@ -609,7 +502,9 @@
     return total + reserve < replica.slots
 
 
-def waiting_key(req: SlotRequest, now_ms: float) -> tuple[bool, int, float]:
+def waiting_key(
+    req: slots_lib.SlotRequest, now_ms: float
+) -> tuple[bool, int, float]:
     """Returns the order in which requests are served.
 
     Those that can still meet their objective come first.
@@ -617,13 +512,13 @@
     return _misses_objective(req, now_ms), req.rank, req.arrived_ms
 
 
-def _misses_objective(req: SlotRequest, now_ms: float) -> bool:
+def _misses_objective(req: slots_lib.SlotRequest, now_ms: float) -> bool:
     due_ms = req.arrived_ms + req.objective_ms - _EXPECTED_FIRST_EVENT_MS
     return now_ms > due_ms
 
 
 def fair_waiting_key(
-    req: SlotRequest, now_ms: float, excess: float = 0.0
+    req: slots_lib.SlotRequest, now_ms: float, excess: float = 0.0
 ) -> tuple[float, bool, int, bool, float]:
     """Returns the order in which requests of competing customers are served.
 
--- a/lacewingwood/routing/preemption.py
+++ b/lacewingwood/routing/preemption.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
-from lacewingwood.routing import dispatcher as dispatchers
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.routing import tickets
 
 # Part of its objective for which an online request waits for a slot rather than
@@ -49,7 +49,7 @@
 
 
 def must_preempt(
-    req: dispatchers.SlotRequest, ahead: int, gap_ms: float, now_ms: float
+    req: slots_lib.SlotRequest, ahead: int, gap_ms: float, now_ms: float
 ) -> bool:
     """Returns whether an item has to be stopped for an online request.
 
--- a/lacewingwood/routing/slot_client.py
+++ b/lacewingwood/routing/slot_client.py
@@ -25,6 +25,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_server
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.routing import spillover
 
 # What is held and waited for is repeated at this interval; see
@@ -63,9 +64,9 @@
             answers.
     """
 
-    req: dispatchers.SlotRequest
+    req: slots_lib.SlotRequest
     shards: dict[int, str] = dataclasses.field(default_factory=dict)
-    slot: dispatchers.Slot | None = None
+    slot: slots_lib.Slot | None = None
     ready: trio.Event = dataclasses.field(default_factory=trio.Event)
     asked_ms: float = 0.0
     taken_ms: float = 0.0
@@ -119,7 +120,7 @@
                 earlier processes on this host.
             rng: Chooses shards.
         """
-        self.on_batch_slot: Callable[[dispatchers.Slot], bool]
+        self.on_batch_slot: Callable[[slots_lib.Slot], bool]
         self.on_batch_slot = lambda slot: False
         self.on_preempt: Callable[[load.Replica], None] = lambda replica: None
         self.coordinated: Callable[[], bool] = lambda: False
@@ -135,7 +136,7 @@
         self._spillover = spillover.Spillover(rng)
         self._pending: dict[int, _Pending] = {}
         self._batch: dict[int, _BatchTicket] = {}
-        self._held: dict[int, dispatchers.Slot] = {}
+        self._held: dict[int, slots_lib.Slot] = {}
         # Free slots of a shard by its last answer, and when that came.
         self._hints: dict[str, tuple[int, float]] = {}
         server.deliver = self._deliver
@@ -157,8 +158,8 @@
         return self._dispatcher.has_replica(service, exclude, version)
 
     async def acquire(
-        self, req: dispatchers.SlotRequest
-    ) -> dispatchers.Slot | None:
+        self, req: slots_lib.SlotRequest
+    ) -> slots_lib.Slot | None:
         """Waits for a slot; returns None if the deadline passes first."""
         if not self.coordinated():
             return await self._dispatcher.acquire(req)
@@ -190,7 +191,7 @@
             return await self.acquire(req)
         return slot
 
-    def release(self, slot: dispatchers.Slot) -> None:
+    def release(self, slot: slots_lib.Slot) -> None:
         """Releases a slot; further calls have no effect."""
         if not slot.held:
             return
@@ -342,8 +343,8 @@
         return True
 
     async def _acquire_alone(
-        self, req: dispatchers.SlotRequest
-    ) -> tuple[dispatchers.Slot | None, bool]:
+        self, req: slots_lib.SlotRequest
+    ) -> tuple[slots_lib.Slot | None, bool]:
         """Takes a slot by this gateway's own picture of the replicas.
 
         Returns:
@@ -365,7 +366,7 @@
             self._held[slot.ticket] = slot
         return slot, not scope.cancelled_caught
 
-    def _shards_for(self, req: dispatchers.SlotRequest) -> list[str]:
+    def _shards_for(self, req: slots_lib.SlotRequest) -> list[str]:
         """Returns the shards to ask, usually those of this zone first.
 
         Shards that were full a moment ago come last.
@@ -513,7 +514,7 @@
 
     def _hold(
         self, number: int, replica: load.Replica, work: load.WorkKind
-    ) -> dispatchers.Slot:
+    ) -> slots_lib.Slot:
         slot = self._dispatcher.assign(replica, work)
         slot.ticket = number
         self._held[number] = slot
@@ -538,7 +539,7 @@
         self,
         host: str,
         number: int,
-        slot: dispatchers.Slot | None = None,
+        slot: slots_lib.Slot | None = None,
     ) -> None:
         """Ends a ticket at a coordinator.
 
--- a/lacewingwood/routing/slot_server.py
+++ b/lacewingwood/routing/slot_server.py
@@ -13,10 +13,10 @@
 from lacewingwood.peers import messages
 from lacewingwood.peers import network as network_lib
 from lacewingwood.routing import coordinator as coordinators
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import replica_pauses
 from lacewingwood.routing import shards as shards_lib
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.routing import tickets
 
 # Interval at which tickets of ended gateways are dropped, and replicas whose
@@ -192,7 +192,7 @@
         message.host,
         message.ticket,
         message.shard,
-        dispatchers.SlotRequest(
+        slots_lib.SlotRequest(
             service=message.service,
             work=work,
             rank=message.rank,
--- a/lacewingwood/routing/tickets.py
+++ b/lacewingwood/routing/tickets.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import slots as slots_lib
 
 TicketId = tuple[str, int]
 
@@ -29,7 +29,7 @@
     holder: str
     number: int
     shard: str
-    req: dispatchers.SlotRequest
+    req: slots_lib.SlotRequest
     may_preempt: bool = False
     left_ms: float = 0.0
     tag: float = 0.0
--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -25,6 +25,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import quarantine as quarantines
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
 from tests.routing import test_dispatcher
@@ -353,7 +354,7 @@
 ) -> None:
     """Guards against callers that return only to be late as well."""
 
-    async def refuse(_: object, req: dispatchers.SlotRequest) -> None:
+    async def refuse(_: object, req: slots_lib.SlotRequest) -> None:
         await trio.lowlevel.checkpoint()
         req.hopeless = True
 
--- a/tests/callers/test_racing.py
+++ b/tests/callers/test_racing.py
@@ -17,11 +17,11 @@
 from lacewingwood.callers import forwarding
 from lacewingwood.callers import progress
 from lacewingwood.routing import directory
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import outliers
 from lacewingwood.routing import quarantine as quarantines
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import runs
 from tests.callers import test_forwarding
@@ -542,7 +542,7 @@
     setup = _Setup(Script([400.0, *stream(1, 2)]))
     setup.learn_times()
     nobody = {"r0", "r1", "r2"}
-    waiting = dispatchers.SlotRequest(
+    waiting = slots_lib.SlotRequest(
         "s", load.WorkKind.ONLINE, deadline_ms=1e9, exclude=nobody
     )
     async with trio.open_nursery() as nursery:
@@ -608,7 +608,7 @@
     state = progress.Progress(call)
     replica = load.Replica(directory.Listing("r0", "s", "h:1", "z", 1))
     first, second = (
-        progress.Attempt(state, dispatchers.Slot(replica, load.WorkKind.ONLINE))
+        progress.Attempt(state, slots_lib.Slot(replica, load.WorkKind.ONLINE))
         for _ in range(2)
     )
     first.note_sent()
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -4,8 +4,8 @@
 
 import trio
 
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import records
-from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.log import compacted
 from lacewingwood.log import errors
@@ -151,19 +151,19 @@
     """Holds items until the test completes them."""
 
     def __init__(self) -> None:
-        self.tasks: dict[running.ItemTask, schedulers.OnResult] = {}
+        self.tasks: dict[item_tasks.ItemTask, schedulers.OnResult] = {}
 
     def add(
-        self, task: running.ItemTask, on_result: schedulers.OnResult
+        self, task: item_tasks.ItemTask, on_result: schedulers.OnResult
     ) -> None:
         """Adds an item."""
         self.tasks[task] = on_result
 
-    def remove(self, task: running.ItemTask) -> None:
+    def remove(self, task: item_tasks.ItemTask) -> None:
         """Removes an item."""
         self.tasks.pop(task, None)
 
-    def complete(self, task: running.ItemTask, output: bytes) -> None:
+    def complete(self, task: item_tasks.ItemTask, output: bytes) -> None:
         """Completes an item with an output."""
         on_result = self.tasks.pop(task)
         on_result(task, records.Result(task.index, True, output))
--- a/tests/jobs/test_item_order.py
+++ b/tests/jobs/test_item_order.py
@@ -1,14 +1,14 @@
 """Tests of the order in which items start and are stopped."""
 
 from lacewingwood.jobs import item_order
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import payloads
-from lacewingwood.jobs import running
 from tests.jobs import fakes
 
 
-def _make_task(due_ms: int, last_id: int | None = None) -> running.ItemTask:
+def _make_task(due_ms: int, last_id: int | None = None) -> item_tasks.ItemTask:
     submission = fakes.make_job("job", 1, submitted_ms=due_ms - 18_000)
-    task = running.ItemTask(submission.job, 0, payloads.Payload(b"{}"))
+    task = item_tasks.ItemTask(submission.job, 0, payloads.Payload(b"{}"))
     task.events.last_id = last_id
     return task
 
--- a/tests/jobs/test_item_routes.py
+++ b/tests/jobs/test_item_routes.py
@@ -8,6 +8,7 @@
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
 from lacewingwood.jobs import item_routes
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
@@ -66,7 +67,7 @@
             lambda: round(self.clock.now_ms()),
             metrics,
         )
-        task = running.ItemTask(_job(), 0, payloads.Payload(b""))
+        task = item_tasks.ItemTask(_job(), 0, payloads.Payload(b""))
         scheduler.add(task, lambda task, result: self.results.append(result))
         return scheduler
 
--- a/tests/jobs/test_running.py
+++ b/tests/jobs/test_running.py
@@ -13,6 +13,7 @@
 from lacewingwood import clock as clocks
 from lacewingwood import configuration
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import payloads
 from lacewingwood.jobs import records
 from lacewingwood.jobs import running
@@ -22,6 +23,7 @@
 from lacewingwood.routing import load
 from lacewingwood.routing import origins
 from lacewingwood.routing import outliers
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import errors as upstream_errors
 from lacewingwood.upstreams import event_stream
 from lacewingwood.upstreams import runs
@@ -107,14 +109,14 @@
         )
         job = fakes.make_job("job", 1).job
         self.silent = False
-        self.task = running.ItemTask(job, 0, payloads.Payload(b"{}"))
+        self.task = item_tasks.ItemTask(job, 0, payloads.Payload(b"{}"))
 
     async def run_at(self, replica_id: str) -> records.Result | None:
         """Runs the item at one replica."""
         replica = self.fleet.get(replica_id)
         assert replica is not None
         replica.own_counts[1] += 1
-        slot = dispatchers.Slot(replica, load.WorkKind.BATCH)
+        slot = slots_lib.Slot(replica, load.WorkKind.BATCH)
         return await self.runner.run(self.task, slot, ROUTE)
 
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -6,11 +6,13 @@
 
 from lacewingwood import clock as clocks
 from lacewingwood import metrics as metrics_lib
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import payloads
 from lacewingwood.jobs import running
 from lacewingwood.jobs import scheduler as schedulers
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import slots as slots_lib
 from tests.jobs import fakes
 from tests.routing import test_dispatcher
 
@@ -18,7 +20,7 @@
 def _make_scheduler(
     clock: clocks.ManualClock, lag: bool
 ) -> tuple[
-    dispatchers.Dispatcher, schedulers.Scheduler, list[running.ItemTask]
+    dispatchers.Dispatcher, schedulers.Scheduler, list[item_tasks.ItemTask]
 ]:
     """Returns a scheduler with eight items running on one replica."""
     dispatcher = test_dispatcher.make(replicas=1, slots=8, clock=clock)
@@ -35,11 +37,11 @@
     job = fakes.make_job("job", 8).job
     tasks = []
     for n in range(8):
-        task = running.ItemTask(
-            job, n, payloads.Payload(b"{}"), state=running.State.RUNNING
+        task = item_tasks.ItemTask(
+            job, n, payloads.Payload(b"{}"), state=item_tasks.State.RUNNING
         )
         task.slot = dispatcher.try_acquire(
-            dispatchers.SlotRequest(service="s", work=load.WorkKind.BATCH)
+            slots_lib.SlotRequest(service="s", work=load.WorkKind.BATCH)
         )
         task.scope = trio.CancelScope()
         scheduler.add(task, lambda task, result: None)
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -10,6 +10,7 @@
 
 from lacewingwood import configuration
 from lacewingwood.jobs import errors
+from lacewingwood.jobs import item_tasks
 from lacewingwood.jobs import payloads
 from lacewingwood.jobs import running
 from lacewingwood.peers import gateway_messages
@@ -159,7 +160,7 @@
     except errors.InvalidJobError:
         return
     body = submission.bodies[0]
-    task = running.ItemTask(submission.job, 0, payloads.Payload(body))
+    task = item_tasks.ItemTask(submission.job, 0, payloads.Payload(body))
     listing = directory.Listing("r0", "s", "10.0.0.1:80", "z", 8)
     head = replicas._encode(
         listing, running._make_work(task, body), 1_000, None
--- a/tests/routing/fleets.py
+++ b/tests/routing/fleets.py
@@ -28,6 +28,7 @@
 from lacewingwood.routing import shards as shards_lib
 from lacewingwood.routing import slot_client
 from lacewingwood.routing import slot_server
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import runs
 
 SERVICE = "lm"
@@ -52,10 +53,10 @@
 PROMPT_MS = 100.0
 
 
-def make_request(customer: str = "") -> dispatchers.SlotRequest:
+def make_request(customer: str = "") -> slots_lib.SlotRequest:
     """Returns an online request that arrives now."""
     now_ms = trio.current_time() * 1000
-    return dispatchers.SlotRequest(
+    return slots_lib.SlotRequest(
         service=SERVICE,
         work=load.WorkKind.ONLINE,
         arrived_ms=now_ms,
@@ -309,7 +310,7 @@
         self.host, self.zone = host, zone
         self.waiting_items: list[Item] = []
         self._fleet = fleet
-        self._items: dict[dispatchers.Slot, tuple[Item, trio.CancelScope]] = {}
+        self._items: dict[slots_lib.Slot, tuple[Item, trio.CancelScope]] = {}
 
     def _update_replicas(self, replicas: Iterable[load.Replica]) -> None:
         listed = list(replicas)
@@ -385,7 +386,7 @@
             SERVICE, len(self.waiting_items), urgent, left_ms
         )
 
-    def _start_item(self, slot: dispatchers.Slot) -> bool:
+    def _start_item(self, slot: slots_lib.Slot) -> bool:
         if not self.waiting_items:
             return False
         item = min(self.waiting_items, key=lambda i: (i.left_ms, i.added_ms))
@@ -394,7 +395,7 @@
         self._fleet.nursery.start_soon(self._run_item, slot)
         return True
 
-    async def _run_item(self, slot: dispatchers.Slot) -> None:
+    async def _run_item(self, slot: slots_lib.Slot) -> None:
         outcome = self._fleet.outcome
         replica = self._fleet.replicas[slot.replica.listing.id]
         item, scope = self._items[slot]
--- a/tests/routing/test_contention.py
+++ b/tests/routing/test_contention.py
@@ -11,8 +11,8 @@
 from trio import testing as trio_testing
 
 from lacewingwood.peers import gateway_messages
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import slot_client
+from lacewingwood.routing import slots as slots_lib
 from tests.routing import fleets
 
 _ONLINE_PER_S = 138.0
@@ -106,7 +106,7 @@
 
 
 async def _release_later(
-    client: slot_client.SlotClient, slots: list[dispatchers.Slot | None]
+    client: slot_client.SlotClient, slots: list[slots_lib.Slot | None]
 ) -> None:
     await trio.sleep(1)
     for slot in slots:
--- a/tests/routing/test_coordinator.py
+++ b/tests/routing/test_coordinator.py
@@ -6,9 +6,9 @@
 from lacewingwood.limits import replica_limits
 from lacewingwood.routing import coordinator as coordinators
 from lacewingwood.routing import directory
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import replica_pauses
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.routing import tickets
 
 _SHARD = "s/z/0"
@@ -23,7 +23,7 @@
     version: str | None = None,
 ) -> str:
     """Returns the replica that a new ticket is granted, empty if it waits."""
-    req = dispatchers.SlotRequest(
+    req = slots_lib.SlotRequest(
         "s", work, arrived_ms=now_ms, objective_ms=2_000, version=version
     )
     ticket = tickets.Ticket(f"g{number}", number, _SHARD, req, may_preempt)
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -11,6 +11,7 @@
 from lacewingwood.routing import directory
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.upstreams import runs
 from tests.routing import fleets
 
@@ -38,8 +39,8 @@
 
 def _request(
     work: load.WorkKind = ONLINE, **fields: object
-) -> dispatchers.SlotRequest:
-    return dispatchers.SlotRequest(service="s", work=work, **fields)  # type: ignore[arg-type]
+) -> slots_lib.SlotRequest:
+    return slots_lib.SlotRequest(service="s", work=work, **fields)  # type: ignore[arg-type]
 
 
 def test_requests_spread_over_replicas() -> None:
@@ -139,7 +140,7 @@
     dispatcher = make(replicas=1, slots=1, clock=clocks.MonotonicClock())
     first = dispatcher.try_acquire(_request())
     assert first is not None
-    granted: list[dispatchers.Slot | None] = []
+    granted: list[slots_lib.Slot | None] = []
 
     async def wait() -> None:
         granted.append(await dispatcher.acquire(_request()))
@@ -161,7 +162,7 @@
     order: list[str] = []
     now_ms = clock.now_ms()
 
-    async def wait(name: str, req: dispatchers.SlotRequest) -> None:
+    async def wait(name: str, req: slots_lib.SlotRequest) -> None:
         slot = await dispatcher.acquire(req)
         order.append(name)
         assert slot is not None
--- a/tests/routing/test_evacuation.py
+++ b/tests/routing/test_evacuation.py
@@ -4,8 +4,8 @@
 import trio
 from trio import testing as trio_testing
 
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import evacuation
+from lacewingwood.routing import slots as slots_lib
 from tests.routing import fleets
 
 
@@ -117,7 +117,7 @@
             for _ in fleet.listings
         ]
         assert all(blockers)
-        answers: list[dispatchers.Slot | None] = []
+        answers: list[slots_lib.Slot | None] = []
 
         async def wait() -> None:
             answers.append(await gateway.client.acquire(fleets.make_request()))
--- a/tests/routing/test_fair_order.py
+++ b/tests/routing/test_fair_order.py
@@ -5,6 +5,7 @@
 from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import fair_order
 from lacewingwood.routing import load
+from lacewingwood.routing import slots as slots_lib
 
 _SERVICE_MS = 10.0
 
@@ -20,13 +21,13 @@
         for customer, rate in per_s.items()
         for _ in range(round(rate * seconds))
     )
-    waiting: list[tuple[float, dispatchers.SlotRequest]] = []
+    waiting: list[tuple[float, slots_lib.SlotRequest]] = []
     waits: dict[str, list[float]] = {customer: [] for customer in per_s}
     now_ms = 0.0
     while arrivals or waiting:
         while arrivals and arrivals[0][0] <= now_ms:
             at_ms, customer = arrivals.pop(0)
-            req = dispatchers.SlotRequest(
+            req = slots_lib.SlotRequest(
                 "s",
                 load.WorkKind.ONLINE,
                 arrived_ms=at_ms,
@@ -90,10 +91,10 @@
 
 def test_priority_does_not_make_a_request_wait_forever() -> None:
     """Guards against requests of low priority that starve."""
-    old = dispatchers.SlotRequest(
+    old = slots_lib.SlotRequest(
         "s", load.WorkKind.ONLINE, rank=5, deadline_ms=5_000
     )
-    new = dispatchers.SlotRequest(
+    new = slots_lib.SlotRequest(
         "s", load.WorkKind.ONLINE, arrived_ms=2_600, deadline_ms=7_600
     )
     key = dispatchers.fair_waiting_key
--- a/tests/routing/test_preemption.py
+++ b/tests/routing/test_preemption.py
@@ -2,16 +2,16 @@
 
 import math
 
-from lacewingwood.routing import dispatcher as dispatchers
 from lacewingwood.routing import load
 from lacewingwood.routing import preemption
+from lacewingwood.routing import slots as slots_lib
 from lacewingwood.routing import tickets
 
 
 def _granted(
     number: int, left_ms: float, granted_ms: float, urgent: bool = False
 ) -> tickets.Ticket:
-    req = dispatchers.SlotRequest("s", load.WorkKind.BATCH, urgent=urgent)
+    req = slots_lib.SlotRequest("s", load.WorkKind.BATCH, urgent=urgent)
     return tickets.Ticket(
         "g",
         number,
@@ -25,7 +25,7 @@
 
 def test_item_runs_on_while_other_slots_become_free() -> None:
     """Guards against stopped items where a request waits for moments only."""
-    req = dispatchers.SlotRequest(
+    req = slots_lib.SlotRequest(
         "s", load.WorkKind.ONLINE, arrived_ms=1_000, objective_ms=300
     )
     freed = preemption.FreedSlots()
