A large request is written on while its error response is read

A replica that reads on before it sends the body of its error would wait for that rest, and the caller for the error. Change: the write ends when the response has been dealt with; the sending and the head are one context for it. The body of an error is decided on at one place. Evidence: test_error_that_comes_in_parts_during_an_upload_is_whole fails on the code before.

--- a/lacewingwood/callers/attempts.py
+++ b/lacewingwood/callers/attempts.py
@@ -77,9 +77,7 @@
     @property
     def relayable(self) -> bool:
         """Whether the caller may get the response."""
-        return (
-            self.body is not None and self.status not in errors.NOT_RUN_STATUSES
-        )
+        return self.body is not None and _is_relayable(self.status)
 
 
 class Origins(Protocol):
@@ -196,16 +194,14 @@
         Raises:
             upstream_errors.UpstreamError: The response broke off.
         """
-        error = ErrorResponse(run.status, run.headers, b"")
         may_retry = progress.call.route.repeatable and progress.attempts_left(
             begun=progress.pending
         )
-        needed = error.relayable and not may_retry
-        timeout_s = math.inf if needed else _UNUSED_BODY_TIMEOUT_S
-        error.body = None
-        with trio.move_on_after(timeout_s):
-            error.body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
-        return error
+        needed = not may_retry and _is_relayable(run.status)
+        body: bytes | None = None
+        with trio.move_on_after(math.inf if needed else _UNUSED_BODY_TIMEOUT_S):
+            body = await self._bodies.read(run, _MAX_ERROR_BODY_BYTES)
+        return ErrorResponse(run.status, run.headers, body)
 
     async def _relay_stream(
         self,
@@ -346,9 +342,14 @@
         await _respond(call, exc.status, exc.headers, exc.body)
 
 
+def _is_relayable(status: int) -> bool:
+    """Returns whether a caller may get the status of a run."""
+    return status not in errors.NOT_RUN_STATUSES
+
+
 def _is_failure(status: int) -> bool:
     """Returns whether a replica that ran a request reports that it failed."""
-    return status >= _SERVER_ERROR or status in errors.NOT_RUN_STATUSES
+    return status >= _SERVER_ERROR or not _is_relayable(status)
 
 
 def first_event_timeout_ms(route: configuration.Route) -> float:
--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -158,14 +158,15 @@
         async with pool.exchange(fresh, work.request_id) as exchange:
             on_send()
             with trio.move_on_after(head_limit_ms / 1000) as limit:
-                await exchange.send_and_receive_head(head, work.body)
+                async with exchange.requesting(head, work.body):
+                    limit.deadline = math.inf
+                    _check_request_id(exchange, work.request_id, replica.id)
+                    run = Run(exchange, replica.id)
+                    if run.refused:
+                        exchange.note_refusal(work.request_id)
+                    yield run
             if limit.cancelled_caught:
                 raise _timeout_error(head_limit_ms)
-            _check_request_id(exchange, work.request_id, replica.id)
-            run = Run(exchange, replica.id)
-            if run.refused:
-                exchange.note_refusal(work.request_id)
-            yield run
 
     async def has_stopped(self, replica: directory.Listing) -> bool:
         """Returns whether a replica no longer accepts connections."""
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -7,6 +7,7 @@
 import contextlib
 import os
 import select
+from collections.abc import AsyncIterator
 from typing import Any
 
 import h11
@@ -249,13 +250,15 @@
         with contextlib.suppress(errors.BrokenError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
 
-    async def send_and_receive_head(
+    @contextlib.asynccontextmanager
+    async def requesting(
         self, head: h11.Request, body: bytes
-    ) -> None:
-        """Sends a whole request and reads the head of its response.
+    ) -> AsyncIterator[None]:
+        """Sends a whole request; yields once the head of its response is read.
 
-        The response may come while a large body is written, and its sender may
-        read no more of the body. The rest is written only after a success.
+        The response may come while a large body is being written, and its
+        sender may read no more of the body. It is written until the context is
+        left; after a success, the context is entered when all is written.
 
         Raises:
             BrokenError: The connection ended or the peer broke the protocol.
@@ -264,18 +267,27 @@
         if len(body) <= _MAX_JOINED_BYTES:
             await self.send_whole(head, body)
             await self.receive_head()
+            yield
             return
-        failure: errors.UpstreamError | None = None
+        written = trio.Event()
+
+        async def write() -> None:
+            await self.send_whole(head, body)
+            written.set()
+
+        failure: Exception | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.send_whole, head, body)
+            nursery.start_soon(write)
             # An error is kept outside of the nursery, which would wrap it in an
             # exception group.
             try:
                 await self.receive_head()
-            except errors.UpstreamError as exc:
+                if self.status < _NO_SUCCESS:
+                    await written.wait()
+                yield
+            except Exception as exc:
                 failure = exc
-            if failure is not None or self.status >= _NO_SUCCESS:
-                nursery.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
 
--- a/tests/upstreams/test_refusals.py
+++ b/tests/upstreams/test_refusals.py
@@ -215,6 +215,32 @@
     assert caught.value.status == 502
 
 
+async def test_error_that_comes_in_parts_during_an_upload_is_whole() -> None:
+    """Guards against half an error, or none, from a replica that reads on.
+
+    It sends the head, reads the rest of the request, and sends the body.
+    """
+    answer = _answer(500, "length")
+    head, _, body = answer.partition(b"\r\n\r\n")
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            data = bytes(await stream.receive_some(100))
+            await stream.send_all(head + b"\r\n\r\n")
+            await trio.sleep(0.1)
+            await _read_rest(stream, data)
+            await stream.send_all(body)
+
+    caller = test_forwarding.Caller()
+    call = _make_call(
+        caller, "during the upload", "NON_IDEMPOTENT", max_attempts=1
+    )
+    async with servers.serving(serve) as address:
+        with trio.fail_after(3):
+            await servers.make_forwarder(address).run(call)
+    assert (caller.status, caller.body) == (500, body)
+
+
 @pytest.mark.parametrize("status", [*_STATUSES, 500])
 @pytest.mark.parametrize("max_attempts", [1, 2])
 async def test_error_whose_body_stalls_does_not_hold_a_request(
