--- a/tests/callers/test_forwarding.py
+++ b/tests/callers/test_forwarding.py
@@ -844,10 +844,11 @@
 
 
 async def _take_up(
-    stream_origins: Origins, versions: tuple[str, ...]
+    stream_origins: Origins, versions: tuple[str, ...], *scripts: Script
 ) -> tuple[Caller, FakeReplicas, errors.CallerError | None]:
     """Takes up, after its second event, the stream that `first` began."""
-    caller, replicas = Caller(), FakeReplicas(Script(stream(3, 4)))
+    replicas = FakeReplicas(*(scripts or (Script(stream(3, 4)),)))
+    caller = Caller()
     forwarder = make_forwarder(
         replicas, stream_origins=stream_origins, versions=versions
     )
@@ -887,3 +888,29 @@
     assert exc.retry_after_ms
     assert not replicas.sent
     assert trio.current_time() - started_s < 0.2
+
+
+@pytest.mark.parametrize("status", sorted(errors.NOT_RUN_STATUSES))
+async def test_stream_that_is_taken_up_is_not_told_as_not_run(
+    status: int,
+) -> None:
+    """Guards against a promise for a stream that has gone on at a replica."""
+    known = Origins()
+    key = origins.stream_key("kaje", "first")
+    known.known[key] = origins.Origin("s", "v1")
+    denial = Script([b"x"], status=status)
+    caller, replicas, exc = await _take_up(
+        known, ("v1", "v1"), denial, Script(stream(3, 4))
+    )
+    assert exc is None
+    assert caller.body == b"".join(stream(3, 4))
+    assert replicas.sent == [(replicas.sent[0][0], 2), (replicas.sent[1][0], 2)]
+    _, _, exc = await _take_up(known, ("v1", "v1"), denial, denial)
+    assert exc is not None
+    assert (exc.status, exc.ran) == (502, base_errors.Ran.MAY_HAVE_RUN)
+    refusal = Script(status=status, refused=True)
+    caller, _, exc = await _take_up(
+        known, ("v1", "v1"), refusal, Script(stream(3, 4))
+    )
+    assert exc is None
+    assert caller.body == b"".join(stream(3, 4))
