Entries: a call that was not sent within its route's timeout has not run

What callers saw: 504 "may have run" for a call to a plain service that waited for a connection, and no try at another host.

Cause: the route's timeout did not know whether the call had been sent. Evidence: the case without a connection fails before (504 for 503). Why it works: the client says when it begins to send, as the one of the replicas does; what is known not to have run is a 503 wherever it ends.

--- a/lacewingwood/callers/dependencies.py
+++ b/lacewingwood/callers/dependencies.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import AsyncIterable
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
@@ -142,8 +143,12 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes | AsyncIterable[bytes],
         deadline_ms: float,
+        on_send: Callable[[], None] = lambda: None,
     ) -> contextlib.AbstractAsyncContextManager[PlainResponse]:
-        """Sends a request; `path` includes the query."""
+        """Sends a request; `path` includes the query.
+
+        `on_send` is called right before the first byte is sent.
+        """
 
 
 class IdempotencyClaims(Protocol):
--- a/lacewingwood/callers/errors.py
+++ b/lacewingwood/callers/errors.py
@@ -112,10 +112,10 @@
     if isinstance(exc, upstream_errors.RefusedError):
         return _from_refusal(exc)
     match exc:
-        case upstream_errors.TimeoutError():
-            return CallerError(504, exc.code, "upstream timed out", ran=exc.ran)
         case _ if exc.ran is Ran.NOT_RUN:
             return unavailable(exc.code, "no upstream accepted the request")
+        case upstream_errors.TimeoutError():
+            return CallerError(504, exc.code, "upstream timed out", ran=exc.ran)
         case _:
             return CallerError(502, exc.code, "upstream failed", ran=exc.ran)
 
--- a/lacewingwood/callers/proxy.py
+++ b/lacewingwood/callers/proxy.py
@@ -228,6 +228,12 @@
 
         The route's timeout applies until the response's headers.
         """
+        ran = errors.Ran.NOT_RUN
+
+        def note_sent() -> None:
+            nonlocal ran
+            ran = errors.Ran.MAY_HAVE_RUN
+
         context = self._deps.plain_client.request(
             started.replica.address,
             req.method,
@@ -235,6 +241,7 @@
             headers=[*call.headers, self._deadline_header(call)],
             body=upload.body(),
             deadline_ms=call.deadline_ms,
+            on_send=note_sent,
         )
         limit_s = call.route.timeout_ms / 1000
         with trio.move_on_after(limit_s) as scope:
@@ -246,8 +253,7 @@
             raise upload.error
         if scope.cancelled_caught:
             raise upstream_errors.TimeoutError(
-                "no response within the route's timeout",
-                errors.Ran.MAY_HAVE_RUN,
+                "no response within the route's timeout", ran
             )
 
     async def _relay_response(
--- a/lacewingwood/upstreams/plain.py
+++ b/lacewingwood/upstreams/plain.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections.abc import AsyncIterable
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 
 import h11
 import trio
@@ -107,6 +108,7 @@
         headers: http1.Headers,
         body: bytes | AsyncIterable[bytes],
         deadline_ms: float,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Response]:
         """Sends a request and yields its response.
 
@@ -121,6 +123,8 @@
             headers: Header fields to send; hop-by-hop fields are omitted.
             body: Request body.
             deadline_ms: Time on `clock` by which the context must be left.
+            on_send: Called right before the first byte is sent. If the context
+                is cancelled before that, the request has not run.
 
         Raises:
             ConnectError: No connection was made; the request did not run.
@@ -134,6 +138,7 @@
         with trio.move_on_after(max(0.0, remaining_ms) / 1000) as scope:
             async with self._pools.pool(address).exchange() as exchange:
                 sent = exchange
+                on_send()
                 async with _sending(exchange, head, body):
                     await exchange.receive_head()
                     yield Response(exchange)
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -205,12 +205,14 @@
         sent: The requests that the service received.
         errors: Errors that the next requests raise.
         silent: True if no response ever comes.
+        connects: False if no connection is ever made.
     """
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
         self.errors: list[Exception] = []
         self.silent = False
+        self.connects = True
 
     @contextlib.asynccontextmanager
     async def request(
@@ -222,7 +224,11 @@
         headers: Any,
         body: bytes | AsyncIterator[bytes],
         deadline_ms: float,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Response]:
+        if not self.connects:
+            await trio.sleep_forever()
+        on_send()
         got = body if isinstance(body, bytes) else b""
         if not isinstance(body, bytes):
             got = b"".join([chunk async for chunk in body])
--- a/tests/callers/test_proxy.py
+++ b/tests/callers/test_proxy.py
@@ -196,6 +196,25 @@
     assert not fakes.header(got, b"retry-after")
 
 
+@pytest.mark.parametrize("connects", [True, False])
+async def test_call_that_was_not_sent_in_time_has_not_run(
+    connects: bool,
+) -> None:
+    """Guards against "may have run" for a call that reached no host.
+
+    Each attempt ends by the route's timeout.
+    """
+    world = _world()
+    world.plain.silent, world.plain.connects = True, connects
+    world.state.view.routes["permits"].timeout_ms = 50
+    async with world.serve() as served, served.client() as client:
+        got = await client.call("POST", "/permits/7", b"x")
+    assert got.status == (504 if connects else 503)
+    ran = "may_have_run" if connects else "not_run"
+    assert fakes.error(got)["ran"] == ran
+    assert bool(fakes.header(got, b"retry-after")) is not connects
+
+
 async def test_long_body_is_streamed_and_bounded() -> None:
     """Guards against buffering whole uploads and resending parts of them."""
     world = _world()
