The sending of a large request ends with a refusal, and with no other answer

Change: the head is read beside the write, which ends early only for a refusal, or a status that denies the run; all other responses wait for it. Small bodies, and engines, take the same way as on.

--- a/lacewingwood/platform/replicas.py
+++ b/lacewingwood/platform/replicas.py
@@ -10,6 +10,7 @@
 import trio
 
 from lacewingwood import errors as base_errors
+from lacewingwood.callers import errors as caller_errors
 from lacewingwood.routing import directory
 from lacewingwood.upstreams import errors
 from lacewingwood.upstreams import http1
@@ -158,15 +159,16 @@
         async with pool.exchange(fresh, work.request_id) as exchange:
             on_send()
             with trio.move_on_after(head_limit_ms / 1000) as limit:
-                async with exchange.requesting(head, work.body):
-                    limit.deadline = math.inf
-                    _check_request_id(exchange, work.request_id, replica.id)
-                    run = Run(exchange, replica.id)
-                    if run.refused:
-                        exchange.note_refusal(work.request_id)
-                    yield run
+                await exchange.send_and_receive_head(
+                    head, work.body, lambda: _denies_run(exchange, replica.id)
+                )
             if limit.cancelled_caught:
                 raise _timeout_error(head_limit_ms)
+            _check_request_id(exchange, work.request_id, replica.id)
+            run = Run(exchange, replica.id)
+            if run.refused:
+                exchange.note_refusal(work.request_id)
+            yield run
 
     async def has_stopped(self, replica: directory.Listing) -> bool:
         """Returns whether a replica no longer accepts connections."""
@@ -242,6 +244,14 @@
     )
 
 
+def _denies_run(exchange: http1.Exchange, replica_id: str) -> bool:
+    """Returns whether nobody needs more of a response than its head."""
+    return (
+        _is_refusal(exchange, replica_id)
+        or exchange.status in caller_errors.NOT_RUN_STATUSES
+    )
+
+
 def _check_request_id(
     exchange: http1.Exchange, request_id: str, replica_id: str
 ) -> None:
--- a/lacewingwood/upstreams/engine.py
+++ b/lacewingwood/upstreams/engine.py
@@ -247,11 +247,12 @@
             pool = pools.pool(address)
             async with pool.exchange(request_id=request_id) as exchange:
                 sent = exchange
-                async with exchange.requesting(head, body):
-                    if request_id:
-                        _check_request_id(exchange, request_id)
-                    await _check_status(exchange, request_id)
-                    yield exchange
+                await exchange.send_whole(head, body)
+                await exchange.receive_head()
+                if request_id:
+                    _check_request_id(exchange, request_id)
+                await _check_status(exchange, request_id)
+                yield exchange
         if scope.cancelled_caught:
             ran = sent.ran if sent else base_errors.Ran.NOT_RUN
             raise errors.TimeoutError("deadline exceeded", ran)
--- a/lacewingwood/upstreams/http1.py
+++ b/lacewingwood/upstreams/http1.py
@@ -7,7 +7,7 @@
 import contextlib
 import os
 import select
-from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -31,8 +31,6 @@
 # Refusals after which a connection is closed, as it has to remember them.
 _MAX_REFUSED = 64
 _BODILESS_STATUSES = (204, 304)
-# Statuses from here on are no success.
-_NO_SUCCESS = 300
 # RFC 9110, section 15: other statuses are invalid.
 _MAX_STATUS = 599
 
@@ -250,15 +248,19 @@
         with contextlib.suppress(errors.BrokenError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
 
-    @contextlib.asynccontextmanager
-    async def requesting(
-        self, head: h11.Request, body: bytes
-    ) -> AsyncIterator[None]:
-        """Sends a whole request; yields once the head of its response is read.
+    async def send_and_receive_head(
+        self, head: h11.Request, body: bytes, is_final: Callable[[], bool]
+    ) -> None:
+        """Sends a whole request and reads the head of its response.
 
         The response may come while a large body is being written, and its
-        sender may read no more of the body. It is written until the context is
-        left; after a success, the context is entered when all is written.
+        sender may read no more of the body.
+
+        Args:
+            head: Head of the request.
+            body: Its body.
+            is_final: Called once the head of the response is known; returns
+                True if the rest of the request need not be written.
 
         Raises:
             BrokenError: The connection ended or the peer broke the protocol.
@@ -267,27 +269,18 @@
         if len(body) <= _MAX_JOINED_BYTES:
             await self.send_whole(head, body)
             await self.receive_head()
-            yield
             return
-        written = trio.Event()
-
-        async def write() -> None:
-            await self.send_whole(head, body)
-            written.set()
-
-        failure: Exception | None = None
+        failure: errors.UpstreamError | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(write)
+            nursery.start_soon(self.send_whole, head, body)
             # An error is kept outside of the nursery, which would wrap it in an
             # exception group.
             try:
                 await self.receive_head()
-                if self.status < _NO_SUCCESS:
-                    await written.wait()
-                yield
-            except Exception as exc:
+            except errors.UpstreamError as exc:
                 failure = exc
-            nursery.cancel_scope.cancel()
+            if failure is not None or is_final():
+                nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
 
